--- /dev/null
+++ b/Makefile
@@ -0,0 +1,59 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+TAGS ?=
+PACKAGES := fleet platform daemon cli
+PROJECTS := $(PACKAGES:%=packages/hawthorndeal-%)
+INPUTS := constraints.txt requirements.txt $(PROJECTS:%=%/pyproject.toml)
+STAMP := $(VENV)/installed-$(shell cat $(INPUTS) | cksum | cut -d' ' -f1)
+
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(PROJECTS:%=$(CURDIR)/%)):$(CURDIR)/features:$(CURDIR)
+export PYTHONDONTWRITEBYTECODE := 1
+export PIP_DISABLE_PIP_VERSION_CHECK := 1
+
+.PHONY: help install demo test lint format measure slopes clean
+
+help:
+	@echo 'make demo     set up, then run the main job on stand-ins'
+	@echo 'make test     set up, then run the tests; TAGS=@tag for a part'
+	@echo 'make lint     formatter and linter, without changing anything'
+	@echo 'make format   format every file'
+	@echo 'make measure  measure the policies; QUICK=1 for fewer seeds'
+	@echo 'make slopes   measure the slopes of docs/CAPACITY.md'
+
+$(STAMP):
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -c constraints.txt -r requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
+		$(PROJECTS:%=-e %)
+	touch $@
+
+install: $(STAMP)
+
+demo: install
+	$(BIN)/python -m demo.run
+
+test: install
+	@totals=$$(mktemp); \
+	$(BIN)/python -m behave --no-capture --format progress \
+		--define totals=$$totals \
+		$(if $(TAGS),--tags='$(TAGS)') features; status=$$?; \
+	cat $$totals; echo; rm -f $$totals; exit $$status
+
+lint: install
+	$(BIN)/ruff format --check --quiet .
+	$(BIN)/flake8 .
+
+format: install
+	$(BIN)/ruff format --quiet .
+
+measure: install
+	$(BIN)/python -m measure.run $(if $(QUICK),--quick)
+
+slopes: install
+	$(BIN)/python -m measure.slopes
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,69 @@
+"""Set up and end what scenarios use, and count them."""
+
+import collections
+import pathlib
+import sys
+
+import yaml
+
+from behave.model_core import Status
+from stage import deployment
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+ZONES = {'entry-a1': 'cz-a', 'entry-b1': 'cz-b', 'entry-c1': 'cz-c'}
+
+
+def before_all(context):
+    """Start counting scenarios."""
+    # One counter, since each scenario sets attributes on a layer of its own.
+    context.totals = collections.Counter()
+    context.root = EXAMPLES.parent
+
+
+def before_scenario(context, scenario):
+    """Give each scenario its own deployment, not started yet."""
+    context.stage = None
+    context.load_example = load_example
+    context.make_stage = lambda **options: _make_stage(context, **options)
+
+
+def load_example(name):
+    """Return the plain document of an example fleet."""
+    return yaml.safe_load((EXAMPLES / name).read_text())
+
+
+def _make_stage(context, **options):
+    """Start a deployment that is ended with the scenario."""
+    fleet = options.pop('fleet', None) or load_example('vltava.yaml')
+    zones = options.pop('daemons', ZONES)
+    context.stage = deployment.Deployment(fleet, zones, **options)
+    # Ended even where the start fails half way.
+    context.add_cleanup(context.stage.end)
+    context.stage.start()
+    return context.stage
+
+
+def after_scenario(context, scenario):
+    """Count the scenario, and show the logs of one that failed."""
+    if scenario.status in (Status.skipped, Status.untested):
+        return
+    if scenario.status == Status.passed:
+        context.totals['passed'] += 1
+        return
+    context.totals['failed'] += 1
+    if context.stage is not None:
+        _print_logs(context.stage)
+
+
+def _print_logs(stage):
+    for path in sorted(stage.path.glob('*.log')):
+        tail = path.read_text(errors='replace').splitlines()[-15:]
+        print(f'--- {path.name}', *tail, sep='\n', file=sys.stderr)
+
+
+def after_all(context):
+    """Have the totals printed after those of behave."""
+    # behave prints its own totals later; the runner prints this line last.
+    totals = context.totals
+    line = f'scenarios: {totals["passed"]} passed, {totals["failed"]} failed'
+    pathlib.Path(context.config.userdata['totals']).write_text(line)
--- /dev/null
+++ b/features/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for endpoints, a process each."""
--- /dev/null
+++ b/features/fakes/log.py
@@ -0,0 +1,120 @@
+"""A stand-in for the platform's log service."""
+
+import argparse
+
+from aiohttp import web
+
+from . import faults
+
+
+class Streams:
+    """Keep entries by stream, the newest ones only.
+
+    :param retention: entries kept in each stream
+    """
+
+    def __init__(self, retention):
+        self._retention = retention
+        self._entries = {}
+        self._first = {}
+
+    def append(self, stream, entries):
+        """Add entries and return the offset of the first."""
+        kept = self._entries.setdefault(stream, [])
+        first = self._first.setdefault(stream, 0)
+        offset = first + len(kept)
+        kept.extend(entries)
+        surplus = max(0, len(kept) - self._retention)
+        del kept[:surplus]
+        self._first[stream] = first + surplus
+        return offset
+
+    def read(self, stream, offset, limit):
+        """Return status and answer of a read."""
+        first = self._first.get(stream, 0)
+        kept = self._entries.get(stream, [])
+        end = first + len(kept)
+        if offset < first:
+            return 410, {'offset': offset, 'first_offset': first}
+        if offset > end:
+            return 416, {'offset': offset, 'next_offset': end}
+        page = kept[offset - first : offset - first + limit]
+        numbered = list(enumerate(page, start=offset))
+        next_offset = offset + len(page)
+        return 200, {
+            'entries': numbered,
+            'next_offset': next_offset,
+            'is_last': next_offset == end,
+        }
+
+    def truncate(self, stream, keep):
+        """Forget everything after the first entries kept."""
+        del self._entries.get(stream, [])[keep:]
+
+    def expire(self, stream, first_offset):
+        """Forget the entries below an offset."""
+        first = self._first.get(stream, 0)
+        del self._entries[stream][: first_offset - first]
+        self._first[stream] = first_offset
+
+
+def make_app(streams):
+    """Return the application of the stand-in."""
+    app = faults.make_app()
+    counters = {'appends': 0, 'entries': 0, 'reads': 0}
+
+    async def append(request):
+        body = await request.json()
+        counters['appends'] += 1
+        counters['entries'] += len(body['entries'])
+        first = streams.append(request.match_info['stream'], body['entries'])
+        return web.json_response({'first_offset': first})
+
+    async def read(request):
+        counters['reads'] += 1
+        status, answer = streams.read(
+            request.match_info['stream'],
+            int(request.query['offset']),
+            int(request.query['limit']),
+        )
+        return web.json_response(answer, status=status)
+
+    async def truncate(request):
+        body = await request.json()
+        streams.truncate(body['stream'], body['keep'])
+        return web.json_response({})
+
+    async def expire(request):
+        body = await request.json()
+        streams.expire(body['stream'], body['first_offset'])
+        return web.json_response({})
+
+    async def count(request):
+        return web.json_response(counters)
+
+    app.router.add_post('/v1/streams/{stream}', append)
+    app.router.add_get('/v1/streams/{stream}', read)
+    app.router.add_post('/admin/truncate', truncate)
+    app.router.add_post('/admin/expire', expire)
+    app.router.add_get('/admin/counters', count)
+    return app
+
+
+def main():
+    """Serve until ended."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--host', required=True)
+    parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--retention', type=int, default=1_000_000)
+    options = parser.parse_args()
+    web.run_app(
+        make_app(Streams(options.retention)),
+        host=options.host,
+        port=options.port,
+        print=None,
+        access_log=None,
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/features/stage/traffic.py
@@ -0,0 +1,126 @@
+"""Callers behind a balancer: a bounded number of requests."""
+
+import asyncio
+import collections
+import itertools
+import random
+import time
+
+import aiohttp
+import attrs
+
+MAX_CALLER_TRIES = 5
+
+
+@attrs.define
+class Tally:
+    """Count the final answers that callers got.
+
+    :ivar wrong: answers that were not whole, or not to the own request
+    :ivar not_run: requests told that they did not run, by id
+    """
+
+    outcomes: collections.Counter = attrs.Factory(collections.Counter)
+    reasons: collections.Counter = attrs.Factory(collections.Counter)
+    wrong: list = attrs.Factory(list)
+    not_run: list = attrs.Factory(list)
+    answered: list = attrs.Factory(list)
+    latencies_s: list = attrs.Factory(list)
+
+
+class Callers:
+    """Send requests to entry hosts, as callers behind a balancer do.
+
+    :param urls: where entry hosts serve callers
+    :param targets: pairs of workspace and service to call
+    :param seed: of the source of randomness
+    """
+
+    def __init__(self, urls, targets, seed=1):
+        self._urls = list(urls)
+        self._targets = itertools.cycle(targets)
+        self._rng = random.Random(seed)
+        self._numbers = itertools.count(1)
+        self._prefix = f'seed{seed}'
+        self.tally = Tally()
+
+    async def run(self, requests, concurrency, pace_s=0.0, is_idempotent=None):
+        """Send a number of requests and return the tally.
+
+        :param pace_s: wait of each caller between two requests
+        :param is_idempotent: of all requests; mixed where None
+        """
+        self._left = requests
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            await asyncio.gather(
+                *(
+                    self._caller(session, pace_s, is_idempotent)
+                    for _ in range(concurrency)
+                )
+            )
+        return self.tally
+
+    async def _caller(self, session, pace_s, is_idempotent):
+        while self._left > 0:
+            self._left -= 1
+            number = next(self._numbers)
+            idempotent = (
+                number % 4 != 0 if is_idempotent is None else is_idempotent
+            )
+            await self._request(session, number, idempotent)
+            await asyncio.sleep(pace_s)
+
+    async def _request(self, session, number, is_idempotent):
+        workspace, service = next(self._targets)
+        request_id = f'{self._prefix}-{number}'
+        headers = {
+            'Hd-Workspace': workspace,
+            'Hd-Request-Id': request_id,
+            'Hd-Deadline-S': f'{time.time() + 10.0:.3f}',
+            'Hd-Idempotent': str(is_idempotent).lower(),
+        }
+        path = f'/v1/services/{service}/requests'
+        started_s = time.monotonic()
+        outcome, reason = await self._until_final(
+            session, path, headers, request_id
+        )
+        self.tally.latencies_s.append(time.monotonic() - started_s)
+        self.tally.outcomes[outcome] += 1
+        self.tally.reasons[reason] += 1
+        if outcome == 'not_run':
+            self.tally.not_run.append(request_id)
+        elif outcome == 'answered':
+            self.tally.answered.append(request_id)
+
+    async def _until_final(self, session, path, headers, request_id):
+        for _ in range(MAX_CALLER_TRIES):
+            outcome, reason, retry_after_s = await self._once(
+                session, path, headers, request_id
+            )
+            if outcome != 'not_run' or retry_after_s is None:
+                break
+            await asyncio.sleep(retry_after_s)
+        return outcome, reason
+
+    async def _once(self, session, path, headers, request_id):
+        url = self._rng.choice(self._urls) + path
+        try:
+            async with session.post(
+                url, data=request_id.encode(), headers=headers
+            ) as answer:
+                body = await answer.read()
+        except aiohttp.ClientConnectorError:
+            return 'not_run', 'no_entry_host', 0.0
+        except aiohttp.ClientError as error:
+            return 'lost', type(error).__name__, None
+        if answer.headers.get('Hd-Outcome') == 'answered':
+            if body != b'done:' + request_id.encode():
+                self.tally.wrong.append(request_id)
+            return 'answered', 'answered', None
+        failure = await answer.json()
+        return (
+            failure['outcome'],
+            failure['reason'],
+            failure['retry_after_s'],
+        )
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the policies and of the slopes behind CAPACITY.md."""
--- /dev/null
+++ b/packages/hawthorndeal-cli/hawthorndeal_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Give operators a command line for a fleet."""
--- /dev/null
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Run an entry host: serve callers, follow the log, maintain hosts."""
--- /dev/null
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/callers.py
@@ -0,0 +1,124 @@
+"""The interface for callers: requests, and readiness for the balancer."""
+
+import math
+
+import sanic
+from sanic import response
+
+from hawthorndeal_fleet import calls
+from hawthorndeal_fleet import errors
+
+from . import web
+
+REQUEST_ID_HEADER = 'hd-request-id'
+WORKSPACE_HEADER = 'hd-workspace'
+DEADLINE_HEADER = 'hd-deadline-s'
+IDEMPOTENT_HEADER = 'hd-idempotent'
+URGENCY_HEADER = 'hd-urgency'
+OUTCOME_HEADER = 'Hd-Outcome'
+ENDPOINT_HEADER = 'Hd-Endpoint'
+MAX_ID_CHARS = 200
+
+_BOOLEANS = {'true': True, 'false': False}
+
+
+def make_app(dispatcher, follower, settings, metrics):
+    """Return the application that callers reach."""
+    app = web.make_app('callers', settings.max_body_bytes)
+
+    @app.post('/v1/services/<service:str>/requests')
+    async def serve(request, service):
+        request_id = request.headers.get(REQUEST_ID_HEADER, '')
+        try:
+            call = _parse(request, service)
+            answer = await dispatcher.serve(call)
+        except errors.RequestFailed as failure:
+            metrics.count(f'requests.{failure.outcome}.{failure.reason}')
+            return web.failure_response(failure, request_id)
+        metrics.count('requests.answered')
+        return _respond(answer, request_id)
+
+    @app.get('/ready')
+    async def ready(request):
+        is_ready = follower.is_ready and not dispatcher.is_draining
+        return response.json(
+            {'is_ready': is_ready}, status=200 if is_ready else 503
+        )
+
+    @app.on_request
+    async def close_while_draining(request):
+        # The caller's next request then opens a connection elsewhere.
+        if dispatcher.is_draining:
+            request.stream.keep_alive = False
+
+    @app.exception(sanic.exceptions.PayloadTooLarge)
+    async def too_large(request, error):
+        return web.failure_response(
+            errors.RequestTooLarge(
+                f'more than {settings.max_body_bytes} bytes'
+            )
+        )
+
+    return app
+
+
+def _parse(request, service):
+    headers = request.headers
+    return calls.Request(
+        workspace=_text(headers, WORKSPACE_HEADER),
+        service=service,
+        request_id=_text(headers, REQUEST_ID_HEADER),
+        deadline_s=_number(headers, DEADLINE_HEADER),
+        is_idempotent=_choice(headers, IDEMPOTENT_HEADER, _BOOLEANS, 'false'),
+        urgency=_choice(
+            headers,
+            URGENCY_HEADER,
+            {urgency.value: urgency for urgency in calls.Urgency},
+            calls.Urgency.INTERACTIVE.value,
+        ),
+        body=request.body,
+    )
+
+
+def _text(headers, name):
+    value = headers.get(name, '')
+    if not 0 < len(value) <= MAX_ID_CHARS or not value.isprintable():
+        raise errors.BadRequest(f'header {name}: bad value {value!r:.80}')
+    return value
+
+
+def _number(headers, name):
+    text = headers.get(name, '')
+    try:
+        number = float(text)
+    except ValueError:
+        number = math.nan
+    if not math.isfinite(number):
+        raise errors.BadRequest(
+            f'header {name}: expected seconds since the epoch, got '
+            f'{text!r:.80}'
+        )
+    return number
+
+
+def _choice(headers, name, choices, default):
+    value = headers.get(name, default)
+    if value not in choices:
+        raise errors.BadRequest(
+            f'header {name}: expected one of {sorted(choices)}, got '
+            f'{value!r:.80}'
+        )
+    return choices[value]
+
+
+def _respond(answer, request_id):
+    return response.raw(
+        answer.body,
+        status=answer.status,
+        headers={
+            OUTCOME_HEADER: 'answered',
+            ENDPOINT_HEADER: answer.endpoint,
+            REQUEST_ID_HEADER: request_id,
+        },
+        content_type=answer.content_type or 'application/octet-stream',
+    )
--- /dev/null
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/control.py
@@ -0,0 +1,194 @@
+"""The interface for peers and operators; callers can't reach it."""
+
+import functools
+import hmac
+
+from sanic import response
+
+from hawthorndeal_fleet import codec
+from hawthorndeal_fleet import errors
+from hawthorndeal_fleet import maintenance
+from hawthorndeal_fleet import membership
+from hawthorndeal_fleet import records
+
+from . import peers as peers_module
+from . import web
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+APPLY_TIMEOUT_S = 10.0
+MAX_AUDIT_ENTRIES = 1000
+
+
+def make_app(follower, writer, peers, maintainer, settings):
+    """Return the application that peers and operators reach."""
+    app = web.make_app('control', MAX_BODY_BYTES)
+    _add_peer_routes(app, peers, settings)
+    _add_state_routes(app, follower, peers, maintainer, settings)
+    _add_apply_routes(app, follower, writer, settings)
+    return app
+
+
+def _refuse():
+    return response.json({'reason': 'not_authorized'}, status=401)
+
+
+def _bearer(request):
+    kind, _, token = request.headers.get('authorization', '').partition(' ')
+    return token if kind == 'Bearer' else ''
+
+
+def _operator(request, settings):
+    shown = _bearer(request).encode()
+    names = (
+        name
+        for name, token in settings.operator_tokens.items()
+        if hmac.compare_digest(token.encode(), shown)
+    )
+    return next(names, None)
+
+
+def _for_operators(settings):
+    def decorate(handler):
+        @functools.wraps(handler)
+        async def check(request, *args, **kwargs):
+            operator = _operator(request, settings)
+            if operator is None:
+                return _refuse()
+            request.ctx.operator = operator
+            return await handler(request, *args, **kwargs)
+
+        return check
+
+    return decorate
+
+
+def _add_peer_routes(app, peers, settings):
+    expected = settings.peer_token.encode()
+
+    @app.post(peers_module.EXCHANGE_PATH)
+    async def exchange(request):
+        if not hmac.compare_digest(expected, _bearer(request).encode()):
+            return _refuse()
+        try:
+            peers.note(codec.from_plain(request.json, membership.PeerDigest))
+        except errors.InvalidRecord as error:
+            return response.json({'reason': str(error)}, status=400)
+        return response.json(codec.to_plain(peers.digest()))
+
+
+def _add_state_routes(app, follower, peers, maintainer, settings):
+    for_operators = _for_operators(settings)
+
+    @app.get('/v1/status')
+    @for_operators
+    async def status(request):
+        return response.json(_status(follower.state, peers, settings))
+
+    @app.get('/v1/document')
+    @for_operators
+    async def document(request):
+        state = follower.state
+        return response.json(
+            {'revision': state.revision, 'document': state.document}
+        )
+
+    @app.get('/v1/waves')
+    @for_operators
+    async def waves(request):
+        return response.json(_waves(follower.state, maintainer.waits))
+
+    @app.get('/v1/audit')
+    @for_operators
+    async def audit(request):
+        entries = list(follower.state.audit)[-MAX_AUDIT_ENTRIES:]
+        return response.json({'entries': codec.to_plain(entries)})
+
+
+def _status(state, peers, settings):
+    peers.note(peers.digest())
+    return {
+        'daemon': settings.daemon,
+        'zone': settings.zone,
+        'revision': state.revision,
+        'next_offset': state.next_offset,
+        'members': [
+            _member_status(member, peers.table.heard(member.incarnation))
+            for member in state.members.values()
+        ],
+        'disruptions': codec.to_plain(list(state.disruptions.values())),
+        'down_hosts': sorted(state.down_hosts),
+    }
+
+
+def _member_status(member, heard):
+    return {
+        'daemon': member.daemon,
+        'zone': member.zone,
+        'revision': heard.digest.revision if heard else None,
+        'next_offset': heard.digest.next_offset if heard else None,
+    }
+
+
+def _waves(state, waits):
+    return {
+        name: {
+            'state': wave.state.value,
+            'action': wave.action.value,
+            'finished': sorted(state.finished.get(name, ())),
+            'working': {
+                host: disruption.step.value
+                for host, disruption in state.disruptions.items()
+                if disruption.wave == name
+            },
+            'waiting': {
+                host: waits.get(host, '')
+                for host in maintenance.waiting_hosts(state, name)
+                if host not in state.disruptions
+            },
+        }
+        for name, wave in state.fleet.waves.items()
+    }
+
+
+def _add_apply_routes(app, follower, writer, settings):
+    for_operators = _for_operators(settings)
+
+    @app.post('/v1/applies')
+    @for_operators
+    async def apply(request):
+        try:
+            body = codec.from_plain(
+                {**request.json, 'operator': request.ctx.operator},
+                records.ConfigApplied,
+            )
+            decision = await writer.commit(
+                body, APPLY_TIMEOUT_S, writer=body.operator
+            )
+        except errors.InvalidRecord as error:
+            return response.json({'reason': str(error)}, status=400)
+        except errors.PlatformUnavailable as error:
+            return response.json(_outcome('not_applied', error), status=503)
+        except errors.PlatformError as error:
+            return response.json(_outcome('unknown', error), status=504)
+        return response.json(_verdict(decision, follower.state))
+
+    @app.get('/v1/applies/<apply_id:str>')
+    @for_operators
+    async def find(request, apply_id):
+        decision = follower.state.verdicts.get(apply_id)
+        if decision is None:
+            return response.json({'outcome': 'unknown'}, status=404)
+        return response.json(_verdict(decision, follower.state))
+
+
+def _outcome(outcome, error):
+    return {'outcome': outcome, 'reason': str(error)}
+
+
+def _verdict(decision, state):
+    return {
+        'outcome': 'accepted' if decision.is_accepted else 'refused',
+        'reason': decision.reason,
+        'offset': decision.offset,
+        'revision': state.revision,
+    }
--- /dev/null
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
@@ -0,0 +1,165 @@
+"""Build a daemon from its settings and keep it running."""
+
+import asyncio
+import random
+import signal
+import uuid
+
+from hawthorndeal_fleet import errors
+from hawthorndeal_fleet import records
+from hawthorndeal_fleet import routing
+from hawthorndeal_platform import hosts as hosts_module
+from hawthorndeal_platform import log as log_module
+from hawthorndeal_platform import transport
+
+from . import callers
+from . import clock as clock_module
+from . import control
+from . import dispatcher
+from . import endpoints
+from . import follower
+from . import host_watch
+from . import logs
+from . import maintainer
+from . import metrics
+from . import peers
+from . import supervisor
+from . import web
+from . import writer
+
+JOIN_RETRY_S = 1.0
+JOIN_TIMEOUT_S = 5.0
+LEAVE_TIMEOUT_S = 2.0
+
+_log = logs.get('daemon')
+
+
+class Membership:
+    """Join through the log when the daemon starts, leave when it stops.
+
+    :param writer: appends the records
+    :param dispatcher: finishes requests before the daemon leaves
+    :param settings: the daemon's settings
+    :param incarnation: identity of this start of the daemon
+    """
+
+    name = 'membership'
+
+    def __init__(self, writer, dispatcher, settings, incarnation):
+        self._writer = writer
+        self._dispatcher = dispatcher
+        self._settings = settings
+        self._incarnation = incarnation
+
+    async def run(self):
+        """Join, then wait until cancelled."""
+        body = records.DaemonJoined(
+            incarnation=self._incarnation,
+            daemon=self._settings.daemon,
+            zone=self._settings.zone,
+            address=self._settings.control_address,
+        )
+        while not await self._try_join(body):
+            await asyncio.sleep(JOIN_RETRY_S)
+        await asyncio.Event().wait()
+
+    async def _try_join(self, body):
+        try:
+            decision = await self._writer.commit(body, JOIN_TIMEOUT_S)
+        except errors.PlatformError as error:
+            _log.warning('Can not join yet: %s', error)
+            return False
+        _log.info('Joined at offset %d.', decision.offset)
+        return decision.is_accepted
+
+    async def stop(self):
+        """Finish the requests that run, then leave."""
+        await self._dispatcher.drain(
+            self._settings.shutdown_grace_s, self._settings.shutdown_timeout_s
+        )
+        try:
+            await self._writer.commit(
+                records.DaemonLeft(incarnation=self._incarnation),
+                LEAVE_TIMEOUT_S,
+            )
+        except errors.PlatformError as error:
+            _log.warning('Left without a record: %s', error)
+
+
+class Daemon:
+    """Hold the parts of one running daemon.
+
+    :param settings: checked settings
+    """
+
+    def __init__(self, settings):
+        incarnation = uuid.uuid4().hex
+        clock = clock_module.SystemClock()
+        rng = random.Random(incarnation)
+        self._metrics = metrics.Metrics(settings.statsd, settings.daemon)
+        self._transports = [
+            transport.Transport(url, settings.platform.call_timeout_s)
+            for url in (settings.platform.log_url, settings.platform.hosts_url)
+        ]
+        log = log_module.HttpLog(self._transports[0])
+        hosts = hosts_module.HttpHosts(self._transports[1])
+        router = routing.Router(settings.zone)
+        self._endpoints = endpoints.EndpointClient()
+        reader = follower.Follower(log, settings, clock)
+        appender = writer.Writer(log, reader, settings, incarnation, clock)
+        others = peers.Peers(reader, router, settings, incarnation, clock, rng)
+        carer = maintainer.Maintainer(
+            reader, appender, others, hosts, settings, incarnation, clock
+        )
+        server = dispatcher.Dispatcher(
+            reader,
+            appender,
+            router,
+            self._endpoints,
+            incarnation,
+            settings,
+            clock,
+            rng,
+        )
+        self._supervisor = supervisor.Supervisor(
+            [
+                reader,
+                appender,
+                web.WebServer(
+                    'control',
+                    lambda: control.make_app(
+                        reader, appender, others, carer, settings
+                    ),
+                    settings.control_address,
+                ),
+                others,
+                host_watch.HostWatch(hosts, router, settings),
+                web.WebServer(
+                    'callers',
+                    lambda: callers.make_app(
+                        server, reader, settings, self._metrics
+                    ),
+                    settings.callers_address,
+                ),
+                Membership(appender, server, settings, incarnation),
+                carer,
+            ],
+            clock,
+        )
+
+    async def run(self):
+        """Serve until SIGTERM or SIGINT, then leave in good order."""
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopping.set)
+        try:
+            await self._supervisor.run(stopping)
+        finally:
+            await self._close()
+
+    async def _close(self):
+        await self._endpoints.close()
+        for connection in self._transports:
+            await connection.close()
+        self._metrics.close()
--- /dev/null
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/settings.py
@@ -0,0 +1,101 @@
+"""The checked settings of one daemon."""
+
+import attrs
+from attrs import validators
+
+from hawthorndeal_fleet import checks
+from hawthorndeal_fleet import codec
+from hawthorndeal_fleet import errors
+from hawthorndeal_fleet import yamltext
+
+
+def _positive(default):
+    return attrs.field(default=default, validator=validators.gt(0))
+
+
+@attrs.frozen
+class Statsd:
+    """Tell where metrics go, by UDP."""
+
+    host: str = '127.0.0.1'
+    port: int = attrs.field(
+        default=8125,
+        validator=[validators.ge(1), validators.le(checks.MAX_PORT)],
+    )
+
+
+@attrs.frozen
+class Platform:
+    """Tell where the platform's services are.
+
+    :ivar stream: the log stream that all daemons share
+    """
+
+    log_url: str
+    hosts_url: str
+    stream: str = 'hawthorndeal'
+    call_timeout_s: float = _positive(2.0)
+
+
+@attrs.frozen
+class Settings:
+    """Hold what a daemon has to know before it starts.
+
+    :ivar daemon: this entry host's name; its replacement keeps it
+    :ivar callers_address: where callers are served, as ``IP:PORT``
+    :ivar control_address: where peers and operators are served
+    :ivar peers: control addresses of the other entry hosts
+    :ivar operator_tokens: token of each operator, by name
+    :ivar peer_token: token that daemons show each other
+    :ivar shutdown_grace_s: time for the balancer to send callers elsewhere
+    :ivar shutdown_timeout_s: longest wait for requests that run
+    """
+
+    daemon: str
+    zone: str
+    callers_address: str
+    control_address: str
+    platform: Platform
+    peers: list[str] = attrs.Factory(list)
+    operator_tokens: dict[str, str] = attrs.field(factory=dict, repr=False)
+    peer_token: str = attrs.field(default='', repr=False)
+    statsd: Statsd = attrs.Factory(Statsd)
+    log_poll_s: float = _positive(0.5)
+    peer_period_s: float = _positive(2.0)
+    maintenance_period_s: float = _positive(0.5)
+    host_list_period_s: float = _positive(2.0)
+    claim_timeout_s: float = _positive(2.0)
+    shutdown_grace_s: float = _positive(1.0)
+    shutdown_timeout_s: float = _positive(60.0)
+    max_body_bytes: int = _positive(8 * 1024 * 1024)
+
+
+def parse(text, source):
+    """Return the settings that a YAML text holds.
+
+    :param text: the whole text, as bytes
+    :param source: the file's name, for the problems
+    :raises errors.InvalidFile: with every problem found
+    """
+    settings = codec.from_file(yamltext.parse(text, source), Settings, source)
+    problems = [
+        errors.Problem(source, path, f'expected IP:PORT, got {address!r}')
+        for path, address in _addresses(settings)
+        if not checks.is_address(address)
+    ]
+    if problems:
+        raise errors.InvalidFile(problems)
+    return settings
+
+
+def _addresses(settings):
+    yield 'callers_address', settings.callers_address
+    yield 'control_address', settings.control_address
+    for index, address in enumerate(settings.peers):
+        yield f'peers[{index}]', address
+
+
+def split_address(address):
+    """Return the IP number and the port of a checked address."""
+    ip, _, port = address.rpartition(':')
+    return ip.strip('[]'), int(port)
--- /dev/null
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/supervisor.py
@@ -0,0 +1,96 @@
+"""Start tasks in order, restart those that fail, stop them in reverse."""
+
+import asyncio
+import typing
+
+from hawthorndeal_fleet import errors
+
+from . import logs
+
+FIRST_BACK_OFF_S = 0.1
+MAX_BACK_OFF_S = 10.0
+MAX_RESTARTS = 8
+RESTART_WINDOW_S = 60.0
+
+_log = logs.get('supervisor')
+
+
+class TooManyRestarts(errors.HawthorndealError):
+    """Report a child that keeps failing."""
+
+    reason = 'too_many_restarts'
+
+
+class Child(typing.Protocol):
+    """Be a task that owns its sockets and its state."""
+
+    name: str
+
+    async def run(self):
+        """Work until cancelled."""
+
+    async def stop(self):
+        """Finish what is begun, before the task is cancelled."""
+
+
+class Supervisor:
+    """Keep children running; a failure it can't mend goes up.
+
+    :param children: started in this order and stopped in reverse
+    :param clock: tells the time
+    """
+
+    def __init__(self, children, clock):
+        self._children = tuple(children)
+        self._clock = clock
+
+    async def run(self, stopping):
+        """Run the children until an event is set, then stop them.
+
+        :param stopping: the event to wait for
+        :raises TooManyRestarts: when a child keeps failing
+        """
+        tasks = [
+            asyncio.create_task(self._keep(child), name=child.name)
+            for child in self._children
+        ]
+        waiter = asyncio.create_task(stopping.wait())
+        try:
+            done, _ = await asyncio.wait(
+                [waiter, *tasks], return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done - {waiter}:
+                task.result()
+        finally:
+            waiter.cancel()
+            await self._stop(tasks)
+
+    async def _keep(self, child):
+        failures_s = []
+        while True:
+            try:
+                await child.run()
+                return
+            except Exception as error:
+                _log.exception('%s failed.', child.name)
+                now_s = self._clock.monotonic_s()
+                failures_s = [
+                    then_s
+                    for then_s in (*failures_s, now_s)
+                    if then_s > now_s - RESTART_WINDOW_S
+                ]
+                if len(failures_s) > MAX_RESTARTS:
+                    raise TooManyRestarts(child.name) from error
+                await asyncio.sleep(_back_off_s(len(failures_s)))
+
+    async def _stop(self, tasks):
+        for child, task in reversed(list(zip(self._children, tasks))):
+            if not task.done():
+                await child.stop()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            _log.info('%s stopped.', child.name)
+
+
+def _back_off_s(failures):
+    return min(MAX_BACK_OFF_S, FIRST_BACK_OFF_S * 2 ** (failures - 1))
--- /dev/null
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/members.py
@@ -0,0 +1,65 @@
+"""Decide who takes part, by which rules, and which hosts are down."""
+
+from . import state as state_module
+
+
+def join(body, state, offset):
+    """Take in a daemon; a new one at the same name replaces the old."""
+    if body.incarnation in state.members:
+        return None
+    if body.rule_level < state.rule_level:
+        return (
+            f'rule level {body.rule_level} is below the rules '
+            f'{state.rule_level}'
+        )
+    _forget_name(state, body.daemon)
+    state.members[body.incarnation] = state_module.Member(
+        incarnation=body.incarnation,
+        daemon=body.daemon,
+        zone=body.zone,
+        address=body.address,
+        joined_offset=offset,
+        rule_level=body.rule_level,
+    )
+    return None
+
+
+def _forget_name(state, daemon):
+    replaced = [
+        member.incarnation
+        for member in state.members.values()
+        if member.daemon == daemon
+    ]
+    for incarnation in replaced:
+        del state.members[incarnation]
+
+
+def leave(body, state, offset):
+    """Let a daemon go; leaving twice is the same as once."""
+    state.members.pop(body.incarnation, None)
+
+
+def raise_level(body, state, offset):
+    """Raise the rules once every daemon knows the new level."""
+    if body.level <= state.rule_level:
+        return f'the rules are at level {state.rule_level} already'
+    behind = [
+        member.daemon
+        for member in state.members.values()
+        if member.rule_level < body.level
+    ]
+    if behind:
+        return f'daemon {behind[0]!r} does not know level {body.level}'
+    state.rule_level = body.level
+    return None
+
+
+def report_host(body, state, offset):
+    """Note that a host failed or works again."""
+    if body.host not in state.fleet.hosts:
+        return f'host {body.host!r} is not declared'
+    if body.is_up:
+        state.down_hosts.discard(body.host)
+    else:
+        state.down_hosts.add(body.host)
+    return None
--- /dev/null
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/records.py
@@ -0,0 +1,213 @@
+"""The records that daemons and operators append to the platform's log.
+
+A record only asks; the fold decides. Whoever wrote a record learns the
+outcome by reading the record back.
+"""
+
+import enum
+import typing
+
+import attrs
+
+from . import codec
+from . import errors
+
+RULE_LEVEL = 1
+MAX_RECORD_BYTES = 4 * 1024 * 1024
+
+
+class Step(enum.Enum):
+    """Name how far a granted disruption of a host has come."""
+
+    GRANTED = 'granted'
+    QUIET = 'quiet'
+    DRAINED = 'drained'
+    STOPPING = 'stopping'
+    HEALTHY = 'healthy'
+
+
+@attrs.frozen
+class ConfigApplied:
+    """Ask to replace the configuration of one revision by the next.
+
+    :ivar delta: merge patch on the document of ``base_revision``
+    :ivar digest: fingerprint of the whole result, in hexadecimal
+    """
+
+    apply_id: str
+    operator: str
+    base_revision: int
+    delta: dict[str, typing.Any]
+    digest: str
+
+
+@attrs.frozen
+class DaemonJoined:
+    """Tell that a daemon takes part from this offset on."""
+
+    incarnation: str
+    daemon: str
+    zone: str
+    address: str
+    rule_level: int = RULE_LEVEL
+
+
+@attrs.frozen
+class DaemonLeft:
+    """Tell that a daemon takes no more part."""
+
+    incarnation: str
+
+
+@attrs.frozen
+class RuleLevelRaised:
+    """Ask to fold by the rules of a higher level."""
+
+    level: int
+
+
+@attrs.frozen
+class DisruptionAsked:
+    """Ask for leave to take a host away for a while.
+
+    :ivar holder: incarnation of the daemon that will act on it
+    """
+
+    host: str
+    wave: str
+    holder: str
+
+
+@attrs.frozen
+class DisruptionStepped:
+    """Tell that a disruption reached a step.
+
+    :ivar grant_offset: the offset of the record that was granted
+    :ivar boot_id: the host's boot identity before it was stopped
+    """
+
+    host: str
+    grant_offset: int
+    step: Step
+    holder: str
+    boot_id: str = ''
+
+
+@attrs.frozen
+class DisruptionTaken:
+    """Ask to carry on a disruption whose holder is lost."""
+
+    host: str
+    grant_offset: int
+    holder: str
+
+
+@attrs.frozen
+class DisruptionEnded:
+    """Tell that a host is back, or was given back before it stopped.
+
+    :ivar is_complete: whether the work of the wave was done
+    """
+
+    host: str
+    grant_offset: int
+    holder: str
+    is_complete: bool = True
+
+
+@attrs.frozen
+class HostReported:
+    """Tell that a host failed, or works again."""
+
+    host: str
+    is_up: bool
+    reporter: str
+
+
+@attrs.frozen
+class RequestClaimed:
+    """Ask for the only right to run a non-idempotent request.
+
+    :ivar key: workspace, service and request id in one text
+    :ivar deadline_s: the request's deadline, in seconds since the epoch
+    """
+
+    key: str
+    deadline_s: float
+    holder: str
+
+
+@attrs.frozen
+class ClaimReturned:
+    """Tell that a claimed request did not run and never will by the holder."""
+
+    key: str
+    holder: str
+
+
+Body = (
+    ConfigApplied
+    | DaemonJoined
+    | DaemonLeft
+    | RuleLevelRaised
+    | DisruptionAsked
+    | DisruptionStepped
+    | DisruptionTaken
+    | DisruptionEnded
+    | HostReported
+    | RequestClaimed
+    | ClaimReturned
+)
+
+_KINDS = {kind.__name__: kind for kind in typing.get_args(Body)}
+
+
+@attrs.frozen
+class Record:
+    """Carry a body with what every record has.
+
+    :ivar record_id: unique for each intent; a repeated append keeps it
+    :ivar writer: incarnation or operator that wrote it
+    :ivar stamp_s: the writer's clock, in seconds since the epoch
+    :ivar level: the lowest rule level that knows the body's kind
+    """
+
+    record_id: str
+    writer: str
+    stamp_s: float
+    body: typing.Any
+    level: int = 1
+
+
+def encode(record):
+    """Return the plain data that goes to the log."""
+    return {
+        'id': record.record_id,
+        'writer': record.writer,
+        'stamp_s': record.stamp_s,
+        'level': record.level,
+        'kind': type(record.body).__name__,
+        'body': codec.to_plain(record.body),
+    }
+
+
+def decode(data):
+    """Return the record that plain data from the log holds.
+
+    :raises errors.InvalidRecord: for foreign data and unknown kinds
+    """
+    if not isinstance(data, dict):
+        raise errors.InvalidRecord(f'not a record: {data!r:.80}')
+    kind = _KINDS.get(data.get('kind'))
+    if kind is None:
+        raise errors.InvalidRecord(f'unknown kind {data.get("kind")!r:.80}')
+    body = codec.from_plain(data.get('body'), kind)
+    envelope = {
+        'record_id': data.get('id'),
+        'writer': data.get('writer'),
+        'stamp_s': data.get('stamp_s'),
+        'level': data.get('level', 1),
+        'body': None,
+    }
+    record = codec.from_plain(envelope, Record)
+    return attrs.evolve(record, body=body)
--- /dev/null
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/state.py
@@ -0,0 +1,123 @@
+"""The state that every daemon folds from the log."""
+
+import collections
+import enum
+import typing
+
+import attrs
+
+from . import model
+from . import records
+
+AUDIT_TAIL_RECORDS = 1000
+VERDICTS_KEPT = 1000
+
+
+class ClaimStatus(enum.Enum):
+    """Name what is known of a claimed request."""
+
+    HELD = 'held'
+    RETURNED = 'returned'
+
+
+@attrs.frozen
+class Decision:
+    """Tell what the fold made of the record at an offset.
+
+    :ivar reason: why it was refused, or what was granted; may be empty
+    """
+
+    offset: int
+    record_id: str
+    kind: str
+    writer: str
+    stamp_s: float
+    is_accepted: bool
+    reason: str = ''
+    subject: str = ''
+
+
+@attrs.frozen
+class Member:
+    """Describe a daemon that takes part."""
+
+    incarnation: str
+    daemon: str
+    zone: str
+    address: str
+    joined_offset: int
+    rule_level: int
+
+
+@attrs.frozen
+class Disruption:
+    """Describe planned work on a host, from its grant to its end.
+
+    :ivar granted_s: log time of the grant
+    :ivar stepped_s: log time of the last step
+    :ivar step_offset: offset of the last step; the grant's at first
+    """
+
+    host: str
+    wave: str
+    holder: str
+    grant_offset: int
+    granted_s: float
+    step: records.Step
+    stepped_s: float
+    step_offset: int
+    boot_id: str = ''
+
+
+@attrs.frozen
+class Claim:
+    """Describe the only right to run a non-idempotent request."""
+
+    holder: str
+    offset: int
+    deadline_s: float
+    status: ClaimStatus = ClaimStatus.HELD
+
+
+@attrs.define
+class State:
+    """Hold everything folded up to an offset.
+
+    Only the fold changes it; everyone else reads.
+
+    :ivar next_offset: the first offset not yet folded
+    :ivar log_time_s: the greatest accepted stamp
+    :ivar fingerprint: number that is equal for equal documents
+    :ivar verdicts: decision on each apply, by apply id, oldest first
+    :ivar finished: hosts done, by wave
+    """
+
+    next_offset: int = 0
+    log_time_s: float = 0.0
+    rule_level: int = 1
+    revision: int = 0
+    document: dict[str, typing.Any] = attrs.Factory(dict)
+    fingerprint: int = 0
+    fleet: model.Fleet = attrs.Factory(model.Fleet)
+    verdicts: dict[str, Decision] = attrs.Factory(dict)
+    members: dict[str, Member] = attrs.Factory(dict)
+    disruptions: dict[str, Disruption] = attrs.Factory(dict)
+    finished: dict[str, set[str]] = attrs.Factory(dict)
+    down_hosts: set[str] = attrs.Factory(set)
+    claims: dict[str, Claim] = attrs.Factory(dict)
+    invalid_records: int = 0
+    audit: collections.deque[Decision] = attrs.field(
+        factory=lambda: collections.deque(maxlen=AUDIT_TAIL_RECORDS)
+    )
+
+    def pool_of(self, host):
+        """Return the pool that a host belongs to now."""
+        return self.fleet.hosts[host].pool
+
+    def endpoints_of(self, service):
+        """Return the names of a service's endpoints."""
+        return [
+            name
+            for name, endpoint in self.fleet.endpoints.items()
+            if endpoint.service == service
+        ]
--- /dev/null
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Speak to the platform: its log, its hosts and their workers."""
--- /dev/null
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/hosts.py
@@ -0,0 +1,46 @@
+"""The platform's list of hosts over HTTP with JSON."""
+
+from hawthorndeal_fleet import codec
+from hawthorndeal_fleet import maintenance
+
+
+class HttpHosts:
+    """Ask about hosts and work on them; see :class:`protocols.Hosts`.
+
+    :param transport: the connection to the host service
+    """
+
+    def __init__(self, transport):
+        self._transport = transport
+
+    async def list(self):
+        """Return the status of every host by name; it lags."""
+        answer = await self._transport.call('GET', '/v1/hosts')
+        return {
+            name: codec.from_plain(status, maintenance.HostStatus)
+            for name, status in answer['hosts'].items()
+        }
+
+    async def get(self, host):
+        """Return the status of one host, up to date."""
+        answer = await self._transport.call('GET', f'/v1/hosts/{host}')
+        return codec.from_plain(answer, maintenance.HostStatus)
+
+    async def drain(self, host):
+        """Have tasks moved off a host; repeating it changes nothing."""
+        await self._post(host, 'drain')
+
+    async def reboot(self, host, boot_id):
+        """Reboot a host that still runs the boot named."""
+        await self._post(host, 'reboot', boot_id=boot_id)
+
+    async def move(self, host, pool):
+        """Put a host into a pool; repeating it changes nothing."""
+        await self._post(host, 'move', pool=pool)
+
+    async def restore(self, host):
+        """Let a drained host take tasks again."""
+        await self._post(host, 'restore')
+
+    async def _post(self, host, verb, **body):
+        await self._transport.call('POST', f'/v1/hosts/{host}/{verb}', body)
