Keep entry hosts that leave out of the stand-in balancer

Ruled out: requests cut off or lost; each was told not_run with a time. Change: the stand-in balancer keeps a host out for 1 s once it says that it is shutting down, as the platform's does by /ready. Also the frame for make measure and make slopes.

--- a/features/environment.py
+++ b/features/environment.py
@@ -67,3 +67,9 @@
     totals = context.totals
     line = f'scenarios: {totals["passed"]} passed, {totals["failed"]} failed'
     pathlib.Path(context.config.userdata['totals']).write_text(line)
+
+
+def after_step(context, step):
+    """Show why a step failed; the progress form does not."""
+    if step.status in (Status.failed, Status.error):
+        print(f'{step.name}: {step.error_message}', file=sys.stderr)
--- a/features/stage/traffic.py
+++ b/features/stage/traffic.py
@@ -10,6 +10,9 @@
 import attrs
 
 MAX_CALLER_TRIES = 5
+# How long the balancer keeps an entry host out that is gone or not ready.
+KEPT_OUT_S = 1.0
+_NOT_READY = ('no_entry_host', 'shutting_down')
 
 
 @attrs.define
@@ -41,6 +44,7 @@
         self._targets = itertools.cycle(targets)
         self._rng = random.Random(seed)
         self._numbers = itertools.count(1)
+        self._out_until_s = dict.fromkeys(self._urls, 0.0)
         self._prefix = f'seed{seed}'
         self.tally = Tally()
 
@@ -95,16 +99,23 @@
 
     async def _until_final(self, session, path, headers, request_id):
         for _ in range(MAX_CALLER_TRIES):
+            url = self._balance()
             outcome, reason, retry_after_s = await self._once(
-                session, path, headers, request_id
+                session, url + path, headers, request_id
             )
+            if reason in _NOT_READY:
+                self._out_until_s[url] = time.monotonic() + KEPT_OUT_S
             if outcome != 'not_run' or retry_after_s is None:
                 break
             await asyncio.sleep(retry_after_s)
         return outcome, reason
 
-    async def _once(self, session, path, headers, request_id):
-        url = self._rng.choice(self._urls) + path
+    def _balance(self):
+        now_s = time.monotonic()
+        ready = [url for url in self._urls if self._out_until_s[url] < now_s]
+        return self._rng.choice(ready or self._urls)
+
+    async def _once(self, session, url, headers, request_id):
         try:
             async with session.post(
                 url, data=request_id.encode(), headers=headers
--- /dev/null
+++ b/measure/run.py
@@ -0,0 +1,36 @@
+"""Run the measurements of the policies, one module each.
+
+A measurement is a module of this package with ``measure(is_quick)``, which
+prints its tables with their seeds and returns the budget breaches it saw.
+"""
+
+import argparse
+import importlib
+import sys
+import time
+
+NAMES = ()
+
+
+def main():
+    """Run the measurements asked for and return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--quick', action='store_true', help='fewer seeds')
+    parser.add_argument('--only', choices=NAMES, help='one measurement')
+    options = parser.parse_args()
+    names = [options.only] if options.only else NAMES
+    breaches = sum(_run(name, options.quick) for name in names)
+    print(f'budget breaches: {breaches}')
+    return 1 if breaches else 0
+
+
+def _run(name, is_quick):
+    print(f'== {name}')
+    started_s = time.monotonic()
+    breaches = importlib.import_module(f'measure.{name}').measure(is_quick)
+    print(f'({time.monotonic() - started_s:.1f} s)\n')
+    return breaches
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/measure/slopes.py
@@ -0,0 +1,60 @@
+"""Measure the slopes behind docs/CAPACITY.md, one module each.
+
+A slope is a module of this package with ``slopes()``, which yields
+:class:`Slope` objects measured at four sizes or more.
+"""
+
+import argparse
+import importlib
+import sys
+
+import attrs
+import tabulate
+
+from . import fit
+
+NAMES = ()
+
+
+@attrs.frozen
+class Slope:
+    """Name a measured slope.
+
+    :ivar name: what was measured, with its unit
+    :ivar per: what the size counts
+    :ivar points: pairs of size and value
+    """
+
+    name: str
+    per: str
+    points: list
+
+
+def main():
+    """Print every slope with its fit and residual."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--only', choices=NAMES, help='one module')
+    options = parser.parse_args()
+    names = [options.only] if options.only else NAMES
+    for name in names:
+        module = importlib.import_module(f'measure.{name}')
+        rows = [_row(slope) for slope in module.slopes()]
+        print(f'== {name}')
+        print(tabulate.tabulate(rows, headers='keys'), end='\n\n')
+    return 0
+
+
+def _row(slope):
+    line = fit.fit(slope.points)
+    return {
+        'measured': slope.name,
+        'per': slope.per,
+        'sizes': ' '.join(str(size) for size, _ in slope.points),
+        'slope': f'{line.slope:.4g}',
+        'at zero': f'{line.intercept:.4g}',
+        'residual': f'{line.residual_share:.1%}',
+    }
+
+
+if __name__ == '__main__':
+    sys.exit(main())
