Run feature files side by side, passing over just the known red

Cause: behave exits the same for a listed failure and a new one, and one process for all files leaves most of the machine idle. After: one verdict from all files; a file that breaks off fails the run.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,6 +1,6 @@
 """Set up and end what scenarios use, and count them."""
 
-import collections
+import json
 import pathlib
 import sys
 
@@ -15,8 +15,8 @@
 
 def before_all(context):
     """Start counting scenarios."""
-    # One counter, since each scenario sets attributes on a layer of its own.
-    context.totals = collections.Counter()
+    # One list, since each scenario sets attributes on a layer of its own.
+    context.statuses = []
     context.root = EXAMPLES.parent
 
 
@@ -47,11 +47,8 @@
     """Count the scenario, and show the logs of one that failed."""
     if scenario.status in (Status.skipped, Status.untested):
         return
-    if scenario.status == Status.passed:
-        context.totals['passed'] += 1
-        return
-    context.totals['failed'] += 1
-    if context.stage is not None:
+    context.statuses.append([scenario.name, scenario.status.name])
+    if scenario.status != Status.passed and context.stage is not None:
         _print_logs(context.stage)
 
 
@@ -62,11 +59,10 @@
 
 
 def after_all(context):
-    """Have the totals printed after those of behave."""
-    # behave prints its own totals later; the runner prints this line last.
-    totals = context.totals
-    line = f'scenarios: {totals["passed"]} passed, {totals["failed"]} failed'
-    pathlib.Path(context.config.userdata['totals']).write_text(line)
+    """Hand the statuses to the runner."""
+    path = context.config.userdata.get('statuses')
+    if path:
+        pathlib.Path(path).write_text(json.dumps(context.statuses))
 
 
 def after_step(context, step):
--- a/features/stage/deployment.py
+++ b/features/stage/deployment.py
@@ -17,6 +17,7 @@
 PEER_TOKEN = 'peer-token'
 READY_TIMEOUT_S = 20.0
 CALL_TIMEOUT_S = 10.0
+SHUTDOWN_GRACE_S = 0.3
 LOG_HOST, HOSTS_HOST, ENDPOINTS_HOST = 1, 2, 3
 FIRST_DAEMON_HOST = 10
 FIRST_ENDPOINT_HOST = 50
@@ -174,6 +175,7 @@
             ],
             'operator_tokens': {'ops': OPERATOR_TOKEN},
             'peer_token': PEER_TOKEN,
+            'shutdown_grace_s': SHUTDOWN_GRACE_S,
             **self._overrides,
         }
         path = self.path / f'{name}.yaml'
@@ -207,14 +209,9 @@
             process.await_listening()
 
     def end(self):
-        """End everything that was started."""
-        for process in (
-            *self.daemons.values(),
-            self.hosts,
-            self.endpoints,
-            self.log,
-        ):
-            process.end()
+        """End everything that was started, daemons before the platform."""
+        processes.end_all(self.daemons.values())
+        processes.end_all([self.hosts, self.endpoints, self.log])
         self._directory.cleanup()
 
     def apply(self, path=None, *arguments):
--- a/features/stage/processes.py
+++ b/features/stage/processes.py
@@ -116,12 +116,25 @@
         """Tell whether it runs."""
         return self._popen is not None and self._popen.poll() is None
 
+    def begin_end(self):
+        """Ask it to end, also where it is frozen."""
+        if self.is_running:
+            self.wake()
+            self.signal(signal.SIGTERM)
+
     def end(self):
-        """End it whatever state it is in."""
+        """Wait until it ended; kill it where it does not."""
         if not self.is_running:
             return
-        self.wake()
         try:
-            self.terminate()
+            self.wait()
         except subprocess.TimeoutExpired:
             self.kill()
+
+
+def end_all(group):
+    """End processes side by side, whatever state they are in."""
+    for process in group:
+        process.begin_end()
+    for process in group:
+        process.end()
