Decide by the fold who owns the capacity of a host

Jobs had no place in the state. Records submit, place, step, end and cancel them; the fold charges capacity and quotas, so that two daemons that race for the last room get one answer. The lease token is the offset of the placement. When a lease ends follows from the log alone (holder heard last, plus the lease), so a paused holder can not extend it; a job is placed again only when its lease was abandoned by record and has surely ended.

Ruled out: one record a renewal (too many appends), and a lapse worked out from a daemon's own clock (others could not tell).

--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/fold.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/fold.py
@@ -1,11 +1,14 @@
 """Fold the records of the log, in offset order, into the state."""
 
 import functools
+import typing
 
 from . import claims
 from . import configuration
 from . import disruptions
 from . import errors
+from . import job_records
+from . import job_rules
 from . import members
 from . import records
 from . import state as state_module
@@ -71,8 +74,12 @@
     return decision
 
 
-# Requests are far too many for the trail of changes.
-_UNAUDITED = (records.RequestClaimed, records.ClaimReturned)
+# Requests and jobs are far too many for the trail of changes.
+_UNAUDITED = (
+    records.RequestClaimed,
+    records.ClaimReturned,
+    *typing.get_args(job_records.Body),
+)
 
 
 def _advance_time(state, record):
@@ -109,6 +116,13 @@
     records.DisruptionEnded: disruptions.end,
     records.RequestClaimed: claims.claim,
     records.ClaimReturned: claims.give_back,
+    job_records.JobSubmitted: job_rules.submit,
+    job_records.JobPlaced: job_rules.place,
+    job_records.JobStepped: job_rules.step,
+    job_records.JobEnded: job_rules.end,
+    job_records.JobCancelled: job_rules.cancel,
+    job_records.HolderRenewed: job_rules.renew,
+    job_records.JobsTaken: job_rules.take,
 }
 
 for _kind, _rule in _RULES.items():
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/records.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/records.py
@@ -11,6 +11,7 @@
 
 from . import codec
 from . import errors
+from . import job_records
 
 RULE_LEVEL = 1
 MAX_RECORD_BYTES = 4 * 1024 * 1024
@@ -157,6 +158,7 @@
     | HostReported
     | RequestClaimed
     | ClaimReturned
+    | job_records.Body
 )
 
 _KINDS = {kind.__name__: kind for kind in typing.get_args(Body)}
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/state.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/state.py
@@ -6,8 +6,12 @@
 
 import attrs
 
+from . import jobs as jobs_module
 from . import model
+from . import pools
+from . import quarantine
 from . import records
+from . import usage as usage_module
 
 AUDIT_TAIL_RECORDS = 1000
 VERDICTS_KEPT = 1000
@@ -90,6 +94,10 @@
     :ivar fingerprint: number that is equal for equal documents
     :ivar verdicts: decision on each apply, by apply id, oldest first
     :ivar finished: hosts done, by wave
+    :ivar jobs: jobs that have not ended
+    :ivar ended_jobs: jobs that ended lately, oldest first
+    :ivar holders: log time at which each holder of jobs was heard last
+    :ivar usage: observed against declared size, by group of jobs
     """
 
     next_offset: int = 0
@@ -105,6 +113,17 @@
     finished: dict[str, set[str]] = attrs.Factory(dict)
     down_hosts: set[str] = attrs.Factory(set)
     claims: dict[str, Claim] = attrs.Factory(dict)
+    jobs: dict[str, jobs_module.Job] = attrs.Factory(dict)
+    ended_jobs: dict[str, jobs_module.EndedJob] = attrs.Factory(dict)
+    holders: dict[str, float] = attrs.Factory(dict)
+    pool_index: pools.PoolIndex = attrs.field(
+        factory=pools.PoolIndex, eq=False, repr=False
+    )
+    ledger: jobs_module.Ledger = attrs.Factory(jobs_module.Ledger)
+    usage: dict[str, usage_module.Usage] = attrs.Factory(dict)
+    host_evidence: dict[str, quarantine.Evidence] = attrs.Factory(dict)
+    pool_evidence: dict[str, quarantine.Evidence] = attrs.Factory(dict)
+    quarantines: dict[str, quarantine.Quarantine] = attrs.Factory(dict)
     invalid_records: int = 0
     audit: collections.deque[Decision] = attrs.field(
         factory=lambda: collections.deque(maxlen=AUDIT_TAIL_RECORDS)
