Charge budgets over a window and choose hosts by wave policies

The budget was a scan of all endpoints with no account of time, a wave was worked on in file order, and a holder could act however long it had been paused.

Ruled out: handing a grant over as soon as its holder's name is joined anew, since the old process may still have a call under way.

--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/control.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/control.py
@@ -7,9 +7,9 @@
 
 from hawthorndeal_fleet import codec
 from hawthorndeal_fleet import errors
-from hawthorndeal_fleet import maintenance
 from hawthorndeal_fleet import membership
 from hawthorndeal_fleet import records
+from hawthorndeal_fleet import waves as waves_module
 
 from . import peers as peers_module
 from . import web
@@ -95,7 +95,7 @@
     @app.get('/v1/waves')
     @for_operators
     async def waves(request):
-        return response.json(_waves(follower.state, maintainer.waits))
+        return response.json(_waves(follower.state, maintainer.explain()))
 
     @app.get('/v1/audit')
     @for_operators
@@ -123,6 +123,7 @@
 def _member_status(member, heard):
     return {
         'daemon': member.daemon,
+        'incarnation': member.incarnation,
         'zone': member.zone,
         'revision': heard.digest.revision if heard else None,
         'next_offset': heard.digest.next_offset if heard else None,
@@ -140,9 +141,14 @@
                 for host, disruption in state.disruptions.items()
                 if disruption.wave == name
             },
+            'reasons': {
+                host: waits.get(host, '')
+                for host, disruption in state.disruptions.items()
+                if disruption.wave == name
+            },
             'waiting': {
                 host: waits.get(host, '')
-                for host in maintenance.waiting_hosts(state, name)
+                for host in waves_module.waiting_hosts(state, name)
                 if host not in state.disruptions
             },
         }
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
@@ -108,8 +108,18 @@
         reader = follower.Follower(log, settings, clock)
         appender = writer.Writer(log, reader, settings, incarnation, clock)
         others = peers.Peers(reader, router, settings, incarnation, clock, rng)
+        watch = host_watch.HostWatch(
+            hosts, router, reader, appender, settings, incarnation, clock
+        )
         carer = maintainer.Maintainer(
-            reader, appender, others, hosts, settings, incarnation, clock
+            reader,
+            appender,
+            others,
+            hosts,
+            watch,
+            settings,
+            incarnation,
+            clock,
         )
         server = dispatcher.Dispatcher(
             reader,
@@ -133,7 +143,7 @@
                     settings.control_address,
                 ),
                 others,
-                host_watch.HostWatch(hosts, router, settings),
+                watch,
                 web.WebServer(
                     'callers',
                     lambda: callers.make_app(
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/host_watch.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/host_watch.py
@@ -1,10 +1,17 @@
-"""Keep the router told of the hosts that are leaving."""
+"""Follow the platform's host list and report hosts that fail."""
 
 import asyncio
 
 from hawthorndeal_fleet import errors
+from hawthorndeal_fleet import host_health
 
 from . import logs
+from . import settings as settings_module
+
+PROBE_TIMEOUT_S = 1.0
+MAX_PROBES = 20
+REPORT_TIMEOUT_S = 5.0
+MAX_LIST_AGE_S = 30.0
 
 _log = logs.get('host-watch')
 
@@ -14,15 +21,27 @@
 
     :param hosts: the platform's hosts
     :param router: told of leaving hosts
+    :param follower: keeps the folded state
+    :param writer: appends reports
     :param settings: the daemon's settings
+    :param incarnation: identity of this start of the daemon
+    :param clock: tells the time
     """
 
     name = 'host-watch'
 
-    def __init__(self, hosts, router, settings):
+    def __init__(
+        self, hosts, router, follower, writer, settings, incarnation, clock
+    ):
         self._hosts = hosts
         self._router = router
+        self._follower = follower
+        self._writer = writer
         self._period_s = settings.host_list_period_s
+        self._clock = clock
+        self._health = host_health.HostHealth(incarnation)
+        self._listed = frozenset()
+        self._read_s = None
 
     async def run(self):
         """Read the list until cancelled."""
@@ -33,14 +52,72 @@
     async def stop(self):
         """Do nothing: reading may stop at any point."""
 
+    def listed(self):
+        """Return the names in the list; None when it can't be read."""
+        if self._read_s is None:
+            return None
+        age_s = self._clock.monotonic_s() - self._read_s
+        return self._listed if age_s <= MAX_LIST_AGE_S else None
+
     async def _read_once(self):
         try:
             statuses = await self._hosts.list()
         except (errors.PlatformError, errors.InvalidRecord) as error:
             _log.warning('The host list can not be read: %s', error)
             return
+        self._listed = frozenset(statuses)
+        self._read_s = self._clock.monotonic_s()
         self._router.note_leaving(
             name
             for name, status in statuses.items()
             if status.is_leaving or not status.is_live
         )
+        await self._report(statuses)
+
+    async def _report(self, statuses):
+        state = self._follower.state
+        suspects = self._health.suspect(state, statuses)[:MAX_PROBES]
+        answers = await asyncio.gather(
+            *(self._probe(state, host) for host in suspects)
+        )
+        reports = self._health.judge(
+            state, statuses, dict(zip(suspects, answers))
+        )
+        await asyncio.gather(*(self._append(report) for report in reports))
+
+    async def _probe(self, state, host):
+        """Return whether an endpoint of a host answers; None without one."""
+        addresses = [
+            endpoint.address
+            for endpoint in state.fleet.endpoints.values()
+            if endpoint.host == host
+        ]
+        if not addresses:
+            return None
+        tries = await asyncio.gather(*(_connects(a) for a in addresses))
+        return any(tries)
+
+    async def _append(self, report):
+        try:
+            decision = await self._writer.commit(report, REPORT_TIMEOUT_S)
+        except errors.PlatformError as error:
+            _log.warning('%s is not reported: %s', report.host, error)
+            return
+        _log.info(
+            '%s is reported %s: %s',
+            report.host,
+            'up' if report.is_up else 'down',
+            'accepted.' if decision.is_accepted else decision.reason,
+        )
+
+
+async def _connects(address):
+    ip, port = settings_module.split_address(address)
+    try:
+        _, writer = await asyncio.wait_for(
+            asyncio.open_connection(ip, port), PROBE_TIMEOUT_S
+        )
+    except (OSError, asyncio.TimeoutError):
+        return False
+    writer.close()
+    return True
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/budget.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/budget.py
@@ -2,28 +2,59 @@
 
 import collections
 
+import attrs
+
 from . import model
+from . import records
 
+MAX_INDEXES = 2
+_STOPPED_STEPS = (records.Step.STOPPING, records.Step.HEALTHY)
 
-def refuse_disruption(state, host):
-    """Return why the budgets don't allow to take a host away, or None.
 
-    Hosts that are down and hosts being worked on count as missing, and the
-    failure that a workspace asked to survive must still fit in.
+@attrs.frozen
+class FleetIndex:
+    """Find executors by host and by service.
+
+    :ivar by_host: number of executors by service, by host
+    :ivar by_service: the hosts of a service's executors
     """
-    missing_hosts = {host, *state.disruptions, *state.down_hosts}
-    services = sorted(
-        {
-            endpoint.service
-            for endpoint in state.fleet.endpoints.values()
-            if endpoint.host == host
-        }
-    )
-    refusals = (
-        _refuse_service(state.fleet, service, missing_hosts)
-        for service in services
-    )
-    return next((refusal for refusal in refusals if refusal), None)
+
+    by_host: dict[str, dict[str, int]]
+    by_service: dict[str, list[str]]
+
+
+# Pairs of a fleet and its index, told apart by identity, newest last.
+_indexes = collections.deque(maxlen=MAX_INDEXES)
+
+
+def index_of(fleet):
+    """Return the index of a fleet; it is built once for each."""
+    for known, index in _indexes:
+        if known is fleet:
+            return index
+    index = _build_index(fleet)
+    _indexes.append((fleet, index))
+    return index
+
+
+def _build_index(fleet):
+    by_host = {}
+    by_service = {}
+    for endpoint in fleet.endpoints.values():
+        counts = by_host.setdefault(endpoint.host, {})
+        counts[endpoint.service] = counts.get(endpoint.service, 0) + 1
+        by_service.setdefault(endpoint.service, []).append(endpoint.host)
+    return FleetIndex(by_host, by_service)
+
+
+def executors_on(state, host):
+    """Return the number of executors on a host, by service."""
+    return index_of(state.fleet).by_host.get(host, {})
+
+
+def hosts_of(state, service):
+    """Return the host of every executor of a service."""
+    return index_of(state.fleet).by_service.get(service, [])
 
 
 def budget_of(fleet, service):
@@ -32,31 +63,192 @@
     return fleet.workspaces[workspace].budgets.get(service)
 
 
-def _refuse_service(fleet, service, missing_hosts):
-    budget = budget_of(fleet, service)
-    if budget is None:
-        return None
-    hosts = [
-        endpoint.host
-        for endpoint in fleet.endpoints.values()
-        if endpoint.service == service
-    ]
-    missing = sum(1 for host in hosts if host in missing_hosts)
-    reserve = _reserve(fleet, hosts, missing_hosts, budget.survive)
-    if missing + reserve <= budget.max_unavailable:
-        return None
-    return (
-        f'service {service!r} would miss {missing} executors with {reserve} '
-        f'in reserve, its budget is {budget.max_unavailable}'
+def spent_s(state, service):
+    """Return the executor seconds missed in the window up to now."""
+    bought = budget_of(state.fleet, service)
+    start_s = state.log_time_s - bought.window_s
+    ended_s = sum(
+        outage.executors
+        * max(0.0, outage.end_s - max(outage.start_s, start_s))
+        for outage in state.outages.get(service, ())
+    )
+    open_s = sum(
+        state.log_time_s - max(state.away_since_s[host], start_s)
+        for host in hosts_of(state, service)
+        if host in state.away_since_s
+    )
+    return ended_s + open_s
+
+
+def committed_s(state, service):
+    """Return the executor seconds that work under way has yet to spend."""
+    return sum(
+        _remaining_s(state, state.disruptions[host])
+        for host in hosts_of(state, service)
+        if host in state.disruptions
     )
 
 
-def _reserve(fleet, hosts, missing_hosts, survive):
-    if survive is model.Survive.NONE:
-        return 0
-    available = [host for host in hosts if host not in missing_hosts]
-    if survive is model.Survive.RACK:
-        domains = [fleet.hosts[host].rack for host in available]
-    else:
-        domains = available
-    return max(collections.Counter(domains).values(), default=0)
+def _remaining_s(state, found):
+    elapsed_s = state.log_time_s - found.granted_s
+    return max(0.0, found.expected_s - elapsed_s)
+
+
+class _Room:
+    """Follow what one service may still miss during one plan.
+
+    :param state: the folded state
+    :param service: a service with a budget
+    :param missing_hosts: hosts that count as missing
+    """
+
+    def __init__(self, state, service, missing_hosts):
+        self._state = state
+        self._service = service
+        self._budget = budget_of(state.fleet, service)
+        hosts = hosts_of(state, service)
+        self._missing = sum(1 for host in hosts if host in missing_hosts)
+        self._available = collections.Counter(
+            self._domain(host) for host in hosts if host not in missing_hosts
+        )
+        self._left_s = self._window_left_s()
+
+    def _domain(self, host):
+        if self._budget.survive is model.Survive.RACK:
+            return self._state.fleet.hosts[host].rack
+        return host
+
+    def _window_left_s(self):
+        if not self._budget.window_s:
+            return float('inf')
+        return (
+            self._budget.downtime_s
+            - spent_s(self._state, self._service)
+            - committed_s(self._state, self._service)
+        )
+
+    def _reserve(self, host, executors):
+        if self._budget.survive is model.Survive.NONE:
+            return 0
+        taken = self._domain(host)
+        return max(
+            (
+                count - executors if domain == taken else count
+                for domain, count in self._available.items()
+            ),
+            default=0,
+        )
+
+    def refuse(self, host, executors, expected_s):
+        """Return why the service can't miss a host's executors, or None."""
+        missing = self._missing + executors
+        reserve = self._reserve(host, executors)
+        if missing + reserve > self._budget.max_unavailable:
+            return (
+                f'service {self._service!r} would miss {missing} executors '
+                f'with {reserve} in reserve, its budget is '
+                f'{self._budget.max_unavailable}'
+            )
+        if executors * expected_s > self._left_s:
+            return (
+                f'service {self._service!r} has {max(self._left_s, 0.0):.0f} '
+                f's of downtime left in its window, {host!r} would need '
+                f'{executors * expected_s:.0f} s'
+            )
+        return None
+
+    def take(self, host, executors, expected_s):
+        """Count a host's executors as missing from now on."""
+        self._missing += executors
+        self._available[self._domain(host)] -= executors
+        self._left_s -= executors * expected_s
+
+
+class Allowance:
+    """Tell which hosts budgets allow to be taken, one after the other.
+
+    Hosts that are down and hosts being worked on count as missing, and the
+    failure that a workspace asked to survive must still fit in.
+
+    :param state: the folded state
+    :param missing_hosts: hosts that count as missing instead of these
+    """
+
+    def __init__(self, state, missing_hosts=None):
+        self._state = state
+        self._missing_hosts = missing_hosts
+        if missing_hosts is None:
+            self._missing_hosts = {*state.disruptions, *state.down_hosts}
+        self._rooms = {}
+
+    def _room(self, service):
+        room = self._rooms.get(service)
+        if room is None:
+            room = _Room(self._state, service, self._missing_hosts)
+            self._rooms[service] = room
+        return room
+
+    def _budgeted(self, host):
+        return [
+            (self._room(service), executors)
+            for service, executors in executors_on(self._state, host).items()
+            if budget_of(self._state.fleet, service) is not None
+        ]
+
+    def refuse(self, host, expected_s=0.0):
+        """Return why a host can't be taken, or None.
+
+        :param expected_s: how long it is expected to be away
+        """
+        if host in self._missing_hosts:
+            return f'host {host!r} is away already'
+        refusals = (
+            room.refuse(host, executors, expected_s)
+            for room, executors in self._budgeted(host)
+        )
+        return next((refusal for refusal in refusals if refusal), None)
+
+    def take(self, host, expected_s=0.0):
+        """Take a host where it is allowed; return why it isn't, or None."""
+        refusal = self.refuse(host, expected_s)
+        if refusal is None:
+            for room, executors in self._budgeted(host):
+                room.take(host, executors, expected_s)
+        return refusal
+
+
+def refuse_disruption(state, host, expected_s=0.0):
+    """Return why the budgets don't allow to take a host away, or None."""
+    if host in state.down_hosts:
+        return f'host {host!r} is reported down'
+    return Allowance(state).refuse(host, expected_s)
+
+
+def refuse_stop(state, host):
+    """Return why a granted host may no longer be stopped, or None.
+
+    Failures since the grant may have used its budget up. Of several grants
+    the oldest stay.
+    """
+    mine = state.disruptions[host].grant_offset
+    missing = {
+        found.host
+        for found in state.disruptions.values()
+        if found.grant_offset < mine or found.step in _STOPPED_STEPS
+    }
+    return Allowance(state, (missing | state.down_hosts) - {host}).refuse(host)
+
+
+def width(state, service):
+    """Return how many executors planned work may take away at once."""
+    bought = budget_of(state.fleet, service)
+    hosts = hosts_of(state, service)
+    if bought.survive is model.Survive.NONE:
+        return bought.max_unavailable
+    domains = collections.Counter(
+        state.fleet.hosts[host].rack
+        if bought.survive is model.Survive.RACK
+        else host
+        for host in hosts
+    )
+    return bought.max_unavailable - max(domains.values(), default=0)
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/configuration.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/configuration.py
@@ -3,6 +3,7 @@
 from . import checks
 from . import document
 from . import errors
+from . import outages
 from . import records
 from . import state as state_module
 
@@ -47,6 +48,20 @@
     gone = [host for host in state.disruptions if host not in fleet.hosts]
     if gone:
         return f'host {gone[0]!r} is being worked on and can not be removed'
+    return _refuse_lost_pool(state, fleet)
+
+
+def _refuse_lost_pool(state, fleet):
+    lost = [
+        found
+        for found in state.disruptions.values()
+        if found.target_pool and found.target_pool not in fleet.pools
+    ]
+    if lost:
+        return (
+            f'pool {lost[0].target_pool!r} can not be removed: host '
+            f'{lost[0].host!r} is on its way there'
+        )
     return None
 
 
@@ -60,6 +75,13 @@
         for wave, hosts in state.finished.items()
         if wave in fleet.waves
     }
+    state.progress_s = {
+        wave: state.progress_s.get(wave, state.log_time_s)
+        for wave in fleet.waves
+    }
+    for incarnation in fleet.dead_daemons:
+        state.members.pop(incarnation, None)
+    outages.forget_undeclared(state)
 
 
 def install_patch(state, patch):
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/disruptions.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/disruptions.py
@@ -5,29 +5,42 @@
 from . import budget
 from . import configuration
 from . import model
+from . import outages
+from . import permission
 from . import records
 from . import state as state_module
 
 _ORDER = list(records.Step)
+_STOPPED = _ORDER.index(records.Step.STOPPING)
 
 
 def ask(body, state, offset):
     """Grant a disruption that the budgets allow at this offset."""
     refusal = _refuse_ask(body, state)
     if refusal is None:
-        state.disruptions[body.host] = state_module.Disruption(
-            host=body.host,
-            wave=body.wave,
-            holder=body.holder,
-            grant_offset=offset,
-            granted_s=state.log_time_s,
-            step=records.Step.GRANTED,
-            stepped_s=state.log_time_s,
-            step_offset=offset,
-        )
+        _grant(body, state, offset)
     return refusal
 
 
+def _grant(body, state, offset):
+    wave = state.fleet.waves[body.wave]
+    state.disruptions[body.host] = state_module.Disruption(
+        host=body.host,
+        wave=body.wave,
+        holder=body.holder,
+        grant_offset=offset,
+        granted_s=state.log_time_s,
+        step=records.Step.GRANTED,
+        stepped_s=state.log_time_s,
+        step_offset=offset,
+        action=wave.action,
+        target_pool=wave.target_pool,
+        expected_s=outages.expected_s(state, wave),
+    )
+    state.progress_s[body.wave] = state.log_time_s
+    outages.begin(state, body.host)
+
+
 def _refuse_ask(body, state):
     if body.host not in state.fleet.hosts:
         return f'host {body.host!r} is not declared'
@@ -36,11 +49,24 @@
     wave = state.fleet.waves.get(body.wave)
     if wave is None or wave.state is not model.WaveState.RUNNING:
         return f'wave {body.wave!r} is not running'
+    if state.log_time_s < wave.start_at_s:
+        return f'wave {body.wave!r} starts at {wave.start_at_s:.0f} s'
+    if not is_covered(state.fleet, wave, body.host):
+        return f'host {body.host!r} is not in wave {body.wave!r}'
     if body.host in state.finished.get(body.wave, ()):
         return f'host {body.host!r} is finished in wave {body.wave!r}'
     if body.holder not in state.members:
         return f'{body.holder!r} is not a member'
-    return budget.refuse_disruption(state, body.host)
+    return budget.refuse_disruption(
+        state, body.host, outages.expected_s(state, wave)
+    )
+
+
+def is_covered(fleet, wave, host):
+    """Tell whether a wave works on a host."""
+    return fleet.hosts[host].pool in wave.pools and (
+        not wave.hosts or host in wave.hosts
+    )
 
 
 def _find(body, state):
@@ -68,6 +94,10 @@
         return None
     if _ORDER.index(body.step) != _ORDER.index(found.step) + 1:
         return f'{body.step.value} does not follow {found.step.value}'
+    if body.step is records.Step.STOPPING:
+        refusal = refuse_stop(state, found)
+        if refusal is not None:
+            return refusal
     state.disruptions[body.host] = attrs.evolve(
         found,
         step=body.step,
@@ -78,19 +108,55 @@
     return None
 
 
+def refuse_stop(state, found):
+    """Return why a host that is still up has to be given back, or None."""
+    wave = state.fleet.waves.get(found.wave)
+    if wave is None:
+        return f'wave {found.wave!r} is gone'
+    if wave.state is not model.WaveState.RUNNING:
+        return f'wave {found.wave!r} is {wave.state.value}'
+    if not is_covered(state.fleet, wave, found.host):
+        return f'host {found.host!r} is not in wave {found.wave!r}'
+    return budget.refuse_stop(state, found.host)
+
+
+def renew(body, state, offset):
+    """Let a holder go on; :func:`note_alive` did the rest."""
+    if body.holder not in state.members:
+        return f'{body.holder!r} is not a member'
+    return None
+
+
+def note_alive(state, writer):
+    """Note that a member wrote a record."""
+    if writer in state.members:
+        state.renewed_s[writer] = state.log_time_s
+
+
+def refuse_take(state, found):
+    """Return why a disruption can't be taken over yet, or None."""
+    renewed_s = state.renewed_s.get(found.holder)
+    if renewed_s is None:
+        return None
+    left_s = renewed_s + permission.TAKEOVER_AFTER_S - state.log_time_s
+    if left_s > 0:
+        return f'its holder {found.holder!r} may act for {left_s:.1f} s more'
+    return None
+
+
 def take(body, state, offset):
-    """Hand a disruption over when its holder is no longer a member."""
+    """Hand a disruption over when its holder left or fell silent."""
     found = _find(body, state)
     if found is None:
         return f'no grant at offset {body.grant_offset} for {body.host!r}'
     if found.holder == body.holder:
         return None
-    if found.holder in state.members:
-        return f'its holder {found.holder!r} is still a member'
     if body.holder not in state.members:
         return f'{body.holder!r} is not a member'
-    state.disruptions[body.host] = attrs.evolve(found, holder=body.holder)
-    return None
+    refusal = refuse_take(state, found)
+    if refusal is None:
+        state.disruptions[body.host] = attrs.evolve(found, holder=body.holder)
+    return refusal
 
 
 def end(body, state, offset):
@@ -101,17 +167,23 @@
         return refusal
     if body.is_complete and found.step is not records.Step.HEALTHY:
         return f'{body.host!r} is only {found.step.value}'
+    if not body.is_complete and _ORDER.index(found.step) >= _STOPPED:
+        return f'{body.host!r} is {found.step.value} and may be stopped'
     del state.disruptions[body.host]
+    outages.finish(state, body.host)
+    if found.wave in state.progress_s:
+        state.progress_s[found.wave] = state.log_time_s
     if body.is_complete:
         _finish(state, found)
     return None
 
 
 def _finish(state, found):
-    state.finished.setdefault(found.wave, set()).add(found.host)
-    wave = state.fleet.waves.get(found.wave)
-    if wave is not None and wave.action is model.WaveAction.MOVE:
-        _move(state, found.host, wave.target_pool)
+    outages.observe_planned(state, found)
+    if found.wave in state.fleet.waves:
+        state.finished.setdefault(found.wave, set()).add(found.host)
+    if found.action is model.WaveAction.MOVE:
+        _move(state, found.host, found.target_pool)
 
 
 def _move(state, host, pool):
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
@@ -72,6 +72,19 @@
     reason = 'platform_refused'
 
 
+class PermissionLapsed(PlatformError):
+    """Report a call that was not made: another daemon may act by now.
+
+    :param host: the host that the call was about
+    """
+
+    reason = 'permission_lapsed'
+
+    def __init__(self, host):
+        self.host = host
+        super().__init__(f'the permission to act on {host!r} has lapsed')
+
+
 class OffsetExpired(PlatformError):
     """Report a read from an offset that the log no longer holds.
 
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/fold.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/fold.py
@@ -7,6 +7,7 @@
 from . import disruptions
 from . import errors
 from . import members
+from . import outages
 from . import records
 from . import state as state_module
 
@@ -52,6 +53,7 @@
 
 def _decide(state, offset, record):
     _advance_time(state, record)
+    disruptions.note_alive(state, record.writer)
     refusal = _refuse_level(state, record) or _apply(
         record.body, state, offset
     )
@@ -72,7 +74,11 @@
 
 
 # Requests are far too many for the trail of changes.
-_UNAUDITED = (records.RequestClaimed, records.ClaimReturned)
+_UNAUDITED = (
+    records.RequestClaimed,
+    records.ClaimReturned,
+    records.PermissionRenewed,
+)
 
 
 def _advance_time(state, record):
@@ -102,11 +108,12 @@
     records.DaemonJoined: members.join,
     records.DaemonLeft: members.leave,
     records.RuleLevelRaised: members.raise_level,
-    records.HostReported: members.report_host,
+    records.HostReported: outages.report_host,
     records.DisruptionAsked: disruptions.ask,
     records.DisruptionStepped: disruptions.step,
     records.DisruptionTaken: disruptions.take,
     records.DisruptionEnded: disruptions.end,
+    records.PermissionRenewed: disruptions.renew,
     records.RequestClaimed: claims.claim,
     records.ClaimReturned: claims.give_back,
 }
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/members.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/members.py
@@ -1,4 +1,4 @@
-"""Decide who takes part, by which rules, and which hosts are down."""
+"""Decide who takes part, and by which rules."""
 
 from . import state as state_module
 
@@ -7,6 +7,8 @@
     """Take in a daemon; a new one at the same name replaces the old."""
     if body.incarnation in state.members:
         return None
+    if body.incarnation in state.fleet.dead_daemons:
+        return f'{body.incarnation!r} is declared dead'
     if body.rule_level < state.rule_level:
         return (
             f'rule level {body.rule_level} is below the rules '
@@ -21,6 +23,7 @@
         joined_offset=offset,
         rule_level=body.rule_level,
     )
+    state.renewed_s[body.incarnation] = state.log_time_s
     return None
 
 
@@ -32,11 +35,19 @@
     ]
     for incarnation in replaced:
         del state.members[incarnation]
+    holders = {found.holder for found in state.disruptions.values()}
+    state.renewed_s = {
+        incarnation: renewed_s
+        for incarnation, renewed_s in state.renewed_s.items()
+        if incarnation in state.members or incarnation in holders
+    }
 
 
 def leave(body, state, offset):
     """Let a daemon go; leaving twice is the same as once."""
     state.members.pop(body.incarnation, None)
+    # It left in good order, so nothing has to be waited for.
+    state.renewed_s.pop(body.incarnation, None)
 
 
 def raise_level(body, state, offset):
@@ -52,14 +63,3 @@
         return f'daemon {behind[0]!r} does not know level {body.level}'
     state.rule_level = body.level
     return None
-
-
-def report_host(body, state, offset):
-    """Note that a host failed or works again."""
-    if body.host not in state.fleet.hosts:
-        return f'host {body.host!r} is not declared'
-    if body.is_up:
-        state.down_hosts.discard(body.host)
-    else:
-        state.down_hosts.add(body.host)
-    return None
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/model.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/model.py
@@ -144,6 +144,8 @@
     :ivar pools: the pools whose hosts are worked on
     :ivar hosts: only these hosts of the pools; all where empty
     :ivar target_pool: where hosts go, for a move
+    :ivar start_at_s: seconds since the epoch when an announced wave begins
+    :ivar expected_s: seconds that one host is expected to be away
     """
 
     pools: list[str]
@@ -151,11 +153,16 @@
     state: WaveState = WaveState.RUNNING
     hosts: list[str] = attrs.Factory(list)
     target_pool: str = ''
+    start_at_s: float = attrs.field(default=0.0, validator=validators.ge(0))
+    expected_s: float = attrs.field(default=600.0, validator=validators.gt(0))
 
 
 @attrs.frozen
 class Fleet:
-    """Describe the whole desired fleet, section by section."""
+    """Describe the whole desired fleet, section by section.
+
+    :ivar dead_daemons: incarnations that operators vouch have ended
+    """
 
     zones: dict[str, Zone] = attrs.Factory(dict)
     pools: dict[str, Pool] = attrs.Factory(dict)
@@ -165,3 +172,4 @@
     workspaces: dict[str, Workspace] = attrs.Factory(dict)
     waves: dict[str, Wave] = attrs.Factory(dict)
     weights: Weights = attrs.Factory(Weights)
+    dead_daemons: list[str] = attrs.Factory(list)
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/records.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/records.py
@@ -115,9 +115,19 @@
     is_complete: bool = True
 
 
+@attrs.frozen
+class PermissionRenewed:
+    """Tell that a holder is still at work on its disruptions."""
+
+    holder: str
+
+
 @attrs.frozen
 class HostReported:
-    """Tell that a host failed, or works again."""
+    """Tell that a host failed, or works again.
+
+    :ivar reporter: incarnation of the daemon that saw it
+    """
 
     host: str
     is_up: bool
@@ -154,6 +164,7 @@
     | DisruptionStepped
     | DisruptionTaken
     | DisruptionEnded
+    | PermissionRenewed
     | HostReported
     | RequestClaimed
     | ClaimReturned
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/state.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/state.py
@@ -56,6 +56,8 @@
     :ivar granted_s: log time of the grant
     :ivar stepped_s: log time of the last step
     :ivar step_offset: offset of the last step; the grant's at first
+    :ivar action: the wave's action when it was granted
+    :ivar expected_s: seconds that the host was expected to be away
     """
 
     host: str
@@ -67,6 +69,18 @@
     stepped_s: float
     step_offset: int
     boot_id: str = ''
+    action: model.WaveAction = model.WaveAction.REBOOT
+    target_pool: str = ''
+    expected_s: float = 0.0
+
+
+@attrs.frozen
+class Outage:
+    """Describe executors of one service that were missing for a while."""
+
+    start_s: float
+    end_s: float
+    executors: int
 
 
 @attrs.frozen
@@ -90,6 +104,11 @@
     :ivar fingerprint: number that is equal for equal documents
     :ivar verdicts: decision on each apply, by apply id, oldest first
     :ivar finished: hosts done, by wave
+    :ivar away_since_s: log time since when a host is down or worked on
+    :ivar outages: ended outages by service, oldest first
+    :ivar away_s: average time that planned work took, by action
+    :ivar progress_s: log time of the last grant or end, by wave
+    :ivar renewed_s: log time of the last record, by incarnation
     """
 
     next_offset: int = 0
@@ -104,6 +123,11 @@
     disruptions: dict[str, Disruption] = attrs.Factory(dict)
     finished: dict[str, set[str]] = attrs.Factory(dict)
     down_hosts: set[str] = attrs.Factory(set)
+    away_since_s: dict[str, float] = attrs.Factory(dict)
+    outages: dict[str, list[Outage]] = attrs.Factory(dict)
+    away_s: dict[str, float] = attrs.Factory(dict)
+    progress_s: dict[str, float] = attrs.Factory(dict)
+    renewed_s: dict[str, float] = attrs.Factory(dict)
     claims: dict[str, Claim] = attrs.Factory(dict)
     invalid_records: int = 0
     audit: collections.deque[Decision] = attrs.field(
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/hosts.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/hosts.py
@@ -26,21 +26,25 @@
         answer = await self._transport.call('GET', f'/v1/hosts/{host}')
         return codec.from_plain(answer, maintenance.HostStatus)
 
-    async def drain(self, host):
+    async def drain(self, host, deadline_s):
         """Have tasks moved off a host; repeating it changes nothing."""
-        await self._post(host, 'drain')
+        await self._post(host, 'drain', deadline_s)
 
-    async def reboot(self, host, boot_id):
+    async def reboot(self, host, boot_id, deadline_s):
         """Reboot a host that still runs the boot named."""
-        await self._post(host, 'reboot', boot_id=boot_id)
+        await self._post(host, 'reboot', deadline_s, boot_id=boot_id)
 
-    async def move(self, host, pool):
+    async def move(self, host, pool, deadline_s):
         """Put a host into a pool; repeating it changes nothing."""
-        await self._post(host, 'move', pool=pool)
+        await self._post(host, 'move', deadline_s, pool=pool)
 
-    async def restore(self, host):
+    async def restore(self, host, deadline_s):
         """Let a drained host take tasks again."""
-        await self._post(host, 'restore')
-
-    async def _post(self, host, verb, **body):
-        await self._transport.call('POST', f'/v1/hosts/{host}/{verb}', body)
+        await self._post(host, 'restore', deadline_s)
+
+    async def _post(self, host, verb, deadline_s, **body):
+        await self._transport.call(
+            'POST',
+            f'/v1/hosts/{host}/{verb}',
+            {'deadline_s': deadline_s, **body},
+        )
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/protocols.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/protocols.py
@@ -52,7 +52,11 @@
 
 
 class Hosts(typing.Protocol):
-    """Ask the platform about hosts and have it work on them."""
+    """Ask the platform about hosts and have it work on them.
+
+    A call carries a deadline, in seconds since the epoch, after which the
+    platform must not begin it: its caller may have been paused on the way.
+    """
 
     async def list(self):
         """Return the status of every host by name; it lags.
@@ -66,19 +70,19 @@
         :rtype: maintenance.HostStatus
         """
 
-    async def drain(self, host):
+    async def drain(self, host, deadline_s):
         """Have tasks moved off a host; repeating it changes nothing."""
 
-    async def reboot(self, host, boot_id):
+    async def reboot(self, host, boot_id, deadline_s):
         """Reboot a host that still runs the boot named.
 
         :raises errors.OutcomeUnknown: it may be rebooting
         """
 
-    async def move(self, host, pool):
+    async def move(self, host, pool, deadline_s):
         """Put a host into a pool; repeating it changes nothing."""
 
-    async def restore(self, host):
+    async def restore(self, host, deadline_s):
         """Let a drained host take tasks again."""
 
 
