--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/fold.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/fold.py
@@ -10,6 +10,7 @@
 from . import job_records
 from . import job_rules
 from . import members
+from . import outages
 from . import records
 from . import state as state_module
 
@@ -55,6 +56,7 @@
 
 def _decide(state, offset, record):
     _advance_time(state, record)
+    disruptions.note_alive(state, record.writer)
     refusal = _refuse_level(state, record) or _apply(
         record.body, state, offset
     )
@@ -78,6 +80,7 @@
 _UNAUDITED = (
     records.RequestClaimed,
     records.ClaimReturned,
+    records.PermissionRenewed,
     *typing.get_args(job_records.Body),
 )
 
@@ -109,11 +112,12 @@
     records.DaemonJoined: members.join,
     records.DaemonLeft: members.leave,
     records.RuleLevelRaised: members.raise_level,
-    records.HostReported: members.report_host,
+    records.HostReported: outages.report_host,
     records.DisruptionAsked: disruptions.ask,
     records.DisruptionStepped: disruptions.step,
     records.DisruptionTaken: disruptions.take,
     records.DisruptionEnded: disruptions.end,
+    records.PermissionRenewed: disruptions.renew,
     records.RequestClaimed: claims.claim,
     records.ClaimReturned: claims.give_back,
     job_records.JobSubmitted: job_rules.submit,
