--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/waves.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/waves.py
@@ -11,9 +11,9 @@
 DEFAULT_PATIENCE_S = 900.0
 # The patience of ours, where moves weigh as much as roll-out time.
 EVEN_PATIENCE_S = 300.0
-MIN_PATIENCE_S = 30.0
 MAX_PATIENCE_S = 4 * 3600.0
-MAX_IDLE_S = 1800.0
+# A host whose work ends within this is as good as idle.
+NEARLY_IDLE_S = 60.0
 OVERRUN_SHARE = 0.25
 
 
@@ -245,17 +245,18 @@
     def refuse_early(self, state, wave_name, host, now_s, work):
         """Return why a host should not be asked for yet, or None."""
         remaining_s = work.get(host, IDLE).remaining_s
-        if remaining_s <= self.patience_s(state.fleet):
+        patience_s = self.patience_s(state.fleet)
+        if remaining_s <= min(NEARLY_IDLE_S, patience_s):
             return None
         idle_s = now_s - _progress_s(state, wave_name, now_s)
-        if idle_s > MAX_IDLE_S * _move_share(state.fleet):
+        if idle_s > patience_s:
             return None
         return f'its jobs are expected to run for {remaining_s:.0f} s more'
 
     def patience_s(self, fleet):
         """Return how long a granted host's jobs may run on."""
-        wished_s = EVEN_PATIENCE_S * _move_share(fleet) ** 2
-        return min(max(wished_s, MIN_PATIENCE_S), MAX_PATIENCE_S)
+        wished_s = EVEN_PATIENCE_S * _move_share(fleet) ** 3
+        return min(wished_s, MAX_PATIENCE_S)
 
 
 def _progress_s(state, wave_name, now_s):
