Fold foreign entries alike, check just what a change touches

Cause: an entry with an unhashable kind, a huge number, half a surrogate pair or deep nesting raised in the fold and so stopped every daemon's follower; an append that the log kept twice took effect twice; one wrong clock moved the log's time; each change read and checked the whole document.

--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/checks.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/checks.py
@@ -1,12 +1,15 @@
 """Check a declared fleet as a whole: references, names and budgets."""
 
-import collections
 import ipaddress
-import itertools
+import math
 import re
 
+import attrs
+
 from . import codec
+from . import document as document_module
 from . import errors
+from . import index as index_module
 from . import model
 
 NAME_PATTERN = re.compile(r'[a-z0-9]([a-z0-9.-]{0,98}[a-z0-9])?')
@@ -20,68 +23,140 @@
     :param source: the file's name, for the problems
     :raises errors.InvalidFile: with every problem found
     """
-    nulls = _null_problems(document, source)
-    if nulls:
-        raise errors.InvalidFile(nulls)
-    fleet = codec.from_file(document, model.Fleet, source)
+    fleet = _structure(document, source)
+    entries = (
+        (section, name)
+        for section in index_module.SECTIONS
+        for name in getattr(fleet, section)
+    )
+    _refuse(fleet, index_module.build(fleet), entries, source)
+    return fleet
+
+
+def patch_fleet(fleet, index, result, patch, source):
+    """Return the patched fleet and the changes that led to it.
+
+    Only the entries that the patch touches are read, and only those and the
+    entries that depend on them are checked.
+
+    :param fleet: the fleet before, known to be valid
+    :param index: its index; it is as before afterwards
+    :param result: the plain document after the patch
+    :param patch: the merge patch that gave it
+    :raises errors.InvalidFile: with every problem found
+    """
+    part = _structure(document_module.touched(result, patch), source)
+    changes = _changes(fleet, part, patch)
+    patched = _apply_changes(fleet, part, patch, changes)
+    affected = _affected(index, changes)
+    index.update(changes)
+    try:
+        affected |= _affected(index, changes)
+        _refuse(patched, index, affected, source)
+    finally:
+        index.update([change.reverse() for change in reversed(changes)])
+    return patched, changes
+
+
+def _structure(document, source):
     problems = [
         errors.Problem(source, path, message)
-        for path, message in _all_problems(fleet)
+        for path, message in _value_problems(document)
     ]
     if problems:
         raise errors.InvalidFile(problems)
-    return fleet
+    return codec.from_file(document, model.Fleet, source)
 
 
-def _null_problems(document, source):
-    # Merge patches use null to delete, so it can't be a value as well.
-    return [
-        errors.Problem(source, path, 'has no value')
-        for path in _null_paths(document, ())
+def _refuse(fleet, index, entries, source):
+    problems = [
+        errors.Problem(source, path, message)
+        for section, name in entries
+        for path, message in _entry_problems(fleet, index, section, name)
     ]
+    if problems:
+        problems.sort(key=lambda problem: (problem.path, problem.message))
+        raise errors.InvalidFile(problems)
 
 
-def _null_paths(value, path):
-    if value is None:
-        return ['.'.join(path)]
-    if isinstance(value, dict):
-        items = value.items()
-    elif isinstance(value, list):
-        items = enumerate(value)
-    else:
-        items = ()
-    return list(
-        itertools.chain.from_iterable(
-            _null_paths(item, (*path, str(key))) for key, item in items
-        )
-    )
+def _changes(fleet, part, patch):
+    return [
+        index_module.Change(section, name, old.get(name), new.get(name))
+        for section, old, new, names in _touched_sections(fleet, part, patch)
+        for name in names
+        if old.get(name) != new.get(name)
+    ]
 
 
-def _all_problems(fleet):
-    return itertools.chain(
-        _name_problems(fleet),
-        _host_problems(fleet),
-        _service_problems(fleet),
-        _endpoint_problems(fleet),
-        _workspace_problems(fleet),
-        _wave_problems(fleet),
-    )
+def _touched_sections(fleet, part, patch):
+    for section in index_module.SECTIONS:
+        if section in patch:
+            old = getattr(fleet, section)
+            names = patch[section]
+            if not isinstance(names, dict):
+                names = old
+            yield section, old, getattr(part, section), names
 
 
-def _name_problems(fleet):
+def _apply_changes(fleet, part, patch, changes):
     sections = {
-        'zones': fleet.zones,
-        'pools': fleet.pools,
-        'hosts': fleet.hosts,
-        'services': fleet.services,
-        'endpoints': fleet.endpoints,
-        'workspaces': fleet.workspaces,
-        'waves': fleet.waves,
+        name: getattr(part, name)
+        for name in patch
+        if name not in index_module.SECTIONS and hasattr(part, name)
     }
-    for section, entries in sections.items():
-        for name in entries:
-            if not NAME_PATTERN.fullmatch(name):
-                yield f'{section}.{name}', f'{name!r} is not a valid name'
+    for change in changes:
+        if change.section not in sections:
+            sections[change.section] = dict(getattr(fleet, change.section))
+        entries = sections[change.section]
+        if change.new is None:
+            del entries[change.name]
+        else:
+            entries[change.name] = change.new
+    return attrs.evolve(fleet, **sections)
+
+
+# What entries that share one of these may hold depends on each other.
+_SHARED = ('racks', 'addresses', 'services')
+
+
+def _affected(index, changes):
+    found = set()
+    for change in changes:
+        found.add((change.section, change.name))
+        found.update(index.all_users(change.section, change.name))
+        for entry in (change.old, change.new):
+            for section, name in index_module.references(
+                change.section, entry
+            ):
+                if section in _SHARED:
+                    found.update(index.all_users(section, name))
+    return found
+
+
+def _value_problems(value, path=()):
+    # Merge patches use null to delete, so it can't be a value as well.
+    if value is None:
+        yield '.'.join(path), 'has no value'
+    elif isinstance(value, float) and not math.isfinite(value):
+        yield '.'.join(path), f'{value} is not a finite number'
+    elif isinstance(value, dict):
+        for key, item in value.items():
+            yield from _value_problems(item, (*path, str(key)))
+    elif isinstance(value, list):
+        for index, item in enumerate(value):
+            yield from _value_problems(item, (*path, str(index)))
+
+
+def _entry_problems(fleet, index, section, name):
+    entry = getattr(fleet, section).get(name)
+    if entry is None:
+        return
+    path = f'{section}.{name}'
+    if not NAME_PATTERN.fullmatch(name):
+        yield path, f'{name!r} is not a valid name'
+    check = _CHECKS.get(section)
+    if check is not None:
+        yield from check(fleet, index, name, entry, path)
 
 
 def _unknown(path, kind, name, known):
@@ -89,58 +164,39 @@
         yield path, f'{kind} {name!r} is not declared'
 
 
-def _host_problems(fleet):
-    for name, host in fleet.hosts.items():
-        path = f'hosts.{name}'
-        yield from _unknown(f'{path}.pool', 'pool', host.pool, fleet.pools)
-        yield from _unknown(f'{path}.zone', 'zone', host.zone, fleet.zones)
-    yield from _rack_problems(fleet)
-
-
-def _rack_problems(fleet):
-    zones_by_rack = collections.defaultdict(set)
-    for host in fleet.hosts.values():
-        zones_by_rack[host.rack].add(host.zone)
-    for name, host in fleet.hosts.items():
-        zones = zones_by_rack[host.rack]
-        if len(zones) > 1:
-            yield (
-                f'hosts.{name}.rack',
-                f'rack {host.rack!r} is in zones {sorted(zones)}',
-            )
+def _host_problems(fleet, index, name, host, path):
+    yield from _unknown(f'{path}.pool', 'pool', host.pool, fleet.pools)
+    yield from _unknown(f'{path}.zone', 'zone', host.zone, fleet.zones)
+    # Comparing each with the first finds any difference in a rack.
+    first = index.users('racks', host.rack, 'hosts')[0]
+    zones = {fleet.hosts[first].zone, host.zone}
+    if len(zones) > 1:
+        yield (
+            f'{path}.rack',
+            f'rack {host.rack!r} is in zones {sorted(zones)}',
+        )
 
 
-def _service_problems(fleet):
-    for name, service in fleet.services.items():
-        path = f'services.{name}'
-        yield from _unknown(
-            f'{path}.workspace',
-            'workspace',
-            service.workspace,
-            fleet.workspaces,
-        )
-        yield from _unknown(f'{path}.pool', 'pool', service.pool, fleet.pools)
+def _service_problems(fleet, index, name, service, path):
+    yield from _unknown(
+        f'{path}.workspace', 'workspace', service.workspace, fleet.workspaces
+    )
+    yield from _unknown(f'{path}.pool', 'pool', service.pool, fleet.pools)
 
 
-def _endpoint_problems(fleet):
-    owners = {}
-    for name, endpoint in fleet.endpoints.items():
-        path = f'endpoints.{name}'
-        yield from _unknown(
-            f'{path}.service', 'service', endpoint.service, fleet.services
+def _endpoint_problems(fleet, index, name, endpoint, path):
+    yield from _unknown(
+        f'{path}.service', 'service', endpoint.service, fleet.services
+    )
+    yield from _unknown(f'{path}.host', 'host', endpoint.host, fleet.hosts)
+    if not is_address(endpoint.address):
+        yield f'{path}.address', f'expected IP:PORT, got {endpoint.address!r}'
+    owner = index.users('addresses', endpoint.address, 'endpoints')[0]
+    if owner != name:
+        yield (
+            f'{path}.address',
+            f'{endpoint.address!r} is the address of {owner!r} too',
         )
-        yield from _unknown(f'{path}.host', 'host', endpoint.host, fleet.hosts)
-        if not is_address(endpoint.address):
-            yield (
-                f'{path}.address',
-                f'expected IP:PORT, got {endpoint.address!r}',
-            )
-        owner = owners.setdefault(endpoint.address, name)
-        if owner != name:
-            yield (
-                f'{path}.address',
-                f'{endpoint.address!r} is the address of {owner!r} too',
-            )
 
 
 def is_address(text):
@@ -153,29 +209,25 @@
         return False
 
 
-def _workspace_problems(fleet):
-    sizes = collections.Counter(
-        endpoint.service for endpoint in fleet.endpoints.values()
-    )
-    for name, workspace in fleet.workspaces.items():
-        for service, budget in workspace.budgets.items():
-            path = f'workspaces.{name}.budgets.{service}'
-            yield from _budget_problems(
-                fleet, name, service, budget, sizes, path
-            )
+def _workspace_problems(fleet, index, name, workspace, path):
+    for service, budget in workspace.budgets.items():
+        size = len(index.users('services', service, 'endpoints'))
+        yield from _budget_problems(
+            fleet, name, service, budget, size, f'{path}.budgets.{service}'
+        )
 
 
-def _budget_problems(fleet, workspace, service, budget, sizes, path):
+def _budget_problems(fleet, workspace, service, budget, size, path):
     if service not in fleet.services:
         yield path, f'service {service!r} is not declared'
         return
     owner = fleet.services[service].workspace
     if owner != workspace:
         yield path, f'service {service!r} belongs to workspace {owner!r}'
-    if budget.max_unavailable >= max(sizes[service], 1):
+    if budget.max_unavailable >= max(size, 1):
         yield (
             f'{path}.max_unavailable',
-            f'{budget.max_unavailable} of {sizes[service]} executors '
+            f'{budget.max_unavailable} of {size} executors '
             'leaves none available',
         )
     if budget.downtime_s > budget.window_s:
@@ -186,14 +238,12 @@
         )
 
 
-def _wave_problems(fleet):
-    for name, wave in fleet.waves.items():
-        path = f'waves.{name}'
-        for pool in wave.pools:
-            yield from _unknown(f'{path}.pools', 'pool', pool, fleet.pools)
-        for host in wave.hosts:
-            yield from _unknown(f'{path}.hosts', 'host', host, fleet.hosts)
-        yield from _target_problems(fleet, wave, path)
+def _wave_problems(fleet, index, name, wave, path):
+    for pool in wave.pools:
+        yield from _unknown(f'{path}.pools', 'pool', pool, fleet.pools)
+    for host in wave.hosts:
+        yield from _unknown(f'{path}.hosts', 'host', host, fleet.hosts)
+    yield from _target_problems(fleet, wave, path)
 
 
 def _target_problems(fleet, wave, path):
@@ -206,3 +256,12 @@
             f'{path}.target_pool',
             f'{wave.target_pool!r} has no use in a reboot wave',
         )
+
+
+_CHECKS = {
+    'hosts': _host_problems,
+    'services': _service_problems,
+    'endpoints': _endpoint_problems,
+    'workspaces': _workspace_problems,
+    'waves': _wave_problems,
+}
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/configuration.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/configuration.py
@@ -29,7 +29,9 @@
 def _replace(body, state):
     try:
         result = document.merge(state.document, body.delta)
-        fleet = checks.fleet_from_document(result, _SOURCE)
+        fleet, changes = checks.patch_fleet(
+            state.fleet, state.index, result, body.delta, _SOURCE
+        )
     except errors.InvalidFile as error:
         return f'invalid: {error.problems[0]}'
     fingerprint = document.updated_fingerprint(
@@ -39,7 +41,7 @@
         return f'conflict: the result differs from digest {body.digest:.16}'
     refusal = _refuse_lost_work(state, fleet)
     if refusal is None:
-        _install(state, result, fleet, fingerprint)
+        _install(state, result, fleet, changes, fingerprint)
     return refusal
 
 
@@ -65,9 +67,10 @@
     return None
 
 
-def _install(state, result, fleet, fingerprint):
+def _install(state, result, fleet, changes, fingerprint):
     state.document = result
     state.fleet = fleet
+    state.index.update(changes)
     state.fingerprint = fingerprint
     state.revision += 1
     state.finished = {
@@ -87,11 +90,13 @@
 def install_patch(state, patch):
     """Make a patch that is known to be valid the next revision."""
     result = document.merge(state.document, patch)
-    fleet = checks.fleet_from_document(result, _SOURCE)
+    fleet, changes = checks.patch_fleet(
+        state.fleet, state.index, result, patch, _SOURCE
+    )
     fingerprint = document.updated_fingerprint(
         state.fingerprint, state.document, result, patch
     )
-    _install(state, result, fleet, fingerprint)
+    _install(state, result, fleet, changes, fingerprint)
 
 
 def remember_verdict(state, body, decision):
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/document.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/document.py
@@ -36,13 +36,13 @@
     :param old: a document; it is left as it is
     :param patch: a merge patch
     """
-    kept = {key: old[key] for key in old if patch.get(key, key) is not None}
-    changed = {
-        key: _merge_value(old.get(key), value)
-        for key, value in patch.items()
-        if value is not None
-    }
-    return {**kept, **changed}
+    result = dict(old)
+    for key, value in patch.items():
+        if value is None:
+            result.pop(key, None)
+        else:
+            result[key] = _merge_value(old.get(key), value)
+    return result
 
 
 def _merge_value(old, patch):
@@ -84,12 +84,13 @@
     :param old: the document before the patch
     :param new: the document after it
     """
-    before = fingerprint(_touched(old, patch))
-    after = fingerprint(_touched(new, patch))
+    before = fingerprint(touched(old, patch))
+    after = fingerprint(touched(new, patch))
     return (value - before + after) % _MODULUS
 
 
-def _touched(document, patch):
+def touched(document, patch):
+    """Return the part of a document that a patch names."""
     return {
         section: _touched_section(document[section], patch[section])
         for section in patch
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
@@ -48,6 +48,36 @@
     reason = 'invalid_record'
 
 
+class NotPlainData(InvalidRecord):
+    """Report an entry that is not a mapping of plain JSON data."""
+
+    reason = 'not_plain_data'
+
+
+class RecordTooLarge(InvalidRecord):
+    """Report an entry that is larger than any of ours."""
+
+    reason = 'record_too_large'
+
+
+class RecordTooDeep(InvalidRecord):
+    """Report an entry that is nested deeper than any of ours."""
+
+    reason = 'record_too_deep'
+
+
+class UnknownKind(InvalidRecord):
+    """Report a record of a kind that the rules in force don't know."""
+
+    reason = 'unknown_kind'
+
+
+class NewerLevel(InvalidRecord):
+    """Report a record that asks for a rule level not in force."""
+
+    reason = 'newer_level'
+
+
 class PlatformError(HawthorndealError):
     """Be the root of failures of the platform's services."""
 
@@ -85,6 +115,12 @@
         super().__init__(f'the permission to act on {host!r} has lapsed')
 
 
+class AnswerTooDeep(PlatformError):
+    """Report an answer that is nested too deep to be parsed."""
+
+    reason = 'answer_too_deep'
+
+
 class OffsetExpired(PlatformError):
     """Report a read from an offset that the log no longer holds.
 
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/fold.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/fold.py
@@ -3,20 +3,32 @@
 import functools
 import typing
 
+import attrs
+
 from . import claims
 from . import configuration
 from . import disruptions
 from . import errors
+from . import history
 from . import job_records
 from . import job_rules
+from . import log_time
 from . import members
 from . import outages
 from . import records
 from . import state as state_module
 
-# An honest clock is at most this far ahead of the log's time between two
-# records of other writers.
-MAX_STAMP_AHEAD_S = 3600.0
+_REPEATED = 'repeated'
+_REFUSED = 'refused'
+_FAILED = 'rule_failed'
+
+# Requests and jobs are far too many for the trail of changes.
+_UNAUDITED = (
+    records.RequestClaimed,
+    records.ClaimReturned,
+    records.PermissionRenewed,
+    *typing.get_args(job_records.Body),
+)
 
 
 def fold(state, offset, data):
@@ -34,33 +46,48 @@
     if offset < state.next_offset:
         raise ValueError(f'offset {offset} is already folded')
     state.next_offset = offset + 1
+    decision = _decide(state, offset, data)
+    if decision.code:
+        state.refusals[decision.code] = 1 + state.refusals.get(
+            decision.code, 0
+        )
+    history.follow(state, decision)
+    return decision
+
+
+def _decide(state, offset, data):
     try:
-        record = records.decode(data)
+        record = records.decode(data, state.rule_level)
     except errors.InvalidRecord as error:
-        return _refuse_foreign(state, offset, data, error)
-    return _decide(state, offset, record)
+        return _refuse_foreign(state, offset, error)
+    known = state.recent.get(record.record_id)
+    if known is not None:
+        # The log or a writer repeated it; its effect is there already.
+        return attrs.evolve(known, code=_REPEATED)
+    log_time.advance(state, record)
+    disruptions.note_alive(state, record.writer)
+    decision = _judge(state, offset, record)
+    _remember(state, record, decision)
+    return decision
 
 
-def _refuse_foreign(state, offset, data, error):
+def _refuse_foreign(state, offset, error):
     state.invalid_records += 1
     return state_module.Decision(
         offset=offset,
         record_id='',
-        kind='invalid',
+        kind=history.INVALID,
         writer='',
         stamp_s=state.log_time_s,
         is_accepted=False,
         reason=str(error),
+        code=error.reason,
     )
 
 
-def _decide(state, offset, record):
-    _advance_time(state, record)
-    disruptions.note_alive(state, record.writer)
-    refusal = _refuse_level(state, record) or _apply(
-        record.body, state, offset
-    )
-    decision = state_module.Decision(
+def _judge(state, offset, record):
+    refusal, code = _run_rule(state, offset, record.body)
+    return state_module.Decision(
         offset=offset,
         record_id=record.record_id,
         kind=type(record.body).__name__,
@@ -69,32 +96,27 @@
         is_accepted=refusal is None,
         reason=refusal or '',
         subject=_subject(record.body),
+        code=code,
     )
-    configuration.remember_verdict(state, record.body, decision)
-    if not isinstance(record.body, _UNAUDITED):
-        state.audit.append(decision)
-    return decision
 
 
-# Requests and jobs are far too many for the trail of changes.
-_UNAUDITED = (
-    records.RequestClaimed,
-    records.ClaimReturned,
-    records.PermissionRenewed,
-    *typing.get_args(job_records.Body),
-)
-
-
-def _advance_time(state, record):
-    is_first = state.log_time_s == 0.0
-    if is_first or record.stamp_s <= state.log_time_s + MAX_STAMP_AHEAD_S:
-        state.log_time_s = max(state.log_time_s, record.stamp_s)
+def _run_rule(state, offset, body):
+    try:
+        refusal = _apply(body, state, offset)
+    except Exception as error:
+        # A defect in a rule meets every daemon at the same offset; stopping
+        # there would stop them all for good.
+        return f'the rule failed: {error!r:.200}', _FAILED
+    return refusal, _REFUSED if refusal else ''
 
 
-def _refuse_level(state, record):
-    if record.level > state.rule_level:
-        return f'level {record.level} is above the rules {state.rule_level}'
-    return None
+def _remember(state, record, decision):
+    configuration.remember_verdict(state, record.body, decision)
+    state.recent[record.record_id] = decision
+    if len(state.recent) > state_module.DECISIONS_KEPT:
+        del state.recent[next(iter(state.recent))]
+    if not isinstance(record.body, _UNAUDITED):
+        state.audit.append(decision)
 
 
 def _subject(body):
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/records.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/records.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import math
 import typing
 
 import attrs
@@ -12,9 +13,9 @@
 from . import codec
 from . import errors
 from . import job_records
+from . import plaindata
 
 RULE_LEVEL = 1
-MAX_RECORD_BYTES = 4 * 1024 * 1024
 
 
 class Step(enum.Enum):
@@ -174,6 +175,9 @@
 
 _KINDS = {kind.__name__: kind for kind in typing.get_args(Body)}
 
+# The rule level that brought a kind, where it isn't the first.
+_KIND_LEVELS = {}
+
 
 @attrs.frozen
 class Record:
@@ -204,23 +208,41 @@
     }
 
 
-def decode(data):
+def decode(data, rule_level=RULE_LEVEL):
     """Return the record that plain data from the log holds.
 
+    A version that knows more kinds than the rules in force refuses them like
+    one that doesn't.
+
+    :param rule_level: the level of the rules in force
     :raises errors.InvalidRecord: for foreign data and unknown kinds
     """
+    plaindata.check(data)
     if not isinstance(data, dict):
-        raise errors.InvalidRecord(f'not a record: {data!r:.80}')
-    kind = _KINDS.get(data.get('kind'))
-    if kind is None:
-        raise errors.InvalidRecord(f'unknown kind {data.get("kind")!r:.80}')
-    body = codec.from_plain(data.get('body'), kind)
-    envelope = {
+        raise errors.NotPlainData(f'not a record: {data!r:.80}')
+    record = codec.from_plain(_envelope(data), Record)
+    if not math.isfinite(record.stamp_s):
+        raise errors.NotPlainData(f'bad stamp {record.stamp_s}')
+    if record.level > rule_level:
+        raise errors.NewerLevel(
+            f'level {record.level} is above the rules {rule_level}'
+        )
+    kind = _known_kind(data.get('kind'), rule_level)
+    return attrs.evolve(record, body=codec.from_plain(data.get('body'), kind))
+
+
+def _envelope(data):
+    return {
         'record_id': data.get('id'),
         'writer': data.get('writer'),
         'stamp_s': data.get('stamp_s'),
         'level': data.get('level', 1),
         'body': None,
     }
-    record = codec.from_plain(envelope, Record)
-    return attrs.evolve(record, body=body)
+
+
+def _known_kind(name, rule_level):
+    is_known = isinstance(name, str) and name in _KINDS
+    if not is_known or _KIND_LEVELS.get(name, 1) > rule_level:
+        raise errors.UnknownKind(f'unknown kind {name!r:.80}')
+    return _KINDS[name]
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/state.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/state.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from . import index as index_module
 from . import jobs as jobs_module
 from . import model
 from . import pools
@@ -15,6 +16,8 @@
 
 AUDIT_TAIL_RECORDS = 1000
 VERDICTS_KEPT = 1000
+DECISIONS_KEPT = 4096
+MARKS_KEPT = 16
 
 
 class ClaimStatus(enum.Enum):
@@ -29,6 +32,7 @@
     """Tell what the fold made of the record at an offset.
 
     :ivar reason: why it was refused, or what was granted; may be empty
+    :ivar code: kind of refusal, one of a few words; empty where accepted
     """
 
     offset: int
@@ -39,6 +43,23 @@
     is_accepted: bool
     reason: str = ''
     subject: str = ''
+    code: str = ''
+
+
+@attrs.frozen
+class PendingStamp:
+    """Keep a stamp far ahead of the log's time until another confirms it."""
+
+    writer: str
+    stamp_s: float
+
+
+@attrs.frozen
+class Mark:
+    """Tell the state's digest before an offset."""
+
+    next_offset: int
+    digest: str
 
 
 @attrs.frozen
@@ -105,6 +126,11 @@
 
     :ivar next_offset: the first offset not yet folded
     :ivar log_time_s: the greatest accepted stamp
+    :ivar digest: hexadecimal number that is equal for equal histories
+    :ivar marks: digests at every so many offsets, newest last
+    :ivar index: who refers to each entry of the fleet
+    :ivar recent: decisions by record id, oldest first
+    :ivar refusals: number of refused records by kind of refusal
     :ivar fingerprint: number that is equal for equal documents
     :ivar verdicts: decision on each apply, by apply id, oldest first
     :ivar finished: hosts done, by wave
@@ -125,7 +151,12 @@
     revision: int = 0
     document: dict[str, typing.Any] = attrs.Factory(dict)
     fingerprint: int = 0
-    fleet: model.Fleet = attrs.Factory(model.Fleet)
+    fleet: model.Fleet = attrs.field(
+        factory=model.Fleet, metadata={'is_derived': True}
+    )
+    index: index_module.Index = attrs.field(
+        init=False, repr=False, metadata={'is_derived': True}
+    )
     verdicts: dict[str, Decision] = attrs.Factory(dict)
     members: dict[str, Member] = attrs.Factory(dict)
     disruptions: dict[str, Disruption] = attrs.Factory(dict)
@@ -149,18 +180,28 @@
     pool_evidence: dict[str, quarantine.Evidence] = attrs.Factory(dict)
     quarantines: dict[str, quarantine.Quarantine] = attrs.Factory(dict)
     invalid_records: int = 0
+    digest: str = ''
+    marks: collections.deque[Mark] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MARKS_KEPT)
+    )
+    pending_stamp: PendingStamp | None = None
+    recent: dict[str, Decision] = attrs.Factory(dict)
+    refusals: dict[str, int] = attrs.Factory(dict)
     audit: collections.deque[Decision] = attrs.field(
         factory=lambda: collections.deque(maxlen=AUDIT_TAIL_RECORDS)
     )
 
+    def __attrs_post_init__(self):
+        self.index = index_module.build(self.fleet)
+
     def pool_of(self, host):
         """Return the pool that a host belongs to now."""
         return self.fleet.hosts[host].pool
 
     def endpoints_of(self, service):
-        """Return the names of a service's endpoints."""
-        return [
-            name
-            for name, endpoint in self.fleet.endpoints.items()
-            if endpoint.service == service
-        ]
+        """Return the sorted names of a service's endpoints, not to change."""
+        return self.index.users('services', service, 'endpoints')
+
+    def endpoints_on(self, host):
+        """Return the sorted names of a host's endpoints, not to change."""
+        return self.index.users('hosts', host, 'endpoints')
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/log.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/log.py
@@ -1,5 +1,8 @@
 """The platform's log over HTTP with JSON."""
 
+from hawthorndeal_fleet import errors
+from hawthorndeal_fleet import plaindata
+
 from . import protocols
 
 PAGE_ENTRIES = 1000
@@ -23,10 +26,24 @@
 
     async def read(self, stream, offset):
         """Return the page at an offset; an empty page at the end."""
+        try:
+            return await self._read(stream, offset, PAGE_ENTRIES)
+        except errors.AnswerTooDeep:
+            return await self._read_one(stream, offset)
+
+    async def _read_one(self, stream, offset):
+        # One foreign entry must not hide the others of its page.
+        try:
+            return await self._read(stream, offset, 1)
+        except errors.AnswerTooDeep:
+            entry = protocols.Entry(offset, plaindata.too_deep())
+            return protocols.Page((entry,), offset + 1, False)
+
+    async def _read(self, stream, offset, limit):
         answer = await self._transport.call(
             'GET',
             f'/v1/streams/{stream}',
-            params={'offset': str(offset), 'limit': str(PAGE_ENTRIES)},
+            params={'offset': str(offset), 'limit': str(limit)},
         )
         entries = tuple(
             protocols.Entry(offset=number, data=data)
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/transport.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/transport.py
@@ -62,7 +62,10 @@
 
 
 async def _read(response, path):
-    answer = await response.json(content_type=None)
+    try:
+        answer = await response.json(content_type=None)
+    except RecursionError as error:
+        raise errors.AnswerTooDeep(path) from error
     if response.status < HTTP_ERROR:
         return answer
     if response.status == HTTP_GONE:
