Route by expected wait under adaptive limits and a queue

Cause: an entry host sent as much as an endpoint has slots, whatever the others sent; a request that found no free slot was refused at once; an endpoint that failed fast looked idle; a hundred connections could be lost to one that froze.

Change: the router keeps a limit per endpoint (raised while used up, lowered by refusals and by answers that come late), a record of failures with quarantine and slow probes, and falls back to every known endpoint but those that leave. Busy requests wait in a bounded queue for each service that refuses what it can't serve in time. Interactive work goes first, long work keeps a floor. A workspace's quota is divided by the joined entry hosts. A claim that timed out is never used and is returned later.

Also: redirects of endpoints are no longer followed (a second run) and their cookies no longer kept (another caller's); an answer that tells no length is not taken for whole.

--- /dev/null
+++ b/features/steps/requests_core.py
@@ -0,0 +1,411 @@
+"""Steps that drive the pure decisions of the request path."""
+
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from hawthorndeal_fleet import admission
+from hawthorndeal_fleet import calls
+from hawthorndeal_fleet import errors
+from hawthorndeal_fleet import health
+from hawthorndeal_fleet import limits
+from hawthorndeal_fleet import records
+from hawthorndeal_fleet import retries
+from hawthorndeal_fleet import routing
+from hawthorndeal_fleet import state as state_module
+from measure import request_baselines
+from measure import request_model
+from measure import requests as measured
+
+INTERACTIVE = calls.Urgency.INTERACTIVE
+LONG = calls.Urgency.LONG
+SERVICE = request_model.SERVICE
+_MODEL_NAMES = {'a1': 'e0-0', 'a2': 'e0-1', 'b1': 'e1-0', 'b2': 'e1-1'}
+_MODEL_ZONES = {'a': 'z0', 'b': 'z1'}
+
+
+@given('endpoints "a1 a2" in zone "a" and "b1 b2" in zone "b"')
+def make_endpoints(context):
+    context.state = request_model.make_state(zones=2, entry_hosts=1)
+    context.router = routing.Router(_MODEL_ZONES['a'])
+    context.rng = random.Random(7)
+    context.now_s = 100.0
+
+
+def _start(context, name, now_s=None):
+    when_s = context.now_s if now_s is None else now_s
+    context.router.start(context.state, name, when_s)
+
+
+def _finish(context, name, outcome, took_s=None):
+    context.router.finish(
+        name, outcome, context.now_s, context.rng, took_s=took_s
+    )
+
+
+def _exchange(context, name, outcome, took_s=None):
+    _start(context, name)
+    _finish(context, name, outcome, took_s)
+
+
+def _fill(context, name):
+    _start(context, name)
+
+
+def _work_on(context, name):
+    host = context.state.fleet.endpoints[name].host
+    context.state.disruptions[host] = state_module.Disruption(
+        host, 'w', 'h', 1, 1.0, records.Step.GRANTED, 1.0, 1
+    )
+
+
+def _fail_often(context, name):
+    for _ in range(health.QUARANTINE_STREAK):
+        _exchange(context, name, health.Outcome.FAILED)
+
+
+def _answer_slowly(context, name):
+    _exchange(context, name, health.Outcome.ANSWERED, 1.0)
+
+
+def _hosts(context, names):
+    return {context.state.fleet.endpoints[name].host for name in names}
+
+
+def _each(act):
+    def act_on_each(context, names):
+        for name in names:
+            act(context, name)
+
+    return act_on_each
+
+
+def _outcome(kind):
+    return _each(lambda context, name: _exchange(context, name, kind))
+
+
+_CONDITIONS = {
+    'full': _each(_fill),
+    'reported down': lambda context, names: context.state.down_hosts.update(
+        _hosts(context, names)
+    ),
+    'not in the host list': lambda context, names: context.router.note_lost(
+        _hosts(context, names)
+    ),
+    'leaving by the host list': lambda context, names: (
+        context.router.note_leaving(_hosts(context, names))
+    ),
+    'leaves': lambda context, names: context.router.note_leaving(
+        _hosts(context, names)
+    ),
+    'being worked on': _each(_work_on),
+    'says itself that it leaves': _outcome(health.Outcome.LEAVING),
+    'answers slowly': _each(_answer_slowly),
+    'refuses': _outcome(health.Outcome.REFUSED),
+    'three times in a row': _each(_fail_often),
+}
+
+
+@given('the condition: {condition}')
+def set_condition(context, condition):
+    for part in condition.split(' and '):
+        names = [
+            _MODEL_NAMES[word] for word in part.split() if word in _MODEL_NAMES
+        ]
+        for text in sorted(_CONDITIONS, key=len, reverse=True):
+            if part.endswith(text):
+                _CONDITIONS[text](context, names)
+                break
+        else:
+            assert condition == 'nothing special', condition
+
+
+@given('a1 has a request without answer for {silent_s:d} s')
+def leave_unanswered(context, silent_s):
+    name = _MODEL_NAMES['a1']
+    for _ in range(40):
+        _start(context, name)
+        _start(context, name)
+        _finish(context, name, health.Outcome.ANSWERED, 0.01)
+        _finish(context, name, health.Outcome.ANSWERED, 0.01)
+    _start(context, name)
+    context.now_s += silent_s
+
+
+@when('{count:d} requests are routed one at a time in zone "a"')
+def route(context, count):
+    context.sent = set()
+    for _ in range(count):
+        name = context.router.choose(
+            context.state, SERVICE, context.rng, context.now_s
+        )
+        if name is not None:
+            context.sent.add(name)
+
+
+@then('they went to "{names}"')
+def check_routed(context, names):
+    expected = {_MODEL_NAMES.get(name) for name in names.split()} - {None}
+    assert context.sent == expected, (context.sent, expected)
+
+
+@when('its quarantine is over')
+def wait_for_quarantine(context):
+    record = context.router._loads[_MODEL_NAMES['a1']].record
+    context.began_s = context.now_s
+    while record.is_quarantined(context.now_s):
+        context.now_s += 0.01
+
+
+@then('the quarantine is at least {least_s:f} s long')
+def check_quarantine(context, least_s):
+    record = context.router._loads[_MODEL_NAMES['a1']].record
+    assert record.is_quarantined(context.now_s + least_s - 0.01)
+
+
+@then('a1 has room for {count:d} request')
+@then('a1 has room for {count:d} requests')
+def check_room(context, count):
+    name = _MODEL_NAMES['a1']
+    excluded = tuple(set(_MODEL_NAMES.values()) - {name})
+    started = 0
+    while started <= count and context.router.choose(
+        context.state, SERVICE, context.rng, context.now_s, excluded
+    ):
+        _start(context, name)
+        started += 1
+    for _ in range(started):
+        _finish(context, name, health.Outcome.CANCELLED)
+    assert started == count, started
+
+
+@when('the probe fails')
+def fail_probe(context):
+    _exchange(context, _MODEL_NAMES['a1'], health.Outcome.FAILED)
+
+
+@when('the probe succeeds until it is trusted')
+def succeed(context):
+    for _ in range(10):
+        _exchange(context, _MODEL_NAMES['a1'], health.Outcome.ANSWERED, 0.01)
+
+
+@given('a limit with a ceiling of {ceiling:d}')
+def make_limit(context, ceiling):
+    context.limit = limits.ConcurrencyLimit(ceiling)
+
+
+def _answers(limit, latency_s, in_flight=None, count=100):
+    for number in range(count):
+        used = int(limit.value) if in_flight is None else in_flight
+        limit.note_answered(used, latency_s, number * 1.0)
+
+
+def _refusals(limit, count, gap_s):
+    limit.value = 7.0
+    for number in range(count):
+        limit.note_refused(number * gap_s)
+
+
+def _late_answers(limit):
+    _answers(limit, 0.02, 1)
+    limit.value = 7.0
+    _answers(limit, 0.08, count=25)
+
+
+_EVENTS = {
+    'nothing': lambda limit: None,
+    '100 answers under full use': lambda limit: _answers(limit, 0.02),
+    '100 answers under little use': lambda limit: _answers(limit, 0.02, 0),
+    '1 refusal at 7': lambda limit: _refusals(limit, 1, 0.0),
+    '10 refusals at 7 at once': lambda limit: _refusals(limit, 10, 0.001),
+    '50 refusals at 7 one by one': lambda limit: _refusals(limit, 50, 0.1),
+    '25 answers 4 times as late at 7': _late_answers,
+}
+
+
+@when('it sees {events}')
+def see(context, events):
+    _EVENTS[events](context.limit)
+
+
+@then('the limit is at least {least:g} and at most {most:g}')
+def check_limit(context, least, most):
+    assert least <= context.limit.value <= most, context.limit.value
+
+
+@given('a queue with room for {room:d} and requests that take {took_s:g} s')
+def make_queue(context, room, took_s):
+    context.room = room
+    context.queue = admission.ServiceQueue()
+    for urgency in calls.Urgency:
+        context.queue.start(urgency)
+        context.queue.finish(urgency, took_s)
+
+
+def _wait(context, urgency, count=1):
+    for _ in range(count):
+        context.queue.put(admission.Waiting(urgency, 1000.0))
+
+
+@given('{count:d} interactive requests wait in it')
+def fill_queue(context, count):
+    _wait(context, INTERACTIVE, count)
+
+
+@when('an interactive request with a deadline in {deadline_s:g} s comes')
+def come(context, deadline_s):
+    context.failure = None
+    waiting = admission.Waiting(INTERACTIVE, deadline_s)
+    try:
+        context.queue.check(waiting, context.room, 0.0)
+    except errors.Overloaded as failure:
+        context.failure = failure
+
+
+@then('it is taken in')
+def check_taken(context):
+    assert context.failure is None, context.failure
+
+
+@then('it is refused, back after {after_s:g} s')
+def check_refused(context, after_s):
+    assert context.failure.outcome == 'not_run'
+    got_s = context.failure.retry_after_s
+    assert abs(got_s - after_s) < 0.01, got_s
+
+
+@given('{interactive:d} interactive and {long:d} long requests run')
+def run_some(context, interactive, long):
+    for _ in range(interactive):
+        context.queue.start(INTERACTIVE)
+    for _ in range(long):
+        context.queue.start(LONG)
+
+
+@given(
+    'interactive and long requests wait, the last interactive one came '
+    '{ago_s:d} s ago'
+)
+def both_wait(context, ago_s):
+    _wait(context, INTERACTIVE)
+    only_long_waits(context, ago_s)
+
+
+@given(
+    'only long requests wait, the last interactive one came {ago_s:d} s ago'
+)
+def only_long_waits(context, ago_s):
+    _wait(context, LONG)
+    context.queue.note_arrival(INTERACTIVE, 100.0 - ago_s)
+
+
+@then('the next to start is {expected}')
+def check_next(context, expected):
+    waiting = context.queue.next(context.room, 100.0)
+    got = waiting.urgency.value if waiting else 'nothing'
+    assert got == expected, got
+
+
+@given('a quota of {quota:d} requests and {hosts:d} entry hosts')
+def make_quota(context, quota, hosts):
+    context.quota = (quota, hosts)
+
+
+@then('each entry host takes {share:d} requests and refuses one more')
+def check_share(context, share):
+    table = admission.QuotaTable()
+    for _ in range(share):
+        table.enter('w', *context.quota)
+    try:
+        table.enter('w', *context.quota)
+    except errors.QuotaExceeded as failure:
+        assert failure.reason == 'quota_exceeded'
+        table.leave('w')
+        table.enter('w', *context.quota)
+        return
+    raise AssertionError('one more was taken')
+
+
+@when('a request fails by {kind}')
+def fail_by(context, kind):
+    context.failure = getattr(errors, kind)('for the test')
+
+
+def _may_retry(context, is_idempotent, budget):
+    request = calls.Request(
+        'w', SERVICE, 'id', 10.0, is_idempotent, INTERACTIVE, b''
+    )
+    tries = retries.Tries()
+    tries.note(context.failure, 'e')
+    return tries.may_go_on(request, context.failure, 5.0, budget)
+
+
+@then('an idempotent one is tried again: {expected}')
+def check_idempotent(context, expected):
+    may = _may_retry(context, True, retries.RetryBudget())
+    assert may == (expected == 'yes'), may
+
+
+@then('a non-idempotent one is tried again: {expected}')
+def check_other(context, expected):
+    may = _may_retry(context, False, retries.RetryBudget())
+    assert may == (expected == 'yes'), may
+
+
+@when('{count:d} requests all fail by {kind}')
+def fail_many(context, count, kind):
+    fail_by(context, kind)
+    budget = retries.RetryBudget()
+    context.retries = 0
+    for _ in range(count):
+        budget.note_request()
+        context.retries += _may_retry(context, True, budget)
+
+
+@then('at most {most:d} retries are made')
+def check_retries(context, most):
+    assert 0 < context.retries <= most, context.retries
+
+
+_FAULTS = {
+    'no fault': ('ok', ()),
+    'one endpoint failing': ('failing', ('e0-0',)),
+    'one endpoint frozen': ('frozen', ('e0-0',)),
+    'a zone gone': ('gone', ('e0-0', 'e0-1')),
+}
+
+
+@when('{load:g} times the capacity is offered to the daemon with {fault}')
+def offer(context, load, fault):
+    mode, names = _FAULTS[fault]
+    context.faulty = names
+    context.fits = min(1.0, 1.0 / load)
+
+    def break_world(world):
+        for name in names:
+            world.endpoints[name].mode = mode
+
+    context.result = measured.run_load(
+        request_baselines.Adaptive,
+        load,
+        seed=3,
+        queue_limit=0,
+        run_s=4.0,
+        break_world=break_world,
+    )
+
+
+@then('at least {share:g} of the requests that fit are answered in time')
+def check_success(context, share):
+    got = context.result.success_share / context.fits
+    assert got >= share, (got, context.result.bad, context.result.refused)
+
+
+@then('at most {share:g} of the sends go to the faulty endpoints')
+def check_sends(context, share):
+    sent = context.result.sent
+    to_faulty = sum(sent[name] for name in context.faulty)
+    assert to_faulty <= share * sum(sent.values()), (to_faulty, sent)
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
@@ -23,6 +23,7 @@
 from . import maintainer
 from . import metrics
 from . import peers
+from . import returns
 from . import supervisor
 from . import web
 from . import writer
@@ -104,7 +105,7 @@
         log = log_module.HttpLog(self._transports[0])
         hosts = hosts_module.HttpHosts(self._transports[1])
         router = routing.Router(settings.zone)
-        self._endpoints = endpoints.EndpointClient()
+        self._endpoints = endpoints.EndpointClient(settings.max_answer_bytes)
         reader = follower.Follower(log, settings, clock)
         appender = writer.Writer(log, reader, settings, incarnation, clock)
         others = peers.Peers(reader, router, settings, incarnation, clock, rng)
@@ -121,11 +122,13 @@
             incarnation,
             clock,
         )
+        returner = returns.ClaimReturner(appender, incarnation, clock)
         server = dispatcher.Dispatcher(
             reader,
             appender,
             router,
             self._endpoints,
+            returner,
             incarnation,
             settings,
             clock,
@@ -135,6 +138,7 @@
             [
                 reader,
                 appender,
+                returner,
                 web.WebServer(
                     'control',
                     lambda: control.make_app(
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
@@ -2,13 +2,17 @@
 
 import asyncio
 
+from hawthorndeal_fleet import admission
 from hawthorndeal_fleet import errors
+from hawthorndeal_fleet import health
 from hawthorndeal_fleet import records
 from hawthorndeal_fleet import retries
 
+from . import gate as gate_module
 from . import logs
 
 COME_BACK_S = 1.0
+SERVER_ERROR = 500
 
 _log = logs.get('dispatcher')
 
@@ -20,6 +24,7 @@
     :param writer: appends claims
     :param router: chooses endpoints
     :param endpoints: sends to them
+    :param returner: returns claims that were not used
     :param incarnation: identity of this start of the daemon
     :param settings: the daemon's settings
     :param clock: tells the time
@@ -32,6 +37,7 @@
         writer,
         router,
         endpoints,
+        returner,
         incarnation,
         settings,
         clock,
@@ -39,21 +45,27 @@
     ):
         self._follower = follower
         self._writer = writer
-        self._router = router
+        self._gate = gate_module.Gate(follower, router, clock, rng)
         self._endpoints = endpoints
+        self._returner = returner
         self._incarnation = incarnation
         self._claim_timeout_s = settings.claim_timeout_s
         self._clock = clock
         self._rng = rng
+        self._quotas = admission.QuotaTable()
         self._retry_budget = retries.RetryBudget()
         self._running = 0
         self._idle = asyncio.Event()
         self._idle.set()
+        self._kept = set()
         self.is_draining = False
 
     async def serve(self, request):
         """Return the answer to a request.
 
+        When the caller vanishes and this is cancelled, idempotent work is
+        cancelled; other work runs on, since half of it may be done.
+
         :rtype: calls.Answer
         :raises errors.RequestFailed: the final answer otherwise
         """
@@ -61,25 +73,52 @@
             raise errors.ShuttingDown(
                 'this entry host is leaving', retry_after_s=0
             )
+        if request.is_idempotent:
+            return await self._count_and_serve(request)
+        task = asyncio.create_task(self._count_and_serve(request))
+        self._kept.add(task)
+        task.add_done_callback(self._let_go)
+        return await asyncio.shield(task)
+
+    def _let_go(self, task):
+        self._kept.discard(task)
+        if not task.cancelled():
+            # Marks the failure as seen, where the caller has vanished.
+            task.exception()
+
+    async def _count_and_serve(self, request):
         self._running += 1
         self._idle.clear()
         try:
-            return await self._serve(request)
+            self._check(request)
+            return await self._serve_within_quota(request)
         finally:
             self._running -= 1
             if not self._running:
                 self._idle.set()
 
+    async def _serve_within_quota(self, request):
+        state = self._follower.state
+        quota = state.fleet.workspaces[request.workspace].quota
+        self._quotas.enter(
+            request.workspace, quota.requests_in_flight, len(state.members)
+        )
+        try:
+            return await self._serve(request)
+        finally:
+            self._quotas.leave(request.workspace)
+
     async def _serve(self, request):
-        self._check(request)
         self._retry_budget.note_request()
         if request.is_idempotent:
             return await self._try_endpoints(request)
+        self._gate.check(request, self._left_s(request))
         await self._claim(request)
         try:
             return await self._try_endpoints(request)
         except errors.NotRun:
-            await self._return_claim(request)
+            # Binds this daemon: it never sends the request from here on.
+            self._returner.add(request)
             raise
 
     def _check(self, request):
@@ -117,6 +156,9 @@
         try:
             decision = await self._writer.commit(body, timeout_s)
         except errors.PlatformError as error:
+            if isinstance(error, errors.OutcomeUnknown):
+                # The claim may stand or come yet; it is never used.
+                self._returner.add(request)
             raise errors.ClaimUnavailable(
                 f'the claim could not be written: {error}',
                 retry_after_s=COME_BACK_S,
@@ -124,54 +166,54 @@
         if not decision.is_accepted:
             raise errors.AlreadyClaimed(decision.reason)
 
-    async def _return_claim(self, request):
-        body = records.ClaimReturned(key=request.key, holder=self._incarnation)
-        try:
-            await self._writer.commit(body, self._claim_timeout_s)
-        except errors.PlatformError:
-            # The claim then stands until its deadline; a repeat is told
-            # that the outcome is unknown, which is safe.
-            return
-
     async def _try_endpoints(self, request):
-        tried = []
+        tries = retries.Tries()
         while True:
             try:
-                return await self._try_one(request, tried)
+                return await self._try_one(request, tries)
             except errors.RequestFailed as failure:
-                if not self._may_retry(request, failure, tried):
+                if not tries.may_go_on(
+                    request,
+                    failure,
+                    self._left_s(request),
+                    self._retry_budget,
+                ):
                     raise
-            await asyncio.sleep(retries.back_off_s(len(tried), self._rng))
-
-    def _may_retry(self, request, failure, tried):
-        return (
-            0 < len(tried) < retries.MAX_TRIES
-            and not isinstance(failure, errors.Overloaded)
-            and retries.is_safe_to_retry(request, failure)
-            and self._left_s(request) > retries.BACK_OFF_S
-            and self._retry_budget.spend()
-        )
+            await asyncio.sleep(tries.back_off_s(self._rng))
 
-    async def _try_one(self, request, tried):
-        state = self._follower.state
-        name = self._router.choose(
-            state, request.service, self._rng, excluded=tried
+    async def _try_one(self, request, tries):
+        name = await self._gate.enter(
+            request, self._left_s(request), tries.failed
         )
-        if name is None:
-            raise errors.Overloaded(
-                f'no free endpoint of {request.service!r}',
-                retry_after_s=COME_BACK_S,
+        started_s = self._clock.monotonic_s()
+        outcome = health.Outcome.CANCELLED
+        took_s = None
+        try:
+            answer = await self._send(request, name)
+            outcome = _outcome_of(answer)
+            took_s = self._clock.monotonic_s() - started_s
+            return answer
+        except errors.RequestFailed as failure:
+            outcome = _outcome_of_failure(failure)
+            tries.note(failure, name)
+            raise
+        finally:
+            self._gate.leave(
+                request.service, request.urgency, name, outcome, took_s
             )
-        tried.append(name)
+
+    async def _send(self, request, name):
+        # Read again: this daemon may have been paused since the last check,
+        # and a claim is only good until the deadline.
         left_s = self._left_s(request)
         if left_s <= 0:
             raise errors.DeadlinePassed('the deadline passed while waiting')
-        address = state.fleet.endpoints[name].address
-        self._router.start(name)
-        try:
-            return await self._endpoints.send(request, name, address, left_s)
-        finally:
-            self._router.finish(name)
+        endpoint = self._follower.state.fleet.endpoints.get(name)
+        if endpoint is None:
+            raise errors.NoEndpoint(f'{name} is no longer declared')
+        return await self._endpoints.send(
+            request, name, endpoint.address, left_s
+        )
 
     async def drain(self, grace_s, timeout_s):
         """Refuse new requests and wait for those that run.
@@ -186,3 +228,24 @@
             await asyncio.wait_for(self._idle.wait(), timeout_s)
         except asyncio.TimeoutError:
             _log.warning('Left %d requests running.', self._running)
+
+
+def _outcome_of(answer):
+    if answer.status >= SERVER_ERROR:
+        return health.Outcome.FAILED
+    return health.Outcome.ANSWERED
+
+
+_OUTCOMES = (
+    (errors.EndpointLeaving, health.Outcome.LEAVING),
+    (errors.EndpointRefused, health.Outcome.REFUSED),
+    (errors.NoEndpoint, health.Outcome.UNREACHABLE),
+    (errors.DeadlinePassed, health.Outcome.CANCELLED),
+)
+
+
+def _outcome_of_failure(failure):
+    return next(
+        (outcome for kind, outcome in _OUTCOMES if isinstance(failure, kind)),
+        health.Outcome.FAILED,
+    )
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/endpoints.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/endpoints.py
@@ -1,8 +1,10 @@
 """Send a request to an endpoint and read its whole answer."""
 
 import asyncio
+import socket
 
 import aiohttp
+import attrs
 
 from hawthorndeal_fleet import calls
 from hawthorndeal_fleet import errors
@@ -11,30 +13,65 @@
 WORKSPACE_HEADER = 'Hd-Workspace'
 DEADLINE_HEADER = 'Hd-Deadline-S'
 NOT_RUN_HEADER = 'Hd-Not-Run'
-CONNECT_TIMEOUT_S = 1.0
-IDLE_CONNECTION_S = 15.0
+LEAVING = 'leaving'
+CONNECT_TIMEOUT_S = 0.25
+IDLE_CONNECTION_S = 5.0
+# An answer that has begun must go on at this pace, whatever the deadline.
+PROGRESS_TIMEOUT_S = 5.0
+# No answer on any connection for so long has them all retired.
+SUSPECT_S = 2.0
+USER_TIMEOUT_MS = 5000
+KEEPALIVE_IDLE_S = 3
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 3
+
+_SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+)
+
+
+def make_socket(address_info):
+    """Return a socket that notices when the other end is gone."""
+    family, kind, protocol, _, _ = address_info
+    made = socket.socket(family, kind, protocol)
+    for level, option, value in _SOCKET_OPTIONS:
+        made.setsockopt(level, option, value)
+    return made
+
+
+@attrs.define(eq=False)
+class _Channel:
+    """Keep the connections to one endpoint that were opened together.
+
+    :ivar answered_s: when a whole answer came, by the loop's clock
+    """
+
+    address: str
+    session: aiohttp.ClientSession
+    in_flight: int = 0
+    answered_s: float = 0.0
+    is_retired: bool = False
 
 
 class EndpointClient:
     """Own the connections to endpoints.
 
     A connection carries one request at a time and is closed when that
-    request ends in anything but a whole answer.
-    """
+    request ends in anything but a whole answer. When one connection of an
+    endpoint looks dead, none of those opened with it is used again.
 
-    def __init__(self):
-        self._session = None
+    :param max_answer_bytes: longer answers are given up
+    """
 
-    def _open(self):
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
-                    limit=0, keepalive_timeout=IDLE_CONNECTION_S
-                ),
-                auto_decompress=False,
-                skip_auto_headers=('User-Agent', 'Accept-Encoding'),
-            )
-        return self._session
+    def __init__(self, max_answer_bytes):
+        self._max_answer_bytes = max_answer_bytes
+        self._channels = {}
+        self._retired = set()
 
     async def send(self, request, name, address, timeout_s):
         """Return the whole answer of an endpoint.
@@ -48,20 +85,74 @@
         :raises errors.EndpointRefused: it said that it didn't run it
         :raises errors.UnknownOutcome: it may have run
         """
+        channel = self._channel(name, address)
+        channel.in_flight += 1
+        watch = self._watch(request, name, channel)
+        try:
+            answer = await self._exchange(request, name, channel, timeout_s)
+            channel.answered_s = asyncio.get_running_loop().time()
+            return answer
+        except errors.UnknownOutcome:
+            self._retire(name, channel)
+            raise
+        finally:
+            if watch is not None:
+                watch.cancel()
+            await self._let_go(channel)
+
+    def _channel(self, name, address):
+        channel = self._channels.get(name)
+        if channel is None or channel.address != address:
+            if channel is not None:
+                self._retire(name, channel)
+            channel = _Channel(address, _open_session())
+            self._channels[name] = channel
+        return channel
+
+    def _watch(self, request, name, channel):
+        if request.urgency is not calls.Urgency.INTERACTIVE:
+            return None
+        loop = asyncio.get_running_loop()
+        return loop.call_later(
+            SUSPECT_S, self._suspect, name, channel, loop.time()
+        )
+
+    def _suspect(self, name, channel, sent_s):
+        # Others were answered meanwhile: the request is slow, not the path.
+        if channel.answered_s < sent_s:
+            self._retire(name, channel)
+
+    def _retire(self, name, channel):
+        if channel.is_retired:
+            return
+        channel.is_retired = True
+        self._retired.add(channel)
+        if self._channels.get(name) is channel:
+            del self._channels[name]
+
+    async def _let_go(self, channel):
+        channel.in_flight -= 1
+        if channel.is_retired and not channel.in_flight:
+            self._retired.discard(channel)
+            await channel.session.close()
+
+    async def _exchange(self, request, name, channel, timeout_s):
         try:
-            async with self._open().post(
-                f'http://{address}/run/{request.service}',
+            async with channel.session.post(
+                f'http://{channel.address}/run/{request.service}',
                 data=request.body,
                 headers={
                     REQUEST_ID_HEADER: request.request_id,
                     WORKSPACE_HEADER: request.workspace,
                     DEADLINE_HEADER: f'{request.deadline_s:.3f}',
                 },
+                # A redirect would run the request a second time.
+                allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(
                     total=timeout_s, connect=min(CONNECT_TIMEOUT_S, timeout_s)
                 ),
             ) as response:
-                return await _read_answer(response, request, name)
+                return await self._read_answer(response, request, name)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -69,26 +160,88 @@
             raise errors.NoEndpoint(f'{name}: {error}') from error
         except asyncio.TimeoutError as error:
             raise errors.AnswerLate(f'{name}: no answer in time') from error
-        except aiohttp.ClientError as error:
-            raise errors.AnswerLost(f'{name}: {error!r}') from error
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise errors.AnswerLost(f'{name}: {error!r:.200}') from error
+
+    async def _read_answer(self, response, request, name):
+        echoed = response.headers.get(REQUEST_ID_HEADER, request.request_id)
+        if echoed != request.request_id:
+            raise _lost(response, f'{name}: answer to request {echoed!r:.80}')
+        body = await self._read_body(response, name)
+        if NOT_RUN_HEADER in response.headers:
+            raise _refusal(response, name)
+        return calls.Answer(
+            status=response.status,
+            body=body,
+            content_type=response.headers.get('Content-Type', ''),
+            content_encoding=response.headers.get('Content-Encoding', ''),
+            endpoint=name,
+        )
+
+    async def _read_body(self, response, name):
+        if not _tells_its_end(response):
+            raise _lost(response, f'{name}: the answer tells no length')
+        if (response.content_length or 0) > self._max_answer_bytes:
+            raise self._too_long(response, name)
+        chunks = []
+        size_bytes = 0
+        while not response.content.at_eof():
+            chunk = await _read_chunk(response, name)
+            size_bytes += len(chunk)
+            if size_bytes > self._max_answer_bytes:
+                raise self._too_long(response, name)
+            chunks.append(chunk)
+        return b''.join(chunks)
+
+    def _too_long(self, response, name):
+        return _lost(
+            response,
+            f'{name}: the answer has over {self._max_answer_bytes} bytes',
+        )
 
     async def close(self):
         """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
-
-
-async def _read_answer(response, request, name):
-    body = await response.read()
-    echoed = response.headers.get(REQUEST_ID_HEADER, request.request_id)
-    if echoed != request.request_id:
-        response.close()
-        raise errors.AnswerLost(f'{name}: answer to request {echoed!r:.80}')
-    if NOT_RUN_HEADER in response.headers:
-        raise errors.EndpointRefused(f'{name}: status {response.status}')
-    return calls.Answer(
-        status=response.status,
-        body=body,
-        content_type=response.headers.get('Content-Type', ''),
-        endpoint=name,
+        for channel in (*self._channels.values(), *self._retired):
+            await channel.session.close()
+
+
+def _open_session():
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0,
+            keepalive_timeout=IDLE_CONNECTION_S,
+            socket_factory=make_socket,
+        ),
+        # An answer's cookies are the caller's, never another caller's.
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=('User-Agent', 'Accept-Encoding'),
+    )
+
+
+def _lost(response, detail):
+    response.close()
+    return errors.AnswerLost(detail)
+
+
+def _refusal(response, name):
+    if response.headers[NOT_RUN_HEADER] == LEAVING:
+        return errors.EndpointLeaving(f'{name} is leaving')
+    return errors.EndpointRefused(f'{name}: status {response.status}')
+
+
+def _tells_its_end(response):
+    # A body that ends with its connection can't be told from a part of it.
+    return (
+        response.status in (204, 304)
+        or 'Content-Length' in response.headers
+        or 'chunked' in response.headers.get('Transfer-Encoding', '').lower()
     )
+
+
+async def _read_chunk(response, name):
+    try:
+        async with asyncio.timeout(PROGRESS_TIMEOUT_S):
+            return await response.content.readany()
+    except asyncio.TimeoutError:
+        raise _lost(response, f'{name}: the answer stopped half way') from None
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/host_watch.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/host_watch.py
@@ -68,9 +68,10 @@
         self._listed = frozenset(statuses)
         self._read_s = self._clock.monotonic_s()
         self._router.note_leaving(
-            name
-            for name, status in statuses.items()
-            if status.is_leaving or not status.is_live
+            name for name, status in statuses.items() if status.is_leaving
+        )
+        self._router.note_lost(
+            name for name, status in statuses.items() if not status.is_live
         )
         await self._report(statuses)
 
--- /dev/null
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/returns.py
@@ -0,0 +1,78 @@
+"""Return claims on requests that their holder has bound itself not to run."""
+
+import asyncio
+import collections
+
+from hawthorndeal_fleet import claims
+from hawthorndeal_fleet import errors
+from hawthorndeal_fleet import records
+
+MAX_WAITING = 2000
+RETRY_S = 0.5
+COMMIT_TIMEOUT_S = 2.0
+MAX_AT_ONCE = 100
+
+
+class ClaimReturner:
+    """Be a task that returns claims, through outages of the log too.
+
+    A claim that can't be returned stands until its deadline, and a repeat
+    is told that the outcome is unknown: less use, but safe.
+
+    :param writer: appends the records
+    :param incarnation: identity of this start of the daemon
+    :param clock: tells the time
+    """
+
+    name = 'claim-returner'
+
+    def __init__(self, writer, incarnation, clock):
+        self._writer = writer
+        self._incarnation = incarnation
+        self._clock = clock
+        self._waiting = collections.OrderedDict()
+        self._added = asyncio.Event()
+
+    def add(self, request):
+        """Have the claim on a request returned; the oldest is dropped."""
+        self._waiting[request.key] = request.deadline_s
+        if len(self._waiting) > MAX_WAITING:
+            self._waiting.popitem(last=False)
+        self._added.set()
+
+    async def run(self):
+        """Return claims until cancelled."""
+        while True:
+            await self._added.wait()
+            self._added.clear()
+            while self._waiting:
+                await self._return_some()
+
+    async def stop(self):
+        """Try once more to return what is left."""
+        if self._waiting:
+            await self._return_some()
+
+    async def _return_some(self):
+        self._drop_lapsed()
+        keys = list(self._waiting)[:MAX_AT_ONCE]
+        settled = await asyncio.gather(*map(self._settle, keys))
+        if not all(settled):
+            await asyncio.sleep(RETRY_S)
+
+    def _drop_lapsed(self):
+        horizon_s = self._clock.now_s() - claims.CLOCK_SKEW_S
+        for key, deadline_s in list(self._waiting.items()):
+            if deadline_s < horizon_s:
+                del self._waiting[key]
+
+    async def _settle(self, key):
+        body = records.ClaimReturned(key=key, holder=self._incarnation)
+        try:
+            decision = await self._writer.commit(body, COMMIT_TIMEOUT_S)
+        except errors.PlatformError:
+            return False
+        if decision.is_accepted:
+            self._waiting.pop(key, None)
+        # A refusal may mean that the claim itself is still to come.
+        return decision.is_accepted
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/settings.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/settings.py
@@ -49,6 +49,7 @@
     :ivar peer_token: token that daemons show each other
     :ivar shutdown_grace_s: time for the balancer to send callers elsewhere
     :ivar shutdown_timeout_s: longest wait for requests that run
+    :ivar max_callers: connections of callers served at once
     """
 
     daemon: str
@@ -68,6 +69,8 @@
     shutdown_grace_s: float = _positive(1.0)
     shutdown_timeout_s: float = _positive(60.0)
     max_body_bytes: int = _positive(8 * 1024 * 1024)
+    max_answer_bytes: int = _positive(16 * 1024 * 1024)
+    max_callers: int = _positive(1000)
 
 
 def parse(text, source):
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/calls.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/calls.py
@@ -41,3 +41,4 @@
     body: bytes
     content_type: str
     endpoint: str
+    content_encoding: str = ''
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
@@ -221,6 +221,19 @@
     status = 503
 
 
+class EndpointLeaving(EndpointRefused):
+    """Report a request that the endpoint refused because it leaves."""
+
+    reason = 'endpoint_leaving'
+
+
+class TooManyConnections(NotRun):
+    """Report a connection over the limit of this entry host."""
+
+    reason = 'too_many_connections'
+    status = 503
+
+
 class UnknownOutcome(RequestFailed):
     """Report a request that may have run; it is never retried by us."""
 
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/routing.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/routing.py
@@ -2,19 +2,96 @@
 
 import attrs
 
+from . import health
+from . import limits
+
+STALL_S = 1.0
+STALL_FACTOR = 10.0
+UNKNOWN_LATENCY_S = 0.001
+MIN_PAUSE_S = 0.005
+MAX_PAUSE_S = 1.0
+
+
+@attrs.frozen
+class Route:
+    """Describe an endpoint as it is declared.
+
+    :ivar is_near: whether it is in the zone of this entry host
+    """
+
+    name: str
+    host: str
+    is_near: bool
+    slots: int
+    connections: int
+
 
 @attrs.define
 class Load:
-    """Count what this entry host has running at an endpoint."""
+    """Keep what this entry host knows of an endpoint by using it.
+
+    :ivar waiting_since_s: when it last answered, or was idle last
+    :ivar paused_until_s: when to try again after it had no slot free
+    """
 
+    limit: limits.ConcurrencyLimit
+    record: health.Health = attrs.Factory(health.Health)
     in_flight: int = 0
+    waiting_since_s: float = 0.0
+    paused_until_s: float = float('-inf')
+
+    def is_stalled(self, now_s):
+        """Tell whether answers have stopped coming."""
+        expected_s = STALL_FACTOR * (self.limit.latency_s or 0.0)
+        return self.silent_s(now_s) > max(STALL_S, expected_s)
+
+    def silent_s(self, now_s):
+        """Return how long it has had requests without any answer."""
+        return now_s - self.waiting_since_s if self.in_flight else 0.0
+
+    def has_room(self, now_s):
+        """Tell whether another request may be sent to it."""
+        if now_s < self.paused_until_s:
+            return False
+        if self.in_flight < limits.FLOOR:
+            return True
+        if self.record.is_on_probation or self.is_stalled(now_s):
+            return False
+        return self.in_flight < int(self.limit.value)
+
+    def pause(self, now_s, rng):
+        """Send nothing until a slot may have become free."""
+        latency_s = self.limit.latency_s or 0.0
+        pause_s = min(MAX_PAUSE_S, max(MIN_PAUSE_S, latency_s))
+        self.paused_until_s = now_s + pause_s * (0.5 + rng.random())
+
+    def expected_wait_s(self, now_s):
+        """Return how long another request would take, roughly."""
+        latency_s = max(
+            self.limit.latency_s or UNKNOWN_LATENCY_S, self.silent_s(now_s)
+        )
+        # A fast failure must not look like an idle endpoint.
+        works = max(0.05, 1.0 - self.record.failure_share)
+        return latency_s * (self.in_flight + 1) / self.limit.value / works
+
+
+@attrs.frozen
+class Capacity:
+    """Tell how much of a service may run at once from here.
+
+    :ivar room: requests that the limits allow at once
+    """
+
+    room: int
+    routes: int
 
 
 class Router:
-    """Choose among the endpoints of a service by their load.
+    """Choose among the endpoints of a service by their expected wait.
 
     It reads the folded state and keeps only what this entry host knows
-    itself: what it has in flight, and what the host list says is leaving.
+    itself: what it has in flight, how exchanges ended, and what the host
+    list says.
 
     :param zone: the availability zone of this entry host
     """
@@ -23,74 +100,186 @@
         self._zone = zone
         self._loads = {}
         self._leaving_hosts = frozenset()
+        self._lost_hosts = frozenset()
+        self._fleet = None
+        self._routes = {}
 
     def note_leaving(self, hosts):
         """Replace the hosts that the host list says are leaving."""
         self._leaving_hosts = frozenset(hosts)
 
-    def choose(self, state, service, rng, excluded=()):
-        """Return the name of an endpoint with a free slot, or None.
+    def note_lost(self, hosts):
+        """Replace the hosts that the host list says are not live."""
+        self._lost_hosts = frozenset(hosts)
+
+    def choose(self, state, service, rng, now_s, excluded=()):
+        """Return the name of an endpoint with room, or None.
 
         :param state: the folded state
         :param rng: source of randomness
-        :param excluded: endpoints tried already
+        :param now_s: monotonic seconds
+        :param excluded: endpoints not to take
         """
-        usable = [
-            name
-            for name in state.endpoints_of(service)
-            if name not in excluded and self._is_usable(state, name)
+        routes = [
+            route
+            for route in self._known(state, service, now_s)
+            if route.name not in excluded
         ]
-        near = [name for name in usable if self._is_near(state, name)]
-        free = self._free(state, near) or self._free(state, usable)
-        if not free:
-            return None
-        pair = [rng.choice(free), rng.choice(free)]
-        return min(pair, key=self.in_flight)
-
-    def _is_usable(self, state, name):
-        host = state.fleet.endpoints[name].host
-        return (
-            host not in state.disruptions
-            and host not in state.down_hosts
-            and host not in self._leaving_hosts
-        )
+        healthy = [r for r in routes if self._looks_healthy(state, r, now_s)]
+        free = [r for r in healthy or routes if self._has_room(r, now_s)]
+        near = [route for route in free if route.is_near]
+        return self._better_of_two(near or free, rng, now_s)
 
-    def _is_near(self, state, name):
-        host = state.fleet.endpoints[name].host
-        return state.fleet.hosts[host].zone == self._zone
+    def _better_of_two(self, free, rng, now_s):
+        if len(free) < 2:
+            return free[0].name if free else None
+        first = int(rng.random() * len(free))
+        second = int(rng.random() * (len(free) - 1))
+        one = free[first].name
+        other = free[second + (second >= first)].name
+        if self._wait_s(other, now_s) < self._wait_s(one, now_s):
+            return other
+        return one
 
-    def _free(self, state, names):
+    def _known(self, state, service, now_s):
         return [
-            name
-            for name in names
-            if self.in_flight(name) < self._slots(state, name)
+            route
+            for route in self._routes_of(state, service)
+            if not self._is_leaving(state, route, now_s)
         ]
 
-    def _slots(self, state, name):
-        service = state.fleet.endpoints[name].service
-        return state.fleet.services[service].slots
+    def _is_leaving(self, state, route, now_s):
+        if route.host in state.disruptions:
+            return True
+        if route.host in self._leaving_hosts:
+            return True
+        load = self._loads.get(route.name)
+        return load is not None and load.record.is_leaving(now_s)
+
+    def _looks_healthy(self, state, route, now_s):
+        if route.host in state.down_hosts or route.host in self._lost_hosts:
+            return False
+        load = self._loads.get(route.name)
+        return load is None or not load.record.is_quarantined(now_s)
+
+    def _has_room(self, route, now_s):
+        load = self._loads.get(route.name)
+        return load is None or load.has_room(now_s)
+
+    def _wait_s(self, name, now_s):
+        load = self._loads.get(name)
+        return load.expected_wait_s(now_s) if load else 0.0
+
+    def _routes_of(self, state, service):
+        if state.fleet is not self._fleet:
+            self._forget_removed(state.fleet)
+        routes = self._routes.get(service)
+        if routes is None:
+            routes = self._routes[service] = self._make_routes(state, service)
+        return routes
+
+    def _forget_removed(self, fleet):
+        self._fleet = fleet
+        self._routes = {}
+        self._loads = {
+            name: load
+            for name, load in self._loads.items()
+            if name in fleet.endpoints or load.in_flight
+        }
+
+    def _make_routes(self, state, service):
+        declared = state.fleet.services.get(service)
+        return [
+            self._make_route(state.fleet, name, declared)
+            for name in state.endpoints_of(service)
+        ]
+
+    def _make_route(self, fleet, name, service):
+        host = fleet.endpoints[name].host
+        return Route(
+            name=name,
+            host=host,
+            is_near=fleet.hosts[host].zone == self._zone,
+            slots=service.slots,
+            connections=service.connections,
+        )
+
+    def has_route(self, state, service, now_s, excluded=()):
+        """Tell whether any endpoint may be tried, be it busy or not."""
+        return any(
+            route.name not in excluded
+            for route in self._known(state, service, now_s)
+        )
+
+    def capacity(self, state, service, now_s):
+        """Return what may run at once from here.
+
+        :rtype: Capacity
+        """
+        known = self._known(state, service, now_s)
+        healthy = [r for r in known if self._looks_healthy(state, r, now_s)]
+        room = sum(self._limit_of(route) for route in healthy or known)
+        return Capacity(room=max(1, room), routes=len(known))
+
+    def _limit_of(self, route):
+        load = self._loads.get(route.name)
+        return int(load.limit.value) if load else 1
 
     def in_flight(self, name):
         """Return how many requests run at an endpoint from here."""
         load = self._loads.get(name)
         return load.in_flight if load else 0
 
-    def start(self, name):
+    def start(self, state, name, now_s):
         """Count a request that is about to be sent."""
-        self._loads.setdefault(name, Load()).in_flight += 1
+        load = self._loads.get(name)
+        ceiling = _ceiling(state, name)
+        if load is None:
+            load = Load(limits.ConcurrencyLimit(ceiling))
+            self._loads[name] = load
+        if load.limit.ceiling != ceiling:
+            load.limit.cap(ceiling)
+        if not load.in_flight:
+            load.waiting_since_s = now_s
+        load.in_flight += 1
+
+    def finish(self, name, outcome, now_s, rng, took_s=None):
+        """Count an exchange that ended, and learn from it.
 
-    def finish(self, name):
-        """Count a request whose connection is done with."""
-        self._loads[name].in_flight -= 1
-        if not self._loads[name].in_flight:
-            del self._loads[name]
+        :param outcome: a :class:`health.Outcome`
+        :param took_s: time to the answer, where it tells of the load
+        """
+        load = self._loads[name]
+        if outcome is health.Outcome.ANSWERED and took_s is not None:
+            load.limit.note_answered(load.in_flight, took_s, now_s)
+        if outcome is health.Outcome.REFUSED:
+            load.limit.note_refused(now_s)
+            load.pause(now_s, rng)
+        was_on_probation = load.record.is_on_probation
+        load.record.note(outcome, now_s, rng)
+        if load.record.is_on_probation and not was_on_probation:
+            load.limit.restart()
+        load.in_flight -= 1
+        if outcome is not health.Outcome.CANCELLED:
+            load.waiting_since_s = now_s
 
     def busy_hosts(self, state):
         """Return requests in flight by host, for hosts that have any."""
         busy = {}
         for name, load in self._loads.items():
             endpoint = state.fleet.endpoints.get(name)
-            if endpoint is not None:
+            if endpoint is not None and load.in_flight:
                 count = busy.get(endpoint.host, 0)
                 busy[endpoint.host] = count + load.in_flight
         return busy
+
+
+def _ceiling(state, name):
+    # All entry hosts share the connections of an endpoint, and each request
+    # of ours takes one.
+    endpoint = state.fleet.endpoints.get(name)
+    if endpoint is None:
+        return 1
+    service = state.fleet.services[endpoint.service]
+    share = service.connections // max(1, len(state.members))
+    return max(1, min(service.slots, share))
