--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 .PHONY: help install demo test lint format measure slopes clean
 
 help:
-	@echo 'make demo     set up, then run the main job on stand-ins'
+	@echo 'make demo     set up, then run the main job on stand-ins;'
+	@echo '              KEEP=1 leaves a deployment running until Ctrl-C'
 	@echo 'make test     set up, then run the tests; TAGS=@tag for a part'
 	@echo 'make lint     formatter and linter, without changing anything'
 	@echo 'make format   format every file'
@@ -32,7 +33,8 @@
 install: $(STAMP)
 
 demo: install
-	$(BIN)/python -m demo.run
+	$(BIN)/python -m demo.run $(if $(KEEP),--keep .demo) \
+		$(if $(FAULT),--fault $(FAULT))
 
 test: install
 	$(BIN)/python -m runner $(if $(TAGS),--tags='$(TAGS)')
--- a/demo/run.py
+++ b/demo/run.py
@@ -1,9 +1,12 @@
 """Serve requests while a configuration changes and a host reboots."""
 
+import argparse
 import asyncio
 import copy
 import json
+import os
 import pathlib
+import signal
 import sys
 import threading
 import time
@@ -11,40 +14,46 @@
 import tabulate
 import yaml
 
+from fakes import faults
 from stage import deployment
 from stage import processes
 from stage import traffic
 
-EXAMPLE = pathlib.Path(__file__).parent.parent.joinpath(
-    'examples', 'vltava.yaml'
-)
+ROOT = pathlib.Path(__file__).parent.parent
+EXAMPLE = ROOT / 'examples' / 'vltava.yaml'
 ZONES = {'entry-a1': 'cz-a', 'entry-b1': 'cz-b', 'entry-c1': 'cz-c'}
 REQUESTS = 2000
 CONCURRENCY = 20
 PACE_S = 0.1
 HOST = 'pr-checker-h1'
+FAULTY_ENDPOINT = 'portal-1'
 WAVE_TIMEOUT_S = 60.0
+EXIT_OK = 0
+EXIT_FAULTS = 1
+EXIT_INTERRUPTED = 130
 
 
 class Traffic(threading.Thread):
     """Send the requests of the demo beside everything else.
 
     :param stage: the deployment that serves them
+    :param requests: how many
     """
 
-    def __init__(self, stage):
+    def __init__(self, stage, requests):
         super().__init__(daemon=True)
         targets = [
             (service['workspace'], name)
             for name, service in stage.fleet['services'].items()
         ]
         urls = [process.url for process in stage.daemons.values()]
+        self._requests = requests
         self._callers = traffic.Callers(urls, targets)
         self.tally = self._callers.tally
 
     def run(self):
         """Send all requests."""
-        asyncio.run(self._callers.run(REQUESTS, CONCURRENCY, PACE_S))
+        asyncio.run(self._callers.run(self._requests, CONCURRENCY, PACE_S))
 
 
 def _apply(stage, name, fleet):
@@ -77,11 +86,17 @@
     return HOST in json.loads(result.stdout)['demo']['finished']
 
 
-def _run(stage):
+def _start(stage):
     stage.start()
     _apply(stage, 'first.yaml', stage.fleet)
     stage.await_ready()
-    callers = Traffic(stage)
+
+
+def _run(stage, options):
+    _start(stage)
+    if options.fault:
+        stage.set_endpoint_fault(FAULTY_ENDPOINT, mode=options.fault)
+    callers = Traffic(stage, options.requests)
     callers.start()
     changed = _changed(stage.fleet)
     in_force_s = _apply(stage, 'changed.yaml', changed)['in_force_s']
@@ -92,47 +107,106 @@
     )
     drain_s = time.monotonic() - started_s
     callers.join()
-    return _report(stage, callers.tally, in_force_s, drain_s)
+    return _report(stage, callers.tally, options, in_force_s, drain_s)
+
+
+def _report(stage, tally, options, in_force_s, drain_s):
+    faults_seen = _count_faults(stage, tally)
+    rows = {
+        'requests': options.requests,
+        'served': tally.outcomes['answered'],
+        **faults_seen,
+        'in force everywhere after (s)': in_force_s,
+        'drained and rebooted after (s)': round(drain_s, 3),
+    }
+    print(tabulate.tabulate(rows.items(), headers=['', 'result']))
+    return EXIT_FAULTS if any(faults_seen.values()) else EXIT_OK
 
 
-def _report(stage, tally, in_force_s, drain_s):
+def _count_faults(stage, tally):
     counters = stage.counters().values()
     ran = {name for counter in counters for name in counter['ran']}
     runs = sum(counter['runs'] for counter in counters)
-    faults = {
+    return {
+        'not run': tally.outcomes['not_run'],
+        'unknown': tally.outcomes['unknown'],
         'lost': tally.outcomes['lost'],
         'wrong answers': len(tally.wrong),
         'cut off': sum(counter['cut_off'] for counter in counters),
         'run twice': runs - len(ran),
         'told not run, yet run': len(ran.intersection(tally.not_run)),
     }
-    rows = {
-        'requests': REQUESTS,
-        'served': tally.outcomes['answered'],
-        'not run': tally.outcomes['not_run'],
-        'unknown': tally.outcomes['unknown'],
-        **faults,
-        'in force everywhere after (s)': in_force_s,
-        'drained and rebooted after (s)': round(drain_s, 3),
+
+
+def _keep(stage, options):
+    """Leave the deployment running until interrupted."""
+    _start(stage)
+    directory = pathlib.Path(options.keep)
+    directory.mkdir(exist_ok=True)
+    for name, text in _kept_files(stage).items():
+        (directory / name).write_text(text)
+    print(f'Running. In another terminal: . {directory}/env', flush=True)
+    print('Then try the commands of README.md. Ctrl-C ends it.', flush=True)
+    signal.pause()
+
+
+def _kept_files(stage):
+    entry_host = next(iter(stage.daemons.values()))
+    variables = {
+        'PATH': f'{pathlib.Path(sys.executable).parent}:$PATH',
+        'PYTHONPATH': os.environ.get('PYTHONPATH', ''),
+        'HAWTHORNDEAL_SETTINGS': stage.cli_settings_path,
+        'CALLERS_URL': entry_host.url,
     }
-    print(tabulate.tabulate(rows.items(), headers=['', 'result']))
-    return 1 if any(faults.values()) else 0
+    return {
+        'env': ''.join(
+            f'export {name}="{value}"\n' for name, value in variables.items()
+        ),
+        'fleet.yaml': yaml.safe_dump(stage.fleet, sort_keys=False),
+        'wave.yaml': yaml.safe_dump(_with_wave(stage.fleet), sort_keys=False),
+    }
+
+
+def _parse_arguments(arguments):
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--requests', type=int, default=REQUESTS)
+    parser.add_argument(
+        '--fault',
+        choices=[mode.value for mode in faults.Mode],
+        help='fault of one endpoint, to see the demo report it',
+    )
+    parser.add_argument(
+        '--keep',
+        metavar='DIRECTORY',
+        help='start only, write how to reach it there, and keep running',
+    )
+    return parser.parse_args(arguments)
+
+
+def _interrupt(number, frame):
+    raise KeyboardInterrupt
 
 
-def main():
+def main(arguments=None):
     """Run the demo and return its exit code."""
+    options = _parse_arguments(arguments)
     print('Three zones, three entry hosts, 30 endpoints on stand-ins.')
-    fleet = yaml.safe_load(EXAMPLE.read_text())
-    stage = deployment.Deployment(fleet, ZONES)
+    stage = deployment.Deployment(yaml.safe_load(EXAMPLE.read_text()), ZONES)
+    # Make passes no Ctrl-C on to what it started in the background.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, _interrupt)
     try:
-        return _run(stage)
+        return (_keep if options.keep else _run)(stage, options)
     except KeyboardInterrupt:
         print('Interrupted.', file=sys.stderr)
-        return 130
+        return EXIT_INTERRUPTED
     except processes.TimedOut as error:
         print(error, file=sys.stderr)
-        return 1
+        return EXIT_FAULTS
     finally:
+        # A second Ctrl-C must not leave processes behind.
+        for number in (signal.SIGINT, signal.SIGTERM):
+            signal.signal(number, signal.SIG_IGN)
         stage.end()
 
 
--- a/packages/hawthorndeal-cli/hawthorndeal_cli/client.py
+++ b/packages/hawthorndeal-cli/hawthorndeal_cli/client.py
@@ -4,11 +4,18 @@
 
 import aiohttp
 
+from hawthorndeal_fleet import errors
+
 from . import failures
 
+HTTP_OK = 200
 HTTP_UNAUTHORIZED = 401
 
 
+class AnswerLost(errors.HawthorndealError):
+    """Report a change whose answer was lost after it was sent."""
+
+
 class Client:
     """Call the first entry host that answers.
 
@@ -19,15 +26,36 @@
         self._settings = settings
 
     def get(self, path):
-        """Return status and JSON answer of a read."""
+        """Return status and JSON answer of a read.
+
+        :raises failures.Unavailable: when no entry host answers
+        :raises failures.NotAuthorized: when the token isn't accepted
+        """
         return asyncio.run(self._first('GET', path, None))
 
+    def read(self, path):
+        """Return the JSON answer of a read that must succeed.
+
+        :raises failures.UnexpectedAnswer: when it doesn't
+        :raises failures.Unavailable: when no entry host answers
+        :raises failures.NotAuthorized: when the token isn't accepted
+        """
+        status, answer = self.get(path)
+        if status != HTTP_OK:
+            raise failures.UnexpectedAnswer(
+                f'{path}: status {status}: {answer!r:.200}',
+                'check that client and entry hosts are of one version',
+            )
+        return answer
+
     def post(self, path, body):
         """Return status and JSON answer of a change.
 
         Only an entry host that was certainly not reached is passed over.
 
-        :raises failures.ApplyUnknown: when the answer is lost
+        :raises AnswerLost: when it may have taken effect
+        :raises failures.Unavailable: when no entry host can be reached
+        :raises failures.NotAuthorized: when the token isn't accepted
         """
         return asyncio.run(self._first('POST', path, body))
 
@@ -63,6 +91,6 @@
     except (aiohttp.ClientError, asyncio.TimeoutError) as error:
         if method == 'GET':
             return None
-        raise failures.ApplyUnknown(
+        raise AnswerLost(
             f'the answer of {address} is lost: {error!r}'
         ) from error
--- a/packages/hawthorndeal-cli/hawthorndeal_cli/main.py
+++ b/packages/hawthorndeal-cli/hawthorndeal_cli/main.py
@@ -12,15 +12,12 @@
 
 SETTINGS_VARIABLE = 'HAWTHORNDEAL_SETTINGS'
 DEFAULT_SETTINGS = 'hawthorndeal.yaml'
+EXIT_INTERRUPTED = 130
 
-_EXIT_CODES = """exit codes:
-  0  done
-  1  failed
-  2  a file or an argument is invalid; nothing was changed
-  3  refused
-  4  unknown: it may have taken effect
-  5  no entry host could be reached
-"""
+_EXIT_CODES = 'exit codes:\n' + ''.join(
+    f'  {code.value}  {meaning}\n'
+    for code, meaning in failures.MEANINGS.items()
+)
 
 
 def _make_parser():
@@ -71,12 +68,21 @@
         print(error, file=sys.stderr)
         return failures.ExitCode.INVALID
     except failures.CommandError as error:
-        print(error.detail, file=sys.stderr)
-        if error.next_step:
-            print(error.next_step, file=sys.stderr)
-        return error.exit_code
+        return _report(error, options.output)
+    except KeyboardInterrupt:
+        print('interrupted', file=sys.stderr)
+        return EXIT_INTERRUPTED
     return failures.ExitCode.OK
 
 
+def _report(error, form):
+    if error.result is not None:
+        print(output.render(error.result, form))
+    print(error.detail, file=sys.stderr)
+    if error.next_step:
+        print(error.next_step, file=sys.stderr)
+    return error.exit_code
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/main.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/main.py
@@ -2,8 +2,9 @@
 
 import argparse
 import asyncio
+import enum
 import os
-import pathlib
+import socket
 import sys
 
 # libuv opens io_uring descriptors unless told not to before a loop is made.
@@ -11,15 +12,29 @@
 
 import uvloop  # noqa: E402
 
+from hawthorndeal_fleet import checks  # noqa: E402
 from hawthorndeal_fleet import errors  # noqa: E402
+from hawthorndeal_fleet import yamltext  # noqa: E402
+from hawthorndeal_platform import files  # noqa: E402
 
 from . import daemon  # noqa: E402
 from . import logs  # noqa: E402
 from . import settings as settings_module  # noqa: E402
 
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_INVALID = 2
+
+class ExitCode(enum.IntEnum):
+    """Name the exit codes; supervisors of the process may rely on them."""
+
+    OK = 0
+    FAILED = 1
+    INVALID = 2
+    ADDRESS_UNAVAILABLE = 3
+
+
+class AddressUnavailable(errors.HawthorndealError):
+    """Report an address of the settings that can't be listened on."""
+
+    reason = 'address_unavailable'
 
 
 def _parse_arguments(arguments):
@@ -36,6 +51,11 @@
         action='store_true',
         help='check the settings and exit',
     )
+    parser.add_argument(
+        '--fleet',
+        metavar='FILE',
+        help='with --check: a fleet file that must declare the zone',
+    )
     parser.add_argument(
         '--verbosity',
         default='info',
@@ -49,15 +69,59 @@
     """Run the daemon and return its exit code."""
     options = _parse_arguments(arguments)
     try:
-        text = pathlib.Path(options.settings).read_bytes()
-        settings = settings_module.parse(text, options.settings)
-    except (OSError, errors.InvalidFile) as error:
+        settings = _read_settings(options)
+        if options.check:
+            return ExitCode.OK
+        _check_addresses(settings)
+        logs.set_up(options.verbosity)
+        return _serve(settings)
+    except errors.InvalidFile as error:
         print(error, file=sys.stderr)
-        return EXIT_INVALID
-    if options.check:
-        return EXIT_OK
-    logs.set_up(options.verbosity)
-    return _serve(settings)
+        return ExitCode.INVALID
+    except AddressUnavailable as error:
+        print(error, file=sys.stderr)
+        return ExitCode.ADDRESS_UNAVAILABLE
+
+
+def _read_settings(options):
+    text = files.read(options.settings)
+    settings = settings_module.parse(text, options.settings)
+    if options.fleet:
+        _check_zone(settings, options)
+    return settings
+
+
+def _check_zone(settings, options):
+    plain = yamltext.parse(files.read(options.fleet), options.fleet)
+    fleet = checks.fleet_from_document(plain, options.fleet)
+    if settings.zone not in fleet.zones:
+        problem = errors.Problem(
+            options.settings,
+            'zone',
+            f'{settings.zone!r} is not declared in {options.fleet}, which '
+            f'has {sorted(fleet.zones)}',
+        )
+        raise errors.InvalidFile([problem])
+
+
+def _check_addresses(settings):
+    # A server that can't listen would only be restarted again and again.
+    for field in ('callers_address', 'control_address'):
+        address = getattr(settings, field)
+        try:
+            _try_to_listen(*settings_module.split_address(address))
+        except OSError as error:
+            raise AddressUnavailable(
+                f'{field}: {address}: {error.strerror}'
+            ) from error
+
+
+def _try_to_listen(host, port):
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    with socket.socket(family, socket.SOCK_STREAM) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.bind((host, port))
+        probe.listen()
 
 
 def _serve(settings):
@@ -66,8 +130,8 @@
             runner.run(daemon.Daemon(settings).run())
         except errors.HawthorndealError as error:
             print(f'{error.reason}: {error}', file=sys.stderr)
-            return EXIT_FAILED
-    return EXIT_OK
+            return ExitCode.FAILED
+    return ExitCode.OK
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/files.py
@@ -0,0 +1,17 @@
+"""Read the files that people write."""
+
+import pathlib
+
+from hawthorndeal_fleet import errors
+
+
+def read(path):
+    """Return the bytes of a file.
+
+    :raises errors.InvalidFile: when it can't be read
+    """
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as error:
+        problem = errors.Problem(path, '(top)', error.strerror or str(error))
+        raise errors.InvalidFile([problem]) from error
