--- a/features/cli.feature
+++ b/features/cli.feature
@@ -53,15 +53,23 @@
     Given a fleet whose service "portal" may miss <count> and must survive "<survive>"
     When its wave over "portal-pool" is judged
     Then <refused> of its 6 hosts can never be taken away
+    And <at_once> of them may be away at once
 
     Examples:
-      | verdict   | budget             | count | survive | refused |
-      | possible  | one spare          | 1     | none    | 0       |
-      | stuck     | no spare           | 0     | none    | 6       |
-      | stuck     | no spare beside it | 1     | host    | 6       |
-      | possible  | a spare beside it  | 2     | host    | 0       |
-      | stuck     | a rack too large   | 2     | rack    | 6       |
-      | possible  | room for a rack    | 3     | rack    | 0       |
+      | verdict   | budget             | count | survive | refused | at_once |
+      | possible  | one spare          | 1     | none    | 0       | 1       |
+      | possible  | three spare        | 3     | none    | 0       | 3       |
+      | stuck     | no spare           | 0     | none    | 6       | 0       |
+      | stuck     | no spare beside it | 1     | host    | 6       | 0       |
+      | possible  | a spare beside it  | 2     | host    | 0       | 1       |
+      | stuck     | a rack too large   | 2     | rack    | 6       | 0       |
+      | possible  | room for a rack    | 3     | rack    | 0       | 1       |
+
+  @invariant_budget
+  Scenario: A plan says that a window's downtime is too short for a wave
+    Given a fleet whose service "portal" may miss 1 for 60 s in 3600 s
+    When its wave over "portal-pool" is judged
+    Then 6 of its 6 hosts can never be taken away
 
   Scenario Outline: Changes of a file are listed as <change>
     Given a fleet file that differs by <difference>
--- a/features/steps/cli.py
+++ b/features/steps/cli.py
@@ -185,6 +185,16 @@
     budgets[service].update(max_unavailable=count, survive=survive)
 
 
+@given(
+    'a fleet whose service "{service}" may miss {count:d} for {downtime_s:g} '
+    's in {window_s:g} s'
+)
+def make_window(context, service, count, downtime_s, window_s):
+    make_budget(context, service, count, 'none')
+    budgets = context.fleet['workspaces']['vltava']['budgets']
+    budgets[service].update(downtime_s=downtime_s, window_s=window_s)
+
+
 @when('its wave over "{pool}" is judged')
 def judge(context, pool):
     context.fleet['waves'] = {'test': {'pools': [pool]}}
@@ -200,6 +210,11 @@
     assert bool(verdict.reason) == bool(refused), verdict
 
 
+@then('{count:d} of them may be away at once')
+def check_at_once(context, count):
+    assert context.verdict.at_once == count, context.verdict
+
+
 def _changed_quota(fleet):
     fleet['workspaces']['vltava']['quota']['requests_in_flight'] = 321
 
--- a/packages/hawthorndeal-cli/hawthorndeal_cli/planning.py
+++ b/packages/hawthorndeal-cli/hawthorndeal_cli/planning.py
@@ -5,9 +5,9 @@
 from hawthorndeal_fleet import budget
 from hawthorndeal_fleet import checks
 from hawthorndeal_fleet import document
-from hawthorndeal_fleet import maintenance
 from hawthorndeal_fleet import model
 from hawthorndeal_fleet import state as state_module
+from hawthorndeal_fleet import waves
 
 from . import command
 from . import failures
@@ -75,6 +75,7 @@
     """Tell whether budgets let a wave finish while nothing else is down.
 
     :ivar hosts: how many hosts it works on
+    :ivar at_once: how many of them, in file order, may be away together
     :ivar refused: the hosts that could never be taken away
     :ivar reason: why the first of them could not
     """
@@ -82,6 +83,7 @@
     wave: str
     state: str
     hosts: int
+    at_once: int
     refused: list[str]
     reason: str
 
@@ -97,13 +99,18 @@
 
 def _judge(fleet, name, wave):
     state = state_module.State(fleet=fleet)
-    hosts = maintenance.waiting_hosts(state, name)
-    refusals = {host: budget.refuse_disruption(state, host) for host in hosts}
+    hosts = waves.waiting_hosts(state, name)
+    refusals = {
+        host: budget.refuse_disruption(state, host, wave.expected_s)
+        for host in hosts
+    }
     refused = [host for host in hosts if refusals[host]]
+    allowance = budget.Allowance(state)
     return WaveVerdict(
         wave=name,
         state=wave.state.value,
         hosts=len(hosts),
+        at_once=sum(allowance.take(host) is None for host in hosts),
         refused=refused,
         reason=refusals[refused[0]] if refused else '',
     )
