Add the pages, and scenarios that hold them against the code

README and OPERATING.md: every console block runs against the deployment that the tour leaves running, every yaml block is parsed by the code that reads it. The tables of settings, exit codes and metrics are compared with the code. PROOFS.md takes its table from the feature files. A new task sends gauges of the daemon's own state.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 export PYTHONPATH := $(subst $(space),:,$(PROJECTS:%=$(CURDIR)/%)):$(CURDIR)/features:$(CURDIR)
 export PIP_DISABLE_PIP_VERSION_CHECK := 1
 
-.PHONY: help install demo test lint format measure slopes clean
+.PHONY: help install demo test lint format measure slopes proofs clean
 
 help:
 	@echo 'make demo     set up, then run the main job on stand-ins;'
@@ -21,6 +21,7 @@
 	@echo 'make lint     formatter and linter, without changing anything'
 	@echo 'make format   format every file'
 	@echo 'make measure  measure the policies; QUICK=1 for fewer seeds'
+	@echo 'make proofs   bring the table of docs/PROOFS.md up to date'
 	@echo 'make slopes   measure the slopes of docs/CAPACITY.md'
 
 $(STAMP):
@@ -52,5 +53,8 @@
 slopes: install
 	$(BIN)/python -m measure.slopes
 
+proofs: install
+	$(BIN)/python -m proofs
+
 clean:
 	rm -rf $(VENV)
--- a/demo/run.py
+++ b/demo/run.py
@@ -162,6 +162,7 @@
         'env': ''.join(
             f'export {name}="{value}"\n' for name, value in variables.items()
         ),
+        'entry.yaml': (stage.path / f'{entry_host.name}.yaml').read_text(),
         'fleet.yaml': yaml.safe_dump(stage.fleet, sort_keys=False),
         'wave.yaml': yaml.safe_dump(_with_wave(stage.fleet), sort_keys=False),
     }
--- /dev/null
+++ b/features/steps/pages.py
@@ -0,0 +1,413 @@
+"""Steps that hold the pages against the code and a deployment."""
+
+import ast
+import fnmatch
+import itertools
+import os
+import pathlib
+import re
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import typing
+
+import attrs
+from behave import given
+from behave import then
+from behave import when
+import yaml
+
+from hawthorndeal_cli import failures
+from hawthorndeal_cli import settings as cli_settings
+from hawthorndeal_daemon import main as daemon_main
+from hawthorndeal_daemon import settings as daemon_settings
+from hawthorndeal_fleet import checks
+from hawthorndeal_fleet import document
+import proofs
+from stage import processes
+
+COMMAND_TIMEOUT_S = 60.0
+START_TIMEOUT_S = 40.0
+END_TIMEOUT_S = 30.0
+METRICS_TIMEOUT_S = 20.0
+MAX_DATAGRAM_BYTES = 65536
+LANGUAGES = {'console', 'yaml', 'text'}
+_BLOCK = re.compile(r'^```(\w*)\n(.*?)^```$', re.MULTILINE | re.DOTALL)
+_LINK = re.compile(r'\]\(([^)]+)\)')
+
+
+def blocks(text):
+    """Return pairs of language and content of a page's fenced blocks."""
+    return _BLOCK.findall(text)
+
+
+def commands(text):
+    """Return the commands of a page's console blocks."""
+    return [
+        line.removeprefix('$ ')
+        for language, content in blocks(text)
+        if language == 'console'
+        for line in content.splitlines()
+        if line.startswith('$ ')
+    ]
+
+
+def table(text, head):
+    """Return the rows below the head of a page's table, as cells."""
+    lines = iter(text.splitlines())
+    for line in lines:
+        if line.startswith(f'| {head} |'):
+            break
+    rows = itertools.takewhile(lambda line: line.startswith('|'), lines)
+    cells = [[c.strip() for c in row.strip('|').split('|')] for row in rows]
+    return cells[1:]
+
+
+def _read(context, page):
+    return (context.root / page).read_text()
+
+
+@given('the deployment that the tour leaves running')
+def start_tour(context):
+    scratch = tempfile.TemporaryDirectory(prefix='hawthorndeal-')
+    context.add_cleanup(scratch.cleanup)
+    context.scratch = pathlib.Path(scratch.name)
+    (context.scratch / 'examples').symlink_to(context.root / 'examples')
+    context.tour = subprocess.Popen(
+        [sys.executable, '-m', 'demo.run', '--keep', '.demo'],
+        cwd=context.scratch,
+        stdout=subprocess.DEVNULL,
+    )
+    context.add_cleanup(_end, context.tour)
+    processes.wait_until(
+        lambda: (context.scratch / '.demo' / 'wave.yaml').exists(),
+        START_TIMEOUT_S,
+        'the tour runs',
+    )
+
+
+def _end(popen):
+    if popen.poll() is None:
+        popen.send_signal(signal.SIGINT)
+    popen.wait(END_TIMEOUT_S)
+
+
+def _run_commands(context, lines):
+    """Return the finished run of each command, in one directory.
+
+    Targets of make are only looked up: they set up or test everything.
+    """
+    prelude = 'test ! -e .demo/env || . .demo/env; '
+    return [
+        (line, _run_make(context, line))
+        if line.startswith('make ')
+        else (line, _run_line(context.scratch, prelude + line))
+        for line in lines
+    ]
+
+
+def _run_make(context, line):
+    return _run_line(context.root, f'{line} --dry-run')
+
+
+def _run_line(directory, line):
+    return subprocess.run(
+        ['bash', '-c', line],
+        cwd=directory,
+        env={
+            **os.environ,
+            'PATH': f'{pathlib.Path(sys.executable).parent}:'
+            f'{os.environ["PATH"]}',
+        },
+        capture_output=True,
+        text=True,
+        timeout=COMMAND_TIMEOUT_S,
+    )
+
+
+@when('every console block of "{pages}" is run there')
+def run_pages(context, pages):
+    lines = [
+        line
+        for page in pages.split(', ')
+        for line in commands(_read(context, page))
+    ]
+    context.runs = _run_commands(context, lines)
+
+
+@then('at least {count:d} commands ran and each ended with exit code 0')
+def check_runs(context, count):
+    assert len(context.runs) >= count, len(context.runs)
+    failed = {
+        line: (result.returncode, result.stdout, result.stderr)
+        for line, result in context.runs
+        if result.returncode
+    }
+    assert not failed, failed
+
+
+@given('the page text "{text}"')
+def write_page(context, text):
+    scratch = tempfile.TemporaryDirectory(prefix='hawthorndeal-')
+    context.add_cleanup(scratch.cleanup)
+    context.scratch = pathlib.Path(scratch.name)
+    (context.scratch / 'examples').symlink_to(context.root / 'examples')
+    context.page = f'Words.\n\n```console\n$ {text}\n```\n'
+
+
+@when('its console blocks are run')
+def run_page(context):
+    context.runs = _run_commands(context, commands(context.page))
+
+
+@then('a command fails')
+def check_failed(context):
+    codes = [result.returncode for _, result in context.runs]
+    assert len(codes) == 1 and codes[0] != 0, codes
+
+
+@when('every yaml block of "{page}" is checked')
+def check_yaml(context, page):
+    texts = [
+        content
+        for language, content in blocks(_read(context, page))
+        if language == 'yaml'
+    ]
+    # Each check raises where a block is invalid.
+    context.found = [_check_file(context, text) for text in texts]
+
+
+def _check_file(context, text):
+    data = yaml.safe_load(text)
+    if 'daemon' in data:
+        return daemon_settings.parse(text.encode(), 'page')
+    if 'daemons' in data:
+        return cli_settings.parse(text.encode(), 'page')
+    example = context.load_example('vltava.yaml')
+    return checks.fleet_from_document(document.merge(example, data), 'page')
+
+
+@then('at least {count:d} files were found and each is valid')
+def check_found(context, count):
+    assert len(context.found) >= count, context.found
+
+
+@when('the blocks of "{page}" are listed')
+def list_blocks(context, page):
+    text = _read(context, page)
+    context.languages = [language for language, _ in blocks(text)]
+    context.fences = len(re.findall('^```', text, re.MULTILINE))
+
+
+@then('each is marked as console, yaml or text')
+def check_languages(context):
+    assert context.fences == 2 * len(context.languages), context.fences
+    assert set(context.languages) <= LANGUAGES, context.languages
+
+
+@when('the table headed "{head}" is read from "{page}"')
+def read_table(context, head, page):
+    context.rows = table(_read(context, page), head)
+
+
+def _setting_rows(kind, prefix=''):
+    """Yield the name, type and default that the page must show."""
+    hints = typing.get_type_hints(kind)
+    for field in attrs.fields(kind):
+        hint = hints[field.name]
+        if attrs.has(hint):
+            yield from _setting_rows(hint, f'{prefix}{field.name}.')
+        else:
+            yield (
+                f'`{prefix}{field.name}`',
+                getattr(hint, '__name__', str(hint))
+                if typing.get_origin(hint) is None
+                else str(hint),
+                _default_text(field.default),
+            )
+
+
+def _default_text(default):
+    if default is attrs.NOTHING:
+        return '-'
+    if isinstance(default, attrs.Factory):
+        return f'`{default.factory()}`'
+    return 'empty' if default == '' else f'`{default}`'
+
+
+def _compare(rows, expected):
+    shown = {tuple(row[: len(expected[0])]) for row in rows}
+    missing = sorted(set(expected) - shown)
+    surplus = sorted(shown - set(expected))
+    assert not missing, f'not in the page: {missing}'
+    assert not surplus, f'not in the code: {surplus}'
+    assert all(all(row) for row in rows), rows
+
+
+@then('it lists the daemon settings of the code, and each has a meaning')
+def check_daemon_settings(context):
+    expected = list(_setting_rows(daemon_settings.Settings))
+    _compare(context.rows, expected)
+
+
+@then('it lists the client settings of the code, and each has a meaning')
+def check_client_settings(context):
+    _compare(context.rows, list(_setting_rows(cli_settings.Settings)))
+
+
+@then('it lists the exit codes of the code, and each has a meaning')
+def check_exit_codes(context):
+    assert set(failures.MEANINGS) == set(failures.ExitCode)
+    expected = [
+        (str(code.value), meaning)
+        for code, meaning in failures.MEANINGS.items()
+    ]
+    _compare(context.rows, expected)
+
+
+@then('it lists the daemon exit codes of the code, and each has a meaning')
+def check_daemon_exit_codes(context):
+    expected = [(str(code.value),) for code in daemon_main.ExitCode]
+    _compare(context.rows, expected)
+
+
+_KINDS = {'count': 'counter', 'gauge': 'gauge', 'time_s': 'timing'}
+
+
+def _metrics_of(path):
+    """Yield name and kind of the metrics that a module sends."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if not isinstance(node, ast.Call):
+            continue
+        if not isinstance(node.func, ast.Attribute):
+            continue
+        owner = ast.unparse(node.func.value)
+        if owner.endswith('metrics') and node.func.attr in _KINDS:
+            yield f'`{_pattern(node.args[0])}`', _KINDS[node.func.attr]
+
+
+def _pattern(node):
+    if isinstance(node, ast.JoinedStr):
+        return ''.join(map(_pattern, node.values))
+    return str(node.value) if isinstance(node, ast.Constant) else '*'
+
+
+@then('it lists the metrics of the code, and each has a meaning')
+def check_metrics(context):
+    modules = (context.root / 'packages').glob('*/*/*.py')
+    found = set(itertools.chain.from_iterable(map(_metrics_of, modules)))
+    assert len(found) >= 10, found
+    _compare(context.rows, sorted(found))
+
+
+def _anchor(heading):
+    words = re.sub(r'[^\w\- ]', '', heading.lower())
+    return words.strip().replace(' ', '-')
+
+
+@when('the links of "{page}" are followed')
+def follow_links(context, page):
+    path = context.root / page
+    context.broken = [
+        link
+        for link in _LINK.findall(path.read_text())
+        if not link.startswith('http') and not _leads(path, link)
+    ]
+
+
+def _leads(page, link):
+    name, _, anchor = link.partition('#')
+    target = page.parent / name if name else page
+    if not target.exists():
+        return False
+    headings = re.findall('^#+ (.*)$', target.read_text(), re.MULTILINE)
+    return not anchor or anchor in map(_anchor, headings)
+
+
+@then('each leads to a file or a heading')
+def check_links(context):
+    assert not context.broken, context.broken
+
+
+@when('the proofs are read from "{page}"')
+def read_proofs(context, page):
+    context.page = _read(context, page)
+    context.scenarios = proofs.scenarios(context.root)
+
+
+@then('its table of invariants is that of the feature files')
+def check_generated(context):
+    assert proofs.render(context.root) in context.page, 'run: make proofs'
+
+
+@then('each invariant of the brief has a scenario, and no other is tagged')
+def check_invariants(context):
+    tags = set(itertools.chain.from_iterable(context.scenarios.values()))
+    used = {tag for tag in tags if tag.startswith(proofs.TAG_PREFIX)}
+    assert used == set(proofs.INVARIANTS), used ^ set(proofs.INVARIANTS)
+
+
+@then('each fault names a scenario that exists')
+def check_faults(context):
+    rows = table(context.page, 'fault')
+    named = {(feature, name) for _, feature, name in rows}
+    missing = sorted(named - set(context.scenarios))
+    assert named and not missing, f'no such scenario: {missing}'
+
+
+@then('what is not proved is listed')
+def check_unproved(context):
+    _, _, rest = context.page.partition('\n## Not proved\n')
+    assert re.findall('^- ', rest, re.MULTILINE), rest
+
+
+@given('a running deployment that sends its metrics here')
+def start_with_metrics(context):
+    receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    context.add_cleanup(receiver.close)
+    receiver.bind(('127.0.0.1', 0))
+    receiver.setblocking(False)
+    context.receiver = receiver
+    port = receiver.getsockname()[1]
+    context.make_stage(
+        settings={
+            'statsd': {'host': '127.0.0.1', 'port': port},
+            'metrics_period_s': 0.2,
+        }
+    )
+    context.came = set()
+
+
+@when('metrics come in for every gauge that the page lists')
+def receive(context):
+    rows = table(_read(context, 'docs/OPERATING.md'), 'metric')
+    context.listed = {row[0].strip('`') for row in rows}
+    gauges = {row[0].strip('`') for row in rows if row[1] == 'gauge'}
+    processes.wait_until(
+        lambda: gauges <= _take_in(context),
+        METRICS_TIMEOUT_S,
+        f'metrics {sorted(gauges)}',
+    )
+
+
+def _take_in(context):
+    try:
+        datagram = context.receiver.recv(MAX_DATAGRAM_BYTES).decode()
+    except BlockingIOError:
+        return context.came
+    prefix, daemon, name = datagram.partition(':')[0].split('.', 2)
+    assert prefix == 'hawthorndeal' and daemon.startswith('entry-'), datagram
+    context.came.add(name)
+    return context.came
+
+
+@then('no metric came in that the page does not list')
+def check_came(context):
+    surplus = {
+        name
+        for name in context.came
+        if not any(fnmatch.fnmatch(name, row) for row in context.listed)
+    }
+    assert not surplus, surplus
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
@@ -18,6 +18,7 @@
 from . import dispatcher
 from . import endpoints
 from . import follower
+from . import gauges
 from . import host_watch
 from . import logs
 from . import maintainer
@@ -153,6 +154,7 @@
                 ),
                 Membership(appender, server, settings, incarnation),
                 carer,
+                gauges.Gauges(reader, self._metrics, settings, clock),
             ],
             clock,
         )
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/settings.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/settings.py
@@ -60,6 +60,7 @@
     operator_tokens: dict[str, str] = attrs.field(factory=dict, repr=False)
     peer_token: str = attrs.field(default='', repr=False)
     statsd: Statsd = attrs.Factory(Statsd)
+    metrics_period_s: float = _positive(10.0)
     log_poll_s: float = _positive(0.5)
     peer_period_s: float = _positive(2.0)
     maintenance_period_s: float = _positive(0.5)
