--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -7,13 +7,16 @@
 import argparse
 import importlib
 import sys
+import time
+import tracemalloc
 
 import attrs
 import tabulate
 
 from . import fit
 
-NAMES = ()
+NAMES = ('cli_slopes', 'statsd_slopes')
+REPEATS = 3
 
 
 @attrs.frozen
@@ -23,11 +26,34 @@
     :ivar name: what was measured, with its unit
     :ivar per: what the size counts
     :ivar points: pairs of size and value
+    :ivar design_size: the size designed for
     """
 
     name: str
     per: str
     points: list
+    design_size: float = 0.0
+
+
+def processor_s(work):
+    """Return the least processor time of some runs of a function."""
+    return min(_once_s(work) for _ in range(REPEATS))
+
+
+def _once_s(work):
+    started_s = time.process_time()
+    work()
+    return time.process_time() - started_s
+
+
+def peak_bytes(work):
+    """Return the most memory that a function held at once."""
+    tracemalloc.start()
+    try:
+        work()
+        return tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
 
 
 def main():
@@ -53,6 +79,7 @@
         'slope': f'{line.slope:.4g}',
         'at zero': f'{line.intercept:.4g}',
         'residual': f'{line.residual_share:.1%}',
+        'at design size': f'{line.at(slope.design_size):.4g}',
     }
 
 
