--- a/Makefile
+++ b/Makefile
@@ -12,14 +12,16 @@
 export PYTHONPATH := $(subst $(space),:,$(PROJECTS:%=$(CURDIR)/%)):$(CURDIR)/features:$(CURDIR)
 export PIP_DISABLE_PIP_VERSION_CHECK := 1
 
-.PHONY: help install demo test lint format measure slopes clean
+.PHONY: help install demo test lint format measure slopes proofs clean
 
 help:
-	@echo 'make demo     set up, then run the main job on stand-ins'
+	@echo 'make demo     set up, then run the main job on stand-ins;'
+	@echo '              KEEP=1 leaves a deployment running until Ctrl-C'
 	@echo 'make test     set up, then run the tests; TAGS=@tag for a part'
 	@echo 'make lint     formatter and linter, without changing anything'
 	@echo 'make format   format every file'
 	@echo 'make measure  measure the policies; QUICK=1 for fewer seeds'
+	@echo 'make proofs   bring the table of docs/PROOFS.md up to date'
 	@echo 'make slopes   measure the slopes of docs/CAPACITY.md'
 
 $(STAMP):
@@ -32,7 +34,8 @@
 install: $(STAMP)
 
 demo: install
-	$(BIN)/python -m demo.run
+	$(BIN)/python -m demo.run $(if $(KEEP),--keep .demo) \
+		$(if $(FAULT),--fault $(FAULT))
 
 test: install
 	$(BIN)/python -m runner $(if $(TAGS),--tags='$(TAGS)')
@@ -50,5 +53,8 @@
 slopes: install
 	$(BIN)/python -m measure.slopes
 
+proofs: install
+	$(BIN)/python -m proofs
+
 clean:
 	rm -rf $(VENV)
