Checkpoint the state, load it from peers, begin a lost log anew

Cause: a daemon whose offset had expired read nothing any more, a joiner past the log's retention had no state, and a log that lost its end left every daemon waiting for ever.

Change: the whole state goes to plain data and back, in parts, on a checkpoint stream, after a jittered share of log_retention_s and again after an outage of half of it; a joiner or a reader whose offset expired takes the newest state of a peer, else the newest whole checkpoint, and skips nothing. When the log ends before what was read, appends stop; after log_restart_wait_s the daemon that is furthest among those heard begins the next epoch on a stream of its own, and offsets go on counting. One that alone knows more serves on as it is and says that it has to be replaced. Peers exchange state digests, at the same offset or at marks every 64 records, and shout when they differ.

--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/control.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/control.py
@@ -11,6 +11,7 @@
 from hawthorndeal_fleet import records
 from hawthorndeal_fleet import waves as waves_module
 
+from . import loader
 from . import peers as peers_module
 from . import web
 
@@ -62,19 +63,43 @@
     return decorate
 
 
-def _add_peer_routes(app, peers, settings):
+def _for_peers(settings):
     expected = settings.peer_token.encode()
 
+    def decorate(handler):
+        @functools.wraps(handler)
+        async def check(request, *args, **kwargs):
+            if not hmac.compare_digest(expected, _bearer(request).encode()):
+                return _refuse()
+            return await handler(request, *args, **kwargs)
+
+        return check
+
+    return decorate
+
+
+def _add_peer_routes(app, peers, settings):
+    for_peers = _for_peers(settings)
+
     @app.post(peers_module.EXCHANGE_PATH)
+    @for_peers
     async def exchange(request):
-        if not hmac.compare_digest(expected, _bearer(request).encode()):
-            return _refuse()
         try:
             peers.note(codec.from_plain(request.json, membership.PeerDigest))
         except errors.InvalidRecord as error:
             return response.json({'reason': str(error)}, status=400)
         return response.json(codec.to_plain(peers.digest()))
 
+    @app.get(loader.SUMMARY_PATH)
+    @for_peers
+    async def summary(request):
+        return response.json(codec.to_plain(peers.summary()))
+
+    @app.get(loader.STATE_PATH)
+    @for_peers
+    async def state(request):
+        return response.text(peers.state_text())
+
 
 def _add_state_routes(app, follower, peers, maintainer, settings):
     for_operators = _for_operators(settings)
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
@@ -13,6 +13,7 @@
 from hawthorndeal_platform import transport
 
 from . import callers
+from . import checkpointer
 from . import clock as clock_module
 from . import control
 from . import dispatcher
@@ -20,10 +21,12 @@
 from . import follower
 from . import gauges
 from . import host_watch
+from . import loader
 from . import logs
 from . import maintainer
 from . import metrics
 from . import peers
+from . import restarter
 from . import returns
 from . import supervisor
 from . import web
@@ -107,9 +110,16 @@
         hosts = hosts_module.HttpHosts(self._transports[1])
         router = routing.Router(settings.zone)
         self._endpoints = endpoints.EndpointClient(settings.max_answer_bytes)
-        reader = follower.Follower(log, settings, clock)
-        appender = writer.Writer(log, reader, settings, incarnation, clock)
-        others = peers.Peers(reader, router, settings, incarnation, clock, rng)
+        reader = follower.Follower(
+            log, settings, clock, incarnation, loader.Loader(log, settings)
+        )
+        appender = writer.Writer(log, reader, incarnation, clock)
+        others = peers.Peers(
+            reader, router, settings, incarnation, clock, rng, self._metrics
+        )
+        keeper = checkpointer.Checkpointer(
+            log, reader, appender, settings, clock, rng
+        )
         watch = host_watch.HostWatch(
             hosts, router, reader, appender, settings, incarnation, clock
         )
@@ -148,6 +158,10 @@
                     settings.control_address,
                 ),
                 others,
+                keeper,
+                restarter.Restarter(
+                    log, reader, keeper, others, settings, incarnation, clock
+                ),
                 watch,
                 web.WebServer(
                     'callers',
--- /dev/null
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/loader.py
@@ -0,0 +1,119 @@
+"""Bring the whole state to a daemon that can't fold it from the log."""
+
+import asyncio
+
+import aiohttp
+
+from hawthorndeal_fleet import checkpoint
+from hawthorndeal_fleet import codec
+from hawthorndeal_fleet import errors
+from hawthorndeal_fleet import membership
+from hawthorndeal_fleet import statecodec
+
+from . import logs
+
+STATE_PATH = '/v1/peers/state'
+SUMMARY_PATH = '/v1/peers/summary'
+CHECKPOINT_SUFFIX = '.checkpoints'
+# A page must fit into memory: its entries are parts of a checkpoint.
+PAGE_PARTS = 4
+TIMEOUT_S = 5.0
+
+_log = logs.get('loader')
+
+
+class Loader:
+    """Find the newest state among peers, else the newest checkpoint.
+
+    :param log: the platform's log
+    :param settings: the daemon's settings
+    """
+
+    def __init__(self, log, settings):
+        self._log = log
+        self._stream = settings.platform.stream + CHECKPOINT_SUFFIX
+        self._peers = settings.peers
+        self._token = settings.peer_token
+        self.sponsor = None
+
+    async def load(self, known, needed_offset):
+        """Return a newer state than one that is known, or None.
+
+        :param needed_offset: the offset that it has to reach
+        """
+        state = await self._from_peers(known, needed_offset)
+        if state is None:
+            state = await self._from_checkpoint()
+        return state
+
+    async def _from_peers(self, known, needed_offset):
+        async with aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
+            headers={'Authorization': f'Bearer {self._token}'},
+        ) as session:
+            summaries = await asyncio.gather(
+                *(self._summary(session, peer) for peer in self._peers)
+            )
+            useful = [
+                (summary.rank, peer, summary)
+                for peer, summary in zip(self._peers, summaries)
+                if summary is not None
+                and summary.rank > (known.epoch, known.next_offset)
+                and summary.next_offset >= needed_offset
+            ]
+            for _, peer, summary in sorted(useful, reverse=True):
+                text = await self._get(session, peer, STATE_PATH)
+                state = await _parse(text)
+                if state is not None:
+                    self.sponsor = summary.incarnation
+                    return state
+        return None
+
+    async def _summary(self, session, peer):
+        text = await self._get(session, peer, SUMMARY_PATH)
+        try:
+            return text and codec.from_text(text, membership.Summary)
+        except errors.InvalidRecord as error:
+            _log.warning('Ignored a summary of %s: %s', peer, error)
+            return None
+
+    async def _get(self, session, peer, path):
+        try:
+            async with session.get(f'http://{peer}{path}') as answer:
+                return await answer.text() if answer.status == 200 else None
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            _log.info('No state from %s: %r', peer, error)
+            return None
+
+    async def _from_checkpoint(self):
+        collector = checkpoint.Collector()
+        try:
+            await self._collect(collector)
+        except errors.PlatformError as error:
+            _log.warning('No checkpoint: %s', error)
+        return await _parse(collector.text)
+
+    async def _collect(self, collector):
+        offset = 0
+        is_last = False
+        while not is_last:
+            try:
+                page = await self._log.read(self._stream, offset, PAGE_PARTS)
+            except errors.OffsetExpired as error:
+                offset = error.first_offset
+                continue
+            for entry in page.entries:
+                collector.add(entry.data)
+            offset = page.next_offset
+            is_last = page.is_last
+
+
+async def _parse(text):
+    if not text:
+        return None
+    try:
+        # A large fleet takes long enough to be felt by callers.
+        return await asyncio.to_thread(checkpoint.load, text)
+    except statecodec.InvalidCheckpoint as error:
+        _log.error('Ignored a checkpoint: %s', error)
+        return None
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/settings.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/settings.py
@@ -47,6 +47,9 @@
     :ivar peers: control addresses of the other entry hosts
     :ivar operator_tokens: token of each operator, by name
     :ivar peer_token: token that daemons show each other
+    :ivar log_retention_s: how long the platform's log keeps records
+    :ivar log_restart_wait_s: how long the log's end must be lost before it
+        is begun anew
     :ivar shutdown_grace_s: time for the balancer to send callers elsewhere
     :ivar shutdown_timeout_s: longest wait for requests that run
     :ivar max_callers: connections of callers served at once
@@ -63,6 +66,8 @@
     statsd: Statsd = attrs.Factory(Statsd)
     metrics_period_s: float = _positive(10.0)
     log_poll_s: float = _positive(0.5)
+    log_retention_s: float = _positive(24 * 3600.0)
+    log_restart_wait_s: float = _positive(10.0)
     peer_period_s: float = _positive(2.0)
     maintenance_period_s: float = _positive(0.5)
     host_list_period_s: float = _positive(2.0)
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/writer.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/writer.py
@@ -33,17 +33,15 @@
 
     :param log: the platform's log
     :param follower: reads back what was appended
-    :param settings: the daemon's settings
     :param incarnation: identity of this start of the daemon
     :param clock: tells the time
     """
 
     name = 'writer'
 
-    def __init__(self, log, follower, settings, incarnation, clock):
+    def __init__(self, log, follower, incarnation, clock):
         self._log = log
         self._follower = follower
-        self._stream = settings.platform.stream
         self._incarnation = incarnation
         self._clock = clock
         self._mailbox = mailbox.Mailbox(self.name, MAX_WAITING)
@@ -61,7 +59,7 @@
         if not batch:
             return
         try:
-            await self._log.append(self._stream, [i.data for i in batch])
+            await self._send([item.data for item in batch])
         except errors.PlatformError as error:
             _log.warning('Append failed: %s', error)
             _fail(batch, error)
@@ -71,6 +69,12 @@
             if not item.sent.done():
                 item.sent.set_result(None)
 
+    async def _send(self, entries):
+        if self._follower.is_log_behind:
+            # What is appended before the log's end is found would be lost.
+            raise errors.PlatformUnavailable('the log lost its end')
+        await self._log.append(self._follower.stream, entries)
+
     async def commit(self, body, timeout_s, writer=None, record_id=None):
         """Append a record and return the fold's decision on it.
 
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/codec.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/codec.py
@@ -78,6 +78,17 @@
         ) from error
 
 
+def from_text(text, kind):
+    """Return an attrs object from JSON text of another process.
+
+    :raises errors.InvalidRecord: when the text doesn't fit the class
+    """
+    try:
+        return from_plain(json.loads(text), kind)
+    except (ValueError, RecursionError) as error:
+        raise errors.InvalidRecord(f'not JSON: {error!r:.80}') from error
+
+
 def from_file(data, kind, source):
     """Return an attrs object from the plain data of a file.
 
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/fold.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/fold.py
@@ -8,6 +8,7 @@
 from . import claims
 from . import configuration
 from . import disruptions
+from . import epochs
 from . import errors
 from . import history
 from . import job_records
@@ -18,7 +19,7 @@
 from . import records
 from . import state as state_module
 
-_REPEATED = 'repeated'
+REPEATED = 'repeated'
 _REFUSED = 'refused'
 _FAILED = 'rule_failed'
 
@@ -26,6 +27,7 @@
 _UNAUDITED = (
     records.RequestClaimed,
     records.ClaimReturned,
+    records.CheckpointWritten,
     records.PermissionRenewed,
     *typing.get_args(job_records.Body),
 )
@@ -63,7 +65,7 @@
     known = state.recent.get(record.record_id)
     if known is not None:
         # The log or a writer repeated it; its effect is there already.
-        return attrs.evolve(known, code=_REPEATED)
+        return attrs.evolve(known, code=REPEATED)
     log_time.advance(state, record)
     disruptions.note_alive(state, record.writer)
     decision = _judge(state, offset, record)
@@ -134,6 +136,8 @@
     records.DaemonJoined: members.join,
     records.DaemonLeft: members.leave,
     records.RuleLevelRaised: members.raise_level,
+    records.CheckpointWritten: members.note_checkpoint,
+    records.LogRestarted: epochs.restart,
     records.HostReported: outages.report_host,
     records.DisruptionAsked: disruptions.ask,
     records.DisruptionStepped: disruptions.step,
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/history.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/history.py
@@ -22,7 +22,8 @@
     text = (
         f'{state.digest}|{state.next_offset}|{decision.record_id}|'
         f'{decision.is_accepted}|{code}|{state.log_time_s!r}|'
-        f'{state.rule_level}|{state.revision}|{state.fingerprint:x}|'
+        f'{state.rule_level}|{state.epoch}|{state.revision}|'
+        f'{state.fingerprint:x}|'
         f'{len(state.members)}|{len(state.disruptions)}|'
         f'{len(state.down_hosts)}|{len(state.claims)}'
     )
@@ -33,6 +34,20 @@
         state.marks.append(state_module.Mark(state.next_offset, state.digest))
 
 
+def is_diverged(state, digest):
+    """Tell whether a peer's digest differs at an offset both know."""
+    if digest.epoch != state.epoch:
+        return False
+    pairs = (
+        (digest.next_offset, digest.digest),
+        (digest.mark_offset, digest.mark_digest),
+    )
+    return any(
+        theirs and digest_at(state, offset) not in (None, theirs)
+        for offset, theirs in pairs
+    )
+
+
 def digest_at(state, next_offset):
     """Return the digest before an offset, or None where it is not kept."""
     if next_offset == state.next_offset:
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/members.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/members.py
@@ -63,3 +63,15 @@
         return f'daemon {behind[0]!r} does not know level {body.level}'
     state.rule_level = body.level
     return None
+
+
+def note_checkpoint(body, state, offset):
+    """Note the newest checkpoint, so that others needn't write one."""
+    if body.next_offset > offset:
+        return f'offset {body.next_offset} is not reached yet'
+    known = state.checkpoint
+    if known is None or body.next_offset >= known.next_offset:
+        state.checkpoint = state_module.CheckpointNote(
+            body.next_offset, state.log_time_s
+        )
+    return None
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/membership.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/membership.py
@@ -10,6 +10,11 @@
     :ivar next_offset: the first offset the daemon has not folded
     :ivar fingerprint: number of its document, in hexadecimal
     :ivar busy_hosts: requests in flight to hosts being worked on
+    :ivar epoch: how often the log was begun anew
+    :ivar digest: of the state before ``next_offset``
+    :ivar mark_offset: an earlier offset, for peers that are not as far
+    :ivar mark_digest: of the state before ``mark_offset``
+    :ivar is_log_behind: whether it finds the log's end lost
     """
 
     daemon: str
@@ -19,6 +24,26 @@
     revision: int
     fingerprint: str
     busy_hosts: dict[str, int]
+    epoch: int = 0
+    digest: str = ''
+    mark_offset: int = 0
+    mark_digest: str = ''
+    is_log_behind: bool = False
+
+
+@attrs.frozen
+class Summary:
+    """Tell a joiner how far the state is that a peer can give it."""
+
+    incarnation: str
+    epoch: int
+    next_offset: int
+    revision: int
+
+    @property
+    def rank(self):
+        """Return what is greater for a newer state."""
+        return self.epoch, self.next_offset
 
 
 @attrs.frozen
@@ -50,6 +75,14 @@
         """Return the newest digest of an incarnation, or None."""
         return self._heard.get(incarnation)
 
+    def heard_since(self, since_s):
+        """Return the digests that came after a moment."""
+        return [
+            heard.digest
+            for heard in self._heard.values()
+            if heard.heard_s > since_s
+        ]
+
     def forget_all_but(self, incarnations):
         """Drop the digests of daemons that are no longer members."""
         self._heard = {
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/records.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/records.py
@@ -68,6 +68,29 @@
     level: int
 
 
+@attrs.frozen
+class CheckpointWritten:
+    """Tell that the whole state was written to the checkpoint stream.
+
+    :ivar next_offset: the first offset that is not in it
+    """
+
+    next_offset: int
+
+
+@attrs.frozen
+class LogRestarted:
+    """Begin an epoch, on its own stream, after the log lost its end.
+
+    :ivar next_offset: the offset that the first record of the epoch gets
+    :ivar digest: the state's digest before that offset
+    """
+
+    epoch: int
+    next_offset: int
+    digest: str
+
+
 @attrs.frozen
 class DisruptionAsked:
     """Ask for leave to take a host away for a while.
@@ -162,6 +185,8 @@
     | DaemonJoined
     | DaemonLeft
     | RuleLevelRaised
+    | CheckpointWritten
+    | LogRestarted
     | DisruptionAsked
     | DisruptionStepped
     | DisruptionTaken
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/state.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/state.py
@@ -54,6 +54,14 @@
     stamp_s: float
 
 
+@attrs.frozen
+class CheckpointNote:
+    """Tell up to which offset a checkpoint goes, and when it was written."""
+
+    next_offset: int
+    written_s: float
+
+
 @attrs.frozen
 class Mark:
     """Tell the state's digest before an offset."""
@@ -125,6 +133,9 @@
     Only the fold changes it; everyone else reads.
 
     :ivar next_offset: the first offset not yet folded
+    :ivar epoch: how often the log was lost and begun anew
+    :ivar epoch_offset: the offset at which the epoch began
+    :ivar checkpoint: the newest checkpoint that is known to be written
     :ivar log_time_s: the greatest accepted stamp
     :ivar digest: hexadecimal number that is equal for equal histories
     :ivar marks: digests at every so many offsets, newest last
@@ -146,16 +157,21 @@
     """
 
     next_offset: int = 0
+    epoch: int = 0
+    epoch_offset: int = 0
+    checkpoint: CheckpointNote | None = None
     log_time_s: float = 0.0
     rule_level: int = 1
     revision: int = 0
-    document: dict[str, typing.Any] = attrs.Factory(dict)
+    document: dict[str, typing.Any] = attrs.field(
+        factory=dict, metadata={'is_plain': True}
+    )
     fingerprint: int = 0
     fleet: model.Fleet = attrs.field(
         factory=model.Fleet, metadata={'is_derived': True}
     )
     index: index_module.Index = attrs.field(
-        init=False, repr=False, metadata={'is_derived': True}
+        init=False, eq=False, repr=False, metadata={'is_derived': True}
     )
     verdicts: dict[str, Decision] = attrs.Factory(dict)
     members: dict[str, Member] = attrs.Factory(dict)
@@ -172,7 +188,10 @@
     ended_jobs: dict[str, jobs_module.EndedJob] = attrs.Factory(dict)
     holders: dict[str, float] = attrs.Factory(dict)
     pool_index: pools.PoolIndex = attrs.field(
-        factory=pools.PoolIndex, eq=False, repr=False
+        factory=pools.PoolIndex,
+        eq=False,
+        repr=False,
+        metadata={'is_derived': True},
     )
     ledger: jobs_module.Ledger = attrs.Factory(jobs_module.Ledger)
     usage: dict[str, usage_module.Usage] = attrs.Factory(dict)
@@ -194,6 +213,11 @@
     def __attrs_post_init__(self):
         self.index = index_module.build(self.fleet)
 
+    def replace_fleet(self, fleet):
+        """Set the fleet and what follows from it."""
+        self.fleet = fleet
+        self.index = index_module.build(fleet)
+
     def pool_of(self, host):
         """Return the pool that a host belongs to now."""
         return self.fleet.hosts[host].pool
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/log.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/log.py
@@ -24,10 +24,10 @@
         )
         return answer['first_offset']
 
-    async def read(self, stream, offset):
+    async def read(self, stream, offset, limit=PAGE_ENTRIES):
         """Return the page at an offset; an empty page at the end."""
         try:
-            return await self._read(stream, offset, PAGE_ENTRIES)
+            return await self._read(stream, offset, limit)
         except errors.AnswerTooDeep:
             return await self._read_one(stream, offset)
 
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/protocols.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/protocols.py
@@ -42,9 +42,10 @@
         :raises errors.OutcomeUnknown: the entries may have been appended
         """
 
-    async def read(self, stream, offset):
+    async def read(self, stream, offset, limit=1000):
         """Return the page at an offset; an empty page at the end.
 
+        :param limit: entries to return at most
         :raises errors.OffsetExpired: the log no longer holds the offset
         :raises errors.OffsetBeyondEnd: the log never reached the offset
         :raises errors.PlatformError: the log can't be read now
