Place jobs on workers, and care for their leases through faults

Every call is keyed by the lease token and answers with the task's status, so a lost answer is settled by asking again.

A resume that arrives late is ordered against throttles by offset, and a throttle decided before a resume is refused by the fold.

--- a/features/fakes/jobs.py
+++ b/features/fakes/jobs.py
@@ -116,9 +116,12 @@
         job = self.state.jobs.get(name)
         return job.lease if job else 10**6
 
-    def _step(self, name, step, by='d1'):
+    def _step(self, name, step, by='d1', seen=None):
         step = job_records.JobStep(step)
-        return job_records.JobStepped(name, self._lease(name), step, by)
+        seen = self.state.next_offset if seen is None else int(seen)
+        return job_records.JobStepped(
+            name, self._lease(name), step, by, seen_offset=seen
+        )
 
     def _end(self, name, outcome, lease=None):
         outcome = job_records.JobOutcome(outcome)
--- /dev/null
+++ b/features/fakes/workers.py
@@ -0,0 +1,376 @@
+"""A stand-in for the platform's workers: tasks under leases."""
+
+import argparse
+import asyncio
+import collections
+import pathlib
+import time
+
+from aiohttp import web
+import attrs
+import yaml
+
+from hawthorndeal_fleet import codec
+from hawthorndeal_fleet import errors
+from hawthorndeal_fleet import job_records
+from hawthorndeal_fleet import tasks
+
+from . import faults
+
+_State = tasks.TaskState
+THROTTLED_SHARE = 0.25
+
+
+@attrs.define
+class Task:
+    """Hold a task; it counts its own run time.
+
+    :ivar left_s: run time that is left, at full speed
+    """
+
+    order: tasks.TaskOrder
+    host: str
+    state: _State
+    until_s: float
+    left_s: float
+    seen_s: float
+    done_s: float = 0.0
+    version: int = -1
+    detail: str = ''
+
+    @property
+    def is_live(self):
+        """Tell whether it uses its worker."""
+        return self.state in tasks.LIVE
+
+    @property
+    def cpu_millicores(self):
+        """Return the processor time that it may use."""
+        share = THROTTLED_SHARE if self.state is _State.THROTTLED else 1.0
+        return self.order.cpu_millicores * share if self.is_live else 0
+
+    def status(self):
+        """Return the status as the platform tells it."""
+        used = job_records.JobUsage(
+            self.order.cpu_millicores / 1000, self.order.memory_bytes
+        )
+        return tasks.TaskStatus(
+            self.order.token, self.state, used, self.done_s, self.detail
+        )
+
+    def run_until(self, now_s):
+        """Let time pass; it ends with its work or its lease."""
+        if not self.is_live:
+            return
+        share = THROTTLED_SHARE if self.state is _State.THROTTLED else 1.0
+        passed_s = min(now_s, self.until_s) - self.seen_s
+        self.done_s += passed_s * share
+        self.seen_s = now_s
+        if self.done_s >= self.left_s:
+            self.state = _State.DONE
+        elif now_s >= self.until_s:
+            self.state = _State.LAPSED
+
+
+class Workers:
+    """Run tasks, and count what must never happen.
+
+    :param hosts: cores of each host, by name
+    :param now: returns seconds since the epoch
+    :param report_lag_s: how late reports come
+    """
+
+    def __init__(self, hosts, now, report_lag_s=0.0):
+        self.hosts = dict(hosts)
+        self.now = now
+        self._report_lag_s = report_lag_s
+        self.tasks = {}
+        self._told = {}
+        self._reports = []
+        self.run_s = {}
+        self.bad_hosts = set()
+        self.silent_hosts = set()
+        self.cancelled = set()
+        self.gone = set()
+        self.faults = collections.deque()
+        self.violations = []
+        self._late = []
+        self.starts = collections.Counter()
+
+    def lose_answer(self, verb):
+        """Lose the next answer to a call, after it took effect."""
+        self.faults.append((verb, 'lost'))
+
+    def hold(self, verb):
+        """Have the next call time out, and take effect at an event."""
+        release = asyncio.Event()
+        self.faults.append((verb, release))
+        return release
+
+    def crash(self, host):
+        """Lose every task of a host, with what it knows of them."""
+        self.tasks = {t: k for t, k in self.tasks.items() if k.host != host}
+
+    async def _call(self, host, verb, act):
+        fault = None
+        if self.faults and self.faults[0][0] == verb:
+            fault = self.faults.popleft()[1]
+        if isinstance(fault, asyncio.Event):
+            self._late.append(asyncio.create_task(self._act_late(fault, act)))
+            raise errors.OutcomeUnknown(f'{host}: {verb}: timed out')
+        if host in self.silent_hosts:
+            raise errors.OutcomeUnknown(f'{host}: timed out')
+        if host in self.gone:
+            raise errors.PlatformUnavailable(f'{host}: no such host')
+        self.advance()
+        answer = act()
+        self._tell()
+        self.check()
+        if fault == 'lost':
+            raise errors.OutcomeUnknown(f'{host}: {verb}: answer lost')
+        return answer
+
+    async def _act_late(self, release, act):
+        await release.wait()
+        self.advance()
+        act()
+        self.check()
+
+    def advance(self):
+        """Let the tasks run up to now."""
+        for task in self.tasks.values():
+            task.run_until(self.now())
+        self._tell()
+
+    def _tell(self):
+        for token, task in self.tasks.items():
+            if self._told.get(token) is not task.state:
+                self._told[token] = task.state
+                report = tasks.TaskReport(
+                    task.order.job_id, task.host, task.status()
+                )
+                due_s = self.now() + self._report_lag_s
+                self._reports.append((due_s, report))
+
+    def check(self):
+        """Note a job that runs twice, too much on a host, or cancelled."""
+        live = [task for task in self.tasks.values() if task.is_live]
+        runs = collections.Counter(task.order.job_id for task in live)
+        self.violations += [
+            f'{j} runs twice' for j, n in runs.items() if n > 1
+        ]
+        used = collections.Counter()
+        for task in live:
+            used[task.host] += task.cpu_millicores
+        self.violations += [
+            f'{host} is over-committed: {millicores}'
+            for host, millicores in used.items()
+            if millicores > self.hosts[host] * 1000 + len(live)
+        ]
+
+    def live_jobs(self):
+        """Return the jobs that run now, with their hosts."""
+        self.advance()
+        live = (task for task in self.tasks.values() if task.is_live)
+        return {task.order.job_id: task.host for task in live}
+
+    async def reports(self, cursor):
+        """Return the reports that came since a cursor; they lag."""
+        self.advance()
+        due = [r for due_s, r in self._reports if due_s <= self.now()]
+        return tasks.ReportPage(tuple(due[cursor:]), len(due))
+
+    async def tasks_of(self, host):
+        """Return the status of each task of a host."""
+        return await self._call(host, 'tasks', lambda: self._statuses(host))
+
+    def _statuses(self, host):
+        return {
+            token: task.status()
+            for token, task in self.tasks.items()
+            if task.host == host
+        }
+
+    async def start(self, host, order):
+        """Start a task, unless its token is known or its lease is over."""
+        return await self._call(
+            host, 'start', lambda: self._start(host, order)
+        )
+
+    def _start(self, host, order):
+        if order.token not in self.tasks:
+            state = _State.RUNNING
+            if self.now() >= order.until_s:
+                state = _State.REFUSED
+            elif host in self.bad_hosts:
+                state = _State.FAILED
+            else:
+                self.starts[order.job_id] += 1
+            self._add(host, order, state)
+        return self.tasks[order.token].status()
+
+    def _add(self, host, order, state):
+        self.tasks[order.token] = Task(
+            order=order,
+            host=host,
+            state=state,
+            until_s=order.until_s,
+            left_s=self.run_s.get(order.job_id, 60.0),
+            seen_s=self.now(),
+        )
+
+    async def renew(self, host, until_s):
+        """Extend leases, and return the status of each token known."""
+        return await self._call(
+            host, 'renew', lambda: self._renew(host, until_s)
+        )
+
+    def _renew(self, host, until_s):
+        for token, end_s in until_s.items():
+            if token in self.tasks:
+                task = self.tasks[token]
+                task.until_s = max(task.until_s, end_s)
+        return self._statuses(host)
+
+    async def throttle(self, host, token, version):
+        """Have a task run slowly."""
+        return await self._wish(
+            host, 'throttle', token, version, _State.THROTTLED
+        )
+
+    async def resume(self, host, token, version):
+        """Have a throttled task run in full, unless throttled later."""
+        return await self._wish(host, 'resume', token, version, _State.RUNNING)
+
+    async def _wish(self, host, verb, token, version, state):
+        def act():
+            task = self._known(host, token)
+            if task.is_live and version > task.version:
+                task.state = state
+                task.version = version
+            return task.status()
+
+        return await self._call(host, verb, act)
+
+    def _known(self, host, token):
+        if token not in self.tasks:
+            raise errors.PlatformRefused(f'{host} does not know {token}')
+        return self.tasks[token]
+
+    async def checkpoint(self, host, token):
+        """Keep a task's progress and end it."""
+
+        def act():
+            task = self._known(host, token)
+            if task.is_live:
+                task.state = _State.CHECKPOINTED
+            return task.status()
+
+        return await self._call(host, 'checkpoint', act)
+
+    async def stop(self, host, token):
+        """End a task, or see that it never starts."""
+        return await self._call(host, 'stop', lambda: self._stop(host, token))
+
+    def _stop(self, host, token):
+        if token not in self.tasks:
+            order = tasks.TaskOrder(token, '', 0, 0, 0, 0.0)
+            self._add(host, order, _State.STOPPED)
+        task = self.tasks[token]
+        if task.is_live:
+            if task.order.job_id not in self.cancelled:
+                self.violations.append(f'{task.order.job_id} was killed')
+            task.state = _State.STOPPED
+        return task.status()
+
+
+class Adapter:
+    """Be what one daemon sees of the workers.
+
+    :ivar cut_hosts: hosts that this daemon alone can't reach
+    """
+
+    _VERBS = ('start', 'renew', 'throttle', 'resume', 'checkpoint', 'stop')
+
+    def __init__(self, workers):
+        self.cut_hosts = set()
+        self.reports = workers.reports
+        self.tasks = self._guarded(workers.tasks_of)
+        for verb in self._VERBS:
+            setattr(self, verb, self._guarded(getattr(workers, verb)))
+
+    def _guarded(self, method):
+        async def call(host, *rest):
+            if host in self.cut_hosts:
+                raise errors.OutcomeUnknown(f'{host}: timed out')
+            return await method(host, *rest)
+
+        return call
+
+
+def _plain_tasks(statuses):
+    return {'tasks': [codec.to_plain(one) for one in statuses.values()]}
+
+
+def make_app(workers):
+    """Return the application of the stand-in."""
+    app = faults.make_app()
+
+    async def reports(request):
+        page = await workers.reports(int(request.query['cursor']))
+        return web.json_response(codec.to_plain(page))
+
+    async def list_tasks(request):
+        statuses = await workers.tasks_of(request.match_info['host'])
+        return web.json_response(_plain_tasks(statuses))
+
+    async def renew(request):
+        until_s = dict((await request.json())['until_s'])
+        statuses = await workers.renew(request.match_info['host'], until_s)
+        return web.json_response(_plain_tasks(statuses))
+
+    async def act(request):
+        verb = request.match_info['verb']
+        host, token = request.match_info['host'], request.match_info['token']
+        body = await request.json()
+        if verb == 'start':
+            order = codec.from_plain(body, tasks.TaskOrder)
+            status = await workers.start(host, order)
+        else:
+            call = getattr(workers, verb)
+            status = await call(host, int(token), **body)
+        return web.json_response(codec.to_plain(status))
+
+    async def live(request):
+        return web.json_response(
+            {'live': workers.live_jobs(), 'violations': workers.violations}
+        )
+
+    app.router.add_get('/v1/reports', reports)
+    app.router.add_get('/v1/workers/{host}/tasks', list_tasks)
+    app.router.add_post('/v1/workers/{host}/renew', renew)
+    app.router.add_post('/v1/workers/{host}/tasks/{token}/{verb}', act)
+    app.router.add_get('/admin/live', live)
+    return app
+
+
+def main():
+    """Serve until ended."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--host', required=True)
+    parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--fleet', required=True)
+    options = parser.parse_args()
+    fleet = yaml.safe_load(pathlib.Path(options.fleet).read_text())
+    cores = {name: host['cpu_cores'] for name, host in fleet['hosts'].items()}
+    web.run_app(
+        make_app(Workers(cores, time.time, report_lag_s=0.5)),
+        host=options.host,
+        port=options.port,
+        print=None,
+        access_log=None,
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/features/steps/placement_faults.py
@@ -0,0 +1,459 @@
+"""Steps that show faults to placers in one process."""
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+import attrs
+from fakes import jobs as fake_jobs
+from fakes import placers
+from hawthorndeal_fleet import job_records
+from hawthorndeal_fleet import records
+import hypothesis
+from hypothesis import strategies
+
+URGENT = job_records.JobUrgency.URGENT
+START_LIMIT_S = 2.2
+END_TURNS_S = 1500.0
+
+
+async def _nothing(bench):
+    bench.submit('a')
+    await bench.run(90)
+
+
+async def _last_room(bench):
+    for job_id in ('a', 'b'):
+        bench.submit(job_id, pool='q', cpu_cores=8.0)
+    bench.clock.time_s += 5
+    await bench.run(2)
+    assert len(bench.workers.live_jobs()) == 1, bench.workers.live_jobs()
+    await bench.run(150)
+    assert bench.describe('b') == 'done', bench.describe('b')
+
+
+async def _doubled(bench):
+    bench.log.is_doubling = True
+    for job_id in 'abcdef':
+        bench.submit(job_id)
+    await bench.run(2)
+    bench.cancel('b')
+    await bench.run(90)
+    assert bench.describe('b') == 'cancelled', bench.describe('b')
+
+
+async def _lost_appends(bench):
+    bench.submit('a')
+    for _ in range(6):
+        bench.log.lost_answers = 2
+        await bench.run(15)
+
+
+async def _start_long(bench, run_s=300.0, **options):
+    bench.submit('a', run_s=run_s, **options)
+    await bench.run(2)
+    assert bench.is_live('a')
+    return bench.job('a').holder
+
+
+async def _holder_leaves(bench):
+    holder = await _start_long(bench)
+    bench.daemons[holder].is_paused = True
+    bench.ask(records.DaemonLeft(holder))
+    await bench.run(350)
+
+
+async def _holder_paused(bench):
+    holder = await _start_long(bench, urgency=URGENT)
+    bench.daemons[holder].is_paused = True
+    await bench.run(100)
+    assert bench.job('a').holder != holder
+    bench.daemons[holder].is_paused = False
+    await bench.run(250)
+
+
+async def _holder_deaf(bench):
+    holder = await _start_long(bench, urgency=URGENT)
+    host = bench.job('a').host
+    bench.daemons[holder].is_deaf = True
+    for name, daemon in bench.daemons.items():
+        if name != holder:
+            daemon.workers.cut_hosts = {host}
+    await bench.run(150)
+    assert bench.job('a').host != host
+    await bench.run(350)
+
+
+async def _log_down(bench):
+    await _start_long(bench, run_s=700.0)
+    bench.log.is_down = True
+    await bench.run(600, 1.0)
+    assert bench.is_live('a')
+    bench.log.is_down = False
+    await bench.run(120, 1.0)
+
+
+async def _lost_start(bench):
+    bench.workers.lose_answer('start')
+    await _nothing(bench)
+
+
+async def _held_start(bench):
+    release = bench.workers.hold('start')
+    bench.submit('a')
+    await bench.turn()
+    bench.cancel('a')
+    await bench.run(3)
+    release.set()
+    await bench.run(3)
+    assert not bench.is_live('a')
+
+
+async def _lost_stop(bench):
+    await _start_long(bench)
+    bench.workers.lose_answer('stop')
+    bench.cancel('a')
+    await bench.run(5)
+
+
+async def _drain(bench, **options):
+    await _start_long(bench, **options)
+    bench.disrupt(bench.job('a').host)
+    await bench.run(400)
+
+
+async def _drain_whole(bench):
+    await _drain(bench)
+
+
+async def _drain_checkpoint(bench):
+    await _drain(bench, is_checkpointable=True)
+
+
+async def _lost_checkpoint(bench):
+    bench.workers.lose_answer('checkpoint')
+    await _drain(bench, is_checkpointable=True)
+
+
+async def _drain_unstarted(bench):
+    bench.workers.silent_hosts = set(bench.fleet.hosts)
+    bench.submit('a')
+    await bench.run(1)
+    bench.disrupt(bench.job('a').host)
+    bench.workers.silent_hosts.clear()
+    await bench.run(90)
+
+
+async def _worker_reboots(bench):
+    await _start_long(bench, urgency=URGENT)
+    bench.workers.crash(bench.job('a').host)
+    await bench.run(400)
+
+
+async def _host_down(bench):
+    await _start_long(bench, urgency=URGENT)
+    host = bench.job('a').host
+    bench.workers.silent_hosts.add(host)
+    bench.ask(records.HostReported(host, False, 'd1'))
+    await bench.run(500)
+
+
+async def _host_silent(bench):
+    await _start_long(bench, urgency=URGENT)
+    bench.workers.silent_hosts.add(bench.job('a').host)
+    await bench.run(40)
+    bench.workers.silent_hosts.clear()
+    await bench.run(300)
+
+
+async def _host_gone(bench):
+    bench.workers.gone = {'h1', 'h2'}
+    bench.submit('a', urgency=URGENT)
+    await bench.run(START_LIMIT_S)
+    assert bench.is_live('a')
+    await bench.run(90)
+
+
+async def _fill(bench, **options):
+    bench.submit('long', pool='q', cpu_cores=8.0, run_s=200.0, **options)
+    await bench.run(2)
+    assert bench.is_live('long')
+
+
+async def _throttle(bench):
+    await _fill(bench)
+    bench.submit('a', pool='q', cpu_cores=6.0, run_s=20.0, urgency=URGENT)
+    await bench.run(START_LIMIT_S)
+    assert bench.is_live('a')
+    assert bench.is_live('long')
+    await bench.run(250)
+    assert bench.describe('long') == 'done', bench.describe('long')
+    assert bench.workers.starts['long'] == 1
+
+
+async def _checkpoint(bench):
+    memory = {'memory_bytes': 10 * fake_jobs.GIB}
+    await _fill(bench, is_checkpointable=True, **memory)
+    bench.submit('a', pool='q', run_s=20.0, urgency=URGENT, **memory)
+    await bench.run(START_LIMIT_S)
+    assert bench.is_live('a')
+    await bench.run(300)
+    assert bench.describe('long') == 'done', bench.describe('long')
+
+
+async def _lost_throttle(bench):
+    await _start_long(bench, run_s=3000.0)
+    job = bench.job('a')
+    offset = bench.reader.next_offset
+    await bench.workers.throttle(job.host, job.lease, offset)
+    await bench.run(300)
+    assert _task(bench, job).state.value == 'running', _task(bench, job)
+
+
+async def _late_resume(bench):
+    await _start_long(bench, run_s=3000.0)
+    job = bench.job('a')
+    await bench.workers.throttle(job.host, job.lease, 900)
+    await bench.workers.resume(job.host, job.lease, 899)
+    assert _task(bench, job).state.value == 'throttled', _task(bench, job)
+
+
+def _task(bench, job):
+    return bench.workers.tasks[job.lease]
+
+
+_FAULTS = {
+    'nothing': _nothing,
+    'both daemons place into the last room': _last_room,
+    'every record stands twice in the log': _doubled,
+    'answers of the log are lost': _lost_appends,
+    'the holder leaves and another takes its jobs': _holder_leaves,
+    'the holder is paused and wakes': _holder_paused,
+    'the holder is cut off from the log and keeps renewing': _holder_deaf,
+    'the log is down for ten minutes': _log_down,
+    'the answer to a start is lost': _lost_start,
+    'a start is held back until the job is cancelled': _held_start,
+    'the answer to a stop is lost': _lost_stop,
+    'the answer to a checkpoint is lost': _lost_checkpoint,
+    'a worker reboots and knows nothing': _worker_reboots,
+    'a host is down for good': _host_down,
+    'a host is silent for a moment': _host_silent,
+    'a host is gone but still listed': _host_gone,
+    'a draining host runs a job without checkpoints': _drain_whole,
+    'a draining host runs a job with checkpoints': _drain_checkpoint,
+    'a draining host was about to start a job': _drain_unstarted,
+    'long work is throttled and resumed': _throttle,
+    'memory is short so long work is checkpointed': _checkpoint,
+    'the daemon is lost after it throttled': _lost_throttle,
+    'a late resume meets a newer throttle': _late_resume,
+}
+
+
+@given('placers d1 and d2')
+def make_bench(context):
+    context.bench = placers.Bench()
+
+
+@when('this happens: {fault}')
+def happen(context, fault):
+    asyncio.run(_FAULTS[fault](context.bench))
+
+
+@then('job {job_id} is {status} after {starts:d} starts')
+def check_job(context, job_id, status, starts):
+    bench = context.bench
+    assert bench.describe(job_id) == status, bench.describe(job_id)
+    assert bench.workers.starts[job_id] == starts, bench.workers.starts
+
+
+@when('{count:d} jobs run while host h1 fails every task')
+def run_bad(context, count):
+    context.bench.workers.bad_hosts = {'h1'}
+    context.job_ids = [f'j{number}' for number in range(count)]
+    asyncio.run(_run_all(context.bench, context.job_ids))
+
+
+async def _run_all(bench, job_ids):
+    for job_id in job_ids:
+        bench.submit(job_id, cpu_cores=2.0, run_s=30.0)
+    await bench.run(150)
+
+
+@then('all of them are done')
+def check_done(context):
+    found = {key: context.bench.describe(key) for key in context.job_ids}
+    assert set(found.values()) == {'done'}, found
+
+
+@then('host h1 is in quarantine, and released after it was mended')
+def check_quarantine(context):
+    bench = context.bench
+    assert list(bench.reader.quarantines) == ['h1'], bench.reader.quarantines
+    bench.workers.bad_hosts = set()
+    bench.clock.time_s += 400
+    jobs = [f'k{number}' for number in range(40)]
+    asyncio.run(_run_all(bench, jobs))
+    assert not bench.reader.quarantines, bench.reader.quarantines
+
+
+@when('job a fails on every host')
+def fail_everywhere(context):
+    context.bench.workers.bad_hosts = set(context.bench.fleet.hosts)
+    asyncio.run(_nothing(context.bench))
+
+
+@then('no host is in quarantine')
+def check_no_quarantine(context):
+    assert not context.bench.reader.quarantines
+
+
+@when('{count:d} jobs are submitted and cancelled in one burst')
+def burst(context, count):
+    asyncio.run(_burst(context.bench, count))
+
+
+async def _burst(bench, count):
+    for number in range(count):
+        bench.submit(f'j{number}', run_s=1000.0)
+    await bench.run(2)
+    assert bench.workers.live_jobs()
+    for number in range(count):
+        bench.cancel(f'j{number}')
+
+
+@then('every job is cancelled within {turns:d} turns')
+def check_burst(context, turns):
+    async def run():
+        for _ in range(turns):
+            await context.bench.turn()
+
+    asyncio.run(run())
+    assert not context.bench.reader.jobs, len(context.bench.reader.jobs)
+    assert not context.bench.workers.live_jobs()
+
+
+@when('the only large host leaves the pool while job a waits for it')
+def lose_large(context):
+    bench = context.bench
+    bench.submit('b', pool='q', cpu_cores=8.0)
+    bench.submit('a', pool='q', cpu_cores=8.0)
+    asyncio.run(bench.run(1))
+    for state in (bench.reader, *(d.state for d in bench.daemons.values())):
+        hosts = {**bench.fleet.hosts, 'g1': fake_jobs.make_host('p')}
+        state.fleet = attrs.evolve(state.fleet, hosts=hosts)
+        state.revision += 1
+    asyncio.run(bench.run(2))
+
+
+class _Story:
+    """Draw events against one bench."""
+
+    def __init__(self, draw):
+        self._draw = draw
+        self.bench = placers.Bench(daemons=('d1', 'd2', 'd3'))
+        self._jobs = 0
+        self._events = [
+            self._submit,
+            self._submit,
+            self._cancel,
+            self._pause,
+            self._silence,
+            self._lose,
+            self._crash,
+            self._log,
+            self._double,
+        ]
+
+    async def tell(self, events):
+        """Let events happen, then let the faults be over."""
+        for _ in range(events):
+            self._draw(strategies.sampled_from(self._events))()
+            await self.bench.run(self._draw(strategies.integers(0, 8)), 0.5)
+        self._mend()
+        await self.bench.run(END_TURNS_S, 3.0)
+
+    def _submit(self):
+        self._jobs += 1
+        self.bench.log.is_down = False
+        self.bench.submit(
+            f'j{self._jobs}',
+            run_s=self._draw(strategies.sampled_from([5.0, 40.0, 200.0])),
+            cpu_cores=self._draw(strategies.sampled_from([1.0, 3.0, 8.0])),
+            pool=self._draw(strategies.sampled_from(['p', 'q'])),
+            urgency=self._draw(
+                strategies.sampled_from(job_records.JobUrgency)
+            ),
+            is_checkpointable=self._draw(strategies.booleans()),
+        )
+
+    def _cancel(self):
+        known = sorted(self.bench.reader.jobs)
+        if known:
+            self.bench.log.is_down = False
+            self.bench.cancel(self._draw(strategies.sampled_from(known)))
+
+    def _daemon(self):
+        names = sorted(self.bench.daemons)
+        return self.bench.daemons[self._draw(strategies.sampled_from(names))]
+
+    def _pause(self):
+        daemon = self._daemon()
+        daemon.is_paused = not daemon.is_paused
+
+    def _host(self):
+        return self._draw(
+            strategies.sampled_from(sorted(self.bench.fleet.hosts))
+        )
+
+    def _silence(self):
+        self.bench.workers.silent_hosts ^= {self._host()}
+
+    def _lose(self):
+        verbs = ['start', 'stop', 'checkpoint', 'throttle', 'resume', 'renew']
+        self.bench.workers.faults.clear()
+        self.bench.workers.lose_answer(
+            self._draw(strategies.sampled_from(verbs))
+        )
+
+    def _crash(self):
+        self.bench.workers.crash(self._host())
+
+    def _log(self):
+        self.bench.log.is_down = not self.bench.log.is_down
+
+    def _double(self):
+        self.bench.log.is_doubling = not self.bench.log.is_doubling
+        self.bench.log.lost_answers = 2
+
+    def _mend(self):
+        self.bench.log.is_down = False
+        self.bench.workers.silent_hosts.clear()
+        for daemon in self.bench.daemons.values():
+            daemon.is_paused = False
+
+
+@when('{count:d} random events meet 3 placers with seed {seed:d}')
+def interleave(context, count, seed):
+    @hypothesis.seed(seed)
+    @hypothesis.settings(
+        max_examples=4,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(strategies.data())
+    def explore(data):
+        story = _Story(data.draw)
+        asyncio.run(story.tell(count))
+        context.left.append(dict(story.bench.reader.jobs))
+
+    context.left = []
+    explore()
+
+
+@then('every job ends once the faults are over')
+def check_explored(context):
+    assert context.left
+    assert not any(context.left), context.left
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/job_records.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/job_records.py
@@ -104,6 +104,7 @@
 
     :ivar lease: the lease token
     :ivar progress_s: run time that a checkpoint has kept
+    :ivar seen_offset: what the writer had folded when it decided so
     """
 
     job_id: str
@@ -111,6 +112,7 @@
     step: JobStep
     holder: str
     progress_s: float = 0.0
+    seen_offset: int = 0
     usage: JobUsage = attrs.Factory(JobUsage)
 
 
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/job_rules.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/job_rules.py
@@ -109,7 +109,9 @@
     if refusal is not None:
         return refusal
     leases.note_holder(state, body.holder)
-    capacity = jobs_module.capacity_of(state.fleet.hosts[body.host])
+    host = state.fleet.hosts[body.host]
+    capacity = jobs_module.capacity_of(host)
+    charge = usage.corrected(state, job, capacity)
     placed = attrs.evolve(
         job,
         status=_Status.PLACED,
@@ -117,7 +119,9 @@
         holder=body.holder,
         lease=offset,
         placed_s=state.log_time_s,
-        charge=usage.corrected(state, job, capacity),
+        charge=charge,
+        full_charge=charge,
+        domains=jobs_module.domains_of(host),
     )
     jobs_module.replace(state, job, placed)
     return None
@@ -145,7 +149,7 @@
     if host in job.failed_hosts:
         return f'the job failed on host {host!r} before'
     charge = usage.corrected(state, job, jobs_module.capacity_of(declared))
-    if not charge.fits(jobs_module.room_on(state, host)):
+    if not charge.fits(pools.room_on(state, host)):
         return f'host {host!r} has no room'
     return quotas.refuse(state, job.workspace, job.size) or quarantine.refuse(
         state, host, job.is_urgent
@@ -168,32 +172,34 @@
 
 
 def _run(body, state, offset, job):
-    charge = job.charge
-    if job.status is _Status.THROTTLED:
-        charge = resumed_charge(state, job)
-        if charge is None:
-            return f'host {job.host!r} has no room to resume {job.job_id!r}'
+    if not can_resume(state, job):
+        return f'host {job.host!r} has no room to resume {job.job_id!r}'
     running = attrs.evolve(
-        job, status=_Status.RUNNING, charge=charge, abandoned_s=0.0
+        job,
+        status=_Status.RUNNING,
+        charge=job.full_charge,
+        ran_offset=offset,
+        abandoned_s=0.0,
     )
     jobs_module.replace(state, job, running)
     return None
 
 
-def resumed_charge(state, job):
-    """Return the charge of a throttled job run in full; None without room."""
-    declared = state.fleet.hosts.get(job.host)
-    if declared is None:
-        return None
-    capacity = jobs_module.capacity_of(declared)
-    charge = usage.corrected(state, job, capacity)
-    room = jobs_module.room_on(state, job.host).plus(job.charge)
-    return charge if charge.fits(room) else None
+def can_resume(state, job):
+    """Tell whether a placed job's host has room to run it in full."""
+    if job.charge == job.full_charge:
+        return True
+    if job.host not in state.fleet.hosts:
+        return False
+    room = pools.room_on(state, job.host).plus(job.charge)
+    return job.full_charge.fits(room)
 
 
 def _throttle(body, state, offset, job):
     if job.status is not _Status.RUNNING:
         return f'job {job.job_id!r} is {job.status.value}'
+    if body.seen_offset <= job.ran_offset:
+        return f'job {job.job_id!r} was resumed at offset {job.ran_offset}'
     throttled = attrs.evolve(
         job, status=_Status.THROTTLED, charge=job.charge.throttled()
     )
@@ -256,6 +262,9 @@
         holder='',
         lease=-1,
         charge=jobs_module.Size(),
+        full_charge=jobs_module.Size(),
+        ran_offset=-1,
+        domains=(),
         abandoned_s=0.0,
         **changes,
     )
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/jobs.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/jobs.py
@@ -70,6 +70,9 @@
     :ivar queued_offset: offset of the record that queued it last
     :ivar lease: token of its placement; negative while queued
     :ivar abandoned_s: log time of the last renewal; zero while renewed
+    :ivar full_charge: charge while it is not throttled
+    :ivar ran_offset: offset of the record that had it run in full last
+    :ivar domains: rack and availability zone of its host
     :ivar failed_hosts: hosts that it failed on
     """
 
@@ -89,11 +92,19 @@
     placed_s: float = 0.0
     abandoned_s: float = 0.0
     charge: Size = Size()
+    full_charge: Size = Size()
+    ran_offset: int = -1
+    domains: tuple[str, ...] = ()
     is_cancelled: bool = False
     has_checkpoint: bool = False
     failed_hosts: tuple[str, ...] = ()
     lapses: int = 0
 
+    @property
+    def group(self):
+        """Return the group whose jobs behave alike: workspace and pool."""
+        return f'{self.workspace}/{self.pool}'
+
     @property
     def is_urgent(self):
         """Tell whether it has to start at once."""
@@ -139,9 +150,11 @@
     :ivar on_host: placed jobs, by host
     :ivar quota_used: declared capacity of placed jobs, by workspace
     :ivar long_used: charged to long jobs, by pool
+    :ivar spread: placed jobs by rack and by zone, by group
     :ivar queues: queued jobs, by pool
     :ivar pending: jobs to be started or stopped, in order
     :ivar throttled: throttled jobs, in order
+    :ivar abandoned: jobs whose lease is not renewed, in order
     :ivar held: placed jobs, by holder
     """
 
@@ -149,9 +162,11 @@
     on_host: dict[str, dict[str, None]] = attrs.Factory(dict)
     quota_used: dict[str, Size] = attrs.Factory(dict)
     long_used: dict[str, Size] = attrs.Factory(dict)
+    spread: dict[str, dict[str, int]] = attrs.Factory(dict)
     queues: dict[str, Queue] = attrs.Factory(dict)
     pending: dict[str, None] = attrs.Factory(dict)
     throttled: dict[str, None] = attrs.Factory(dict)
+    abandoned: dict[str, None] = attrs.Factory(dict)
     held: dict[str, dict[str, None]] = attrs.Factory(dict)
 
     def add(self, job):
@@ -161,12 +176,15 @@
             queue.of(job.urgency)[job.job_id] = None
             return
         self._charge(job, Size.plus)
+        self._spread(job, 1)
         self.on_host.setdefault(job.host, {})[job.job_id] = None
         self.held.setdefault(job.holder, {})[job.job_id] = None
         if job.is_cancelled or job.status is JobStatus.PLACED:
             self.pending[job.job_id] = None
         if job.status is JobStatus.THROTTLED:
             self.throttled[job.job_id] = None
+        if job.abandoned_s:
+            self.abandoned[job.job_id] = None
 
     def remove(self, job):
         """Forget a job that was counted as it stands."""
@@ -177,10 +195,12 @@
                 del self.queues[job.pool]
             return
         self._charge(job, Size.minus)
+        self._spread(job, -1)
         _discard(self.on_host, job.host, job.job_id)
         _discard(self.held, job.holder, job.job_id)
         self.pending.pop(job.job_id, None)
         self.throttled.pop(job.job_id, None)
+        self.abandoned.pop(job.job_id, None)
 
     def _charge(self, job, change):
         _change(self.used, job.host, change, job.charge)
@@ -188,6 +208,15 @@
         if not job.is_urgent:
             _change(self.long_used, job.pool, change, job.charge)
 
+    def _spread(self, job, change):
+        counts = self.spread.setdefault(job.group, {})
+        for domain in job.domains:
+            counts[domain] = counts.get(domain, 0) + change
+            if not counts[domain]:
+                del counts[domain]
+        if not counts:
+            del self.spread[job.group]
+
 
 def _change(totals, key, change, size):
     total = change(totals.get(key, Size()), size)
@@ -224,10 +253,14 @@
     )
 
 
-def room_on(state, name):
-    """Return the capacity of a host that no job is charged for."""
-    used = state.ledger.used.get(name, Size())
-    return capacity_of(state.fleet.hosts[name]).minus(used)
+def rack_key(host):
+    """Return a name for a declared host's rack that no zone has."""
+    return f'{host.zone}/{host.rack}'
+
+
+def domains_of(host):
+    """Return the failure domains of a declared host."""
+    return rack_key(host), host.zone
 
 
 def on_host(state, name):
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/pools.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/pools.py
@@ -2,26 +2,57 @@
 
 import attrs
 
+from . import jobs as jobs_module
+
 
 @attrs.define
 class PoolIndex:
-    """Hold the names of each pool's hosts, for one revision."""
+    """Hold each pool's hosts and whole capacity, for one revision."""
 
     revision: int = -1
     hosts: dict[str, tuple[str, ...]] = attrs.Factory(dict)
+    host_capacity: dict[str, jobs_module.Size] = attrs.Factory(dict)
+    capacity: dict[str, jobs_module.Size] = attrs.Factory(dict)
 
 
 def hosts_of(state, pool):
     """Return the names of the hosts that a pool has now."""
+    return _index(state).hosts.get(pool, ())
+
+
+def capacity_of(state, pool):
+    """Return the whole capacity of a pool."""
+    return _index(state).capacity.get(pool, jobs_module.Size())
+
+
+def host_capacity(state, name):
+    """Return the whole capacity of a declared host."""
+    return _index(state).host_capacity[name]
+
+
+def room_on(state, name):
+    """Return the capacity of a host that no job is charged for."""
+    capacity = host_capacity(state, name)
+    used = state.ledger.used.get(name)
+    return capacity if used is None else capacity.minus(used)
+
+
+def _index(state):
     index = state.pool_index
     if index.revision != state.revision:
         _rebuild(index, state)
-    return index.hosts.get(pool, ())
+    return index
 
 
 def _rebuild(index, state):
     groups = {}
+    index.capacity = {}
+    index.host_capacity = {}
     for name, host in state.fleet.hosts.items():
         groups.setdefault(host.pool, []).append(name)
+        known = index.capacity.get(host.pool, jobs_module.Size())
+        size = jobs_module.capacity_of(host)
+        index.host_capacity[name] = size
+        index.capacity[host.pool] = known.plus(size)
     index.hosts = {pool: tuple(names) for pool, names in groups.items()}
     index.revision = state.revision
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/usage.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/usage.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from . import jobs
+
 MIN_SAMPLES = 8.0
 MAX_SAMPLES = 64.0
 MIN_CPU_FACTOR = 0.5
@@ -58,18 +60,13 @@
     memory: Ratio = attrs.Factory(Ratio)
 
 
-def group_of(job):
-    """Return the group whose jobs behave alike: workspace and pool."""
-    return f'{job.workspace}/{job.pool}'
-
-
 def note(state, job, observed):
     """Take in what a task used; a report of nothing is left out."""
     is_number = math.isfinite(observed.cpu_cores)
     if not is_number or min(observed.cpu_cores, observed.memory_bytes) <= 0:
         return
-    known = state.usage.get(group_of(job), Usage())
-    state.usage[group_of(job)] = Usage(
+    known = state.usage.get(job.group, Usage())
+    state.usage[job.group] = Usage(
         known.cpu.with_sample(
             observed.cpu_cores * 1000 / job.size.cpu_millicores
         ),
@@ -85,18 +82,16 @@
     It never exceeds a host that the declared size fits into, so that a
     correction can't make a job impossible to run.
     """
-    known = state.usage.get(group_of(job))
+    known = state.usage.get(job.group)
     if known is None:
         return job.size
     cpu = known.cpu.factor(MIN_CPU_FACTOR, MAX_CPU_FACTOR)
     memory = known.memory.factor(MIN_MEMORY_FACTOR, MAX_MEMORY_FACTOR)
     size = job.size
-    return attrs.evolve(
-        size,
-        cpu_millicores=_scale(
-            size.cpu_millicores, cpu, capacity.cpu_millicores
-        ),
-        memory_bytes=_scale(size.memory_bytes, memory, capacity.memory_bytes),
+    return jobs.Size(
+        _scale(size.cpu_millicores, cpu, capacity.cpu_millicores),
+        _scale(size.memory_bytes, memory, capacity.memory_bytes),
+        size.accelerators,
     )
 
 
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/protocols.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/protocols.py
@@ -86,4 +86,56 @@
         """Let a drained host take tasks again."""
 
 
+class Workers(typing.Protocol):
+    """Have workers run tasks under leases.
+
+    A token stands for one try to run a job. Every call may be repeated, and
+    answers with the task's status. A token that has ended never runs again.
+    """
+
+    async def reports(self, cursor):
+        """Return the reports that came since a cursor; they lag.
+
+        :rtype: tasks.ReportPage
+        """
+
+    async def tasks(self, host):
+        """Return the status of each task of a host, up to date.
+
+        :rtype: dict[int, tasks.TaskStatus]
+        """
+
+    async def start(self, host, order):
+        """Start a task, unless its token is known or its lease is over.
+
+        :param order: a :class:`tasks.TaskOrder`
+        :raises errors.OutcomeUnknown: it may have started
+        """
+
+    async def renew(self, host, until_s):
+        """Extend leases, and return the status of each token known.
+
+        :param until_s: end of each lease by token, since the epoch; an
+            end earlier than the one in force changes nothing
+        """
+
+    async def throttle(self, host, token, version):
+        """Have a task run slowly.
+
+        :param version: grows with each wish about the task
+        """
+
+    async def resume(self, host, token, version):
+        """Have a throttled task run in full, unless throttled later."""
+
+    async def checkpoint(self, host, token):
+        """Keep a task's progress and end it.
+
+        :raises errors.PlatformRefused: it can't be checkpointed
+        """
+
+    async def stop(self, host, token):
+        """End a task, or see that it never starts."""
+
+
 HostStatus = maintenance.HostStatus
