--- a/features/placement_records.feature
+++ b/features/placement_records.feature
@@ -36,6 +36,7 @@
       | a holder that never joined   | submit a; place a h1 by=d9                                       | ok no          | queued        |
       | an old placement come again  | submit a; place a h1; step a checkpointed; repeat 1              | ok ok ok no    | queued        |
       | room made by throttling      | submit b cpu=8; submit a; place b h1; step b running; step b throttled; place a h1 | ok ok ok ok ok ok | placed on h1 |
+      | a throttle older than a run  | submit a; place a h1; step a running; step a throttled seen=4    | ok ok ok no    | running on h1 |
       | no room to resume            | submit b cpu=8; submit a; place b h1; step b running; step b throttled; place a h1; step b running | ok ok ok ok ok ok no | placed on h1 |
 
     Examples: Ends and cancellations
