--- a/measure/fleets.py
+++ b/measure/fleets.py
@@ -31,7 +31,7 @@
             f'e{n}': {
                 'service': f's{n % pools}',
                 'host': f'h{n}',
-                'address': f'10.{n // 65536}.{n // 256 % 256}.{n % 256}:7000',
+                'address': f'127.250.{n // 256}.{n % 256}:9',
             }
             for n in range(hosts)
         },
