--- a/features/state_fold.feature
+++ b/features/state_fold.feature
@@ -72,7 +72,7 @@
       | 2       | a:900 stranger:5 | 0     |
       | 1       | a:5              | 5     |
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario: Checking an entry gives what checking the whole gives
     Then any series of patches is decided as the whole check decides it
 
