--- a/features/state_log.feature
+++ b/features/state_log.feature
@@ -39,7 +39,7 @@
       | finds the log expired and no peer            | not ready |
       | finds rules that it does not know            | not ready |
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario Outline: A frozen reader whose offset expired skips nothing
     Given 3 daemons with the fleet of Vltava and some history
     When daemon "c" is frozen over 5 applies
@@ -55,7 +55,7 @@
       | its peers                |
       | the checkpoint alone     |
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario: A frozen reader without peer and checkpoint stays where it is
     Given 3 daemons with the fleet of Vltava and some history
     When daemon "c" is frozen over 5 applies
@@ -63,7 +63,7 @@
     And daemon "c" wakes with nothing
     Then daemon "c" has the state it had
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario Outline: Daemons are all replaced <how>
     Given 3 daemons with the fleet of Vltava and some history
     When daemon "a" writes a checkpoint
@@ -78,7 +78,7 @@
       | one by one |
       | at once    |
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario Outline: A log that comes back <fault> reverts nobody
     Given 3 daemons with the fleet of Vltava and some history
     And daemon "c" is <behind> records behind
@@ -97,14 +97,14 @@
       | 3 entries shorter     | 2      |
       | without any stream    | 0      |
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario: A log that shows an old tail for a while is not begun anew
     Given 3 daemons with the fleet of Vltava and some history
     When the log shows an old tail for 5 s
     Then no epoch is begun
     And an apply is accepted as the next revision
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario: A daemon that alone knows more stays where it is
     Given 3 daemons with the fleet of Vltava and some history
     When daemon "c" alone reads 2 applies that the log then loses
@@ -128,11 +128,11 @@
     When 10 times the retention pass
     Then between 20 and 40 checkpoints are written
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario: Any interleaving gives equal digests and never goes back
     Then no series of faults makes daemons differ or go back
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario Outline: Of <operators> operators who race one wins
     Given 3 daemons with the fleet of Vltava and some history
     When <operators> operators apply from one revision, answers <answers>
