Let supervisors form a tree

Cause: one flat supervisor ran all of a daemon's tasks, though the house style asks for a tree, and no scenario showed a restart or its limit. Ruled out: TaskGroup of the library, which cancels all children at the first failure and in no order.

--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
@@ -146,6 +146,7 @@
             rng,
         )
         self._supervisor = supervisor.Supervisor(
+            'daemon',
             [
                 reader,
                 appender,
@@ -184,10 +185,20 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopping.set)
         try:
-            await self._supervisor.run(stopping)
+            await self._run_until(stopping)
         finally:
             await self._close()
 
+    async def _run_until(self, stopping):
+        running = asyncio.create_task(self._supervisor.run())
+        waiting = asyncio.create_task(stopping.wait())
+        await asyncio.wait(
+            [running, waiting], return_when=asyncio.FIRST_COMPLETED
+        )
+        waiting.cancel()
+        await self._supervisor.stop()
+        await running
+
     async def _close(self):
         await self._endpoints.close()
         for connection in self._transports:
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/supervisor.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/supervisor.py
@@ -1,6 +1,7 @@
 """Start tasks in order, restart those that fail, stop them in reverse."""
 
 import asyncio
+import itertools
 import typing
 
 from hawthorndeal_fleet import errors
@@ -36,34 +37,47 @@
 class Supervisor:
     """Keep children running; a failure it can't mend goes up.
 
+    It is a child itself, so that supervisors form a tree.
+
+    :param name: for its own supervisor and the log
     :param children: started in this order and stopped in reverse
     :param clock: tells the time
     """
 
-    def __init__(self, children, clock):
+    def __init__(self, name, children, clock):
+        self.name = name
         self._children = tuple(children)
         self._clock = clock
+        self._tasks = ()
 
-    async def run(self, stopping):
-        """Run the children until an event is set, then stop them.
+    async def run(self):
+        """Run the children until cancelled.
 
-        :param stopping: the event to wait for
         :raises TooManyRestarts: when a child keeps failing
         """
-        tasks = [
+        self._tasks = tuple(
             asyncio.create_task(self._keep(child), name=child.name)
             for child in self._children
-        ]
-        waiter = asyncio.create_task(stopping.wait())
+        )
         try:
             done, _ = await asyncio.wait(
-                [waiter, *tasks], return_when=asyncio.FIRST_COMPLETED
+                self._tasks, return_when=asyncio.FIRST_EXCEPTION
             )
-            for task in done - {waiter}:
+            # Children that were stopped are cancelled, which is no failure.
+            for task in itertools.filterfalse(asyncio.Task.cancelled, done):
                 task.result()
         finally:
-            waiter.cancel()
-            await self._stop(tasks)
+            await self.stop()
+
+    async def stop(self):
+        """Stop the children, the last one first."""
+        tasks, self._tasks = self._tasks, ()
+        for child, task in reversed(list(zip(self._children, tasks))):
+            if not task.done():
+                await child.stop()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            _log.info('%s stopped.', child.name)
 
     async def _keep(self, child):
         failures_s = []
@@ -74,22 +88,18 @@
             except Exception as error:
                 _log.exception('%s failed.', child.name)
                 now_s = self._clock.monotonic_s()
-                failures_s = [
-                    then_s
-                    for then_s in (*failures_s, now_s)
-                    if then_s > now_s - RESTART_WINDOW_S
-                ]
+                failures_s = _recent(failures_s, now_s)
                 if len(failures_s) > MAX_RESTARTS:
                     raise TooManyRestarts(child.name) from error
                 await asyncio.sleep(_back_off_s(len(failures_s)))
 
-    async def _stop(self, tasks):
-        for child, task in reversed(list(zip(self._children, tasks))):
-            if not task.done():
-                await child.stop()
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
-            _log.info('%s stopped.', child.name)
+
+def _recent(failures_s, now_s):
+    return [
+        then_s
+        for then_s in (*failures_s, now_s)
+        if then_s > now_s - RESTART_WINDOW_S
+    ]
 
 
 def _back_off_s(failures):
