Sum up zones for each other, begin an epoch by majority only

Cause: every daemon sent its whole digest to every other, whatever had changed, so that cost grew with all pairs. An epoch that was begun in the moment in which the log's end came back, and taken up by nobody, would have left all daemons stranded at the next real loss; and a daemon that heard nobody could begin one alone.

Change: whole digests go within a zone, and only their version where nothing changed; one member of a zone exchanges a sum with each other zone and hands on what it hears; a sum tells the least offset, who is behind, who is silent and all requests in flight to hosts being worked on, and says nothing of members that joined after it. Bytes are counted. Messages leave out fields that have their default. An epoch is begun only by a daemon that hears more than half of the members; one that a majority never took up is passed over.

--- a/features/stage/folding.py
+++ b/features/stage/folding.py
@@ -41,10 +41,13 @@
 
 
 class Folded:
-    """Keep a state and fold records into it at the next offset."""
+    """Keep a state and fold records into it at the next offset.
 
-    def __init__(self):
-        self.state = state_module.State()
+    :param state: the state to begin with; an empty one where None
+    """
+
+    def __init__(self, state=None):
+        self.state = state or state_module.State()
 
     def add_data(self, data):
         """Fold plain data and return the decision."""
--- a/features/stage/nodes.py
+++ b/features/stage/nodes.py
@@ -174,10 +174,8 @@
             zone='',
             next_offset=state.next_offset,
             revision=state.revision,
-            fingerprint='',
             busy_hosts={},
-            epoch=state.epoch,
-            digest=state.digest,
+            point=history.point_of(state),
             is_log_behind=self.follower.is_log_behind,
         )
 
@@ -194,7 +192,7 @@
         state = self.state
         self.seen.append((state.next_offset, state.revision))
         for node in self._cluster.nodes.values():
-            assert not history.is_diverged(state, node.digest()), (
+            assert not history.is_diverged(state, node.digest().point), (
                 self.name,
                 node.name,
                 state.next_offset,
@@ -206,9 +204,7 @@
         data = folding.encode(
             body, record_id, self.name, self._cluster.clock.now_s()
         )
-        if self.follower.is_log_behind:
-            raise errors.PlatformUnavailable('the log lost its end')
-        await self.link.append(self.follower.stream, [data])
+        await self.writer.append([data])
         return record_id
 
     async def join(self):
--- a/features/state_log.feature
+++ b/features/state_log.feature
@@ -104,6 +104,22 @@
     Then no epoch is begun
     And an apply is accepted as the next revision
 
+  @invariant_configuration
+  Scenario: An epoch that nobody took up is passed over
+    Given 3 daemons with the fleet of Vltava and some history
+    When an epoch is begun in that moment and taken up by nobody
+    And the log comes back empty
+    And time passes until epoch 2 is begun
+    Then all daemons have the state from before
+    And an apply is accepted as the next revision
+
+  @invariant_configuration
+  Scenario: A daemon that hears no majority begins nothing
+    Given 3 daemons with the fleet of Vltava and some history
+    When all daemons are cut off from each other
+    And the log comes back empty
+    Then no daemon begins an epoch
+
   @invariant_configuration
   Scenario: A daemon that alone knows more stays where it is
     Given 3 daemons with the fleet of Vltava and some history
--- a/features/steps/state_log.py
+++ b/features/steps/state_log.py
@@ -18,20 +18,12 @@
 
 from stage import fleets
 from stage import folding
+from stage import looping
 from stage import nodes
 
 LOST = nodes.RESTART_WAIT_S / 2
 
 
-# Queues stay bound to the loop that first waited on them.
-_RUNNER = asyncio.Runner()
-
-
-def run(awaitable):
-    """Run one step of a scenario to its end."""
-    return _RUNNER.run(awaitable)
-
-
 async def _make_history(cluster):
     first = cluster.nodes['a']
     await first.send(folding.claimed())
@@ -54,9 +46,9 @@
 @given('{count:d} daemons with the fleet of Vltava and some history')
 def start(context, count):
     context.cluster = nodes.Cluster('abc'[:count])
-    run(context.cluster.start(context.load_example('vltava.yaml')))
-    run(_make_history(context.cluster))
-    run(context.cluster.catch_up())
+    looping.run(context.cluster.start(context.load_example('vltava.yaml')))
+    looping.run(_make_history(context.cluster))
+    looping.run(context.cluster.catch_up())
     context.before = copy.deepcopy(context.cluster.nodes['a'].state)
 
 
@@ -94,7 +86,7 @@
         checkpoint.MAX_PART_CHARS = limit
         assert len(context.parts[name]) == 3
         context.texts[f'the {name} one'] = text
-        run(_apply(context.cluster, 1))
+        looping.run(_apply(context.cluster, 1))
 
 
 def _stream_entries(entries, old, new):
@@ -151,7 +143,7 @@
 
 @when('another daemon {starts}')
 def begin_daemon(context, starts):
-    context.node = run(_begin_daemon(context, starts))
+    context.node = looping.run(_begin_daemon(context, starts))
 
 
 @then('that daemon is {ready}')
@@ -162,18 +154,18 @@
 @when('daemon "{name}" is frozen over {count:d} applies')
 def freeze(context, name, count):
     context.frozen = copy.deepcopy(context.cluster.nodes[name].state)
-    run(_apply(context.cluster, count))
+    looping.run(_apply(context.cluster, count))
 
 
 @when('daemon "{name}" writes a checkpoint')
 def write_checkpoint(context, name):
     node = context.cluster.nodes[name]
-    context.kept_offset = run(node.checkpointer.write_now())
+    context.kept_offset = looping.run(node.checkpointer.write_now())
 
 
 @when('{count:d} applies follow')
 def follow(context, count):
-    run(_apply(context.cluster, count))
+    looping.run(_apply(context.cluster, count))
     context.before = copy.deepcopy(context.cluster.nodes['a'].state)
 
 
@@ -192,7 +184,7 @@
 def wake(context, name, helper):
     node = context.cluster.nodes[name]
     node.is_cut_off = helper != 'its peers'
-    run(node.catch_up())
+    looping.run(node.catch_up())
 
 
 def _same_state(node, state):
@@ -201,7 +193,7 @@
 
 @then('daemon "{name}" has the state of daemon "{other}"')
 def check_same(context, name, other):
-    run(context.cluster.catch_up())
+    looping.run(context.cluster.catch_up())
     state = context.cluster.nodes[other].state
     _same_state(context.cluster.nodes[name], state)
 
@@ -219,14 +211,14 @@
 @when('all daemons are replaced one by one')
 def replace_each(context):
     for name in context.cluster.nodes:
-        run(context.cluster.add(name).catch_up())
+        looping.run(context.cluster.add(name).catch_up())
 
 
 @when('all daemons are replaced at once')
 def replace_all(context):
     for name in context.cluster.nodes:
         context.cluster.add(name)
-    run(context.cluster.catch_up())
+    looping.run(context.cluster.catch_up())
 
 
 @then('all daemons have the state from before')
@@ -242,8 +234,8 @@
 @then('an apply is accepted as the next revision')
 def check_apply(context):
     cluster = context.cluster
-    run(_apply(cluster, 1))
-    run(cluster.catch_up())
+    looping.run(_apply(cluster, 1))
+    looping.run(cluster.catch_up())
     for node in cluster.nodes.values():
         assert node.state.revision == context.before.revision + 1, node.name
 
@@ -251,7 +243,7 @@
 @given('daemon "{name}" is {count:d} records behind')
 def fall_behind(context, name, count):
     if count:
-        run(_apply(context.cluster, count))
+        looping.run(_apply(context.cluster, count))
     context.before = copy.deepcopy(context.cluster.nodes['a'].state)
 
 
@@ -267,7 +259,7 @@
 @when('the log comes back {fault}')
 def come_back(context, fault):
     _lose(context.cluster, fault)
-    run(context.cluster.catch_up())
+    looping.run(context.cluster.catch_up())
 
 
 async def _refused(node):
@@ -281,8 +273,8 @@
 @then('nobody accepts an append until it is begun anew')
 def check_refused(context):
     cluster = context.cluster
-    assert all(run(_refused(node)) for node in cluster.nodes.values())
-    run(cluster.settle())
+    assert all(looping.run(_refused(node)) for node in cluster.nodes.values())
+    looping.run(cluster.settle())
     epochs = {node.state.epoch for node in cluster.nodes.values()}
     assert epochs == {1}, epochs
 
@@ -290,8 +282,8 @@
 @then('a daemon that joins has the state of daemon "{name}"')
 def check_joiner(context, name):
     joiner = context.cluster.add('new')
-    run(joiner.join())
-    run(context.cluster.catch_up())
+    looping.run(joiner.join())
+    looping.run(context.cluster.catch_up())
     assert joiner.follower.is_ready
     _same_state(joiner, context.cluster.nodes[name].state)
 
@@ -301,23 +293,55 @@
     cluster = context.cluster
     entries = list(cluster.streams._entries[nodes.STREAM])
     cluster.streams.truncate(nodes.STREAM, 2)
-    run(cluster.catch_up())
+    looping.run(cluster.catch_up())
     cluster.clock.time_s += LOST
-    run(_look_after_epochs(cluster))
+    looping.run(_look_after_epochs(cluster))
     cluster.streams._entries[nodes.STREAM][:] = entries
-    run(cluster.catch_up())
+    looping.run(cluster.catch_up())
 
 
 async def _look_after_epochs(cluster):
     for node in cluster.nodes.values():
         node.hear()
     for node in cluster.nodes.values():
+        # The second look takes up what the first began.
+        await node.restarter.check()
         await node.restarter.check()
 
 
+@when('an epoch is begun in that moment and taken up by nobody')
+def begin_abandoned(context):
+    cluster = context.cluster
+    node = cluster.nodes['a']
+    begun = records.LogRestarted(1, node.state.next_offset - 1, 'any')
+    data = folding.encode(begun, 'abandoned')
+    looping.run(node.link.append(f'{nodes.STREAM}.1', [data]))
+
+
+@when('all daemons are cut off from each other')
+def cut_from_peers(context):
+    for node in context.cluster.nodes.values():
+        node.is_cut_off = True
+
+
+@then('no daemon begins an epoch')
+def check_waits(context):
+    looping.run(context.cluster.settle())
+    for node in context.cluster.nodes.values():
+        assert node.state.epoch == 0, node.name
+        _same_state(node, context.before)
+
+
+@when('time passes until epoch {epoch:d} is begun')
+def await_epoch(context, epoch):
+    looping.run(context.cluster.settle())
+    for node in context.cluster.nodes.values():
+        assert node.state.epoch == epoch, node.state.epoch
+
+
 @then('no epoch is begun')
 def check_epoch(context):
-    run(context.cluster.settle())
+    looping.run(context.cluster.settle())
     for node in context.cluster.nodes.values():
         assert node.state.epoch == 0
         assert not node.follower.is_log_behind
@@ -327,7 +351,7 @@
 def read_alone(context, name, count):
     cluster = context.cluster
     end = cluster.end_of_log()
-    run(_apply(cluster, count, name))
+    looping.run(_apply(cluster, count, name))
     cluster.streams.truncate(nodes.STREAM, end - 1)
     context.frozen = copy.deepcopy(cluster.nodes[name].state)
 
@@ -337,12 +361,12 @@
     node = context.cluster.nodes[name]
     node.is_cut_off = True
     node.link.mode = 'down'
-    run(context.cluster.settle())
+    looping.run(context.cluster.settle())
     assert context.cluster.nodes['a'].state.epoch == 1
     node.is_cut_off = False
     node.link.mode = 'ok'
     context.stranded = node
-    run(context.cluster.settle())
+    looping.run(context.cluster.settle())
 
 
 @then('it says that it has to be replaced')
@@ -375,18 +399,18 @@
         node.checkpointer._plan()
     for node in cluster.nodes.values():
         node.link.mode = 'down'
-    run(cluster.catch_up())
+    looping.run(cluster.catch_up())
     cluster.clock.time_s += outage_s
     for node in cluster.nodes.values():
         node.checkpointer._due_s = cluster.clock.time_s + 100.0
         node.link.mode = 'ok'
     cluster.streams.expire(nodes.STREAM, cluster.end_of_log())
-    run(cluster.catch_up())
+    looping.run(cluster.catch_up())
 
 
 @then('{count:d} checkpoints are written within a second')
 def check_outage(context, count):
-    run(_check_checkpointers(context.cluster))
+    looping.run(_check_checkpointers(context.cluster))
     written = _checkpoints_written(context.cluster)
     # Daemons that notice in the same moment may write one each.
     assert min(written, 1) == count, written
@@ -402,10 +426,10 @@
         cluster.clock.time_s += step_s
         for node in cluster.nodes.values():
             if node.checkpointer._due_s <= cluster.clock.time_s:
-                run(_check_checkpointers(cluster))
+                looping.run(_check_checkpointers(cluster))
                 break
         else:
-            run(cluster.catch_up())
+            looping.run(cluster.catch_up())
 
 
 @then('between {lowest:d} and {highest:d} checkpoints are written')
@@ -541,7 +565,7 @@
     @hypothesis.given(strategies.lists(_OPERATIONS, min_size=8, max_size=30))
     def interleave(operations):
         machine = _Machine()
-        run(machine.run(operations))
+        looping.run(machine.run(operations))
         done.update(machine.done)
 
     interleave()
@@ -574,7 +598,7 @@
 
 @when('{count:d} operators apply from one revision, answers {answers}')
 def race(context, count, answers):
-    run(_race(context, count, answers))
+    looping.run(_race(context, count, answers))
 
 
 @then('one apply is accepted and the others are conflicts')
@@ -602,7 +626,7 @@
 @then('each operator learns its verdict again by its id')
 def check_repeat(context):
     revision = context.cluster.nodes['b'].state.revision
-    run(_repeat(context))
+    looping.run(_repeat(context))
     assert context.cluster.nodes['b'].state.revision == revision
 
 
@@ -610,7 +634,7 @@
 def cut_from_log(context, name, count):
     context.cluster.nodes[name].link.mode = 'down'
     freeze(context, name, count)
-    run(context.cluster.nodes[name].catch_up())
+    looping.run(context.cluster.nodes[name].catch_up())
 
 
 @then('daemon "{name}" is ready with the state it had')
@@ -621,7 +645,7 @@
 
 @then('daemon "{name}" can not append')
 def check_no_append(context, name):
-    assert run(_refused(context.cluster.nodes[name]))
+    assert looping.run(_refused(context.cluster.nodes[name]))
 
 
 @then('daemon "{name}" has the state of daemon "{other}" once the log is back')
--- /dev/null
+++ b/features/steps/state_peers.py
@@ -0,0 +1,195 @@
+"""Steps about what daemons tell each other."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from hawthorndeal_fleet import records
+
+from stage import exchange
+from stage import folding
+from stage import looping
+
+
+@given('{zones:d} zones of {count:d} daemons that exchange digests')
+def make_mesh(context, zones, count):
+    context.mesh = exchange.Mesh(zones, count)
+
+
+@given('{zones:d} zones of {count:d} daemons with equal states')
+def make_shared_mesh(context, zones, count):
+    context.mesh = exchange.Mesh(zones, count, is_shared=True)
+
+
+@when('{count:d} periods pass')
+def pass_periods(context, count):
+    looping.run(context.mesh.run(count))
+
+
+@then('every daemon knows the revision and offset of all {count:d}')
+def check_all_known(context, count):
+    for daemon in context.mesh.daemons.values():
+        heard = [daemon.table.heard(name) for name in context.mesh.daemons]
+        assert len(heard) == count and None not in heard
+        offsets = {found.digest.next_offset for found in heard}
+        assert offsets == {len(context.mesh.records)}, offsets
+
+
+@given(
+    'daemon "{slow}" is behind, "{silent}" is silent and "{busy}" has '
+    '{count:d} requests to "{host}"'
+)
+def disturb(context, slow, silent, busy, count, host):
+    mesh = context.mesh
+    looping.run(mesh.run(3))
+    mesh.daemons[silent].is_cut_off = True
+    for daemon in mesh.daemons.values():
+        daemon.follower.state.disruptions[host] = None
+    mesh.daemons[busy].router.busy = {host: count}
+    mesh.append(folding.reported())
+    mesh.fold_all(but=(slow,))
+    for name, daemon in mesh.daemons.items():
+        daemon.follower.state.revision = 1 if name == slow else 2
+
+
+@then('daemon "{name}" hears that "{slow}" is behind and "{other}" is not')
+def check_behind(context, name, slow, other):
+    table = context.mesh.daemons[name].table
+    assert table.heard(slow).digest.revision == 1
+    assert table.heard(other).digest.revision == 2
+
+
+@then('daemon "{name}" has not heard "{silent}" for {limit_s:d} s')
+def check_silent(context, name, silent, limit_s):
+    heard = context.mesh.daemons[name].table.heard(silent)
+    assert heard.heard_s < context.mesh.clock.time_s - limit_s
+
+
+@then(
+    'daemon "{name}" finds no acknowledgement of zone "{zone}" beyond "{slow}"'
+)
+def check_least(context, name, zone, slow):
+    mesh = context.mesh
+    reached = mesh.daemons[slow].follower.state.next_offset
+    for other, daemon in mesh.daemons.items():
+        if other.startswith(zone):
+            heard = mesh.daemons[name].table.heard(other)
+            assert heard.digest.next_offset <= reached, other
+
+
+@then('daemon "{name}" finds {count:d} requests to "{host}" at "{busy}"')
+def check_busy(context, name, count, host, busy):
+    heard = context.mesh.daemons[name].table.heard(busy)
+    assert heard.digest.busy_hosts == {host: count}
+
+
+@when('a daemon joins zone "{zone}" that its neighbours have not read')
+def join_unread(context, zone):
+    mesh = context.mesh
+    joined = records.DaemonJoined('late', 'late', zone, 'nowhere:1')
+    mesh.append(joined)
+    mesh.fold_all(but=[n for n in mesh.daemons if n.startswith(zone)])
+
+
+@then('daemon "{name}" hears nothing of it')
+def check_unheard(context, name):
+    daemon = context.mesh.daemons[name]
+    assert 'late' in daemon.follower.state.members
+    assert daemon.table.heard('late') is None
+
+
+@when('daemon "{name}" is replaced by "{new}" at its address')
+def replace(context, name, new):
+    mesh = context.mesh
+    old = mesh.daemons.pop(name)
+    successor = exchange._Peers(mesh, new, 'z0', old.address)
+    mesh.daemons[new] = mesh.by_address[old.address] = successor
+    mesh.append(records.DaemonJoined(new, name, 'z0', old.address))
+    mesh.fold_all()
+
+
+@then('daemon "{name}" knows "{new}" and no more "{old}"')
+def check_replaced(context, name, new, old):
+    table = context.mesh.daemons[name].table
+    assert table.heard(new) is not None
+    assert table.heard(old) is None
+
+
+@when('daemon "{name}" folds a record differently')
+def diverge(context, name):
+    mesh = context.mesh
+    mesh.append(folding.reported())
+    mesh.fold_all(but=(name,))
+    state = mesh.daemons[name].follower.state
+    state.rule_level = 7
+    mesh.fold_all()
+
+
+@when('{count:d} records follow and daemon "{name}" lacks the last {lack:d}')
+def follow_records(context, count, name, lack):
+    mesh = context.mesh
+    for number in range(count):
+        mesh.append(folding.reported())
+        if number == count - lack - 1:
+            mesh.fold_all()
+    mesh.fold_all(but=(name,))
+
+
+def _shouts(daemon):
+    return daemon.metrics.counts.get('state.diverged', 0)
+
+
+@then('daemon "{name}" shouts that states differ')
+def check_shout(context, name):
+    assert _shouts(context.mesh.daemons[name])
+
+
+@then('no daemon shouts')
+def check_silence(context):
+    assert not any(map(_shouts, context.mesh.daemons.values()))
+
+
+@when('the exchange runs for {count:d} periods with nothing new')
+def run_idle(context, count):
+    measure_exchange(context, count, False)
+
+
+@when('the exchange runs for {count:d} periods with something new in each')
+def run_busy(context, count):
+    measure_exchange(context, count, True)
+
+
+def measure_exchange(context, count, is_changing):
+    """Keep messages and bytes a second of the daemon that has most."""
+    mesh = context.mesh
+    looping.run(mesh.run(3))
+    before = {name: _spent(daemon) for name, daemon in mesh.daemons.items()}
+    for _ in range(count):
+        if is_changing:
+            mesh.append(folding.reported())
+            mesh.fold_all()
+        looping.run(mesh.run(1))
+    took_s = count * exchange.PERIOD_S
+    rates = [
+        [(now - then) / took_s for now, then in zip(_spent(d), before[name])]
+        for name, d in mesh.daemons.items()
+    ]
+    context.messages_per_s = max(rate[0] for rate in rates)
+    context.bytes_per_s = max(rate[1] for rate in rates)
+
+
+def _spent(daemon):
+    return daemon.messages, sum(daemon.bytes.values())
+
+
+@then(
+    'a daemon exchanges at most {messages:d} messages and {limit:d} bytes '
+    'a second'
+)
+def check_cost(context, messages, limit):
+    print(
+        f'\n{context.messages_per_s:.1f} messages/s, '
+        f'{context.bytes_per_s:.0f} bytes/s at most'
+    )
+    assert context.messages_per_s <= messages, context.messages_per_s
+    assert context.bytes_per_s <= limit, context.bytes_per_s
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/control.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/control.py
@@ -7,8 +7,8 @@
 
 from hawthorndeal_fleet import codec
 from hawthorndeal_fleet import errors
-from hawthorndeal_fleet import membership
 from hawthorndeal_fleet import records
+from hawthorndeal_fleet import rollup
 from hawthorndeal_fleet import waves as waves_module
 
 from . import loader
@@ -84,11 +84,14 @@
     @app.post(peers_module.EXCHANGE_PATH)
     @for_peers
     async def exchange(request):
-        try:
-            peers.note(codec.from_plain(request.json, membership.PeerDigest))
-        except errors.InvalidRecord as error:
-            return response.json({'reason': str(error)}, status=400)
-        return response.json(codec.to_plain(peers.digest()))
+        return _answer_peer(peers, request, rollup.Exchange, peers.answer)
+
+    @app.post(peers_module.ZONES_PATH)
+    @for_peers
+    async def zones(request):
+        return _answer_peer(
+            peers, request, rollup.ZoneDigest, peers.answer_zone
+        )
 
     @app.get(loader.SUMMARY_PATH)
     @for_peers
@@ -101,6 +104,17 @@
         return response.text(peers.state_text())
 
 
+def _answer_peer(peers, request, kind, answer):
+    peers.count_bytes('received', request.body)
+    try:
+        message = codec.from_text(request.body, kind)
+    except errors.InvalidRecord as error:
+        return response.json({'reason': str(error)}, status=400)
+    body = codec.canonical(codec.to_compact(answer(message)))
+    peers.count_bytes('sent', body)
+    return response.raw(body, content_type='application/json')
+
+
 def _add_state_routes(app, follower, peers, maintainer, settings):
     for_operators = _for_operators(settings)
 
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/peers.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/peers.py
@@ -1,6 +1,9 @@
 """Exchange digests with the other entry hosts."""
 
 import asyncio
+import collections
+import hashlib
+import math
 
 import aiohttp
 
@@ -9,11 +12,21 @@
 from hawthorndeal_fleet import errors
 from hawthorndeal_fleet import history
 from hawthorndeal_fleet import membership
+from hawthorndeal_fleet import rollup
 
 from . import logs
 
 EXCHANGE_PATH = '/v1/peers/exchange'
+ZONES_PATH = '/v1/peers/zones'
 DUMP_KEPT_S = 2.0
+# Of one exchange, in one direction.
+HEADER_BYTES = 180
+# Digests older than this many periods count as silence.
+FRESH_PERIODS = 3
+# Keeps the exchanges with other zones few, however many zones there are.
+ZONE_SPACING_S = 0.16
+# After so many periods of silence all members ask a zone themselves.
+MISSED_PERIODS = 1.5
 
 _log = logs.get('peers')
 
@@ -44,6 +57,9 @@
         self._metrics = metrics
         self._diverged = set()
         self._dumped = None
+        self._told = {}
+        self._zones = rollup.ZoneTable()
+        self.bytes = {'sent': 0, 'received': 0}
         self.table = membership.PeerTable()
 
     async def run(self):
@@ -64,64 +80,222 @@
     async def _exchange_all(self, session):
         self.note(self.digest())
         self.table.forget_all_but(self._follower.state.members)
-        await asyncio.gather(
-            *(self._exchange(session, peer) for peer in self._settings.peers)
+        near = [
+            self._exchange(session, address) for address in self.near_peers()
+        ]
+        far = [
+            self._exchange_zones(session, address)
+            for address in self.far_peers()
+        ]
+        await asyncio.gather(*near, *far)
+
+    def near_peers(self):
+        """Return the addresses to exchange whole digests with.
+
+        Those in the zone that were not heard in this period, and addresses
+        in the settings of which no member is known.
+        """
+        members = self._follower.state.members.values()
+        due_s = self._clock.monotonic_s() - self._settings.peer_period_s / 2
+        zone = [
+            member.address
+            for member in members
+            if member.zone == self._settings.zone
+            and member.incarnation != self._incarnation
+            and self._heard_s(member) < due_s
+        ]
+        known = {member.address for member in members}
+        return zone + [a for a in self._settings.peers if a not in known]
+
+    def _heard_s(self, member):
+        heard = self.table.heard(member.incarnation)
+        return heard.heard_s if heard else -math.inf
+
+    def far_peers(self):
+        """Return an address in each other zone to exchange sums with.
+
+        One member of this zone does it for each other zone and hands on what
+        it hears; where that fails, all do.
+        """
+        zones = collections.defaultdict(list)
+        for member in self._follower.state.members.values():
+            if member.zone != self._settings.zone:
+                zones[member.zone].append(member.address)
+        period_s = max(
+            self._settings.peer_period_s, len(zones) * ZONE_SPACING_S
+        )
+        return [
+            self._rng.choice(addresses)
+            for zone, addresses in zones.items()
+            if self._is_due(zone, period_s)
+        ]
+
+    def _is_due(self, zone, period_s):
+        silent_s = self._clock.monotonic_s() - self._zones.heard_s(zone)
+        is_mine = self._keeper_of(zone) == self._incarnation
+        return silent_s > (0.75 if is_mine else MISSED_PERIODS) * period_s
+
+    def _keeper_of(self, zone):
+        members = rollup.zone_members(
+            self._follower.state, self._settings.zone
+        )
+        names = [member.incarnation for member in members]
+        return max(
+            names,
+            key=lambda name: hashlib.blake2b(
+                f'{name}/{zone}'.encode()
+            ).digest(),
+            default=self._incarnation,
+        )
+
+    async def _exchange(self, session, address):
+        answer = await self._post(
+            session, address, EXCHANGE_PATH, self._offer(address)
+        )
+        if answer is None:
+            # It may be another daemon by now, which knows nothing of ours.
+            self._told.pop(address, None)
+            return
+        self._told[address] = (answer.known, answer.incarnation)
+        self.take_in(answer)
+
+    def _offer(self, address):
+        known, peer = self._told.get(address, ('', ''))
+        digest = self.digest()
+        version = membership.version_of(digest)
+        return rollup.Exchange(
+            incarnation=self._incarnation,
+            version=version,
+            known=self._version_heard(peer),
+            digest=None if known == version else digest,
+            zones=self._zones.news_for(
+                peer or address, self._clock.monotonic_s()
+            ),
+        )
+
+    def _version_heard(self, incarnation):
+        heard = self.table.heard(incarnation)
+        return membership.version_of(heard.digest) if heard else ''
+
+    def answer(self, exchange):
+        """Take in what a peer told and return what to tell it."""
+        self.take_in(exchange)
+        digest = self.digest()
+        version = membership.version_of(digest)
+        return rollup.Exchange(
+            incarnation=self._incarnation,
+            version=version,
+            known=self._version_heard(exchange.incarnation),
+            digest=None if exchange.known == version else digest,
+            zones=self._zones.news_for(
+                exchange.incarnation, self._clock.monotonic_s()
+            ),
+        )
+
+    def take_in(self, exchange):
+        """Keep what a peer told."""
+        if exchange.digest is not None:
+            self.note(exchange.digest)
+        else:
+            self.table.touch(
+                exchange.incarnation,
+                exchange.version,
+                self._clock.monotonic_s(),
+            )
+        for told in exchange.zones:
+            self._take_in_zone(told)
+
+    async def _exchange_zones(self, session, address):
+        answer = await self._post(
+            session, address, ZONES_PATH, self.zone_digest()
+        )
+        if answer is not None:
+            self.take_in_zone(answer)
+
+    def zone_digest(self):
+        """Return the sum of this daemon's availability zone."""
+        return rollup.sum_up(
+            self._follower.state,
+            self.table,
+            self.digest(),
+            self._clock.monotonic_s(),
+            FRESH_PERIODS * self._settings.peer_period_s,
         )
 
-    async def _exchange(self, session, peer):
+    def take_in_zone(self, told):
+        """Keep what another zone's member tells of its zone."""
+        self._zones.note(told, self._clock.monotonic_s())
+        self._take_in_zone(told)
+
+    def _take_in_zone(self, told):
+        now_s = self._clock.monotonic_s()
+        self._zones.touch(told.zone, now_s)
+        for digest in rollup.unfold(self._follower.state, told):
+            self.table.note_aged(digest, now_s - told.age_s)
+        self._compare(told.teller, told.point)
+
+    def answer_zone(self, told):
+        """Take in another zone's digest and return this zone's."""
+        self.take_in_zone(told)
+        return self.zone_digest()
+
+    async def _post(self, session, address, path, message):
+        body = codec.canonical(codec.to_compact(message))
+        self.count_bytes('sent', body)
         try:
             async with session.post(
-                f'http://{peer}{EXCHANGE_PATH}',
-                json=codec.to_plain(self.digest()),
+                f'http://{address}{path}', data=body
             ) as answer:
-                if answer.status == 200:
-                    self._take_in(await answer.json())
-        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as e:
-            _log.debug('No exchange with %s: %r', peer, e)
-
-    def _take_in(self, data):
-        try:
-            self.note(codec.from_plain(data, membership.PeerDigest))
+                text = await answer.text()
+                if answer.status != 200:
+                    return None
+                self.count_bytes('received', text)
+                return codec.from_text(text, type(message))
         except errors.InvalidRecord as error:
-            _log.warning('Ignored a digest: %s', error)
+            _log.warning('Ignored an answer of %s: %s', address, error)
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            _log.debug('No exchange with %s: %r', address, error)
+        return None
+
+    def count_bytes(self, direction, body):
+        """Count what an exchange took, its headers included."""
+        count = len(body) + HEADER_BYTES
+        self.bytes[direction] += count
+        self._metrics.count(f'peers.{direction}_bytes', count)
 
     def note(self, digest):
         """Keep a digest that was just heard."""
         self.table.note(digest, self._clock.monotonic_s())
-        if history.is_diverged(self._follower.state, digest):
-            self._shout(digest)
+        self._compare(digest.incarnation, digest.point)
 
-    def _shout(self, digest):
+    def _compare(self, incarnation, point):
+        if not history.is_diverged(self._follower.state, point):
+            return
         self._metrics.count('state.diverged')
-        if digest.incarnation not in self._diverged:
-            self._diverged.add(digest.incarnation)
+        if incarnation not in self._diverged:
+            self._diverged.add(incarnation)
             _log.error(
                 'The state differs from that of %s at offset %d.',
-                digest.daemon,
-                digest.next_offset,
+                incarnation,
+                point.next_offset,
             )
 
     def digest(self):
         """Return this daemon's digest as of now."""
         state = self._follower.state
         busy = self._router.busy_hosts(state)
-        mark = state.marks[-1] if state.marks else None
         return membership.PeerDigest(
             daemon=self._settings.daemon,
             incarnation=self._incarnation,
             zone=self._settings.zone,
             next_offset=state.next_offset,
             revision=state.revision,
-            fingerprint=format(state.fingerprint, 'x'),
             busy_hosts={
                 host: count
                 for host, count in busy.items()
                 if host in state.disruptions
             },
-            epoch=state.epoch,
-            digest=state.digest,
-            mark_offset=mark.next_offset if mark else 0,
-            mark_digest=mark.digest if mark else '',
+            point=history.point_of(state),
             is_log_behind=self._follower.is_log_behind,
         )
 
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/restarter.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/restarter.py
@@ -1,6 +1,7 @@
 """Begin the log anew, or follow whoever did, after it lost its end."""
 
 import asyncio
+import itertools
 import uuid
 
 from hawthorndeal_fleet import epochs
@@ -67,7 +68,7 @@
         since_s = self._clock.monotonic_s() - HEARD_PERIODS * period_s
         return [
             epochs.Standing(
-                digest.epoch,
+                digest.point.epoch,
                 digest.next_offset,
                 digest.incarnation,
                 digest.is_log_behind,
@@ -77,11 +78,16 @@
         ]
 
     async def _move(self, others):
-        begun = await self._find_begin()
+        epoch, begun = await self._find_begin(others)
         if begun is not None:
             await self._follow(begun)
-        elif self._has_waited() and epochs.may_begin(self._standing(), others):
-            await self._begin()
+        elif self._has_waited() and epochs.may_begin(
+            self._standing(), others, self._members()
+        ):
+            await self._begin(epoch)
+
+    def _members(self):
+        return len(self._follower.state.members)
 
     def _standing(self):
         state = self._follower.state
@@ -100,18 +106,25 @@
             and self._clock.monotonic_s() >= since_s + waited_s
         )
 
-    def _next_stream(self):
-        return follower_module.stream_of(
-            self._settings.platform.stream, self._follower.state.epoch + 1
-        )
+    def _stream(self, epoch):
+        return follower_module.stream_of(self._settings.platform.stream, epoch)
+
+    async def _find_begin(self, others):
+        """Return the next epoch and the record that began it, or None."""
+        for epoch in itertools.count(self._follower.state.epoch + 1):
+            begun = await self._read_begin(epoch)
+            if begun is None or not epochs.is_abandoned(
+                begun, self._standing(), others, self._members()
+            ):
+                return epoch, begun
 
-    async def _find_begin(self):
-        epoch = self._follower.state.epoch + 1
+    async def _read_begin(self, epoch):
         try:
-            page = await self._log.read(self._next_stream(), 0)
+            page = await self._log.read(self._stream(epoch), 0)
         except errors.OffsetExpired:
+            # It was begun long ago; what came since has to be fetched.
             await self._follower.reload(0)
-            return None
+            raise
         bodies = (_body(entry.data) for entry in page.entries)
         return next((b for b in bodies if b and b.epoch == epoch), None)
 
@@ -123,7 +136,7 @@
             state.next_offset,
             state.digest,
         ):
-            self._follower.replace(epochs.advanced(state))
+            self._follower.replace(epochs.advanced(state, begun.epoch))
         elif not self.is_stranded:
             # Going back is ruled out, so an operator has to replace it.
             self.is_stranded = True
@@ -134,15 +147,15 @@
                 state.next_offset,
             )
 
-    async def _begin(self):
-        state = epochs.advanced(self._follower.state)
+    async def _begin(self, epoch):
+        state = epochs.advanced(self._follower.state, epoch)
         await self._checkpointer.write_now(state)
         body = records.LogRestarted(
             epoch=state.epoch,
             next_offset=state.epoch_offset,
             digest=state.digest,
         )
-        await self._log.append(self._next_stream(), [self._encode(body)])
+        await self._log.append(self._stream(epoch), [self._encode(body)])
         _log.warning('Began epoch %d of the log.', state.epoch)
 
     def _encode(self, body):
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/writer.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/writer.py
@@ -59,7 +59,7 @@
         if not batch:
             return
         try:
-            await self._send([item.data for item in batch])
+            await self.append([item.data for item in batch])
         except errors.PlatformError as error:
             _log.warning('Append failed: %s', error)
             _fail(batch, error)
@@ -69,7 +69,12 @@
             if not item.sent.done():
                 item.sent.set_result(None)
 
-    async def _send(self, entries):
+    async def append(self, entries):
+        """Append plain data to the stream in force.
+
+        :raises errors.PlatformUnavailable: nothing was appended
+        :raises errors.OutcomeUnknown: the entries may have been appended
+        """
         if self._follower.is_log_behind:
             # What is appended before the log's end is found would be lost.
             raise errors.PlatformUnavailable('the log lost its end')
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/codec.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/codec.py
@@ -30,8 +30,10 @@
     return kind(value)
 
 
-def _make_converter(forbids_extra_keys):
-    converter = cattrs.Converter(forbid_extra_keys=forbids_extra_keys)
+def _make_converter(forbids_extra_keys, omits_defaults=False):
+    converter = cattrs.Converter(
+        forbid_extra_keys=forbids_extra_keys, omit_if_default=omits_defaults
+    )
     converter.register_structure_hook(int, _strict(int, int))
     converter.register_structure_hook(float, _strict(float, (int, float)))
     converter.register_structure_hook(str, _strict(str, str))
@@ -47,6 +49,7 @@
 # come from other versions of the project, so unknown fields are let through.
 _FILES = _make_converter(True)
 _MESSAGES = _make_converter(False)
+_COMPACT = _make_converter(False, omits_defaults=True)
 
 
 def canonical(data):
@@ -65,6 +68,11 @@
     return _MESSAGES.unstructure(value)
 
 
+def to_compact(value):
+    """Return plain JSON data without the fields that have their default."""
+    return _COMPACT.unstructure(value)
+
+
 def from_plain(data, kind):
     """Return an attrs object from plain data of another process.
 
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/history.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/history.py
@@ -2,6 +2,7 @@
 
 import hashlib
 
+from . import membership
 from . import state as state_module
 
 MARK_RECORDS = 64
@@ -34,13 +35,25 @@
         state.marks.append(state_module.Mark(state.next_offset, state.digest))
 
 
-def is_diverged(state, digest):
+def point_of(state):
+    """Return what a state is compared by."""
+    mark = state.marks[-1] if state.marks else state_module.Mark(0, '')
+    return membership.StatePoint(
+        epoch=state.epoch,
+        next_offset=state.next_offset,
+        digest=state.digest,
+        mark_offset=mark.next_offset,
+        mark_digest=mark.digest,
+    )
+
+
+def is_diverged(state, point):
     """Tell whether a peer's digest differs at an offset both know."""
-    if digest.epoch != state.epoch:
+    if point.epoch != state.epoch:
         return False
     pairs = (
-        (digest.next_offset, digest.digest),
-        (digest.mark_offset, digest.mark_digest),
+        (point.next_offset, point.digest),
+        (point.mark_offset, point.mark_digest),
     )
     return any(
         theirs and digest_at(state, offset) not in (None, theirs)
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/membership.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/membership.py
@@ -1,19 +1,36 @@
 """What daemons tell each other, and what they make of it."""
 
+import hashlib
+
 import attrs
 
+from . import codec
+
 
 @attrs.frozen
-class PeerDigest:
-    """Tell a peer how far a daemon is.
+class StatePoint:
+    """Tell by what a state can be compared with another.
 
-    :ivar next_offset: the first offset the daemon has not folded
-    :ivar fingerprint: number of its document, in hexadecimal
-    :ivar busy_hosts: requests in flight to hosts being worked on
     :ivar epoch: how often the log was begun anew
     :ivar digest: of the state before ``next_offset``
     :ivar mark_offset: an earlier offset, for peers that are not as far
     :ivar mark_digest: of the state before ``mark_offset``
+    """
+
+    epoch: int = 0
+    next_offset: int = 0
+    digest: str = ''
+    mark_offset: int = 0
+    mark_digest: str = ''
+
+
+@attrs.frozen
+class PeerDigest:
+    """Tell a peer how far a daemon is.
+
+    :ivar next_offset: the first offset the daemon has not folded
+    :ivar busy_hosts: requests in flight to hosts being worked on
+    :ivar point: what its state is compared by
     :ivar is_log_behind: whether it finds the log's end lost
     """
 
@@ -22,15 +39,17 @@
     zone: str
     next_offset: int
     revision: int
-    fingerprint: str
-    busy_hosts: dict[str, int]
-    epoch: int = 0
-    digest: str = ''
-    mark_offset: int = 0
-    mark_digest: str = ''
+    busy_hosts: dict[str, int] = attrs.Factory(dict)
+    point: StatePoint = attrs.Factory(StatePoint)
     is_log_behind: bool = False
 
 
+def version_of(digest):
+    """Return a short name that differs for different digests."""
+    content = codec.canonical(codec.to_plain(digest))
+    return hashlib.blake2b(content, digest_size=6).hexdigest()
+
+
 @attrs.frozen
 class Summary:
     """Tell a joiner how far the state is that a peer can give it."""
@@ -71,6 +90,20 @@
         self._heard[digest.incarnation] = Heard(digest, now_s)
         return True
 
+    def touch(self, incarnation, version, now_s):
+        """Keep the digest known of a peer; return whether it is that one."""
+        known = self._heard.get(incarnation)
+        if known is None or version_of(known.digest) != version:
+            return False
+        self._heard[incarnation] = attrs.evolve(known, heard_s=now_s)
+        return True
+
+    def note_aged(self, digest, heard_s):
+        """Keep a digest that another daemon heard, unless ours is newer."""
+        known = self._heard.get(digest.incarnation)
+        if known is None or known.heard_s < heard_s:
+            self.note(digest, heard_s)
+
     def heard(self, incarnation):
         """Return the newest digest of an incarnation, or None."""
         return self._heard.get(incarnation)
