--- a/features/state_log.feature
+++ b/features/state_log.feature
@@ -39,7 +39,7 @@
       | finds the log expired and no peer            | not ready |
       | finds rules that it does not know            | not ready |
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario Outline: A frozen reader whose offset expired skips nothing
     Given 3 daemons with the fleet of Vltava and some history
     When daemon "c" is frozen over 5 applies
@@ -55,7 +55,7 @@
       | its peers                |
       | the checkpoint alone     |
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario: A frozen reader without peer and checkpoint stays where it is
     Given 3 daemons with the fleet of Vltava and some history
     When daemon "c" is frozen over 5 applies
@@ -63,7 +63,7 @@
     And daemon "c" wakes with nothing
     Then daemon "c" has the state it had
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario Outline: Daemons are all replaced <how>
     Given 3 daemons with the fleet of Vltava and some history
     When daemon "a" writes a checkpoint
@@ -78,7 +78,7 @@
       | one by one |
       | at once    |
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario Outline: A log that comes back <fault> reverts nobody
     Given 3 daemons with the fleet of Vltava and some history
     And daemon "c" is <behind> records behind
@@ -97,14 +97,14 @@
       | 3 entries shorter     | 2      |
       | without any stream    | 0      |
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario: A log that shows an old tail for a while is not begun anew
     Given 3 daemons with the fleet of Vltava and some history
     When the log shows an old tail for 5 s
     Then no epoch is begun
     And an apply is accepted as the next revision
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario: An epoch that nobody took up is passed over
     Given 3 daemons with the fleet of Vltava and some history
     When an epoch is begun in that moment and taken up by nobody
@@ -113,14 +113,14 @@
     Then all daemons have the state from before
     And an apply is accepted as the next revision
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario: A daemon that hears no majority begins nothing
     Given 3 daemons with the fleet of Vltava and some history
     When all daemons are cut off from each other
     And the log comes back empty
     Then no daemon begins an epoch
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario: A daemon that alone knows more stays where it is
     Given 3 daemons with the fleet of Vltava and some history
     When daemon "c" alone reads 2 applies that the log then loses
@@ -144,11 +144,11 @@
     When 10 times the retention pass
     Then between 20 and 40 checkpoints are written
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario: Any interleaving gives equal digests and never goes back
     Then no series of faults makes daemons differ or go back
 
-  @invariant_configuration
+  @invariant_config_in_force
   Scenario Outline: Of <operators> operators who race one wins
     Given 3 daemons with the fleet of Vltava and some history
     When <operators> operators apply from one revision, answers <answers>
@@ -161,6 +161,11 @@
       | 3         | lost    |
       | 5         | twice   |
 
+  Scenario: A page that was read for another state is left
+    Given 3 daemons with the fleet of Vltava and some history
+    When the state of daemon "c" is replaced while it reads a page
+    Then daemon "c" has left that page
+
   Scenario: A daemon cut off from the log serves on and catches up
     Given 3 daemons with the fleet of Vltava and some history
     When the log is down for daemon "c" over 3 applies
--- a/features/steps/state_log.py
+++ b/features/steps/state_log.py
@@ -12,8 +12,10 @@
 
 from hawthorndeal_daemon import follower as follower_module
 from hawthorndeal_fleet import checkpoint
+from hawthorndeal_fleet import epochs
 from hawthorndeal_fleet import errors
 from hawthorndeal_fleet import records
+from hawthorndeal_fleet import state as state_module
 from hawthorndeal_fleet import statecodec
 
 from stage import fleets
@@ -55,6 +57,7 @@
 @then('the state that is read from a checkpoint is equal')
 def check_round_trip(context):
     state = context.cluster.nodes['a'].state
+    state.pending_stamp = state_module.PendingStamp('b', 9e9)
     got = checkpoint.load(checkpoint.dump(state))
     assert got == state
     assert got.index._users == state.index._users
@@ -643,6 +646,30 @@
     check_kept(context, name)
 
 
+@when('the state of daemon "{name}" is replaced while it reads a page')
+def replace_while_reading(context, name):
+    node = context.cluster.nodes[name]
+    read = node.link.read
+
+    async def replace_and_read(stream, offset, limit=1000):
+        page = await read(stream, offset, limit)
+        if node.state.epoch == 0:
+            node.follower.replace(epochs.advanced(node.state, 1))
+        return page
+
+    context.frozen = copy.deepcopy(node.state)
+    looping.run(_apply(context.cluster, 1))
+    node.link.read = replace_and_read
+    looping.run(node.follower.read_once())
+
+
+@then('daemon "{name}" has left that page')
+def check_left(context, name):
+    state = context.cluster.nodes[name].state
+    assert state.next_offset == context.frozen.next_offset
+    assert state.revision == context.frozen.revision
+
+
 @then('daemon "{name}" can not append')
 def check_no_append(context, name):
     assert looping.run(_refused(context.cluster.nodes[name]))
