--- a/features/state_log.feature
+++ b/features/state_log.feature
@@ -104,6 +104,22 @@
     Then no epoch is begun
     And an apply is accepted as the next revision
 
+  @invariant_config_in_force
+  Scenario: An epoch that nobody took up is passed over
+    Given 3 daemons with the fleet of Vltava and some history
+    When an epoch is begun in that moment and taken up by nobody
+    And the log comes back empty
+    And time passes until epoch 2 is begun
+    Then all daemons have the state from before
+    And an apply is accepted as the next revision
+
+  @invariant_config_in_force
+  Scenario: A daemon that hears no majority begins nothing
+    Given 3 daemons with the fleet of Vltava and some history
+    When all daemons are cut off from each other
+    And the log comes back empty
+    Then no daemon begins an epoch
+
   @invariant_config_in_force
   Scenario: A daemon that alone knows more stays where it is
     Given 3 daemons with the fleet of Vltava and some history
@@ -145,6 +161,11 @@
       | 3         | lost    |
       | 5         | twice   |
 
+  Scenario: A page that was read for another state is left
+    Given 3 daemons with the fleet of Vltava and some history
+    When the state of daemon "c" is replaced while it reads a page
+    Then daemon "c" has left that page
+
   Scenario: A daemon cut off from the log serves on and catches up
     Given 3 daemons with the fleet of Vltava and some history
     When the log is down for daemon "c" over 3 applies
