--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -13,7 +13,7 @@
 
 from . import fit
 
-NAMES = ()
+NAMES = ('waves_slopes',)
 
 
 @attrs.frozen
