--- /dev/null
+++ b/features/steps/pages_rolling.py
@@ -0,0 +1,94 @@
+"""Steps that roll the daemons of a deployment."""
+
+import threading
+
+from behave import then
+from behave import when
+
+from stage import deployment
+from stage import processes
+from steps import common
+
+READY_TIMEOUT_S = 20.0
+
+
+class SteadyCallers(threading.Thread):
+    """Send small lots of requests until told to stop.
+
+    :param stage: the deployment that serves them
+    """
+
+    def __init__(self, stage):
+        super().__init__(daemon=True)
+        self._stage = stage
+        self._stopping = threading.Event()
+        self.tallies = []
+
+    def run(self):
+        """Send lots one after the other."""
+        while not self._stopping.is_set():
+            seed = len(self.tallies) + 1
+            callers = common.BackgroundCallers(self._stage, 100, seed=seed)
+            callers.start()
+            callers.join()
+            self.tallies.append(callers.tally)
+
+    def finish(self):
+        """Let the lot end, and return all lots as one tally."""
+        self._stopping.set()
+        self.join()
+        whole, *others = self.tallies
+        for tally in others:
+            whole.outcomes.update(tally.outcomes)
+            whole.reasons.update(tally.reasons)
+            whole.wrong.extend(tally.wrong)
+        return whole
+
+
+def _members(context):
+    _, status = context.stage.control('entry-a1', '/v1/status')
+    return {m['daemon']: m['incarnation'] for m in status['members']}
+
+
+@when('callers go on while each daemon in turn is ended and started again')
+def roll(context):
+    stage = context.stage
+    context.before = _members(context)
+    callers = SteadyCallers(stage)
+    callers.start()
+    context.codes = [_restart(process) for process in stage.daemons.values()]
+    context.tally = callers.finish()
+
+
+def _restart(process):
+    code = process.terminate()
+    process.start()
+    processes.wait_until(
+        lambda: deployment.is_ready(process.url),
+        READY_TIMEOUT_S,
+        f'{process.name} ready',
+    )
+    return code
+
+
+@then('each daemon ended with code 0 and came back at revision {revision:d}')
+def check_back(context, revision):
+    assert set(context.codes) == {0}, context.codes
+    for daemon in context.stage.daemons:
+        _, answer = context.stage.control(daemon, '/v1/document')
+        assert answer['revision'] == revision, (daemon, answer['revision'])
+
+
+@then('operators see the same daemons under new incarnations')
+def check_members(context):
+    after = processes.wait_until(
+        lambda: _all_new(context), READY_TIMEOUT_S, 'all joined'
+    )
+    assert set(after) == set(context.before), after
+
+
+def _all_new(context):
+    after = _members(context)
+    is_whole = len(after) == len(context.before)
+    is_new = all(after[name] != context.before.get(name) for name in after)
+    return after if is_whole and is_new else None
--- a/measure/daemon_slopes.py
+++ b/measure/daemon_slopes.py
@@ -1,10 +1,13 @@
 """Measure what a whole daemon costs while no caller calls."""
 
 import contextlib
+import json
 import os
 import pathlib
 import time
 
+from hawthorndeal_fleet import codec
+from hawthorndeal_fleet import maintenance
 from stage import deployment
 
 from . import fleets
@@ -20,13 +23,46 @@
 
 
 def slopes():
-    """Yield memory and idle processor time by fleet and by peers."""
+    """Yield what the host list, the fleet and the peers cost."""
+    yield from _host_list_slopes()
     by_hosts = {n: _watch_fleet(n) for n in HOSTS}
     yield from _slopes('host', by_hosts, fleets.HOSTS)
     by_daemons = {n: _watch_peers(n) for n in DAEMONS}
     yield from _slopes('daemon', by_daemons, DAEMONS_DESIGNED_FOR)
 
 
+def _host_list_slopes():
+    answers = {n: _host_list(n) for n in HOSTS}
+    yield slopes_module.Slope(
+        'host list, bytes',
+        'host',
+        [(n, len(text)) for n, text in answers.items()],
+        fleets.HOSTS,
+    )
+    yield slopes_module.Slope(
+        'host list decoded, processor s',
+        'host',
+        [
+            (n, slopes_module.processor_s(lambda text=text: _decode(text)))
+            for n, text in answers.items()
+        ],
+        fleets.HOSTS,
+    )
+
+
+def _host_list(hosts):
+    status = maintenance.HostStatus(
+        is_live=True, is_leaving=False, boot_id='h0-boot-1', pool='p0'
+    )
+    plain = codec.to_plain(status)
+    return json.dumps({'hosts': {f'h{n}': plain for n in range(hosts)}})
+
+
+def _decode(text):
+    for status in json.loads(text)['hosts'].values():
+        codec.from_plain(status, maintenance.HostStatus)
+
+
 def _slopes(per, watched, design_size):
     names = ('resident, bytes', 'idle, share of a core')
     for index, name in enumerate(names):
