--- /dev/null
+++ b/features/fakes/raw_endpoint.py
@@ -0,0 +1,130 @@
+"""A stand-in for an endpoint that breaks the rules of HTTP on demand."""
+
+import asyncio
+import collections
+import enum
+
+REFUSAL = b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nHd-Not-Run: %s\r\n\r\n'
+
+
+class Fault(enum.Enum):
+    """Name what goes wrong with a request."""
+
+    NONE = 'none'
+    REFUSE = 'refuses'
+    LEAVE = 'says that it leaves'
+    ERROR = 'answers an error at once'
+    BREAK_BEFORE = 'breaks off before running'
+    BREAK_AFTER = 'breaks off after running'
+    TRUNCATE = 'truncates its answer'
+    NO_LENGTH = 'tells no length'
+    WRONG_ID = 'answers another request'
+    TOO_LONG = 'answers too much'
+    REDIRECT = 'redirects'
+    SILENT = 'never answers'
+    STOP_HALF_WAY = 'stops half way'
+    SLOW = 'is slow'
+
+
+class RawEndpoint:
+    """Serve requests on one address and count what ran.
+
+    :ivar silent_below: connections with a lower number get no answer
+    """
+
+    def __init__(self):
+        self.fault = Fault.NONE
+        self.delay_s = 0.0
+        self.runs = collections.Counter()
+        self.finished = collections.Counter()
+        self.connections = 0
+        self.open = set()
+        self.silent_below = 0
+        self.address = ''
+        self._server = None
+
+    async def start(self):
+        """Listen on any free port."""
+        self._server = await asyncio.start_server(
+            self._serve, '127.0.0.1', 0, backlog=512
+        )
+        ip, port = self._server.sockets[0].getsockname()
+        self.address = f'{ip}:{port}'
+
+    async def stop(self):
+        """Stop listening and drop every connection."""
+        self._server.close()
+        for writer in list(self.open):
+            writer.transport.abort()
+        await asyncio.sleep(0)
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        number = self.connections
+        self.open.add(writer)
+        try:
+            while True:
+                await self._serve_one(reader, writer, number)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        except asyncio.CancelledError:
+            # Streams report it as an error of the callback otherwise.
+            return
+        finally:
+            self.open.discard(writer)
+            writer.transport.abort()
+
+    async def _serve_one(self, reader, writer, number):
+        request_id, body = await _read_request(reader)
+        if number <= self.silent_below or self.fault is Fault.SILENT:
+            await reader.read()
+            raise ConnectionResetError
+        refusal = {Fault.REFUSE: b'busy', Fault.LEAVE: b'leaving'}
+        if self.fault in refusal:
+            writer.write(REFUSAL % refusal[self.fault])
+            return
+        if self.fault is Fault.BREAK_BEFORE:
+            raise ConnectionResetError
+        self.runs[request_id] += 1
+        await asyncio.sleep(self.delay_s)
+        self.finished[request_id] += 1
+        await self._answer(reader, writer, request_id, body)
+
+    async def _answer(self, reader, writer, request_id, body):
+        if self.fault is Fault.BREAK_AFTER:
+            raise ConnectionResetError
+        if self.fault is Fault.WRONG_ID:
+            request_id = 'another'
+        if self.fault is Fault.TOO_LONG:
+            body *= 100_000
+        writer.write(self._head(request_id, len(body)))
+        if self.fault in (Fault.TRUNCATE, Fault.STOP_HALF_WAY):
+            body = body[: len(body) // 2]
+        writer.write(body)
+        await writer.drain()
+        if self.fault is Fault.STOP_HALF_WAY:
+            await reader.read()
+        if self.fault in (Fault.TRUNCATE, Fault.NO_LENGTH):
+            writer.close()
+            raise ConnectionResetError
+
+    def _head(self, request_id, size):
+        status = {
+            Fault.ERROR: '500 Broken',
+            Fault.REDIRECT: '307 Elsewhere',
+        }.get(self.fault, '200 OK')
+        lines = [f'HTTP/1.1 {status}', f'Hd-Request-Id: {request_id}']
+        if self.fault is not Fault.NO_LENGTH:
+            lines.append(f'Content-Length: {size}')
+        if self.fault is Fault.REDIRECT:
+            lines.append('Location: /run/again')
+        return ('\r\n'.join(lines) + '\r\n\r\n').encode()
+
+
+async def _read_request(reader):
+    head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
+    headers = dict(
+        line.split(': ', 1) for line in head.split('\r\n')[1:] if line
+    )
+    body = await reader.readexactly(int(headers.get('content-length', 0)))
+    return headers['hd-request-id'], body
--- /dev/null
+++ b/features/stage/request_bench.py
@@ -0,0 +1,187 @@
+"""Entry hosts, endpoints and the log in one process and on one loop."""
+
+import asyncio
+import random
+import time
+
+from fakes import memory_log
+from fakes import raw_endpoint
+from hawthorndeal_daemon import dispatcher
+from hawthorndeal_daemon import endpoints
+from hawthorndeal_daemon import follower
+from hawthorndeal_daemon import returns
+from hawthorndeal_daemon import settings
+from hawthorndeal_daemon import writer
+from hawthorndeal_fleet import calls
+from hawthorndeal_fleet import configuration
+from hawthorndeal_fleet import errors
+from hawthorndeal_fleet import routing
+from hawthorndeal_fleet import state as state_module
+
+MAX_ANSWER_BYTES = 100_000
+BODY = b'the whole request'
+
+
+class Clock:
+    """Tell the time of this host, plus what a test adds."""
+
+    def __init__(self):
+        self.ahead_s = 0.0
+
+    def now_s(self):
+        """Return seconds since the epoch."""
+        return time.time() + self.ahead_s
+
+    def monotonic_s(self):
+        """Return seconds that never go back."""
+        return time.monotonic() + self.ahead_s
+
+
+def make_settings(**changes):
+    """Return the settings of an entry host that is not started."""
+    return settings.Settings(
+        daemon='d',
+        zone='z0',
+        callers_address='127.0.0.1:1',
+        control_address='127.0.0.1:2',
+        platform=settings.Platform('http://log', 'http://hosts'),
+        log_poll_s=0.02,
+        claim_timeout_s=0.3,
+        **changes,
+    )
+
+
+class EntryHost:
+    """Run what an entry host runs for requests.
+
+    :param name: tells entry hosts apart
+    :param document: the fleet, as plain data
+    """
+
+    def __init__(self, name, log, document):
+        self.name = name
+        self.clock = Clock()
+        options = make_settings()
+        self.follower = follower.Follower(log, options, self.clock)
+        configuration.install_patch(self.follower.state, document)
+        self.follower.state.members[name] = state_module.Member(
+            name, name, 'z0', '', 0, 1
+        )
+        self.writer = writer.Writer(log, self.follower, name, self.clock)
+        self.returner = returns.ClaimReturner(self.writer, self.clock)
+        self.client = endpoints.EndpointClient(MAX_ANSWER_BYTES, self.clock)
+        self.router = routing.Router('z0')
+        self.dispatcher = dispatcher.Dispatcher(
+            self.follower,
+            self.writer,
+            self.router,
+            self.client,
+            self.returner,
+            name,
+            options,
+            self.clock,
+            random.Random(3),
+        )
+        self._tasks = []
+
+    def start(self):
+        """Start the tasks that follow and append."""
+        self._tasks = [
+            asyncio.create_task(part.run())
+            for part in (self.follower, self.writer, self.returner)
+        ]
+
+    async def kill(self):
+        """End it at once: whatever runs goes no further."""
+        running = [*self._tasks, *self.dispatcher._kept]
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        await self.client.close()
+
+    async def send(
+        self, request_id, is_idempotent, deadline_s=2.0, urgency=None
+    ):
+        """Return outcome, reason and answer of one request."""
+        request = calls.Request(
+            workspace='w',
+            service='checker',
+            request_id=request_id,
+            deadline_s=time.time() + deadline_s,
+            is_idempotent=is_idempotent,
+            urgency=urgency or calls.Urgency.INTERACTIVE,
+            body=BODY,
+        )
+        try:
+            answer = await self.dispatcher.serve(request)
+        except errors.RequestFailed as failure:
+            return failure.outcome, failure.reason, failure
+        return 'answered', str(answer.status), answer
+
+
+class Bench:
+    """Hold two endpoints, the near one and the far one, and entry hosts."""
+
+    def __init__(self, entry_hosts=2):
+        self._count = entry_hosts
+        self.log = memory_log.MemoryLog()
+        self.near = raw_endpoint.RawEndpoint()
+        self.far = raw_endpoint.RawEndpoint()
+        self.entry_hosts = []
+
+    async def __aenter__(self):
+        """Start everything."""
+        await self.near.start()
+        await self.far.start()
+        document = self._document()
+        self.entry_hosts = [
+            EntryHost(f'entry{number}', self.log, document)
+            for number in range(self._count)
+        ]
+        for entry_host in self.entry_hosts:
+            entry_host.start()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        """End everything."""
+        for entry_host in self.entry_hosts:
+            await entry_host.kill()
+        await self.near.stop()
+        await self.far.stop()
+
+    def runs(self, request_id):
+        """Return how often a request ran, at the near and the far one."""
+        return self.near.runs[request_id], self.far.runs[request_id]
+
+    def _document(self):
+        places = {'near': ('z0', self.near), 'far': ('z1', self.far)}
+        host = {
+            'pool': 'p',
+            'cpu_cores': 16,
+            'memory_bytes': 2**36,
+        }
+        return {
+            'zones': {zone: {'region': 'r'} for zone in ('z0', 'z1')},
+            'pools': {'p': {}},
+            'hosts': {
+                f'{name}-h': {**host, 'zone': zone, 'rack': zone}
+                for name, (zone, _) in places.items()
+            },
+            'services': {'checker': {'workspace': 'w', 'pool': 'p'}},
+            'endpoints': {
+                name: {
+                    'service': 'checker',
+                    'host': f'{name}-h',
+                    'address': endpoint.address,
+                }
+                for name, (_, endpoint) in places.items()
+            },
+            'workspaces': {'w': {'quota': {'requests_in_flight': 100}}},
+        }
+
+
+async def wait_for(check, timeout_s=3.0):
+    """Wait until a check holds."""
+    async with asyncio.timeout(timeout_s):
+        while not check():
+            await asyncio.sleep(0.005)
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
@@ -109,7 +109,9 @@
         log = log_module.HttpLog(self._transports[0])
         hosts = hosts_module.HttpHosts(self._transports[1])
         router = routing.Router(settings.zone)
-        self._endpoints = endpoints.EndpointClient(settings.max_answer_bytes)
+        self._endpoints = endpoints.EndpointClient(
+            settings.max_answer_bytes, clock
+        )
         reader = follower.Follower(
             log, settings, clock, incarnation, loader.Loader(log, settings)
         )
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
@@ -1,6 +1,7 @@
 """Serve one request from its arrival to its final answer."""
 
 import asyncio
+import itertools
 
 from hawthorndeal_fleet import admission
 from hawthorndeal_fleet import errors
@@ -49,6 +50,7 @@
         self._endpoints = endpoints
         self._returner = returner
         self._incarnation = incarnation
+        self._claim_numbers = itertools.count(1)
         self._claim_timeout_s = settings.claim_timeout_s
         self._clock = clock
         self._rng = rng
@@ -113,12 +115,12 @@
         if request.is_idempotent:
             return await self._try_endpoints(request)
         self._gate.check(request, self._left_s(request))
-        await self._claim(request)
+        claimed = await self._claim(request)
         try:
             return await self._try_endpoints(request)
         except errors.NotRun:
             # Binds this daemon: it never sends the request from here on.
-            self._returner.add(request)
+            self._returner.add(claimed)
             raise
 
     def _check(self, request):
@@ -150,7 +152,9 @@
         body = records.RequestClaimed(
             key=request.key,
             deadline_s=request.deadline_s,
-            holder=self._incarnation,
+            # Unlike for each claim, so that a late return of one can't free
+            # another on the same request.
+            holder=f'{self._incarnation}.{next(self._claim_numbers)}',
         )
         timeout_s = min(self._claim_timeout_s, self._left_s(request))
         try:
@@ -158,13 +162,14 @@
         except errors.PlatformError as error:
             if isinstance(error, errors.OutcomeUnknown):
                 # The claim may stand or come yet; it is never used.
-                self._returner.add(request)
+                self._returner.add(body)
             raise errors.ClaimUnavailable(
                 f'the claim could not be written: {error}',
                 retry_after_s=COME_BACK_S,
             ) from error
         if not decision.is_accepted:
             raise errors.AlreadyClaimed(decision.reason)
+        return body
 
     async def _try_endpoints(self, request):
         tries = retries.Tries()
@@ -178,6 +183,10 @@
                     self._left_s(request),
                     self._retry_budget,
                 ):
+                    if isinstance(failure, errors.NotRun):
+                        failure.retry_after_s = (
+                            failure.retry_after_s or COME_BACK_S
+                        )
                     raise
             await asyncio.sleep(tries.back_off_s(self._rng))
 
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/endpoints.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/endpoints.py
@@ -66,10 +66,12 @@
     endpoint looks dead, none of those opened with it is used again.
 
     :param max_answer_bytes: longer answers are given up
+    :param clock: tells the time
     """
 
-    def __init__(self, max_answer_bytes):
+    def __init__(self, max_answer_bytes, clock):
         self._max_answer_bytes = max_answer_bytes
+        self._clock = clock
         self._channels = {}
         self._retired = set()
 
@@ -105,7 +107,7 @@
         if channel is None or channel.address != address:
             if channel is not None:
                 self._retire(name, channel)
-            channel = _Channel(address, _open_session())
+            channel = _Channel(address, _open_session(self._clock))
             self._channels[name] = channel
         return channel
 
@@ -205,9 +207,31 @@
             await channel.session.close()
 
 
-def _open_session():
+class _Connector(aiohttp.TCPConnector):
+    """Give no connection to a request whose deadline has passed.
+
+    This daemon may have been paused while it connected, and what a claim
+    allows ends with the deadline.
+    """
+
+    def __init__(self, clock, **options):
+        super().__init__(**options)
+        self._clock = clock
+
+    async def connect(self, req, traces, timeout):
+        """Return a connection to write the request to, at once."""
+        connection = await super().connect(req, traces, timeout)
+        late_s = self._clock.now_s() - float(req.headers[DEADLINE_HEADER])
+        if late_s >= 0:
+            connection.close()
+            raise errors.DeadlinePassed(f'{late_s:.3f} s late when connected')
+        return connection
+
+
+def _open_session(clock):
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
+        connector=_Connector(
+            clock,
             limit=0,
             keepalive_timeout=IDLE_CONNECTION_S,
             socket_factory=make_socket,
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/follower.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/follower.py
@@ -175,7 +175,9 @@
 
     async def _pause(self):
         try:
-            await asyncio.wait_for(self._poked.wait(), self._poll_s)
+            # Unlike wait_for, this never loses a cancellation.
+            async with asyncio.timeout(self._poll_s):
+                await self._poked.wait()
         except asyncio.TimeoutError:
             return
         finally:
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/returns.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/returns.py
@@ -20,22 +20,23 @@
     is told that the outcome is unknown: less use, but safe.
 
     :param writer: appends the records
-    :param incarnation: identity of this start of the daemon
     :param clock: tells the time
     """
 
     name = 'claim-returner'
 
-    def __init__(self, writer, incarnation, clock):
+    def __init__(self, writer, clock):
         self._writer = writer
-        self._incarnation = incarnation
         self._clock = clock
         self._waiting = collections.OrderedDict()
         self._added = asyncio.Event()
 
-    def add(self, request):
-        """Have the claim on a request returned; the oldest is dropped."""
-        self._waiting[request.key] = request.deadline_s
+    def add(self, claimed):
+        """Have a claim returned; when too many wait, the oldest is dropped.
+
+        :param claimed: the :class:`records.RequestClaimed` to undo
+        """
+        self._waiting[claimed.holder] = claimed
         if len(self._waiting) > MAX_WAITING:
             self._waiting.popitem(last=False)
         self._added.set()
@@ -55,24 +56,24 @@
 
     async def _return_some(self):
         self._drop_lapsed()
-        keys = list(self._waiting)[:MAX_AT_ONCE]
-        settled = await asyncio.gather(*map(self._settle, keys))
+        some = list(self._waiting.values())[:MAX_AT_ONCE]
+        settled = await asyncio.gather(*map(self._settle, some))
         if not all(settled):
             await asyncio.sleep(RETRY_S)
 
     def _drop_lapsed(self):
         horizon_s = self._clock.now_s() - claims.CLOCK_SKEW_S
-        for key, deadline_s in list(self._waiting.items()):
-            if deadline_s < horizon_s:
-                del self._waiting[key]
+        for claimed in list(self._waiting.values()):
+            if claimed.deadline_s < horizon_s:
+                del self._waiting[claimed.holder]
 
-    async def _settle(self, key):
-        body = records.ClaimReturned(key=key, holder=self._incarnation)
+    async def _settle(self, claimed):
+        body = records.ClaimReturned(key=claimed.key, holder=claimed.holder)
         try:
             decision = await self._writer.commit(body, COMMIT_TIMEOUT_S)
         except errors.PlatformError:
             return False
         if decision.is_accepted:
-            self._waiting.pop(key, None)
+            self._waiting.pop(claimed.holder, None)
         # A refusal may mean that the claim itself is still to come.
         return decision.is_accepted
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/writer.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/writer.py
@@ -94,9 +94,9 @@
         )
         decided = self._follower.expect(record.record_id)
         try:
-            return await asyncio.wait_for(
-                self._send_and_wait(record, decided), timeout_s
-            )
+            # Unlike wait_for, this never loses a cancellation.
+            async with asyncio.timeout(timeout_s):
+                return await self._send_and_wait(record, decided)
         except asyncio.TimeoutError:
             raise errors.OutcomeUnknown(
                 f'record {record.record_id} was not read back in time'
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/claims.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/claims.py
@@ -1,10 +1,15 @@
 """Decide who alone may run a non-idempotent request."""
 
+import itertools
+
 import attrs
 
 from . import state as state_module
 
 CLOCK_SKEW_S = 5.0
+# A caller that repeats a request soon after its deadline still finds it.
+KEPT_S = 60.0
+_LOOKED_AT = 2
 
 
 def claim(body, state, offset):
@@ -12,7 +17,7 @@
     _forget_expired(state)
     if body.deadline_s + CLOCK_SKEW_S <= state.log_time_s:
         return f'the deadline {body.deadline_s:.3f} has passed'
-    held = state.claims.get(body.key)
+    held = _find(state, body.key)
     if held is not None and held.status is state_module.ClaimStatus.HELD:
         return f'claimed at offset {held.offset}'
     state.claims[body.key] = state_module.Claim(
@@ -21,18 +26,31 @@
     return None
 
 
+def _find(state, key):
+    # Whether an expired claim is still in memory must change no decision.
+    held = state.claims.get(key)
+    if held is None or _is_expired(state, held):
+        return None
+    return held
+
+
+def _is_expired(state, held):
+    return held.deadline_s + KEPT_S <= state.log_time_s
+
+
 def _forget_expired(state):
-    # Claims arrive roughly in deadline order, so looking at the oldest few
-    # keeps the memory bounded at constant cost.
-    oldest = [key for key, _ in zip(state.claims, range(2))]
+    # Deadlines come in any order. Looking at two claims for each new one,
+    # in turn, keeps the memory under twice what is needed.
+    oldest = list(itertools.islice(state.claims, _LOOKED_AT))
     for key in oldest:
-        if state.claims[key].deadline_s + CLOCK_SKEW_S <= state.log_time_s:
-            del state.claims[key]
+        held = state.claims.pop(key)
+        if not _is_expired(state, held):
+            state.claims[key] = held
 
 
 def give_back(body, state, offset):
     """Free a key whose holder promises never to run the request."""
-    held = state.claims.get(body.key)
+    held = _find(state, body.key)
     if held is None or held.holder != body.holder:
         return f'{body.holder!r} does not hold {body.key!r}'
     state.claims[body.key] = attrs.evolve(
