Answer whatever callers send by a type, within bounds

Change: bodies are read with a bound on time and size, errors are typed, a connection over the limit is told so, Retry-After is rounded up, the content encoding is passed on.

--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/callers.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/callers.py
@@ -1,5 +1,6 @@
 """The interface for callers: requests, and readiness for the balancer."""
 
+import asyncio
 import math
 
 import sanic
@@ -8,6 +9,7 @@
 from hawthorndeal_fleet import calls
 from hawthorndeal_fleet import errors
 
+from . import logs
 from . import web
 
 REQUEST_ID_HEADER = 'hd-request-id'
@@ -19,6 +21,8 @@
 ENDPOINT_HEADER = 'Hd-Endpoint'
 MAX_ID_CHARS = 200
 
+_log = logs.get('callers')
+
 _BOOLEANS = {'true': True, 'false': False}
 
 
@@ -26,11 +30,12 @@
     """Return the application that callers reach."""
     app = web.make_app('callers', settings.max_body_bytes)
 
-    @app.post('/v1/services/<service:str>/requests')
+    @app.post('/v1/services/<service:str>/requests', stream=True)
     async def serve(request, service):
         request_id = request.headers.get(REQUEST_ID_HEADER, '')
         try:
-            call = _parse(request, service)
+            body = await _receive(request, settings.max_body_bytes)
+            call = _parse(request, service, body)
             answer = await dispatcher.serve(call)
         except errors.RequestFailed as failure:
             metrics.count(f'requests.{failure.outcome}.{failure.reason}')
@@ -51,18 +56,56 @@
         if dispatcher.is_draining:
             request.stream.keep_alive = False
 
-    @app.exception(sanic.exceptions.PayloadTooLarge)
-    async def too_large(request, error):
-        return web.failure_response(
-            errors.RequestTooLarge(
-                f'more than {settings.max_body_bytes} bytes'
-            )
-        )
+    @app.exception(Exception)
+    async def fail(request, error):
+        failure = _failure_of(error, settings)
+        metrics.count(f'requests.{failure.outcome}.{failure.reason}')
+        return web.failure_response(failure)
 
     return app
 
 
-def _parse(request, service):
+def _failure_of(error, settings):
+    if isinstance(error, sanic.exceptions.PayloadTooLarge):
+        return _too_large(settings.max_body_bytes)
+    if not isinstance(error, sanic.exceptions.SanicException):
+        # A request may have been sent before this went wrong.
+        _log.error('A request failed.', exc_info=error)
+        return errors.RequestFailed(type(error).__name__)
+    failure = errors.BadRequest(str(error)[:MAX_ID_CHARS])
+    failure.status = error.status_code or failure.status
+    return failure
+
+
+async def _receive(request, max_bytes):
+    # The library itself waits for a body as long as for an answer.
+    try:
+        async with asyncio.timeout(web.REQUEST_TIMEOUT_S):
+            return await _read_body(request, max_bytes)
+    except asyncio.TimeoutError:
+        request.stream.keep_alive = False
+        raise errors.RequestTooSlow(
+            f'not whole after {web.REQUEST_TIMEOUT_S} s'
+        ) from None
+
+
+async def _read_body(request, max_bytes):
+    chunks = []
+    size_bytes = 0
+    async for chunk in request.stream:
+        size_bytes += len(chunk)
+        if size_bytes > max_bytes:
+            request.stream.keep_alive = False
+            raise _too_large(max_bytes)
+        chunks.append(chunk)
+    return b''.join(chunks)
+
+
+def _too_large(max_bytes):
+    return errors.RequestTooLarge(f'more than {max_bytes} bytes')
+
+
+def _parse(request, service, body):
     headers = request.headers
     return calls.Request(
         workspace=_text(headers, WORKSPACE_HEADER),
@@ -76,7 +119,7 @@
             {urgency.value: urgency for urgency in calls.Urgency},
             calls.Urgency.INTERACTIVE.value,
         ),
-        body=request.body,
+        body=body,
     )
 
 
@@ -112,6 +155,9 @@
 
 
 def _respond(answer, request_id):
+    encoding = {}
+    if answer.content_encoding:
+        encoding['Content-Encoding'] = answer.content_encoding
     return response.raw(
         answer.body,
         status=answer.status,
@@ -119,6 +165,7 @@
             OUTCOME_HEADER: 'answered',
             ENDPOINT_HEADER: answer.endpoint,
             REQUEST_ID_HEADER: request_id,
+            **encoding,
         },
         content_type=answer.content_type or 'application/octet-stream',
     )
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
@@ -171,6 +171,7 @@
                         server, reader, settings, self._metrics
                     ),
                     settings.callers_address,
+                    settings.max_callers,
                 ),
                 Membership(appender, server, settings, incarnation),
                 carer,
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/web.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/web.py
@@ -1,13 +1,18 @@
 """Serve a sanic application inside the daemon's own loop."""
 
 import asyncio
+import math
 
 import sanic
 from sanic import response
 
+from . import connections
 from . import settings as settings_module
 
 KEEP_ALIVE_S = 30
+# A request must have come whole by then, however slowly it is sent.
+REQUEST_TIMEOUT_S = 10
+MAX_CONNECTIONS = 1000
 
 
 def make_app(name, max_body_bytes):
@@ -16,6 +21,7 @@
     app.config.ACCESS_LOG = False
     app.config.FALLBACK_ERROR_FORMAT = 'json'
     app.config.KEEP_ALIVE_TIMEOUT = KEEP_ALIVE_S
+    app.config.REQUEST_TIMEOUT = REQUEST_TIMEOUT_S
     app.config.REQUEST_MAX_SIZE = max_body_bytes
     app.config.RESPONSE_TIMEOUT = 24 * 3600
     app.config.MOTD = False
@@ -29,7 +35,7 @@
     """Return the answer that tells a typed failure."""
     headers = {}
     if failure.retry_after_s is not None:
-        headers['Retry-After'] = str(max(0, round(failure.retry_after_s)))
+        headers['Retry-After'] = str(math.ceil(failure.retry_after_s))
     return response.json(
         {
             'outcome': failure.outcome,
@@ -50,9 +56,11 @@
     :param make: returns the application; called at each start, since an
         application can't be started twice
     :param address: where it listens, as ``IP:PORT``
+    :param max_connections: served at once; others are refused
     """
 
-    def __init__(self, name, make, address):
+    def __init__(self, name, make, address, max_connections=MAX_CONNECTIONS):
+        self._max_connections = max_connections
         self.name = name
         self._make = make
         self._host, self._port = settings_module.split_address(address)
@@ -67,7 +75,10 @@
 
     async def _serve(self, app):
         server = await app.create_server(
-            host=self._host, port=self._port, return_asyncio_server=True
+            host=self._host,
+            port=self._port,
+            return_asyncio_server=True,
+            protocol=connections.limited_protocol(self._max_connections),
         )
         try:
             await server.startup()
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
@@ -194,6 +194,13 @@
     status = 413
 
 
+class RequestTooSlow(NotRun):
+    """Report a request that did not come whole in time."""
+
+    reason = 'too_slow'
+    status = 408
+
+
 class UnknownService(NotRun):
     """Report a request for a service that the fleet doesn't have."""
 
