--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
@@ -135,7 +135,7 @@
             incarnation,
             clock,
         )
-        returner = returns.ClaimReturner(appender, incarnation, clock)
+        returner = returns.ClaimReturner(appender, clock)
         server = dispatcher.Dispatcher(
             reader,
             appender,
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/admission.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/admission.py
@@ -18,7 +18,7 @@
 RESERVE_S = 10.0
 MARGIN = 2.0
 # Waiting longer helps nobody: as much work would come in meanwhile.
-MAX_WAIT_SHARE = 0.4
+MAX_WAIT_SHARE = 0.25
 SERVICE_TIME_WEIGHT = 0.1
 MIN_RETRY_AFTER_S = 0.1
 
