--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
@@ -116,7 +116,9 @@
         log = log_module.HttpLog(self._transports[0])
         hosts = hosts_module.HttpHosts(self._transports[1])
         router = routing.Router(settings.zone)
-        self._endpoints = endpoints.EndpointClient(settings.max_answer_bytes)
+        self._endpoints = endpoints.EndpointClient(
+            settings.max_answer_bytes, clock
+        )
         reader = follower.Follower(
             log, settings, clock, incarnation, loader.Loader(log, settings)
         )
@@ -149,7 +151,7 @@
             clock,
             waves.turns,
         )
-        returner = returns.ClaimReturner(appender, incarnation, clock)
+        returner = returns.ClaimReturner(appender, clock)
         server = dispatcher.Dispatcher(
             reader,
             appender,
@@ -191,6 +193,7 @@
                         clock,
                     ),
                     settings.callers_address,
+                    settings.max_callers,
                 ),
                 Membership(appender, server, settings, incarnation),
                 carer,
