Measure planning slopes and prove when a grant may be taken over

Two mutants were not seen by the fault table before: a takeover without a wait, and a holder that acts after its permission; both have scenarios of their own now.

--- a/features/fakes/memory.py
+++ b/features/fakes/memory.py
@@ -63,6 +63,7 @@
 
     :ivar lost: verbs whose next answer is lost after their effect
     :ivar delayed: verbs whose next call takes effect much later
+    :ivar unavailable: verbs that fail without an effect
     :ivar violations: what the stand-in itself saw go wrong
     """
 
@@ -72,6 +73,7 @@
         self.lost = set()
         self.delayed = set()
         self.never_back = set()
+        self.unavailable = set()
         self.events = []
         self.violations = []
         self._late = []
@@ -102,6 +104,8 @@
         self._call('restore', host, deadline_s)
 
     def _call(self, verb, host, deadline_s, *more):
+        if verb in self.unavailable:
+            raise errors.PlatformUnavailable(f'{verb} of {host}: down')
         if verb in self.delayed:
             self.delayed.discard(verb)
             at_s = self._bench.clock.now_s() + LATE_S
--- a/features/maintenance.feature
+++ b/features/maintenance.feature
@@ -38,6 +38,26 @@
     When two daemons ask for two hosts at one moment
     Then exactly 1 of the two is granted
 
+  Scenario Outline: A grant is <verdict> by another <when>
+    Given entry hosts and a wave over the hosts of "pr-checker"
+    When another daemon asks to carry a grant on <when>
+    Then the grant is <verdict>
+
+    Examples:
+      | when                                      | verdict        |
+      | while its holder renews it                | not taken over |
+      | right after its holder was replaced       | not taken over |
+      | right after its holder was declared dead  | not taken over |
+      | once its holder left                      | taken over     |
+      | 29 s after its holder was heard           | not taken over |
+      | 31 s after its holder was heard           | taken over     |
+
+  @invariant_budget
+  Scenario: A holder without the log makes no call once others may act
+    Given entry hosts and a wave over the hosts of "pr-checker"
+    When the log and the reboot service fail together and only one mends
+    Then no host was rebooted
+
   @invariant_budget
   Scenario Outline: The fold refuses <ask>
     Given entry hosts and a wave over the hosts of "pr-checker"
--- a/features/steps/maintenance.py
+++ b/features/steps/maintenance.py
@@ -235,15 +235,18 @@
 
 def _pause_file(bench):
     assert bench.run_until(lambda: bench.at_step('drained'))
+    host = bench.at_step('drained').host
     assert bench.apply_wave(state='paused').is_accepted
     assert bench.run_until(lambda: not bench.state.disruptions, 120)
     bench.run_for(20)
     assert not bench.state.disruptions
+    assert ('reboot', host) not in bench.hosts.events
     assert bench.apply_wave().is_accepted
 
 
 def _opposite_files(bench):
     assert bench.run_until(lambda: bench.at_step('drained'))
+    host = bench.at_step('drained').host
     state = bench.state
     bodies = [
         configuration.make_applied(
@@ -263,6 +266,7 @@
     assert accepted == [True, False], accepted
     bench.run_for(60)
     assert not bench.state.disruptions
+    assert ('reboot', host) not in bench.hosts.events
     assert bench.apply_wave().is_accepted
 
 
@@ -363,6 +367,83 @@
     bench.report()
 
 
+def _renew(bench, holder):
+    bench.clock.elapsed_s += 29
+    bench.append(holder, records.PermissionRenewed(holder.incarnation))
+    bench.clock.elapsed_s += 29
+
+
+def _declare_dead(bench, holder):
+    bench.apply({**bench.document, 'dead_daemons': [holder.incarnation]})
+    assert holder.incarnation not in bench.daemons[-1].state.members
+
+
+def _leave(bench, holder):
+    bench.append(holder, records.DaemonLeft(holder.incarnation))
+
+
+def _wait(seconds):
+    def run(bench, holder):
+        bench.clock.elapsed_s += seconds
+
+    return run
+
+
+HOLDER_FATES = {
+    'while its holder renews it': _renew,
+    'right after its holder was replaced': Bench.replace,
+    'right after its holder was declared dead': _declare_dead,
+    'once its holder left': _leave,
+    '29 s after its holder was heard': _wait(29),
+    '31 s after its holder was heard': _wait(31),
+}
+
+
+@when('another daemon asks to carry a grant on {when}')
+def take_over(context, when):
+    bench = context.bench
+    bench.apply_wave()
+    holder, other = bench.daemons[:2]
+    offset = _ask(bench, bench.watched[0], holder)
+    HOLDER_FATES[when](bench, holder)
+    body = records.DisruptionTaken(bench.watched[0], offset, other.incarnation)
+    taken = bench.append(other, body)
+    bench.catch_up()
+    context.decision = bench.decisions[taken]
+
+
+@then('the grant is taken over')
+def check_taken(context):
+    assert context.decision.is_accepted, context.decision
+
+
+@then('the grant is not taken over')
+def check_not_taken(context):
+    assert not context.decision.is_accepted
+    assert 'may act for' in context.decision.reason, context.decision
+
+
+@when('the log and the reboot service fail together and only one mends')
+def lose_log_and_reboots(context):
+    bench = context.bench
+    bench.apply_wave()
+    bench.hosts.unavailable.add('reboot')
+    assert bench.run_until(lambda: bench.at_step('stopping'))
+    for daemon in bench.daemons:
+        daemon.has_log = False
+    for _ in range(25):
+        asyncio.run(bench.step())
+    bench.hosts.unavailable.clear()
+    for _ in range(30):
+        asyncio.run(bench.step())
+
+
+@then('no host was rebooted')
+def check_no_reboot(context):
+    events = context.bench.hosts.events
+    assert not any(verb == 'reboot' for verb, _ in events), events
+
+
 @when('a daemon asks for {ask}')
 def ask_one(context, ask):
     bench = context.bench
--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -15,7 +15,7 @@
 
 from . import fit
 
-NAMES = ('cli_slopes', 'daemon_slopes', 'statsd_slopes')
+NAMES = ('cli_slopes', 'daemon_slopes', 'statsd_slopes', 'waves_slopes')
 REPEATS = 3
 
 
