--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/budget.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/budget.py
@@ -2,59 +2,25 @@
 
 import collections
 
-import attrs
-
 from . import model
 from . import records
 
-MAX_INDEXES = 2
 _STOPPED_STEPS = (records.Step.STOPPING, records.Step.HEALTHY)
 
 
-@attrs.frozen
-class FleetIndex:
-    """Find executors by host and by service.
-
-    :ivar by_host: number of executors by service, by host
-    :ivar by_service: the hosts of a service's executors
-    """
-
-    by_host: dict[str, dict[str, int]]
-    by_service: dict[str, list[str]]
-
-
-# Pairs of a fleet and its index, told apart by identity, newest last.
-_indexes = collections.deque(maxlen=MAX_INDEXES)
-
-
-def index_of(fleet):
-    """Return the index of a fleet; it is built once for each."""
-    for known, index in _indexes:
-        if known is fleet:
-            return index
-    index = _build_index(fleet)
-    _indexes.append((fleet, index))
-    return index
-
-
-def _build_index(fleet):
-    by_host = {}
-    by_service = {}
-    for endpoint in fleet.endpoints.values():
-        counts = by_host.setdefault(endpoint.host, {})
-        counts[endpoint.service] = counts.get(endpoint.service, 0) + 1
-        by_service.setdefault(endpoint.service, []).append(endpoint.host)
-    return FleetIndex(by_host, by_service)
-
-
 def executors_on(state, host):
     """Return the number of executors on a host, by service."""
-    return index_of(state.fleet).by_host.get(host, {})
+    counts = {}
+    for name in state.endpoints_on(host):
+        service = state.fleet.endpoints[name].service
+        counts[service] = counts.get(service, 0) + 1
+    return counts
 
 
 def hosts_of(state, service):
     """Return the host of every executor of a service."""
-    return index_of(state.fleet).by_service.get(service, [])
+    endpoints = state.fleet.endpoints
+    return [endpoints[name].host for name in state.endpoints_of(service)]
 
 
 def budget_of(fleet, service):
@@ -182,18 +148,21 @@
         self._rooms = {}
 
     def _room(self, service):
-        room = self._rooms.get(service)
-        if room is None:
-            room = _Room(self._state, service, self._missing_hosts)
-            self._rooms[service] = room
-        return room
+        if service not in self._rooms:
+            is_budgeted = budget_of(self._state.fleet, service) is not None
+            self._rooms[service] = (
+                _Room(self._state, service, self._missing_hosts)
+                if is_budgeted
+                else None
+            )
+        return self._rooms[service]
 
     def _budgeted(self, host):
-        return [
+        rooms = (
             (self._room(service), executors)
             for service, executors in executors_on(self._state, host).items()
-            if budget_of(self._state.fleet, service) is not None
-        ]
+        )
+        return [pair for pair in rooms if pair[0] is not None]
 
     def refuse(self, host, expected_s=0.0):
         """Return why a host can't be taken, or None.
