--- a/features/steps/requests_http.py
+++ b/features/steps/requests_http.py
@@ -68,7 +68,12 @@
         context,
         'callers-test',
         lambda: callers.make_app(
-            entry.dispatcher, entry.follower, options, _NoMetrics()
+            entry.dispatcher,
+            entry.follower,
+            entry.writer,
+            options,
+            _NoMetrics(),
+            None,
         ),
         max_connections,
     )
