--- a/features/fakes/raw_endpoint.py
+++ b/features/fakes/raw_endpoint.py
@@ -20,6 +20,7 @@
     NO_LENGTH = 'tells no length'
     WRONG_ID = 'answers another request'
     TOO_LONG = 'answers too much'
+    TOO_LONG_CHUNKED = 'answers too much in chunks'
     REDIRECT = 'redirects'
     SILENT = 'never answers'
     STOP_HALF_WAY = 'stops half way'
@@ -95,9 +96,11 @@
             raise ConnectionResetError
         if self.fault is Fault.WRONG_ID:
             request_id = 'another'
-        if self.fault is Fault.TOO_LONG:
+        if self.fault in (Fault.TOO_LONG, Fault.TOO_LONG_CHUNKED):
             body *= 100_000
         writer.write(self._head(request_id, len(body)))
+        if self.fault is Fault.TOO_LONG_CHUNKED:
+            body = f'{len(body):x}\r\n'.encode() + body + b'\r\n0\r\n\r\n'
         if self.fault in (Fault.TRUNCATE, Fault.STOP_HALF_WAY):
             body = body[: len(body) // 2]
         writer.write(body)
@@ -114,7 +117,9 @@
             Fault.REDIRECT: '307 Elsewhere',
         }.get(self.fault, '200 OK')
         lines = [f'HTTP/1.1 {status}', f'Hd-Request-Id: {request_id}']
-        if self.fault is not Fault.NO_LENGTH:
+        if self.fault is Fault.TOO_LONG_CHUNKED:
+            lines.append('Transfer-Encoding: chunked')
+        elif self.fault is not Fault.NO_LENGTH:
             lines.append(f'Content-Length: {size}')
         if self.fault is Fault.REDIRECT:
             lines.append('Location: /run/again')
--- a/features/requests_faults.feature
+++ b/features/requests_faults.feature
@@ -31,6 +31,8 @@
       | answers another request   | false      | unknown  | answer_lost | 1    | 0   |
       | answers too much          | true       | answered | 200         | 1    | 1   |
       | answers too much          | false      | unknown  | answer_lost | 1    | 0   |
+      | answers too much in chunks | true      | answered | 200         | 1    | 1   |
+      | answers too much in chunks | false     | unknown  | answer_lost | 1    | 0   |
       | stops half way            | true       | answered | 200         | 1    | 1   |
       | stops half way            | false      | unknown  | answer_lost | 1    | 0   |
       | redirects                 | true       | answered | 307         | 1    | 0   |
@@ -95,6 +97,18 @@
     When 5 requests are sent at once
     Then 3 of them are told not_run with quota_exceeded
 
+  @invariant_not_run
+  Scenario: A request that waits in vain is told so before its deadline
+    Given both endpoints never answers
+    And requests without answer fill both
+    When a request with a deadline in 0.3 s is sent and finds no room
+    Then it is told overloaded before 0.35 s have passed
+
+  Scenario: An endpoint given to a caller that vanishes is given back
+    Given both endpoints is slow
+    When a request waits, gets an endpoint and is cancelled in one moment
+    Then nothing of it is left in flight
+
   Scenario: What has no room waits, and what can't wait is refused at once
     Given both endpoints take 0.05 s and 1 at a time
     When 40 requests with a deadline in 0.6 s are sent at once
--- a/features/steps/requests_claims.py
+++ b/features/steps/requests_claims.py
@@ -254,6 +254,9 @@
 @given('a claim with a deadline at {deadline_s:d} s')
 def make_claim(context, deadline_s):
     context.state = state_module.State(log_time_s=1.0)
+    # Those before it are looked at first, so that it stays in memory.
+    for number in range(10):
+        _claim(context.state, f'other-{number}', 1000.0)
     assert _claim(context.state, 'k', deadline_s) is None
 
 
@@ -264,7 +267,6 @@
 
 @when('a claim on the same key with a deadline at {deadline_s:d} s comes')
 def claim_again(context, deadline_s):
-    # Another claim looks for expired ones first, or not; no matter.
     context.refusal = _claim(context.state, 'k', deadline_s, 1)
 
 
--- a/features/steps/requests_faults.py
+++ b/features/steps/requests_faults.py
@@ -262,6 +262,56 @@
     assert got[0] == 'answered', got
 
 
+@given('requests without answer fill both')
+@on_bench
+async def fill_both(context):
+    context.filling = [
+        asyncio.create_task(context.entry.send(f'fill-{n}', True, 2.0))
+        for n in range(2)
+    ]
+    state = context.entry.follower.state
+    await request_bench.wait_for(
+        lambda: len(context.entry.router.busy_hosts(state)) == 2
+    )
+
+
+@when(
+    'a request with a deadline in {deadline_s:g} s is sent and finds no room'
+)
+@on_bench
+async def find_no_room(context, deadline_s):
+    started_s = time.monotonic()
+    context.got = await context.entry.send(ID, True, deadline_s)
+    context.took_s = time.monotonic() - started_s
+    for task in context.filling:
+        task.cancel()
+
+
+@then('it is told {reason:w} before {limit_s:g} s have passed')
+def check_told_in_time(context, reason, limit_s):
+    assert context.got[:2] == ('not_run', reason), context.got
+    assert context.took_s < limit_s, context.took_s
+
+
+@when('a request waits, gets an endpoint and is cancelled in one moment')
+@on_bench
+async def cancel_granted(context):
+    gate = context.entry.dispatcher._gate
+    running = [
+        asyncio.create_task(context.entry.send(f'run-{n}', True, 5.0))
+        for n in range(2)
+    ]
+    await request_bench.wait_for(lambda: sum(context.bench.far.runs.values()))
+    waiting = asyncio.create_task(context.entry.send(ID, True, 5.0))
+    await request_bench.wait_for(lambda: gate._granted)
+    granted = next(iter(gate._granted.values()))
+    granted.add_done_callback(lambda _: waiting.cancel())
+    await asyncio.gather(*running)
+    await asyncio.gather(waiting, return_exceptions=True)
+    assert granted.done() and not granted.cancelled()
+    assert not any(context.bench.runs(ID)), context.bench.runs(ID)
+
+
 @given('a quota of {quota:d} requests in flight')
 @on_bench
 async def set_quota(context, quota):
--- a/measure/request_baselines.py
+++ b/measure/request_baselines.py
@@ -36,6 +36,31 @@
         scheduling.Scheduler.__init__(self, AnswersOnlyRouter(zone), rng)
 
 
+class NoDelaySignal(Adaptive):
+    """Be the daemon's policy with limits that refusals alone lower."""
+
+    def leave(self, service, urgency, name, outcome, now_s, took_s=None):
+        """Forget how long an endpoint takes with little to do."""
+        super().leave(service, urgency, name, outcome, now_s, took_s)
+        load = self._router._loads.get(name)
+        if load is not None:
+            load.limit.lone_latency_s = None
+
+
+class _RandomRouter(routing.Router):
+    """Route to any endpoint that has room."""
+
+    def _wait_s(self, name, now_s):
+        return 0.0
+
+
+class RandomChoice(Adaptive):
+    """Be the daemon's policy with one random choice."""
+
+    def __init__(self, zone, rng):
+        scheduling.Scheduler.__init__(self, _RandomRouter(zone), rng)
+
+
 class NoReserve(Adaptive):
     """Be the daemon's policy with one order for all requests."""
 
--- a/measure/request_model.py
+++ b/measure/request_model.py
@@ -24,6 +24,7 @@
 FAST_FAILURE_S = 0.001
 NETWORK_S = 0.001
 LOOK_AGAIN_S = 0.01
+SLOWNESS = 4.0
 
 
 def make_state(zones=3, per_zone=2, entry_hosts=8, slots=8):
@@ -71,7 +72,7 @@
     """Model an executor.
 
     :ivar queue_limit: requests that wait beyond the slots; others refused
-    :ivar mode: ``ok``, ``failing`` at once, ``frozen`` or ``gone``
+    :ivar mode: ``ok``, ``slow``, ``failing`` at once, ``frozen`` or ``gone``
     """
 
     slots: int = 8
@@ -324,7 +325,8 @@
 
     def _start_work(self, endpoint, call, number):
         endpoint.running += 1
-        self.after(call.work_s, self._end_work, endpoint, call, number)
+        work_s = call.work_s * (SLOWNESS if endpoint.mode == 'slow' else 1.0)
+        self.after(work_s, self._end_work, endpoint, call, number)
 
     def _end_work(self, endpoint, call, number):
         endpoint.running -= 1
