--- a/features/steps/requests_faults.py
+++ b/features/steps/requests_faults.py
@@ -305,7 +305,15 @@
     waiting = asyncio.create_task(context.entry.send(ID, True, 5.0))
     await request_bench.wait_for(lambda: gate._granted)
     granted = next(iter(gate._granted.values()))
-    granted.add_done_callback(lambda _: waiting.cancel())
+    real = gate._start_waiting
+
+    def start_waiting(service):
+        real(service)
+        if granted.done():
+            # Before the one who waits has run on.
+            waiting.cancel()
+
+    gate._start_waiting = start_waiting
     await asyncio.gather(*running)
     await asyncio.gather(waiting, return_exceptions=True)
     assert granted.done() and not granted.cancelled()
--- a/features/steps/requests_http.py
+++ b/features/steps/requests_http.py
@@ -249,6 +249,8 @@
 @requests_faults.on_bench
 async def check_finished(context):
     near = context.bench.near
+    await asyncio.sleep(0.1)
+    assert near.open and context.entry.dispatcher._running
     await request_bench.wait_for(lambda: near.finished['id'])
     await request_bench.wait_for(lambda: not context.entry.dispatcher._running)
     assert near.connections == 1, near.connections
--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -18,6 +18,7 @@
 NAMES = (
     'cli_slopes',
     'daemon_slopes',
+    'requests_slopes',
     'statsd_slopes',
     'waves_slopes',
 )
