--- a/measure/run.py
+++ b/measure/run.py
@@ -9,7 +9,7 @@
 import sys
 import time
 
-NAMES = ('state', 'waves')
+NAMES = ('requests', 'state', 'waves')
 
 
 def main():
--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -19,6 +19,7 @@
     'cli_slopes',
     'daemon_slopes',
     'state_slopes',
+    'requests_slopes',
     'statsd_slopes',
     'waves_slopes',
 )
