Measure placement against baselines, and mend quarantine by it

Urgent start, use, over-commitment, spread, moves by a wave and tries at a bad worker, in virtual time through the real fold and policy.

Mended, each with its scenario: a pool in which everything failed put its first host in quarantine, for want of evidence elsewhere (running tasks count now); failures of tasks placed before a quarantine doubled its time; a blocked pool was gone through on every tick, and is left now until its jobs change or a second has passed. A job's charge is worked out once for hosts of a size.

--- a/features/placement_faults.feature
+++ b/features/placement_faults.feature
@@ -48,11 +48,12 @@
     Given placers d1 and d2
     When 24 jobs run while host h1 fails every task
     Then all of them are done
+    And host h1 was tried at most 8 times
     And host h1 is in quarantine, and released after it was mended
 
   Scenario: A job that fails everywhere ends, and no host is blamed
     Given placers d1 and d2
-    When job a fails on every host
+    When job a and 9 others fail on every host
     Then job a is failed after 0 starts
     And no host is in quarantine
 
--- a/features/steps/placement_faults.py
+++ b/features/steps/placement_faults.py
@@ -287,6 +287,13 @@
     assert set(found.values()) == {'done'}, found
 
 
+@then('host h1 was tried at most {tries:d} times')
+def check_tries(context, tries):
+    tasks = context.bench.workers.tasks.values()
+    tried = sum(task.host == 'h1' for task in tasks)
+    assert tried <= tries, tried
+
+
 @then('host h1 is in quarantine, and released after it was mended')
 def check_quarantine(context):
     bench = context.bench
@@ -298,10 +305,10 @@
     assert not bench.reader.quarantines, bench.reader.quarantines
 
 
-@when('job a fails on every host')
-def fail_everywhere(context):
+@when('job a and {count:d} others fail on every host')
+def fail_everywhere(context, count):
     context.bench.workers.bad_hosts = set(context.bench.fleet.hosts)
-    asyncio.run(_nothing(context.bench))
+    asyncio.run(_run_all(context.bench, ['a', *map(str, range(count))]))
 
 
 @then('no host is in quarantine')
--- a/measure/run.py
+++ b/measure/run.py
@@ -9,7 +9,7 @@
 import sys
 import time
 
-NAMES = ('waves',)
+NAMES = ('placement', 'waves')
 
 
 def main():
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/placer.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/placer.py
@@ -16,6 +16,8 @@
 RENEWAL_PERIOD_S = 5.0
 TURNS_PERIOD_S = 5.0
 AVOID_S = 5.0
+# Hosts come back, quotas get free and probes fall due without a change.
+BLOCKED_S = 1.0
 MAX_RUNNING = 100
 MAX_NEWS = 10_000
 
@@ -69,6 +71,8 @@
         self._silent_since_s = {}
         self._renewed_until_s = {}
         self._next_renewal_s = 0.0
+        self._blocked = {}
+        self._unblock_s = 0.0
         self._next_turns_s = 0.0
         self._known_turns = {}
         self._cursor = 0
@@ -98,6 +102,9 @@
         for job_id in list(self._news):
             self._begin(job_id, self._settle_news(job_id))
         for act in acts:
+            if isinstance(act, placing.Blocked):
+                self._blocked[act.pool] = act.changes
+                continue
             self._begin(_key(act), self._carry_out(act), _choice(act))
 
     def _begin(self, key, work, choice=None):
@@ -118,6 +125,9 @@
 
     def _look(self):
         now_s = self._clock.monotonic_s()
+        if now_s >= self._unblock_s:
+            self._unblock_s = now_s + BLOCKED_S
+            self._blocked = {}
         return placing.Sight(
             me=self._me,
             now_s=self._clock.now_s(),
@@ -133,6 +143,7 @@
                 host: now_s - since_s
                 for host, since_s in self._silent_since_s.items()
             },
+            blocked=self._blocked,
             turns=self._expected_turns(now_s),
         )
 
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/jobs.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/jobs.py
@@ -156,6 +156,7 @@
     :ivar throttled: throttled jobs, in order
     :ivar abandoned: jobs whose lease is not renewed, in order
     :ivar held: placed jobs, by holder
+    :ivar changes: how often the jobs of a pool changed, as counted here
     """
 
     used: dict[str, Size] = attrs.Factory(dict)
@@ -168,9 +169,13 @@
     throttled: dict[str, None] = attrs.Factory(dict)
     abandoned: dict[str, None] = attrs.Factory(dict)
     held: dict[str, dict[str, None]] = attrs.Factory(dict)
+    changes: dict[str, int] = attrs.field(
+        factory=dict, eq=False, metadata={'is_derived': True}
+    )
 
     def add(self, job):
         """Count a job as it stands now."""
+        self.changes[job.pool] = self.changes.get(job.pool, 0) + 1
         if job.is_queued:
             queue = self.queues.setdefault(job.pool, Queue())
             queue.of(job.urgency)[job.job_id] = None
@@ -188,6 +193,7 @@
 
     def remove(self, job):
         """Forget a job that was counted as it stands."""
+        self.changes[job.pool] = self.changes.get(job.pool, 0) + 1
         if job.is_queued:
             queue = self.queues[job.pool]
             queue.of(job.urgency).pop(job.job_id)
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/placement.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/placement.py
@@ -96,6 +96,7 @@
     :ivar reserved: capacity of hosts that is chosen but not folded yet
     :ivar reserved_quota: the same, of workspaces
     :ivar yielding: jobs that are about to make room
+    :ivar charges: what jobs are charged for on hosts of a size
     """
 
     state: typing.Any
@@ -104,6 +105,7 @@
     reserved: dict[str, jobs_module.Size] = attrs.Factory(dict)
     reserved_quota: dict[str, jobs_module.Size] = attrs.Factory(dict)
     yielding: set[str] = attrs.Factory(set)
+    charges: dict = attrs.Factory(dict)
     policy: Policy = attrs.Factory(SpreadThenFit)
 
     def room_on(self, host):
@@ -173,7 +175,13 @@
 
 def _charge(view, job, name):
     capacity = pools.host_capacity(view.state, name)
-    return usage.corrected(view.state, job, capacity)
+    # Few hosts of a pool differ in size.
+    key = job.job_id, capacity.cpu_millicores, capacity.memory_bytes
+    known = view.charges.get(key)
+    if known is None:
+        known = usage.corrected(view.state, job, capacity)
+        view.charges[key] = known
+    return known
 
 
 def _candidates(view, job):
@@ -186,8 +194,8 @@
 
 
 def _candidate(view, job, name, spread):
-    room = view.room_on(name)
     charge = _charge(view, job, name)
+    room = view.room_on(name)
     if not charge.fits(room):
         return None
     declared = view.state.fleet.hosts[name]
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/placing.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/placing.py
@@ -41,6 +41,17 @@
     choice: placement.Choice
 
 
+@attrs.frozen
+class Blocked(Act):
+    """Remember that no queued job of a pool could be placed.
+
+    :ivar changes: how often its jobs had changed
+    """
+
+    pool: str
+    changes: int
+
+
 @attrs.frozen
 class JobAct(Act):
     """Be the root of what is done about one placed job."""
@@ -125,6 +136,8 @@
     :ivar reserved: capacity of placements under way, by job
     :ivar renewed_until_s: end of each lease as renewed last, by token
     :ivar unreachable_s: how long hosts have not answered
+    :ivar blocked: count of changes of pools in which nothing could be
+        placed a moment ago
     :ivar turns: log time at which hosts are expected to be worked on
     """
 
@@ -135,6 +148,7 @@
     reserved: dict[str, placement.Choice] = attrs.Factory(dict)
     renewed_until_s: dict[int, float] = attrs.Factory(dict)
     unreachable_s: dict[str, float] = attrs.Factory(dict)
+    blocked: dict[str, int] = attrs.Factory(dict)
     turns: dict[str, float] = attrs.Factory(dict)
 
 
@@ -180,7 +194,12 @@
 
 def _place(state, sight):
     view = _view(state, sight)
-    ranks = {pool: rank(state, sight.me, pool) for pool in state.ledger.queues}
+    changes = state.ledger.changes
+    ranks = {
+        pool: rank(state, sight.me, pool)
+        for pool in state.ledger.queues
+        if sight.blocked.get(pool) != changes.get(pool, 0)
+    }
     for pool, place in sorted(ranks.items(), key=lambda item: item[1]):
         if place is not None and _is_my_turn(state, sight, pool, place):
             yield from _place_pool(view, sight, pool)
@@ -197,6 +216,8 @@
         view, pool, MAX_ACTS, sight.busy.__contains__
     )
     yield from (Place(choice) for choice in choices)
+    if not choices:
+        yield Blocked(pool, view.state.ledger.changes.get(pool, 0))
 
 
 def _view(state, sight):
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/quarantine.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/quarantine.py
@@ -5,8 +5,12 @@
 
 import attrs
 
+from . import jobs
+from . import pools
+
 HALF_LIFE_S = 1800.0
 MIN_FAILURES = 2.5
+MIN_TRIED_ELSEWHERE = 2.5
 # A host is suspect above its pool's failure rate times this, plus a margin.
 RATE_FACTOR = 3.0
 RATE_MARGIN = 0.3
@@ -37,12 +41,18 @@
             return attrs.evolve(self, failures=self.failures + 1)
         return attrs.evolve(self, successes=self.successes + 1)
 
-    def rate_without(self, other):
-        """Return the failure rate of all but another part."""
-        failures = max(0.0, self.failures - other.failures)
-        successes = max(0.0, self.successes - other.successes)
-        total = failures + successes
-        return failures / total if total else 0.0
+    @property
+    def ends(self):
+        """Return how many ends are counted."""
+        return self.failures + self.successes
+
+    def without(self, other):
+        """Return the evidence without a part of it."""
+        return attrs.evolve(
+            self,
+            failures=max(0.0, self.failures - other.failures),
+            successes=max(0.0, self.successes - other.successes),
+        )
 
 
 @attrs.frozen
@@ -66,8 +76,10 @@
     everywhere = _add(state.pool_evidence, pool, now_s, is_failure)
     held = state.quarantines.get(host)
     if held is not None:
-        _probed(state, host, held, is_failure)
-    elif is_failure and _is_suspect(there, everywhere):
+        # What was placed before the quarantine began is no probe.
+        if now_s >= held.probe_s:
+            _probed(state, host, held, is_failure)
+    elif is_failure and _is_suspect(state, host, pool, there, everywhere):
         _begin(state, host, FIRST_PROBE_S)
 
 
@@ -76,12 +88,25 @@
     return kept[key]
 
 
-def _is_suspect(there, everywhere):
+def _is_suspect(state, host, pool, there, everywhere):
     if there.failures < MIN_FAILURES:
         return False
-    elsewhere = everywhere.rate_without(there)
-    rate = there.rate_without(Evidence())
-    return rate > RATE_FACTOR * elsewhere + RATE_MARGIN
+    elsewhere = everywhere.without(there)
+    # Tasks fail sooner than they end well, so those that run count as well.
+    tried = elsewhere.ends + _running_elsewhere(state, host, pool)
+    if tried < MIN_TRIED_ELSEWHERE:
+        return False
+    usual = elsewhere.failures / tried
+    return there.failures / there.ends > RATE_FACTOR * usual + RATE_MARGIN
+
+
+def _running_elsewhere(state, host, pool):
+    return sum(
+        job.status is not jobs.JobStatus.PLACED
+        for other in pools.hosts_of(state, pool)
+        if other != host
+        for job in jobs.on_host(state, other)
+    )
 
 
 def _begin(state, host, wait_s):
