--- a/measure/run.py
+++ b/measure/run.py
@@ -9,7 +9,7 @@
 import sys
 import time
 
-NAMES = ('requests', 'state', 'waves')
+NAMES = ('placement', 'requests', 'state', 'waves')
 
 
 def main():
