--- a/features/steps/pages_rolling.py
+++ b/features/steps/pages_rolling.py
@@ -2,6 +2,7 @@
 
 import threading
 
+from behave import given
 from behave import then
 from behave import when
 
@@ -10,6 +11,8 @@
 from steps import common
 
 READY_TIMEOUT_S = 20.0
+WORK_S = 1.0
+LOT = 30
 
 
 class SteadyCallers(threading.Thread):
@@ -28,7 +31,7 @@
         """Send lots one after the other."""
         while not self._stopping.is_set():
             seed = len(self.tallies) + 1
-            callers = common.BackgroundCallers(self._stage, 100, seed=seed)
+            callers = common.BackgroundCallers(self._stage, LOT, seed=seed)
             callers.start()
             callers.join()
             self.tallies.append(callers.tally)
@@ -92,3 +95,24 @@
     is_whole = len(after) == len(context.before)
     is_new = all(after[name] != context.before.get(name) for name in after)
     return after if is_whole and is_new else None
+
+
+@given('a running deployment whose requests outlast the grace of a stop')
+def start_slow(context):
+    stage = context.make_stage(work_s=WORK_S)
+    assert WORK_S > 2 * deployment.SHUTDOWN_GRACE_S
+    result = stage.apply()
+    assert result.returncode == 0, result.stderr
+    stage.await_ready()
+
+
+@given('a running deployment without a fleet')
+def start_without_fleet(context):
+    context.make_stage()
+
+
+@then('the reason is "{reason}", and to come back at once')
+def check_reason(context, reason):
+    answer = context.answer
+    assert answer['reason'] == reason, answer
+    assert answer['retry_after_s'] == 0, answer
