--- a/features/maintenance.feature
+++ b/features/maintenance.feature
@@ -77,7 +77,7 @@
   @invariant_budget
   Scenario: Failures and planned work are charged once in the window
     Given entry hosts and a wave over the hosts of "pr-checker"
-    When a host is worked on for 100 s and fails for the last 50 s of it
+    When a host is worked on for 100 s and fails for 50 s in their midst
     Then 100 executor seconds of "pr-checker" are spent
 
   @invariant_budget
@@ -117,7 +117,7 @@
   Scenario: A move goes on by its grant when the file forgets the wave
     Given entry hosts and a wave over the hosts of "pr-checker"
     When the wave becomes a move and is forgotten while a host is stopping
-    Then the host is in pool "portal-pool" everywhere and was not rebooted
+    Then the host is in pool "spare-pool" everywhere and was not rebooted
 
   @invariant_budget @invariant_graceful_stop
   Scenario: Random faults in any order break no invariant
