--- a/features/fakes/memory.py
+++ b/features/fakes/memory.py
@@ -191,6 +191,7 @@
         self.loses_answers = False
         self.table = membership.PeerTable()
         self.requests = []
+        self.attempts = []
         self.clock = Clock()
         self.clock.elapsed_s = bench.clock.elapsed_s
         settings = settings_module.Settings(name, zone, '', '', None)
@@ -217,6 +218,7 @@
 
     async def commit(self, body, timeout_s):
         """Append a record and return the decision on it."""
+        self.attempts.append(body)
         if not self.has_log:
             raise errors.PlatformUnavailable('the log is down')
         offset = self._bench.append(self, body)
--- a/features/maintenance.feature
+++ b/features/maintenance.feature
@@ -31,6 +31,8 @@
       | the log down for a while        |
       | the file paused and run again   |
       | opposite files in mid-wave      |
+      | tasks let in again at drained   |
+      | tasks let in again at stopping  |
 
   @invariant_budget
   Scenario: Of two daemons that ask at one moment one is granted
@@ -113,6 +115,23 @@
       | the list still has it                      | waits   |
       | an operator declares it dead               | goes on |
 
+  Scenario: A daemon without the log asks for nothing and says so
+    Given entry hosts and a wave over the hosts of "pr-checker"
+    When the log is down when an announced wave begins
+    Then no daemon tried to ask for a host
+    And every daemon that is not cut off explains "the log can not be read"
+
+  @invariant_graceful_stop
+  Scenario Outline: An acknowledgement heard <when> <verdict>
+    Given entry hosts and a wave over the hosts of "pr-checker"
+    When everyone acknowledges a grant 1 s <when>
+    Then the acknowledgements <verdict>
+
+    Examples:
+      | when                   | verdict      |
+      | before the outage ends | do not count |
+      | after the outage ends  | count        |
+
   @invariant_one_pool
   Scenario: A move goes on by its grant when the file forgets the wave
     Given entry hosts and a wave over the hosts of "pr-checker"
--- a/features/steps/maintenance.py
+++ b/features/steps/maintenance.py
@@ -10,9 +10,11 @@
 from hypothesis import strategies
 
 from fakes import memory
+from hawthorndeal_fleet import acknowledgements
 from hawthorndeal_fleet import budget
 from hawthorndeal_fleet import checks
 from hawthorndeal_fleet import configuration
+from hawthorndeal_fleet import membership
 from hawthorndeal_fleet import records
 
 ZONES = {'a1': 'cz-a', 'a2': 'cz-a', 'b1': 'cz-b', 'c1': 'cz-c'}
@@ -270,6 +272,16 @@
     assert bench.apply_wave().is_accepted
 
 
+def _let_tasks_in(step):
+    def run(bench):
+        assert bench.run_until(lambda: bench.at_step(step)), step
+        host = bench.hosts.hosts[bench.at_step(step).host]
+        host.is_leaving = False
+        host.tasks = 2
+
+    return run
+
+
 FAULTS = {
     'no fault': lambda bench: None,
     'a lost answer of the log': _lose_log_answer,
@@ -286,6 +298,10 @@
         f'a late {verb}': _delay(verb)
         for verb in ('drain', 'reboot', 'restore')
     },
+    **{
+        f'tasks let in again at {step}': _let_tasks_in(step)
+        for step in ('drained', 'stopping')
+    },
     **{
         f'the holder lost at {step.value}': _lose_holder(step.value)
         for step in records.Step
@@ -614,6 +630,55 @@
     assert not context.bench.hosts.events, context.bench.hosts.events
 
 
+@when('the log is down when an announced wave begins')
+def begin_without_log(context):
+    bench = context.bench
+    start_at_s = bench.clock.now_s() + 12
+    assert bench.apply_wave(start_at_s=start_at_s).is_accepted
+    bench.run_for(3)
+    for daemon in bench.daemons:
+        daemon.has_log = False
+    for _ in range(30):
+        asyncio.run(bench.step())
+
+
+@then('no daemon tried to ask for a host')
+def check_no_asks(context):
+    asked = [
+        body
+        for daemon in context.bench.daemons
+        for body in daemon.attempts
+        if isinstance(body, records.DisruptionAsked)
+    ]
+    assert not asked, asked
+
+
+@when('everyone acknowledges a grant 1 s {when} the outage ends')
+def acknowledge(context, when):
+    bench = context.bench
+    bench.apply_wave()
+    _ask(bench, bench.watched[0], bench.daemons[0])
+    peers = membership.PeerTable()
+    for daemon in bench.daemons:
+        peers.note(daemon.digest(), 100.0)
+    ended_s = 101.0 if when == 'before' else 99.0
+    context.refusal = acknowledgements.refuse_quiet(
+        bench.state,
+        bench.state.disruptions[bench.watched[0]],
+        acknowledgements.View(peers, now_s=102.0, outage_ended_s=ended_s),
+    )
+
+
+@then('the acknowledgements do not count')
+def check_not_counted(context):
+    assert 'in an outage' in context.refusal, context.refusal
+
+
+@then('the acknowledgements count')
+def check_counted(context):
+    assert context.refusal is None, context.refusal
+
+
 @when('the wave becomes a move and is forgotten while a host is stopping')
 def forget_move(context):
     bench = context.bench
