--- a/features/state_log.feature
+++ b/features/state_log.feature
@@ -39,6 +39,17 @@
       | finds the log expired and no peer            | not ready |
       | finds rules that it does not know            | not ready |
 
+  @invariant_leaving
+  Scenario Outline: A daemon that is <ready> answers <reason>
+    Given 1 daemons with the fleet of Vltava and some history
+    When another daemon <starts>
+    Then its answer to a request for no service is "<reason>"
+
+    Examples:
+      | starts                       | ready     | reason          |
+      | reads the log                | not ready | not_ready       |
+      | reads the log and joins      | ready     | unknown_service |
+
   @invariant_config_in_force
   Scenario Outline: A frozen reader whose offset expired skips nothing
     Given 3 daemons with the fleet of Vltava and some history
--- a/features/steps/state_log.py
+++ b/features/steps/state_log.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import copy
+import types
 
 import hypothesis
 from hypothesis import strategies
@@ -10,7 +11,9 @@
 from behave import then
 from behave import when
 
+from hawthorndeal_daemon import dispatcher
 from hawthorndeal_daemon import follower as follower_module
+from hawthorndeal_fleet import calls
 from hawthorndeal_fleet import checkpoint
 from hawthorndeal_fleet import epochs
 from hawthorndeal_fleet import errors
@@ -154,6 +157,39 @@
     assert context.node.follower.is_ready is (ready == 'ready')
 
 
+async def _ask(node, clock):
+    asked = dispatcher.Dispatcher(
+        node.follower,
+        node.writer,
+        None,
+        None,
+        None,
+        node.name,
+        types.SimpleNamespace(claim_timeout_s=1.0),
+        clock,
+        None,
+    )
+    request = calls.Request(
+        workspace='vltava',
+        service='none',
+        request_id='1',
+        deadline_s=clock.now_s() + 10.0,
+        is_idempotent=True,
+        urgency=calls.Urgency.INTERACTIVE,
+        body=b'',
+    )
+    try:
+        return await asked.serve(request)
+    except errors.RequestFailed as error:
+        return error.reason
+
+
+@then('its answer to a request for no service is "{reason}"')
+def check_answer(context, reason):
+    got = looping.run(_ask(context.node, context.cluster.clock))
+    assert got == reason, got
+
+
 @when('daemon "{name}" is frozen over {count:d} applies')
 def freeze(context, name, count):
     context.frozen = copy.deepcopy(context.cluster.nodes[name].state)
