Prove the request path with entry hosts killed, paused and ended

One deployment of processes: killed with a non-idempotent request running, paused before it reads one and woken past its deadline, ended with one running. The endpoints' counters show one run of each.

--- /dev/null
+++ b/features/requests_processes.feature
@@ -0,0 +1,16 @@
+@requests @invariant_at_most_once @invariant_not_run @invariant_graceful_stop
+Feature: Entry hosts that are killed, paused or ended keep each promise
+
+  Scenario: An entry host killed, one paused and one ended in the middle of requests
+    Given a running deployment with slow endpoints and an applied fleet
+    When "entry-a1" is killed while it runs a non-idempotent request
+    Then the request repeated at "entry-b1" is told already_claimed
+    And the endpoints ran that request 1 times
+    When "entry-b1" is paused before it reads a request and wakes past its deadline
+    Then the request repeated at "entry-c1" in between is answered
+    And what the paused entry host answers is not_run or unknown
+    And the endpoints ran that request 1 times
+    When "entry-c1" is asked to end while it runs a non-idempotent request
+    Then that request is answered
+    And the entry host ended with code 0
+    And the endpoints ran that request 1 times
--- a/features/steps/requests_claims.py
+++ b/features/steps/requests_claims.py
@@ -180,7 +180,7 @@
         await asyncio.sleep(0.02)
 
 
-@then('the {which} tells {told}')
+@then('the {which:w} tells {told}')
 def check_told(context, which, told):
     got = ' '.join(context.got[:2]).strip()
     assert got == told, (got, context.got)
--- /dev/null
+++ b/features/steps/requests_processes.py
@@ -0,0 +1,113 @@
+"""Steps that kill, pause and end entry hosts in the middle of requests."""
+
+import concurrent.futures
+import json
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from stage import processes
+from steps import common
+
+SERVICE = 'portal'
+WORK_S = 0.7
+SHORT_S = 1.5
+
+
+@given('a running deployment with slow endpoints and an applied fleet')
+def start(context):
+    context.make_stage(work_s=WORK_S)
+    result = context.stage.apply()
+    assert result.returncode == 0, result.stderr
+    context.stage.await_ready()
+    context.pool = concurrent.futures.ThreadPoolExecutor(2)
+    context.add_cleanup(context.pool.shutdown)
+
+
+def _send(context, daemon, request_id, **options):
+    context.request_id = request_id
+    return context.pool.submit(
+        common.send,
+        context.stage,
+        daemon,
+        SERVICE,
+        request_id,
+        False,
+        **options,
+    )
+
+
+def _runs(context):
+    return sum(
+        counter['ran'].get(context.request_id, 0)
+        for counter in context.stage.counters().values()
+    )
+
+
+def _await_run(context):
+    processes.wait_until(lambda: _runs(context), 5.0, 'the run')
+
+
+@when('"{daemon}" is killed while it runs a non-idempotent request')
+def kill(context, daemon):
+    sent = _send(context, daemon, 'killed')
+    _await_run(context)
+    context.stage.daemons[daemon].kill()
+    assert sent.exception(10.0) is not None
+
+
+@then('the request repeated at "{daemon}" is told {reason:w}')
+def check_repeat(context, daemon, reason):
+    _, _, body = _send(context, daemon, context.request_id).result(10.0)
+    assert json.loads(body)['reason'] == reason, body
+
+
+@then('the endpoints ran that request {count:d} times')
+def check_runs(context, count):
+    assert _runs(context) == count, _runs(context)
+
+
+@when(
+    '"{daemon}" is paused before it reads a request and wakes past its '
+    'deadline'
+)
+def pause(context, daemon):
+    process = context.stage.daemons[daemon]
+    process.freeze()
+    context.paused = _send(context, daemon, 'paused', timeout_s=SHORT_S)
+    context.woken_s = time.monotonic() + SHORT_S
+    context.process = process
+
+
+@then('the request repeated at "{daemon}" in between is answered')
+def check_other(context, daemon):
+    status, _, body = _send(context, daemon, 'paused').result(10.0)
+    assert status == 200, body
+    time.sleep(max(0.0, context.woken_s - time.monotonic()))
+    context.process.wake()
+
+
+@then('what the paused entry host answers is not_run or unknown')
+def check_paused(context):
+    _, _, body = context.paused.result(10.0)
+    assert json.loads(body)['outcome'] in ('not_run', 'unknown'), body
+
+
+@when('"{daemon}" is asked to end while it runs a non-idempotent request')
+def end(context, daemon):
+    context.sent = _send(context, daemon, 'ended')
+    _await_run(context)
+    context.exit_code = context.stage.daemons[daemon].terminate()
+
+
+@then('that request is answered')
+def check_answered(context):
+    status, _, body = context.sent.result(10.0)
+    assert (status, body) == (200, b'done:hello'), (status, body)
+
+
+@then('the entry host ended with code {code:d}')
+def check_code(context, code):
+    assert context.exit_code == code, context.exit_code
