Run non-idempotent requests by ticket while the log is down

Cause: without the log every non-idempotent request was refused, so that a zone cut off from the platform served none of them.

Change: an entry host issues tickets signed by its incarnation. Retries that land elsewhere are forwarded to the issuer, which alone may run the request and remembers that it did; when it is gone the outcome is unknown. Claims stay for callers that bring their own id.

--- a/features/requests_processes.feature
+++ b/features/requests_processes.feature
@@ -14,3 +14,14 @@
     Then that request is answered
     And the entry host ended with code 0
     And the endpoints ran that request 1 times
+
+  Scenario: With the log down, tickets go on serving non-idempotent work
+    Given a running deployment with slow endpoints and an applied fleet
+    When the platform's log ends and "entry-a1" issues a ticket
+    Then a request with the ticket at "entry-b1" is told answered
+    And a request with the ticket at "entry-c1" is told already_claimed
+    And the endpoints ran that request 1 times
+    And a request without a ticket at "entry-b1" is told claim_unavailable
+    When "entry-a1" is gone
+    Then a request with the ticket at "entry-c1" is told ticket_holder_unreachable
+    And the endpoints ran that request 1 times
--- a/features/stage/request_bench.py
+++ b/features/stage/request_bench.py
@@ -51,6 +51,23 @@
     )
 
 
+class Forwarder:
+    """Hand requests to other entry hosts of the bench.
+
+    :ivar entry_hosts: by their address, which is their name here
+    """
+
+    def __init__(self):
+        self.entry_hosts = {}
+
+    async def send(self, request, address, timeout_s):
+        """Return the answer that another entry host has for a request."""
+        entry_host = self.entry_hosts[address]
+        if entry_host.is_killed:
+            raise errors.TicketHolderUnreachable(address)
+        return await entry_host.dispatcher.serve(request, is_forwarded=True)
+
+
 class EntryHost:
     """Run what an entry host runs for requests.
 
@@ -65,11 +82,12 @@
         self.follower = follower.Follower(log, options, self.clock)
         configuration.install_patch(self.follower.state, document)
         self.follower.state.members[name] = state_module.Member(
-            name, name, 'z0', '', 0, 1
+            name, name, 'z0', name, 0, 1
         )
         self.writer = writer.Writer(log, self.follower, name, self.clock)
         self.returner = returns.ClaimReturner(self.writer, self.clock)
         self.client = endpoints.EndpointClient(MAX_ANSWER_BYTES, self.clock)
+        self.forwarder = Forwarder()
         self.router = routing.Router('z0')
         self.dispatcher = dispatcher.Dispatcher(
             self.follower,
@@ -77,12 +95,14 @@
             self.router,
             self.client,
             self.returner,
+            self.forwarder,
             name,
             options,
             self.clock,
             random.Random(3),
         )
         self._tasks = []
+        self.is_killed = False
 
     def start(self):
         """Start the tasks that follow and append."""
@@ -93,6 +113,7 @@
 
     async def kill(self):
         """End it at once: whatever runs goes no further."""
+        self.is_killed = True
         running = [*self._tasks, *self.dispatcher._kept]
         for task in running:
             task.cancel()
@@ -100,7 +121,12 @@
         await self.client.close()
 
     async def send(
-        self, request_id, is_idempotent, deadline_s=2.0, urgency=None
+        self,
+        request_id,
+        is_idempotent,
+        deadline_s=2.0,
+        urgency=None,
+        ticket='',
     ):
         """Return outcome, reason and answer of one request."""
         request = calls.Request(
@@ -111,6 +137,7 @@
             is_idempotent=is_idempotent,
             urgency=urgency or calls.Urgency.INTERACTIVE,
             body=BODY,
+            ticket=ticket,
         )
         try:
             answer = await self.dispatcher.serve(request)
@@ -140,8 +167,16 @@
         ]
         for entry_host in self.entry_hosts:
             entry_host.start()
+            self._introduce(entry_host)
         return self
 
+    def _introduce(self, entry_host):
+        for other in self.entry_hosts:
+            entry_host.forwarder.entry_hosts[other.name] = other
+            entry_host.follower.state.members[other.name] = (
+                other.follower.state.members[other.name]
+            )
+
     async def __aexit__(self, *exc_info):
         """End everything."""
         for entry_host in self.entry_hosts:
--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -53,6 +53,7 @@
             'Hd-Request-Id': request_id,
             'Hd-Deadline-S': f'{deadline_s:.3f}',
             'Hd-Idempotent': str(is_idempotent).lower(),
+            'Hd-Ticket': options.get('ticket', ''),
         },
     )
 
--- a/features/steps/requests_claims.py
+++ b/features/steps/requests_claims.py
@@ -148,7 +148,7 @@
     return got
 
 
-_EVENTS = {
+EVENTS = {
     'it is answered': _plainly,
     "the append's answer is lost": _answer_lost,
     'the endpoints refuse it': _fault(raw_endpoint.Fault.REFUSE),
@@ -173,7 +173,7 @@
 @when('a request is sent to the first, and {event}')
 @requests_faults.on_bench
 async def send_first(context, event):
-    context.got = await _EVENTS[event](context)
+    context.got = await EVENTS[event](context)
     if context.got[1] == 'endpoint_refused':
         await _await_return(context)
         # The endpoints are paused for a moment after a refusal.
--- a/features/steps/requests_http.py
+++ b/features/steps/requests_http.py
@@ -73,7 +73,7 @@
             entry.writer,
             options,
             _NoMetrics(),
-            None,
+            entry.clock,
         ),
         max_connections,
     )
--- a/features/steps/requests_processes.py
+++ b/features/steps/requests_processes.py
@@ -8,6 +8,7 @@
 from behave import then
 from behave import when
 
+from stage import deployment
 from stage import processes
 from steps import common
 
@@ -111,3 +112,36 @@
 @then('the entry host ended with code {code:d}')
 def check_code(context, code):
     assert context.exit_code == code, context.exit_code
+
+
+@when('the platform\'s log ends and "{daemon}" issues a ticket')
+def issue(context, daemon):
+    context.stage.log.kill()
+    url = f'{context.stage.daemons[daemon].url}/v1/tickets'
+    status, _, body = deployment.call(url, 'POST', b'')
+    assert status == 200, body
+    context.ticket = json.loads(body)['ticket']
+
+
+@then('a request with the ticket at "{daemon}" is told {told:w}')
+def send_with_ticket(context, daemon, told):
+    sent = _send(context, daemon, 'ticket', ticket=context.ticket)
+    _check_told(sent, told)
+
+
+@then('a request without a ticket at "{daemon}" is told {told:w}')
+def send_without(context, daemon, told):
+    _check_told(_send(context, daemon, 'no-ticket'), told)
+    assert _runs(context) == 0
+    context.request_id = 'ticket'
+
+
+def _check_told(sent, told):
+    status, _, body = sent.result(10.0)
+    got = 'answered' if status == 200 else json.loads(body)['reason']
+    assert got == told, (status, body)
+
+
+@when('"{daemon}" is gone')
+def end_at_once(context, daemon):
+    context.stage.daemons[daemon].kill()
--- /dev/null
+++ b/features/steps/requests_tickets.py
@@ -0,0 +1,106 @@
+"""Steps that repeat requests under a ticket across entry hosts."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from hawthorndeal_fleet import tickets
+from stage import request_bench
+from steps import requests_claims
+from steps import requests_faults
+
+
+@given('a ticket of the first entry host')
+@requests_faults.on_bench
+async def issue(context):
+    context.first, context.second = context.bench.entry_hosts
+    context.ticket = str(context.first.dispatcher.issue_ticket())
+
+
+@when('a request with it is sent to the {where:w} entry host, and {event}')
+@requests_faults.on_bench
+async def send(context, where, event):
+    _use_ticket(context.first, context.ticket)
+    _use_ticket(context.second, context.ticket)
+    if where == 'second':
+        context.first, context.second = context.second, context.first
+    # A ticket given back takes no record to wait for.
+    fault = requests_claims.EVENTS[event]
+    context.got = await fault(context)
+    if where == 'second':
+        context.first, context.second = context.second, context.first
+
+
+def _use_ticket(entry_host, ticket):
+    real = entry_host.send
+
+    async def send(*arguments, **options):
+        return await real(*arguments, **{**options, 'ticket': ticket})
+
+    entry_host.send = send
+
+
+@then('it is told: {told}')
+def check_told(context, told):
+    got = ' '.join(context.got[:2]).strip()
+    assert got == told, (got, context.got)
+
+
+@when('it is sent with the same ticket to the second entry host')
+@requests_faults.on_bench
+async def repeat(context):
+    state = context.first.follower.state
+    await request_bench.wait_for(
+        lambda: not context.first.router.busy_hosts(state)
+    )
+    context.got = await context.second.send(requests_claims.ID, False)
+
+
+def _forge(context):
+    ticket = tickets.parse(context.ticket)
+    return f'{ticket.incarnation}.{ticket.number + 1}.0.{ticket.signature}'
+
+
+def _expire(context):
+    context.first.clock.ahead_s = tickets.LIFE_S + 1.0
+    return context.ticket
+
+
+_FAULTS = {
+    'forged': _forge,
+    'expired': _expire,
+    'of an unknown host': lambda context: context.ticket.replace(
+        context.first.name, 'nobody'
+    ),
+    'garbled': lambda context: 'no ticket at all',
+}
+
+
+@when('a request is sent with the ticket {fault}')
+@requests_faults.on_bench
+async def send_faulty(context, fault):
+    ticket = _FAULTS[fault](context)
+    ahead_s = context.first.clock.ahead_s
+    context.got = await context.first.send(
+        requests_claims.ID, False, 2.0 + ahead_s, ticket=ticket
+    )
+
+
+@given('a table of tickets')
+def make_table(context):
+    context.table_of_tickets = tickets.TicketTable('i', b'secret')
+
+
+@when('{count:d} tickets are used, {rate:d} a second')
+def use_many(context, count, rate):
+    table = context.table_of_tickets
+    context.most = 0
+    for number in range(count):
+        now_s = number / rate
+        table.use(table.issue(now_s), now_s)
+        context.most = max(context.most, len(table._used))
+
+
+@then('at most {most:d} are remembered')
+def check_remembered(context, most):
+    assert context.most <= most, context.most
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/callers.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/callers.py
@@ -18,6 +18,7 @@
 DEADLINE_HEADER = 'hd-deadline-s'
 IDEMPOTENT_HEADER = 'hd-idempotent'
 URGENCY_HEADER = 'hd-urgency'
+TICKET_HEADER = 'hd-ticket'
 OUTCOME_HEADER = 'Hd-Outcome'
 ENDPOINT_HEADER = 'Hd-Endpoint'
 MAX_ID_CHARS = 200
@@ -38,13 +39,17 @@
         request_id = request.headers.get(REQUEST_ID_HEADER, '')
         try:
             body = await _receive(request, settings.max_body_bytes)
-            call = _parse(request, service, body)
+            call = parse(request, service, body)
             answer = await dispatcher.serve(call)
         except errors.RequestFailed as failure:
             metrics.count(f'requests.{failure.outcome}.{failure.reason}')
             return web.failure_response(failure, request_id)
         metrics.count('requests.answered')
-        return _respond(answer, request_id)
+        return respond(answer, request_id)
+
+    @app.post('/v1/tickets')
+    async def issue(request):
+        return response.json({'ticket': str(dispatcher.issue_ticket())})
 
     @app.get('/ready')
     async def ready(request):
@@ -108,7 +113,8 @@
     return errors.RequestTooLarge(f'more than {max_bytes} bytes')
 
 
-def _parse(request, service, body):
+def parse(request, service, body):
+    """Return the request that an HTTP request carries."""
     headers = request.headers
     return calls.Request(
         workspace=_text(headers, WORKSPACE_HEADER),
@@ -123,6 +129,7 @@
             calls.Urgency.INTERACTIVE.value,
         ),
         body=body,
+        ticket=headers.get(TICKET_HEADER, '')[:MAX_ID_CHARS],
     )
 
 
@@ -157,7 +164,8 @@
     return choices[value]
 
 
-def _respond(answer, request_id):
+def respond(answer, request_id):
+    """Return the HTTP answer that carries an endpoint's whole answer."""
     encoding = {}
     if answer.content_encoding:
         encoding['Content-Encoding'] = answer.content_encoding
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/daemon.py
@@ -21,6 +21,7 @@
 from . import dispatcher
 from . import endpoints
 from . import follower
+from . import forwarding
 from . import gauges
 from . import host_watch
 from . import loader
@@ -151,6 +152,7 @@
             clock,
             waves.turns,
         )
+        self._forwarder = forwarding.Forwarder(settings)
         returner = returns.ClaimReturner(appender, clock)
         server = dispatcher.Dispatcher(
             reader,
@@ -158,6 +160,7 @@
             router,
             self._endpoints,
             returner,
+            self._forwarder,
             incarnation,
             settings,
             clock,
@@ -171,8 +174,12 @@
                 returner,
                 web.WebServer(
                     'control',
-                    lambda: control.make_app(
-                        reader, appender, others, carer, settings
+                    lambda: forwarding.add_route(
+                        control.make_app(
+                            reader, appender, others, carer, settings
+                        ),
+                        server,
+                        settings,
                     ),
                     settings.control_address,
                 ),
@@ -226,6 +233,7 @@
 
     async def _close(self):
         await self._endpoints.close()
+        await self._forwarder.close()
         for connection in self._transports:
             await connection.close()
         self._metrics.close()
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import itertools
+import secrets
 
 from hawthorndeal_fleet import admission
 from hawthorndeal_fleet import errors
 from hawthorndeal_fleet import health
 from hawthorndeal_fleet import records
 from hawthorndeal_fleet import retries
+from hawthorndeal_fleet import tickets
 
 from . import gate as gate_module
 from . import logs
@@ -26,6 +28,7 @@
     :param router: chooses endpoints
     :param endpoints: sends to them
     :param returner: returns claims that were not used
+    :param forwarder: sends requests to the issuers of their tickets
     :param incarnation: identity of this start of the daemon
     :param settings: the daemon's settings
     :param clock: tells the time
@@ -39,6 +42,7 @@
         router,
         endpoints,
         returner,
+        forwarder,
         incarnation,
         settings,
         clock,
@@ -49,6 +53,10 @@
         self._gate = gate_module.Gate(follower, router, clock, rng)
         self._endpoints = endpoints
         self._returner = returner
+        self._forwarder = forwarder
+        self._tickets = tickets.TicketTable(
+            incarnation, secrets.token_bytes(32)
+        )
         self._incarnation = incarnation
         self._claim_numbers = itertools.count(1)
         self._claim_timeout_s = settings.claim_timeout_s
@@ -62,12 +70,17 @@
         self._kept = set()
         self.is_draining = False
 
-    async def serve(self, request):
+    def issue_ticket(self):
+        """Return a ticket for one non-idempotent request."""
+        return self._tickets.issue(self._clock.monotonic_s())
+
+    async def serve(self, request, is_forwarded=False):
         """Return the answer to a request.
 
         When the caller vanishes and this is cancelled, idempotent work is
         cancelled; other work runs on, since half of it may be done.
 
+        :param is_forwarded: whether another entry host sent it here
         :rtype: calls.Answer
         :raises errors.RequestFailed: the final answer otherwise
         """
@@ -77,11 +90,34 @@
             )
         if request.is_idempotent:
             return await self._count_and_serve(request)
+        if request.ticket and not is_forwarded:
+            holder = tickets.parse(request.ticket).incarnation
+            if holder != self._incarnation:
+                return await self._forward(request, holder)
         task = asyncio.create_task(self._count_and_serve(request))
         self._kept.add(task)
         task.add_done_callback(self._let_go)
         return await asyncio.shield(task)
 
+    async def _forward(self, request, holder):
+        member = self._follower.state.members.get(holder)
+        if member is None:
+            raise errors.TicketHolderUnreachable(
+                f'no entry host runs as {holder:.40}'
+            )
+        left_s = self._left_s(request)
+        if left_s <= 0:
+            raise errors.DeadlinePassed(f'{-left_s:.3f} s late')
+        try:
+            async with asyncio.timeout(left_s):
+                return await self._forwarder.send(
+                    request, member.address, left_s
+                )
+        except asyncio.TimeoutError:
+            raise errors.AnswerLate(
+                f'{member.daemon} did not answer in time'
+            ) from None
+
     def _let_go(self, task):
         self._kept.discard(task)
         if not task.cancelled():
@@ -114,6 +150,8 @@
         self._retry_budget.note_request()
         if request.is_idempotent:
             return await self._try_endpoints(request)
+        if request.ticket:
+            return await self._serve_with_ticket(request)
         self._gate.check(request, self._left_s(request))
         claimed = await self._claim(request)
         try:
@@ -123,6 +161,15 @@
             self._returner.add(claimed)
             raise
 
+    async def _serve_with_ticket(self, request):
+        ticket = tickets.parse(request.ticket)
+        self._tickets.use(ticket, self._clock.monotonic_s())
+        try:
+            return await self._try_endpoints(request)
+        except errors.NotRun:
+            self._tickets.give_back(ticket)
+            raise
+
     def _check(self, request):
         fleet = self._follower.state.fleet
         service = fleet.services.get(request.service)
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/calls.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/calls.py
@@ -17,6 +17,7 @@
     """Describe a caller's request; its body stays opaque.
 
     :ivar deadline_s: seconds since the epoch
+    :ivar ticket: text of the ticket that it runs under, or empty
     """
 
     workspace: str
@@ -26,6 +27,7 @@
     is_idempotent: bool
     urgency: Urgency
     body: bytes
+    ticket: str = ''
 
     @property
     def key(self):
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
@@ -298,6 +298,20 @@
     status = 504
 
 
+class TicketExpired(UnknownOutcome):
+    """Report a ticket too old to tell whether its request ran."""
+
+    reason = 'ticket_expired'
+    status = 409
+
+
+class TicketHolderUnreachable(UnknownOutcome):
+    """Report a ticket whose issuer is gone or can't be reached."""
+
+    reason = 'ticket_holder_unreachable'
+    status = 504
+
+
 class AlreadyClaimed(UnknownOutcome):
     """Report a repeated non-idempotent request: the first may have run."""
 
