Count both entry hosts of the bench in its quota

The hosts of the bench know each other now, so each has half of the quota; the scenario names the whole one.

--- a/features/requests_faults.feature
+++ b/features/requests_faults.feature
@@ -93,7 +93,7 @@
       | 6     | false      |
 
   Scenario: A request over the quota is refused as such
-    Given a quota of 2 requests in flight
+    Given two entry hosts and a quota of 4 requests in flight
     When 5 requests are sent at once
     Then 3 of them are told not_run with quota_exceeded
 
--- a/features/steps/requests_faults.py
+++ b/features/steps/requests_faults.py
@@ -320,7 +320,7 @@
     assert not any(context.bench.runs(ID)), context.bench.runs(ID)
 
 
-@given('a quota of {quota:d} requests in flight')
+@given('two entry hosts and a quota of {quota:d} requests in flight')
 @on_bench
 async def set_quota(context, quota):
     workspaces = context.entry.follower.state.fleet.workspaces
