--- /dev/null
+++ b/features/requests_processes.feature
@@ -0,0 +1,27 @@
+@requests @invariant_at_most_once @invariant_not_run @invariant_graceful_stop
+Feature: Entry hosts that are killed, paused or ended keep each promise
+
+  Scenario: An entry host killed, one paused and one ended in the middle of requests
+    Given a running deployment with slow endpoints and an applied fleet
+    When "entry-a1" is killed while it runs a non-idempotent request
+    Then the request repeated at "entry-b1" is told already_claimed
+    And the endpoints ran that request 1 times
+    When "entry-b1" is paused before it reads a request and wakes past its deadline
+    Then the request repeated at "entry-c1" in between is answered
+    And what the paused entry host answers is not_run or unknown
+    And the endpoints ran that request 1 times
+    When "entry-c1" is asked to end while it runs a non-idempotent request
+    Then that request is answered
+    And the entry host ended with code 0
+    And the endpoints ran that request 1 times
+
+  Scenario: With the log down, tickets go on serving non-idempotent work
+    Given a running deployment with slow endpoints and an applied fleet
+    When the platform's log ends and "entry-a1" issues a ticket
+    Then a request with the ticket at "entry-b1" is told answered
+    And a request with the ticket at "entry-c1" is told already_claimed
+    And the endpoints ran that request 1 times
+    And a request without a ticket at "entry-b1" is told claim_unavailable
+    When "entry-a1" is gone
+    Then a request with the ticket at "entry-c1" is told ticket_holder_unreachable
+    And the endpoints ran that request 1 times
--- a/features/steps/requests_claims.py
+++ b/features/steps/requests_claims.py
@@ -148,7 +148,7 @@
     return got
 
 
-_EVENTS = {
+EVENTS = {
     'it is answered': _plainly,
     "the append's answer is lost": _answer_lost,
     'the endpoints refuse it': _fault(raw_endpoint.Fault.REFUSE),
@@ -173,14 +173,14 @@
 @when('a request is sent to the first, and {event}')
 @requests_faults.on_bench
 async def send_first(context, event):
-    context.got = await _EVENTS[event](context)
+    context.got = await EVENTS[event](context)
     if context.got[1] == 'endpoint_refused':
         await _await_return(context)
         # The endpoints are paused for a moment after a refusal.
         await asyncio.sleep(0.02)
 
 
-@then('the {which} tells {told}')
+@then('the {which:w} tells {told}')
 def check_told(context, which, told):
     got = ' '.join(context.got[:2]).strip()
     assert got == told, (got, context.got)
