Refuse requests while an entry host has no state to vouch for

Rolling every daemon under load gave 15 of 2,000 requests the final answer unknown_service: a daemon that was just started served callers before it had a configuration, and before it had read its own join back. Nothing but the balancer's look at /ready kept callers from it. Now the dispatcher refuses as not_run (not_ready) with Retry-After 0, so that the caller comes back to another entry host.

--- a/features/pages_rolling.feature
+++ b/features/pages_rolling.feature
@@ -9,3 +9,10 @@
     And no request was cut off or run twice
     And each daemon ended with code 0 and came back at revision 1
     And operators see the same daemons under new incarnations
+
+  @invariant_not_run
+  Scenario: An entry host with nothing to vouch for sends callers elsewhere
+    Given a running deployment without a fleet
+    When a non-idempotent request is sent to "portal"
+    Then it is told not_run
+    And the reason is "not_ready", and to come back at once
--- a/features/proofs.py
+++ b/features/proofs.py
@@ -49,7 +49,7 @@
 def render(root):
     """Return the table of invariants and their scenarios."""
     rows = (
-        f'| `{tag}` | {feature} | {name} |\n'
+        f'| `{tag}` | {feature} | `{name}` |\n'
         for tag in INVARIANTS
         for (feature, name), tags in scenarios(root).items()
         if tag in tags
--- a/features/stage/traffic.py
+++ b/features/stage/traffic.py
@@ -12,7 +12,7 @@
 MAX_CALLER_TRIES = 5
 # How long the balancer keeps an entry host out that is gone or not ready.
 KEPT_OUT_S = 1.0
-_NOT_READY = ('no_entry_host', 'shutting_down')
+_NOT_READY = ('no_entry_host', 'not_ready', 'shutting_down')
 
 
 @attrs.define
--- a/features/steps/pages.py
+++ b/features/steps/pages.py
@@ -352,7 +352,7 @@
 @then('each fault names a scenario that exists')
 def check_faults(context):
     rows = table(context.page, 'fault')
-    named = {(feature, name) for _, feature, name in rows}
+    named = {(feature, name.strip('`')) for _, feature, name in rows}
     missing = sorted(named - set(context.scenarios))
     assert named and not missing, f'no such scenario: {missing}'
 
--- a/features/steps/pages_rolling.py
+++ b/features/steps/pages_rolling.py
@@ -2,6 +2,7 @@
 
 import threading
 
+from behave import given
 from behave import then
 from behave import when
 
@@ -92,3 +93,15 @@
     is_whole = len(after) == len(context.before)
     is_new = all(after[name] != context.before.get(name) for name in after)
     return after if is_whole and is_new else None
+
+
+@given('a running deployment without a fleet')
+def start_without_fleet(context):
+    context.make_stage()
+
+
+@then('the reason is "{reason}", and to come back at once')
+def check_reason(context, reason):
+    answer = context.answer
+    assert answer['reason'] == reason, answer
+    assert answer['retry_after_s'] == 0, answer
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
@@ -75,6 +75,11 @@
             raise errors.ShuttingDown(
                 'this entry host is leaving', retry_after_s=0
             )
+        if not self._follower.is_ready:
+            raise errors.NotReady(
+                'this entry host has no state to vouch for yet',
+                retry_after_s=0,
+            )
         if request.is_idempotent:
             return await self._count_and_serve(request)
         task = asyncio.create_task(self._count_and_serve(request))
