--- a/features/pages_rolling.feature
+++ b/features/pages_rolling.feature
@@ -3,7 +3,7 @@
 
   @invariant_graceful_stop @invariant_config_in_force
   Scenario: Rolling every daemon under load loses nothing
-    Given a running deployment with an applied fleet
+    Given a running deployment whose requests outlast the grace of a stop
     When callers go on while each daemon in turn is ended and started again
     Then every request is answered
     And no request was cut off or run twice
--- a/features/steps/pages_rolling.py
+++ b/features/steps/pages_rolling.py
@@ -11,6 +11,8 @@
 from steps import common
 
 READY_TIMEOUT_S = 20.0
+WORK_S = 1.0
+LOT = 30
 
 
 class SteadyCallers(threading.Thread):
@@ -29,7 +31,7 @@
         """Send lots one after the other."""
         while not self._stopping.is_set():
             seed = len(self.tallies) + 1
-            callers = common.BackgroundCallers(self._stage, 100, seed=seed)
+            callers = common.BackgroundCallers(self._stage, LOT, seed=seed)
             callers.start()
             callers.join()
             self.tallies.append(callers.tally)
@@ -95,6 +97,15 @@
     return after if is_whole and is_new else None
 
 
+@given('a running deployment whose requests outlast the grace of a stop')
+def start_slow(context):
+    stage = context.make_stage(work_s=WORK_S)
+    assert WORK_S > 2 * deployment.SHUTDOWN_GRACE_S
+    result = stage.apply()
+    assert result.returncode == 0, result.stderr
+    stage.await_ready()
+
+
 @given('a running deployment without a fleet')
 def start_without_fleet(context):
     context.make_stage()
