Explain a host by its name, and print rows of several kinds

explain knew jobs only; a host gives its pool, its step and why it waits. Steps of the command line are split by whether they need a deployment.

--- a/features/cli_deployed.feature
+++ b/features/cli_deployed.feature
@@ -10,6 +10,12 @@
     Then each of them is refused
     And no token stands in any log or output
 
+  Scenario: A host that a wave can't take is explained by its name
+    Given a running deployment with an applied fleet
+    When an operator applies a wave over "portal" that budgets don't allow
+    Then explaining host "portal-h1" gives the budget as the reason
+    And explaining "nobody" ends with exit code 1 and a next step
+
   Scenario: A plan of a wave that budgets never allow is refused
     Given a running deployment with an applied fleet
     When an operator plans a wave that budgets never allow
--- a/features/steps/cli.py
+++ b/features/steps/cli.py
@@ -1,4 +1,4 @@
-"""Steps that check the command line, alone and on a deployment."""
+"""Steps that check the command line and the start of the daemon alone."""
 
 import contextlib
 import copy
@@ -24,21 +24,10 @@
 from hawthorndeal_cli import planning
 from hawthorndeal_daemon import main as daemon_main
 from hawthorndeal_fleet import checks
-from stage import deployment
-from stage import processes
 
 MAX_LINE_CHARS = 80
-SETTLE_TIMEOUT_S = 15.0
-FORMS = ('table', 'json', 'yaml')
 # From TEST-NET-1: no interface of a machine has it.
 ADDRESS_OF_OTHERS = '192.0.2.1:7300'
-RELIED_ON = {
-    'status': {'daemon', 'zone', 'revision', 'members', 'disruptions'},
-    'waves': {'test'},
-    'plan': {'changes', 'waves'},
-    'audit': {'offset', 'writer', 'kind', 'is_accepted', 'reason'},
-    'validate': {'section', 'entries'},
-}
 
 
 def run_in_process(main, arguments):
@@ -105,7 +94,7 @@
     assert 'Traceback' not in shown, shown
 
 
-def _parse(text, form):
+def parse(text, form):
     return json.loads(text) if form == 'json' else yaml.safe_load(text)
 
 
@@ -113,7 +102,7 @@
 def check_form(context, form, text):
     assert text in context.result.stdout, context.result.stdout
     if form != 'table':
-        rows = _parse(context.result.stdout, form)
+        rows = parse(context.result.stdout, form)
         assert {row['section'] for row in rows} >= {text}, rows
 
 
@@ -149,13 +138,13 @@
     context.printed = output.render(ROWS[rows], 'table')
 
 
-def _long_lines(text):
+def long_lines(text):
     return [line for line in text.splitlines() if len(line) > MAX_LINE_CHARS]
 
 
 @then('no line is longer than 80 characters')
 def check_width(context):
-    assert not _long_lines(context.printed), context.printed
+    assert not long_lines(context.printed), context.printed
 
 
 def _cells(value):
@@ -215,7 +204,7 @@
     assert context.verdict.at_once == count, context.verdict
 
 
-def _changed_quota(fleet):
+def change_quota(fleet):
     fleet['workspaces']['vltava']['quota']['requests_in_flight'] = 321
 
 
@@ -224,7 +213,7 @@
         {'cz-z': {'region': 'cz'}}
     ),
     'a removed pool': lambda fleet: fleet['pools'].pop('portal-pool'),
-    'a changed quota': _changed_quota,
+    'a changed quota': change_quota,
     'no weights': lambda fleet: fleet.pop('weights'),
 }
 
@@ -308,179 +297,3 @@
 def check_line(context, text):
     (line,) = context.result.stderr.splitlines()
     assert text in line, line
-
-
-@when('an operator runs each command in each form')
-def run_each(context):
-    stage = context.stage
-    fleet = {**stage.fleet, 'waves': {'test': {'pools': ['portal-pool']}}}
-    wave = str(stage.write_fleet('paused.yaml', _paused(fleet)))
-    assert stage.apply(wave, '--wait').returncode == 0
-    lines = ['status', 'waves', 'audit', f'plan {wave}', f'validate {wave}']
-    context.runs = {
-        (line.split()[0], form): stage.run_cli(*line.split(), '--output', form)
-        for line in lines
-        for form in FORMS
-    }
-
-
-def _paused(fleet):
-    fleet['waves']['test']['state'] = 'paused'
-    return fleet
-
-
-@then('each ends with exit code 0 and fits 80 columns')
-def check_each(context):
-    for key, result in context.runs.items():
-        assert result.returncode == 0, (key, result.stderr)
-        if key[1] == 'table':
-            assert not _long_lines(result.stdout), (key, result.stdout)
-
-
-@then('the JSON forms hold the fields that scripts rely on')
-def check_fields(context):
-    for name, fields in RELIED_ON.items():
-        shown = _parse(context.runs[name, 'json'].stdout, 'json')
-        assert shown == _parse(context.runs[name, 'yaml'].stdout, 'yaml')
-        first = shown[0] if isinstance(shown, list) else shown
-        assert fields <= set(first), (name, first)
-
-
-@when('strangers try the control interface with {count:d} wrong tokens')
-def try_wrong(context, count):
-    stage = context.stage
-    context.wrong = [f'stolen-secret-{number}' for number in range(count)]
-    peer_path = '/v1/peers/exchange'
-    context.refusals = [
-        stage.control('entry-a1', path, method, body, token)[0]
-        for token in context.wrong
-        for path, method, body in (
-            ('/v1/status', 'GET', None),
-            ('/v1/applies', 'POST', {}),
-            (peer_path, 'POST', {}),
-        )
-    ]
-    # Operators are no peers, and peers are no operators.
-    context.refusals += [
-        stage.control(
-            'entry-a1', peer_path, 'POST', {}, deployment.OPERATOR_TOKEN
-        )[0],
-        stage.control(
-            'entry-a1', '/v1/status', 'GET', None, deployment.PEER_TOKEN
-        )[0],
-    ]
-
-
-@then('each of them is refused')
-def check_refused(context):
-    assert set(context.refusals) == {401}, context.refusals
-
-
-@then('no token stands in any log or output')
-def check_logs(context):
-    stage = context.stage
-    logs = {path: path.read_text() for path in stage.path.glob('*.log')}
-    assert any('Joined at offset' in text for text in logs.values()), logs
-    outputs = {
-        key: result.stdout + result.stderr
-        for key, result in context.runs.items()
-    }
-    secrets = [
-        deployment.OPERATOR_TOKEN,
-        deployment.PEER_TOKEN,
-        *context.wrong,
-    ]
-    for place, text in {**logs, **outputs}.items():
-        assert not any(secret in text for secret in secrets), place
-
-
-@when('an operator plans a wave that budgets never allow')
-def plan_stuck(context):
-    stage = context.stage
-    fleet = copy.deepcopy(stage.fleet)
-    budget = fleet['workspaces']['vltava']['budgets']['portal']
-    budget.update(max_unavailable=0, survive='none')
-    fleet['waves'] = {'test': {'pools': ['portal-pool']}}
-    path = stage.write_fleet('stuck.yaml', fleet)
-    context.result = stage.run_cli('plan', str(path), '--output', 'json')
-
-
-@then('the output names all {count:d} hosts of "{service}"')
-def check_named(context, count, service):
-    (wave,) = json.loads(context.result.stdout)['waves']
-    expected = [f'{service}-h{n}' for n in range(1, count + 1)]
-    assert wave['refused'] == expected, wave
-
-
-@given("the platform's log answers appends after {delay_s:g} s")
-def slow_log(context, delay_s):
-    stage = context.stage
-    stage.set_fault(stage.log, mode='slow', delay_s=delay_s, methods=['POST'])
-
-
-def _write_changed(stage):
-    fleet = copy.deepcopy(stage.fleet)
-    _changed_quota(fleet)
-    return str(stage.write_fleet('changed.yaml', fleet))
-
-
-@when('an operator who waits {wait_s:d} s for answers applies a changed quota')
-def apply_impatiently(context, wait_s):
-    stage = context.stage
-    settings = yaml.safe_load(stage.cli_settings_path.read_text())
-    path = stage.path / 'impatient.yaml'
-    path.write_text(yaml.safe_dump({**settings, 'call_timeout_s': wait_s}))
-    context.result = stage.run_cli(
-        'apply', _write_changed(stage), '--settings', str(path)
-    )
-
-
-@when('an operator applies a changed quota and expects trouble')
-def apply_in_trouble(context):
-    stage = context.stage
-    context.result = stage.run_cli('apply', _write_changed(stage))
-
-
-@then('the message names the command that settles it')
-def check_command(context):
-    pattern = r'^run: hawthorndeal (apply --resume \w+)$'
-    found = re.search(pattern, context.result.stderr, re.MULTILINE)
-    assert found, context.result.stderr
-    context.settling = found[1].split()
-
-
-@when('that command is run until it knows')
-def settle(context):
-    def run():
-        context.result = context.stage.run_cli(*context.settling)
-        return context.result.returncode != 4
-
-    processes.wait_until(run, SETTLE_TIMEOUT_S, 'apply settled')
-
-
-@when('that command is run again')
-def settle_again(context):
-    context.result = context.stage.run_cli(*context.settling)
-
-
-@then('the revision in force is {revision:d}')
-def check_revision(context, revision):
-    _, answer = context.stage.control('entry-a1', '/v1/document')
-    assert answer['revision'] == revision, answer['revision']
-
-
-@when('an operator applies a changed quota while "{daemon}" is frozen')
-def apply_while_frozen(context, daemon):
-    stage = context.stage
-    stage.daemons[daemon].freeze()
-    context.result = stage.run_cli(
-        'apply', _write_changed(stage), '--wait', '--wait-timeout-s', '8'
-    )
-
-
-@when('"{daemon}" runs on and the same is awaited by id')
-def await_by_id(context, daemon):
-    stage = context.stage
-    stage.daemons[daemon].wake()
-    apply_id = re.search(r'apply id: (\w+)', context.result.stderr)[1]
-    context.result = stage.run_cli('apply', '--resume', apply_id, '--wait')
--- a/packages/hawthorndeal-cli/hawthorndeal_cli/commands.py
+++ b/packages/hawthorndeal-cli/hawthorndeal_cli/commands.py
@@ -78,12 +78,14 @@
     """Show what is known of an id, and what holds it up."""
 
     name = 'explain'
-    summary = 'show what holds up a job, by its id'
+    summary = 'show what holds up a job or a host, by its id'
     example = 'hawthorndeal explain run-4711'
 
     def add_arguments(self, parser):
         """Declare the id."""
-        parser.add_argument('id', help='the id of a job')
+        parser.add_argument(
+            'id', help='the id of a job, or the name of a host'
+        )
 
     def run(self, options):
         """Return a row for each thing with the id and each reason."""
--- a/packages/hawthorndeal-cli/hawthorndeal_cli/output.py
+++ b/packages/hawthorndeal-cli/hawthorndeal_cli/output.py
@@ -1,5 +1,6 @@
 """Print results as tables, as JSON or as YAML."""
 
+import itertools
 import json
 
 import tabulate
@@ -14,8 +15,8 @@
 def render(result, form):
     """Return the text of a result.
 
-    :param result: a list of mappings with the same keys, one mapping, or a
-        mapping of sections, each such a list
+    :param result: a list of mappings, one mapping, or a mapping of
+        sections, each such a list
     :param form: ``table``, ``json`` or ``yaml``
     """
     if form == 'json':
@@ -42,7 +43,9 @@
         rows = [{'field': key, 'value': rows[key]} for key in rows]
     if not rows:
         return '(none)'
-    cells = [{key: _cell(row[key]) for key in row} for row in rows]
+    # Rows on things of several kinds differ in their keys.
+    keys = dict.fromkeys(itertools.chain.from_iterable(rows))
+    cells = [{key: _cell(row.get(key)) for key in keys} for row in rows]
     widths = _column_widths(cells)
     return tabulate.tabulate(
         cells,
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/control.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/control.py
@@ -140,7 +140,7 @@
     @app.get('/v1/explain/<name:str>')
     @for_operators
     async def explain(request, name):
-        found = explaining.explain(follower.state, name)
+        found = explaining.explain(follower.state, name, maintainer.explain())
         return response.json({'found': found})
 
     @app.get('/v1/audit')
