--- a/features/steps/state_log.py
+++ b/features/steps/state_log.py
@@ -164,6 +164,7 @@
         None,
         None,
         None,
+        None,
         node.name,
         types.SimpleNamespace(claim_timeout_s=1.0),
         clock,
