--- a/measure/wave_model.py
+++ b/measure/wave_model.py
@@ -25,6 +25,7 @@
 CHECKPOINT_S = 15.0
 STEP_S = 1.0
 TICK_S = 10.0
+TURNS_PERIOD_S = 15.0
 START_S = 1_000_000.0
 MAX_RUN_S = 1_000_000.0
 ME = 'measured'
@@ -364,7 +365,7 @@
         acts = [a for a in acts if not isinstance(a, maintenance.Wait)]
         for act in acts:
             self._act(act)
-        is_old = self.now_s >= self._turns_at_s + waves.TURNS_PERIOD_S
+        is_old = self.now_s >= self._turns_at_s + TURNS_PERIOD_S
         if self._setup.is_steering and is_old:
             self._turns = waves.turns(self.state, self.now_s, self._work)
             self._turns_at_s = self.now_s
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/waves.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/waves.py
@@ -15,7 +15,6 @@
 # A host whose work ends within this is as good as idle.
 NEARLY_IDLE_S = 60.0
 OVERRUN_SHARE = 0.25
-TURNS_PERIOD_S = 15.0
 
 
 @attrs.frozen
@@ -300,25 +299,6 @@
     return result
 
 
-class PacedTurns:
-    """Give the turns of a while ago, so that asking often costs little."""
-
-    def __init__(self):
-        self._turns = {}
-        self._computed_s = None
-
-    def __call__(self, state, now_s):
-        """Return what :func:`turns` returned lately."""
-        is_old = (
-            self._computed_s is None
-            or now_s >= self._computed_s + TURNS_PERIOD_S
-        )
-        if is_old:
-            self._turns = turns(state, now_s)
-            self._computed_s = now_s
-        return self._turns
-
-
 def _wave_turns(state, name, now_s, work):
     wave = state.fleet.waves[name]
     expected_s = outages.expected_s(state, wave)
