--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -18,8 +18,9 @@
 NAMES = (
     'cli_slopes',
     'daemon_slopes',
-    'state_slopes',
+    'placement_slopes',
     'requests_slopes',
+    'state_slopes',
     'statsd_slopes',
     'waves_slopes',
 )
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/job_rules.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/job_rules.py
@@ -1,6 +1,7 @@
 """Decide on the records about jobs: who owns which capacity, and how long."""
 
 import math
+import sys
 
 import attrs
 
@@ -60,10 +61,11 @@
 
 
 def _make(body, state, offset):
+    # Names come anew with each record; thousands of jobs share few of them.
     return jobs_module.Job(
         job_id=body.job_id,
-        workspace=body.workspace,
-        pool=body.pool,
+        workspace=sys.intern(body.workspace),
+        pool=sys.intern(body.pool),
         size=jobs_module.size_of(body),
         run_s=body.run_s,
         urgency=body.urgency,
@@ -115,8 +117,8 @@
     placed = attrs.evolve(
         job,
         status=_Status.PLACED,
-        host=body.host,
-        holder=body.holder,
+        host=sys.intern(body.host),
+        holder=sys.intern(body.holder),
         lease=offset,
         placed_s=state.log_time_s,
         charge=charge,
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/jobs.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/jobs.py
@@ -2,6 +2,7 @@
 
 import enum
 import math
+import sys
 
 import attrs
 
@@ -266,7 +267,7 @@
 
 def domains_of(host):
     """Return the failure domains of a declared host."""
-    return rack_key(host), host.zone
+    return sys.intern(rack_key(host)), sys.intern(host.zone)
 
 
 def on_host(state, name):
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/placing.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/placing.py
@@ -11,6 +11,7 @@
 from . import jobs as jobs_module
 from . import leases
 from . import placement
+from . import placing_acts as acts
 from . import records
 from . import tasks
 
@@ -29,102 +30,6 @@
 _DISPLACING = tuple(records.Step)[1:]
 
 
-@attrs.frozen
-class Act:
-    """Be the root of what a daemon does next."""
-
-
-@attrs.frozen
-class Place(Act):
-    """Have jobs make room, append the placement, start the task."""
-
-    choice: placement.Choice
-
-
-@attrs.frozen
-class Blocked(Act):
-    """Remember that no queued job of a pool could be placed.
-
-    :ivar changes: how often its jobs had changed
-    """
-
-    pool: str
-    changes: int
-
-
-@attrs.frozen
-class JobAct(Act):
-    """Be the root of what is done about one placed job."""
-
-    job_id: str
-
-
-@attrs.frozen
-class Start(JobAct):
-    """Start the task, unless its worker runs it already."""
-
-
-@attrs.frozen
-class Stop(JobAct):
-    """Stop the task of a cancelled job, or see that none starts."""
-
-
-@attrs.frozen
-class Checkpoint(JobAct):
-    """Checkpoint the task, so that the job can go on elsewhere."""
-
-
-@attrs.frozen
-class Resume(JobAct):
-    """Let a throttled task run in full again."""
-
-
-@attrs.frozen
-class Abandon(JobAct):
-    """Append that the lease is not renewed any more."""
-
-
-@attrs.frozen
-class Lapse(JobAct):
-    """Append that the lease has surely ended."""
-
-
-@attrs.frozen
-class Refuse(JobAct):
-    """Append that a queued job can not run any more."""
-
-
-@attrs.frozen
-class Probe(Act):
-    """Ask a host that may be lost what has become of its tasks."""
-
-    host: str
-
-
-@attrs.frozen
-class Renew(Act):
-    """Renew the leases of tasks on a host.
-
-    :ivar until_s: end of each lease, by token
-    """
-
-    host: str
-    until_s: dict[int, float]
-
-
-@attrs.frozen
-class Take(Act):
-    """Append that a lost daemon's jobs in a pool are taken."""
-
-    pool: str
-    lost: str
-
-
-@attrs.frozen
-class RenewHolder(Act):
-    """Append that this daemon is there."""
-
-
 @attrs.frozen
 class Sight:
     """Hold what a daemon sees itself, beside the folded state.
@@ -155,9 +60,9 @@
 def plan(state, sight):
     """Return what a daemon should do now, urgent things first.
 
-    :rtype: list[Act]
+    :rtype: list[placing_acts.Act]
     """
-    acts = itertools.chain(
+    found = itertools.chain(
         _renew_holder(state, sight),
         _start_and_stop(state, sight),
         _place(state, sight),
@@ -166,7 +71,7 @@
         _resume(state, sight),
         _take(state, sight),
     )
-    return list(itertools.islice(acts, MAX_ACTS))
+    return list(itertools.islice(found, MAX_ACTS))
 
 
 def _renew_holder(state, sight):
@@ -175,7 +80,7 @@
     # holder to be noticed.
     is_due = sight.now_s >= heard_s + leases.HOLDER_RENEW_S
     if is_due and state.ledger.held and sight.me in state.members:
-        yield RenewHolder()
+        yield acts.RenewHolder()
 
 
 def _mine(state, sight, job_ids):
@@ -188,7 +93,7 @@
         if not job.abandoned_s and job.host not in sight.unreachable_s:
             # A host that is to be quiet gets no task started.
             is_unwanted = job.is_cancelled or job.host in state.disruptions
-            kind = Stop if is_unwanted else Start
+            kind = acts.Stop if is_unwanted else acts.Start
             yield kind(job.job_id)
 
 
@@ -211,13 +116,13 @@
         job = view.state.jobs[key]
         refusal, _ = job_rules.refuse_for_ever(view.state, job, job.size)
         if refusal is not job_records.JobRefusal.NONE:
-            yield Refuse(key)
+            yield acts.Refuse(key)
     choices = placement.place_queued(
         view, pool, MAX_ACTS, sight.busy.__contains__
     )
-    yield from (Place(choice) for choice in choices)
+    yield from (acts.Place(choice) for choice in choices)
     if not choices:
-        yield Blocked(pool, view.state.ledger.changes.get(pool, 0))
+        yield acts.Blocked(pool, view.state.ledger.changes.get(pool, 0))
 
 
 def _view(state, sight):
@@ -263,7 +168,7 @@
         keys = state.ledger.on_host.get(host, ())
         jobs = list(_mine(state, sight, keys))
         if jobs and host not in sight.busy:
-            yield Probe(host)
+            yield acts.Probe(host)
         for job in jobs:
             yield from _give_up(state, sight, job)
 
@@ -272,15 +177,15 @@
     silent_s = sight.unreachable_s.get(job.host)
     if job.abandoned_s:
         if leases.is_lapsed(state, job):
-            yield Lapse(job.job_id)
+            yield acts.Lapse(job.job_id)
     elif silent_s is not None:
         if job.host in state.down_hosts or silent_s >= UNREACHABLE_S:
-            yield Abandon(job.job_id)
+            yield acts.Abandon(job.job_id)
 
 
 def _displace(state, sight):
     found = (
-        Checkpoint(job.job_id)
+        acts.Checkpoint(job.job_id)
         for host, disruption in state.disruptions.items()
         if disruption.step in _DISPLACING
         for job in _mine(state, sight, state.ledger.on_host.get(host, ()))
@@ -307,7 +212,7 @@
         is_wanted = queue is None or not queue.urgent
         is_free = not job.is_cancelled and not job.abandoned_s
         if is_wanted and is_free and job_rules.can_resume(state, job):
-            yield Resume(job.job_id)
+            yield acts.Resume(job.job_id)
 
 
 def _take(state, sight):
@@ -317,7 +222,7 @@
         held = (state.jobs[key] for key in state.ledger.held[lost])
         for pool in {job.pool: None for job in held}:
             if _first_heard(state, pool) == sight.me:
-                yield Take(pool, lost)
+                yield acts.Take(pool, lost)
 
 
 def _first_heard(state, name):
@@ -330,7 +235,7 @@
 
     It goes through all jobs of the daemon, so it is called less often.
 
-    :rtype: list[Renew]
+    :rtype: list[placing_acts.Renew]
     """
     groups = {}
     for key in state.ledger.held.get(sight.me, ()):
@@ -338,7 +243,7 @@
         if _needs_renewal(state, sight, job):
             ends = groups.setdefault(job.host, {})
             ends[job.lease] = leases.ends_s(state, job)
-    return [Renew(host, ends) for host, ends in groups.items()]
+    return [acts.Renew(host, ends) for host, ends in groups.items()]
 
 
 def _needs_renewal(state, sight, job):
