--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -86,9 +86,13 @@
         'slope': f'{line.slope:.4g}',
         'at zero': f'{line.intercept:.4g}',
         'residual': f'{line.residual_share:.1%}',
-        'at design size': f'{line.at(slope.design_size):.4g}',
+        'at design size': _at_design_size(line, slope.design_size),
     }
 
 
+def _at_design_size(line, size):
+    return f'{line.at(size):.4g}' if size else '-'
+
+
 if __name__ == '__main__':
     sys.exit(main())
