--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/callers.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/callers.py
@@ -26,6 +26,7 @@
 _log = logs.get('callers')
 
 _BOOLEANS = {'true': True, 'false': False}
+_URGENCIES = {urgency.value: urgency for urgency in calls.Urgency}
 
 
 def make_app(dispatcher, follower, writer, settings, metrics, clock):
@@ -36,6 +37,7 @@
 
     @app.post('/v1/services/<service:str>/requests', stream=True)
     async def serve(request, service):
+        _close_while_draining(request)
         request_id = request.headers.get(REQUEST_ID_HEADER, '')
         try:
             body = await _receive(request, settings.max_body_bytes)
@@ -53,13 +55,13 @@
 
     @app.get('/ready')
     async def ready(request):
+        _close_while_draining(request)
         is_ready = follower.is_ready and not dispatcher.is_draining
         return response.json(
             {'is_ready': is_ready}, status=200 if is_ready else 503
         )
 
-    @app.on_request
-    async def close_while_draining(request):
+    def _close_while_draining(request):
         # The caller's next request then opens a connection elsewhere.
         if dispatcher.is_draining:
             request.stream.keep_alive = False
@@ -125,7 +127,7 @@
         urgency=_choice(
             headers,
             URGENCY_HEADER,
-            {urgency.value: urgency for urgency in calls.Urgency},
+            _URGENCIES,
             calls.Urgency.INTERACTIVE.value,
         ),
         body=body,
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/endpoints.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/endpoints.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import attrs
+import yarl
 
 from hawthorndeal_fleet import calls
 from hawthorndeal_fleet import errors
@@ -56,6 +57,15 @@
     in_flight: int = 0
     answered_s: float = 0.0
     is_retired: bool = False
+    _urls: dict = attrs.Factory(dict)
+
+    def url(self, service):
+        """Return where requests of a service go, parsed once."""
+        url = self._urls.get(service)
+        if url is None:
+            url = yarl.URL(f'http://{self.address}/run/{service}')
+            self._urls[service] = url
+        return url
 
 
 class EndpointClient:
@@ -141,7 +151,7 @@
     async def _exchange(self, request, name, channel, timeout_s):
         try:
             async with channel.session.post(
-                f'http://{channel.address}/run/{request.service}',
+                channel.url(request.service),
                 data=request.body,
                 headers={
                     REQUEST_ID_HEADER: request.request_id,
@@ -151,7 +161,7 @@
                 # A redirect would run the request a second time.
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(
-                    total=timeout_s, connect=min(CONNECT_TIMEOUT_S, timeout_s)
+                    total=timeout_s, sock_connect=CONNECT_TIMEOUT_S
                 ),
             ) as response:
                 return await self._read_answer(response, request, name)
@@ -264,6 +274,10 @@
 
 
 async def _read_chunk(response, name):
+    # Most answers have come whole by now.
+    chunk = response.content.read_nowait()
+    if chunk:
+        return chunk
     try:
         async with asyncio.timeout(PROGRESS_TIMEOUT_S):
             return await response.content.readany()
