--- a/features/requests_http.feature
+++ b/features/requests_http.feature
@@ -28,6 +28,14 @@
       | a body that stops coming      | 408    | too_slow          |
       | a head that stops coming      | 408    | bad_request       |
 
+  Scenario: The bodies of all callers together are bounded
+    Given an entry host that serves callers
+    When two callers have sent 9000 bytes of a larger body each
+    Then a request with 9000 bytes is told overloaded
+    And a request is answered
+    When those two have been told too_slow
+    Then a request with 9000 bytes is answered
+
   Scenario: Connections over the limit are told so
     Given an entry host that serves 3 connections of callers
     When 3 idle connections are open
--- a/features/steps/requests_http.py
+++ b/features/steps/requests_http.py
@@ -16,6 +16,7 @@
 from steps import requests_faults
 
 MAX_BODY_BYTES = 10_000
+MAX_HELD_BYTES = 20_000
 READ_TIMEOUT_S = 4.0
 
 
@@ -63,7 +64,9 @@
     )
     web.REQUEST_TIMEOUT_S = 1
     entry = context.entry
-    options = request_bench.make_settings(max_body_bytes=MAX_BODY_BYTES)
+    options = request_bench.make_settings(
+        max_body_bytes=MAX_BODY_BYTES, max_held_bytes=MAX_HELD_BYTES
+    )
     await _serve(
         context,
         'callers-test',
@@ -197,6 +200,39 @@
     assert not wrong, wrong
 
 
+@when('two callers have sent {size:d} bytes of a larger body each')
+@requests_faults.on_bench
+async def send_parts(context, size):
+    part = _request(body=b'x' * size, length=MAX_BODY_BYTES)
+    context.slow = [
+        asyncio.create_task(_exchange(context, part)) for _ in range(2)
+    ]
+    await asyncio.sleep(0.1)
+
+
+@then('a request with {size:d} bytes is told {reason:w}')
+@requests_faults.on_bench
+async def check_too_much(context, size, reason):
+    _, body = await _exchange(context, _request(body=b'x' * size))
+    answer = json.loads(body)
+    assert (answer['outcome'], answer['reason']) == ('not_run', reason), answer
+    assert answer['retry_after_s'] > 0, answer
+
+
+@when('those two have been told {reason:w}')
+@requests_faults.on_bench
+async def await_slow(context, reason):
+    for status, body in await asyncio.gather(*context.slow):
+        assert json.loads(body)['reason'] == reason, (status, body)
+
+
+@then('a request with {size:d} bytes is answered')
+@requests_faults.on_bench
+async def check_size(context, size):
+    got = await _exchange(context, _request(body=b'x' * size))
+    assert got == (200, b'x' * size), got[0]
+
+
 @when('{count:d} idle connections are open')
 @requests_faults.on_bench
 async def open_idle(context, count):
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/callers.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/callers.py
@@ -9,6 +9,7 @@
 from hawthorndeal_fleet import calls
 from hawthorndeal_fleet import errors
 
+from . import bodies
 from . import jobs_interface
 from . import logs
 from . import web
@@ -32,6 +33,7 @@
 def make_app(dispatcher, follower, writer, settings, metrics, clock):
     """Return the application that callers reach."""
     app = web.make_app('callers', settings.max_body_bytes)
+    held_bodies = bodies.HeldBodies(settings.max_held_bytes)
     if settings.platform.workers_url:
         jobs_interface.add_routes(app, follower, writer, dispatcher, clock)
 
@@ -39,13 +41,16 @@
     async def serve(request, service):
         _close_while_draining(request)
         request_id = request.headers.get(REQUEST_ID_HEADER, '')
+        held = bodies.HeldBody(held_bodies)
         try:
-            body = await _receive(request, settings.max_body_bytes)
+            body = await _receive(request, settings.max_body_bytes, held)
             call = parse(request, service, body)
             answer = await dispatcher.serve(call)
         except errors.RequestFailed as failure:
             metrics.count(f'requests.{failure.outcome}.{failure.reason}')
             return web.failure_response(failure, request_id)
+        finally:
+            held.release()
         metrics.count('requests.answered')
         return respond(answer, request_id)
 
@@ -87,11 +92,11 @@
     return failure
 
 
-async def _receive(request, max_bytes):
+async def _receive(request, max_bytes, held):
     # The library itself waits for a body as long as for an answer.
     try:
         async with asyncio.timeout(web.REQUEST_TIMEOUT_S):
-            return await _read_body(request, max_bytes)
+            return await _read_body(request, max_bytes, held)
     except asyncio.TimeoutError:
         request.stream.keep_alive = False
         raise errors.RequestTooSlow(
@@ -99,7 +104,7 @@
         ) from None
 
 
-async def _read_body(request, max_bytes):
+async def _read_body(request, max_bytes, held):
     chunks = []
     size_bytes = 0
     async for chunk in request.stream:
@@ -107,10 +112,19 @@
         if size_bytes > max_bytes:
             request.stream.keep_alive = False
             raise _too_large(max_bytes)
+        _hold(request, held, len(chunk))
         chunks.append(chunk)
     return b''.join(chunks)
 
 
+def _hold(request, held, size_bytes):
+    try:
+        held.add(size_bytes)
+    except errors.Overloaded:
+        request.stream.keep_alive = False
+        raise
+
+
 def _too_large(max_bytes):
     return errors.RequestTooLarge(f'more than {max_bytes} bytes')
 
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/settings.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/settings.py
@@ -55,6 +55,7 @@
     :ivar shutdown_grace_s: time for the balancer to send callers elsewhere
     :ivar shutdown_timeout_s: longest wait for requests that run
     :ivar max_callers: connections of callers served at once
+    :ivar max_held_bytes: bodies of requests held at once, all together
     """
 
     daemon: str
@@ -80,6 +81,7 @@
     max_body_bytes: int = _positive(8 * 1024 * 1024)
     max_answer_bytes: int = _positive(16 * 1024 * 1024)
     max_callers: int = _positive(1000)
+    max_held_bytes: int = _positive(64 * 1024 * 1024)
 
 
 def parse(text, source):
