--- a/features/requests_tickets.feature
+++ b/features/requests_tickets.feature
@@ -20,6 +20,14 @@
       | first  | it is killed after it sent             | nothing                    | unknown ticket_holder_unreachable | 1    |
       | first  | it is killed before it sends           | nothing                    | unknown ticket_holder_unreachable | 0    |
 
+  @invariant_graceful_stop
+  Scenario: An entry host that ends waits for what it has forwarded
+    Given two entry hosts that share a log
+    And a ticket of the first entry host
+    When the second forwards a request with it and is asked to end meanwhile
+    Then it is told: answered 200
+    And the second ended after the answer
+
   Scenario Outline: A ticket that is <fault> runs nothing
     Given two entry hosts that share a log
     And a ticket of the first entry host
--- a/features/steps/requests_tickets.py
+++ b/features/steps/requests_tickets.py
@@ -1,5 +1,7 @@
 """Steps that repeat requests under a ticket across entry hosts."""
 
+import asyncio
+
 from behave import given
 from behave import then
 from behave import when
@@ -56,6 +58,26 @@
     context.got = await context.second.send(requests_claims.ID, False)
 
 
+@when('the second forwards a request with it and is asked to end meanwhile')
+@requests_faults.on_bench
+async def end_while_forwarding(context):
+    context.bench.near.delay_s = 0.2
+    sent = asyncio.create_task(
+        context.second.send(requests_claims.ID, False, ticket=context.ticket)
+    )
+    await request_bench.wait_for(
+        lambda: context.bench.near.runs[requests_claims.ID]
+    )
+    await context.second.dispatcher.drain(0.0, 2.0)
+    context.was_answered = sent.done()
+    context.got = await sent
+
+
+@then('the second ended after the answer')
+def check_ended_after(context):
+    assert context.was_answered
+
+
 def _forge(context):
     ticket = tickets.parse(context.ticket)
     return f'{ticket.incarnation}.{ticket.number + 1}.0.{ticket.signature}'
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
@@ -1,6 +1,7 @@
 """Serve one request from its arrival to its final answer."""
 
 import asyncio
+import contextlib
 import itertools
 import secrets
 
@@ -98,7 +99,8 @@
         if request.ticket and not is_forwarded:
             holder = tickets.parse(request.ticket).incarnation
             if holder != self._incarnation:
-                return await self._forward(request, holder)
+                with self._running_one():
+                    return await self._forward(request, holder)
         task = asyncio.create_task(self._count_and_serve(request))
         self._kept.add(task)
         task.add_done_callback(self._let_go)
@@ -129,17 +131,22 @@
             # Marks the failure as seen, where the caller has vanished.
             task.exception()
 
-    async def _count_and_serve(self, request):
+    @contextlib.contextmanager
+    def _running_one(self):
         self._running += 1
         self._idle.clear()
         try:
-            self._check(request)
-            return await self._serve_within_quota(request)
+            yield
         finally:
             self._running -= 1
             if not self._running:
                 self._idle.set()
 
+    async def _count_and_serve(self, request):
+        with self._running_one():
+            self._check(request)
+            return await self._serve_within_quota(request)
+
     async def _serve_within_quota(self, request):
         state = self._follower.state
         quota = state.fleet.workspaces[request.workspace].quota
