--- a/features/steps/state_log.py
+++ b/features/steps/state_log.py
@@ -161,13 +161,14 @@
     asked = dispatcher.Dispatcher(
         node.follower,
         node.writer,
-        None,
-        None,
-        None,
-        node.name,
-        types.SimpleNamespace(claim_timeout_s=1.0),
-        clock,
-        None,
+        router=None,
+        endpoints=None,
+        returner=None,
+        forwarder=None,
+        incarnation=node.name,
+        settings=types.SimpleNamespace(claim_timeout_s=1.0),
+        clock=clock,
+        rng=None,
     )
     request = calls.Request(
         workspace='vltava',
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
@@ -176,10 +176,6 @@
             raise
 
     def _check(self, request):
-        if not self._follower.is_ready:
-            # Steps that stop hosts don't wait for a daemon's word before it
-            # has read its own join back.
-            raise errors.NotReady('this entry host has not joined yet', 1.0)
         fleet = self._follower.state.fleet
         service = fleet.services.get(request.service)
         if service is None:
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
@@ -250,13 +250,6 @@
     status = 503
 
 
-class NotReady(NotRun):
-    """Report a request to an entry host that may not route yet."""
-
-    reason = 'not_ready'
-    status = 503
-
-
 class DeadlinePassed(NotRun):
     """Report a request whose deadline passed before it was sent."""
 
