Keep one refusal of entry hosts that are not ready, and leave no child of the demo

The check that counts the request stays; it asks to come back after 1 s, and the scenario now wants just that in place of 0 s.

The demo now kills and reaps whatever children are left at its end; the scenario names them if that fails.

--- a/demo/run.py
+++ b/demo/run.py
@@ -2,7 +2,9 @@
 
 import argparse
 import asyncio
+import contextlib
 import copy
+import itertools
 import json
 import os
 import pathlib
@@ -184,6 +186,16 @@
     return parser.parse_args(arguments)
 
 
+def _kill_children():
+    """Kill what an interrupt left without an owner while it was started."""
+    tasks = pathlib.Path('/proc/self/task').iterdir()
+    lists = [(task / 'children').read_text().split() for task in tasks]
+    for pid in map(int, itertools.chain.from_iterable(lists)):
+        with contextlib.suppress(ProcessLookupError, ChildProcessError):
+            os.kill(pid, signal.SIGKILL)
+            os.waitpid(pid, 0)
+
+
 def _interrupt(number, frame):
     raise KeyboardInterrupt
 
@@ -209,6 +221,7 @@
         for number in (signal.SIGINT, signal.SIGTERM):
             signal.signal(number, signal.SIG_IGN)
         stage.end()
+        _kill_children()
 
 
 if __name__ == '__main__':
--- a/features/pages_rolling.feature
+++ b/features/pages_rolling.feature
@@ -15,4 +15,4 @@
     Given a running deployment without a fleet
     When a non-idempotent request is sent to "portal"
     Then it is told not_run
-    And the reason is "not_ready", and to come back at once
+    And the reason is "not_ready", and to come back after 1 s
--- a/features/steps/pages_demo.py
+++ b/features/steps/pages_demo.py
@@ -98,7 +98,11 @@
 @then('it ends with {code:d}, and nothing that it started runs on')
 def check_ended(context, code):
     got = context.demo.wait(END_TIMEOUT_S)
-    running = [pid for pid in context.started if 'hawthorn' in _command(pid)]
-    running += [pid for pid in context.started if 'fakes' in _command(pid)]
+    running = {pid: _command(pid) for pid in context.started}
+    running = {
+        pid: command
+        for pid, command in running.items()
+        if 'hawthorn' in command or 'fakes' in command
+    }
     assert not running, running
     assert got == code, got
--- a/features/steps/pages_rolling.py
+++ b/features/steps/pages_rolling.py
@@ -111,8 +111,8 @@
     context.make_stage()
 
 
-@then('the reason is "{reason}", and to come back at once')
-def check_reason(context, reason):
+@then('the reason is "{reason}", and to come back after {wait_s:d} s')
+def check_reason(context, reason, wait_s):
     answer = context.answer
     assert answer['reason'] == reason, answer
-    assert answer['retry_after_s'] == 0, answer
+    assert answer['retry_after_s'] == wait_s, answer
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
@@ -88,11 +88,6 @@
             raise errors.ShuttingDown(
                 'this entry host is leaving', retry_after_s=0
             )
-        if not self._follower.is_ready:
-            raise errors.NotReady(
-                'this entry host has no state to vouch for yet',
-                retry_after_s=0,
-            )
         if request.is_idempotent:
             return await self._count_and_serve(request)
         if request.ticket and not is_forwarded:
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
@@ -236,13 +236,6 @@
     status = 503
 
 
-class NotReady(NotRun):
-    """Report a request to an entry host that can't vouch for its state."""
-
-    reason = 'not_ready'
-    status = 503
-
-
 class ShuttingDown(NotRun):
     """Report a request that came while the entry host is leaving."""
 
