Ask the platform's host list for what changed only

Cause: each daemon read the whole list every 2 s: 573 KB at 5,800 hosts, 286 KB/s against 7 KB/s allowed, and 44 ms of decoding, 2.2% of a core (trials). Ruled out: a longer period, since a leaving host must be seen within seconds; one reader a zone, which still breaks the limit on that host. Change: the adapter names the version it knows; a platform without versions tells the whole list as before. Scenarios fail without the version, without forgetting hosts that are gone, and without asking anew after a bad answer.

--- a/features/fakes/hosts.py
+++ b/features/fakes/hosts.py
@@ -4,6 +4,7 @@
 import asyncio
 import itertools
 import pathlib
+import uuid
 
 import aiohttp
 from aiohttp import web
@@ -90,19 +91,68 @@
         self.events.append(['restore', name])
 
 
-def make_app(platform):
+class Versions:
+    """Tell what changed in the list of hosts since a version.
+
+    :param name: differs for each start of the platform
+    """
+
+    def __init__(self, name):
+        self._name = name
+        self._number = 0
+        self._told = {}
+        self._changed = {}
+        self._gone = {}
+
+    def _follow(self, statuses):
+        changed = [n for n in statuses if self._told.get(n) != statuses[n]]
+        gone = [n for n in self._told if n not in statuses]
+        if not changed and not gone:
+            return
+        self._number += 1
+        self._changed.update(dict.fromkeys(changed, self._number))
+        self._gone.update(dict.fromkeys(gone, self._number))
+        for name in gone:
+            del self._changed[name]
+        self._told = dict(statuses)
+
+    def answer(self, statuses, since):
+        """Return the whole list, or what is newer than a version."""
+        self._follow(statuses)
+        name, _, number = since.rpartition('-')
+        version = f'{self._name}-{self._number}'
+        if name != self._name:
+            return {'version': version, 'is_whole': True, 'hosts': statuses}
+        return {
+            'version': version,
+            'is_whole': False,
+            'hosts': {
+                host: statuses[host]
+                for host, at in self._changed.items()
+                if at > int(number)
+            },
+            'gone': [
+                host
+                for host, at in self._gone.items()
+                if at > int(number) and host not in statuses
+            ],
+        }
+
+
+def make_app(platform, has_versions=True):
     """Return the application of the stand-in."""
     app = faults.make_app()
 
+    versions = Versions(uuid.uuid4().hex)
+
     async def list_hosts(request):
-        return web.json_response(
-            {
-                'hosts': {
-                    name: host.status(name)
-                    for name, host in platform.hosts.items()
-                }
-            }
-        )
+        statuses = {
+            name: host.status(name) for name, host in platform.hosts.items()
+        }
+        if not has_versions:
+            return web.json_response({'hosts': statuses})
+        since = request.query.get('since', '')
+        return web.json_response(versions.answer(statuses, since))
 
     async def get_host(request):
         name = request.match_info['host']
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/host_watch.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/host_watch.py
@@ -89,9 +89,8 @@
     async def _probe(self, state, host):
         """Return whether an endpoint of a host answers; None without one."""
         addresses = [
-            endpoint.address
-            for endpoint in state.fleet.endpoints.values()
-            if endpoint.host == host
+            state.fleet.endpoints[name].address
+            for name in state.index.users('hosts', host, 'endpoints')
         ]
         if not addresses:
             return None
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/hosts.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/hosts.py
@@ -12,14 +12,34 @@
 
     def __init__(self, transport):
         self._transport = transport
+        self._version = ''
+        self._known = {}
 
     async def list(self):
-        """Return the status of every host by name; it lags."""
-        answer = await self._transport.call('GET', '/v1/hosts')
-        return {
+        """Return the status of every host by name; it lags.
+
+        Only what changed since the last answer is asked for. A platform that
+        keeps no versions, or has forgotten this one, tells the whole list.
+        """
+        answer = await self._transport.call(
+            'GET',
+            '/v1/hosts',
+            params={'since': self._version} if self._version else None,
+        )
+        # Asked for anew from the start, should this answer not be usable.
+        self._version = ''
+        told = {
             name: codec.from_plain(status, maintenance.HostStatus)
             for name, status in answer['hosts'].items()
         }
+        if answer.get('is_whole', True):
+            self._known = told
+        else:
+            self._known.update(told)
+            for name in answer['gone']:
+                self._known.pop(name, None)
+        self._version = answer.get('version', '')
+        return dict(self._known)
 
     async def get(self, host):
         """Return the status of one host, up to date."""
