Tell a repeat that is refused that it may have run before

Cause: a repeat of a non-idempotent request that had run was told not_run where the entry host was leaving, the log was lost or the repeat's deadline had passed; that spoke of the repeat only, and a caller would take it for the request. Change: a refusal becomes already_claimed where the folded claims or the tickets show an earlier try, unless this daemon bound itself not to use it.

--- a/features/requests_claims.feature
+++ b/features/requests_claims.feature
@@ -24,6 +24,22 @@
       | it is paused past the deadline before it sends | not_run deadline_passed | answered 200         | 1    |
       | it is paused past the deadline while it connects | not_run deadline_passed | answered 200       | 1    |
 
+  @invariant_not_run
+  Scenario Outline: A request that ran is not told not run when <hindrance>
+    Given two entry hosts that share a log
+    And a request that ran, <known>
+    When <hindrance>
+    Then a repeat is told unknown already_claimed
+    And the request ran 1 times
+
+    Examples:
+      | known       | hindrance                       |
+      | by a claim  | the entry host is leaving       |
+      | by a claim  | the log is lost                 |
+      | by a claim  | the repeat is past its deadline |
+      | by a ticket | the entry host is leaving       |
+      | by a ticket | the repeat is past its deadline |
+
   Scenario: The same request at all entry hosts at once runs once
     Given two entry hosts that share a log
     When one request is sent 10 times to each of them at once
--- a/features/steps/requests_claims.py
+++ b/features/steps/requests_claims.py
@@ -332,3 +332,43 @@
     assert context.got[:2] == ('not_run', reason), context.got
     assert context.got[2].retry_after_s, context.got
     assert context.took_s < limit_s, context.took_s
+
+
+@given('a request that ran, {known}')
+@requests_faults.on_bench
+async def run_once(context, known):
+    context.ticket = ''
+    context.asked = context.second
+    context.repeat_deadline_s = 2.0
+    if known == 'by a ticket':
+        context.asked = context.first
+        context.ticket = str(context.first.dispatcher.issue_ticket())
+    got = await context.first.send(ID, False, ticket=context.ticket)
+    assert got[0] == 'answered', got
+    if not context.ticket:
+        state = context.second.follower.state
+        await request_bench.wait_for(lambda: state.claims)
+
+
+@when('the entry host is leaving')
+def leave(context):
+    context.asked.dispatcher.is_draining = True
+
+
+@when('the log is lost')
+def lose_log(context):
+    context.bench.log.is_down = True
+
+
+@when('the repeat is past its deadline')
+def pass_deadline(context):
+    context.repeat_deadline_s = -1.0
+
+
+@then('a repeat is told {outcome:w} {reason:w}')
+@requests_faults.on_bench
+async def check_repeat(context, outcome, reason):
+    got = await context.asked.send(
+        ID, False, deadline_s=context.repeat_deadline_s, ticket=context.ticket
+    )
+    assert got[:2] == (outcome, reason), got
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
@@ -6,6 +6,7 @@
 import secrets
 
 from hawthorndeal_fleet import admission
+from hawthorndeal_fleet import claims
 from hawthorndeal_fleet import errors
 from hawthorndeal_fleet import health
 from hawthorndeal_fleet import records
@@ -85,6 +86,25 @@
         :rtype: calls.Answer
         :raises errors.RequestFailed: the final answer otherwise
         """
+        try:
+            return await self._route(request, is_forwarded)
+        except errors.NotRun as failure:
+            if self._may_have_run(request):
+                raise errors.AlreadyClaimed(
+                    f'an earlier try may have run; now: {failure.detail}'
+                ) from failure
+            raise
+
+    def _may_have_run(self, request):
+        """Tell whether an earlier try of a refused request is known."""
+        if request.is_idempotent:
+            return False
+        if request.ticket:
+            return self._tickets.is_used(request.ticket)
+        holder = claims.holder_of(self._follower.state, request.key)
+        return holder is not None and not self._returner.is_bound(holder)
+
+    async def _route(self, request, is_forwarded):
         if self.is_draining:
             raise errors.ShuttingDown(
                 'this entry host is leaving', retry_after_s=0
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/returns.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/returns.py
@@ -29,6 +29,7 @@
         self._writer = writer
         self._clock = clock
         self._waiting = collections.OrderedDict()
+        self._bound = collections.OrderedDict()
         self._added = asyncio.Event()
 
     def add(self, claimed):
@@ -37,10 +38,16 @@
         :param claimed: the :class:`records.RequestClaimed` to undo
         """
         self._waiting[claimed.holder] = claimed
-        if len(self._waiting) > MAX_WAITING:
-            self._waiting.popitem(last=False)
+        self._bound[claimed.holder] = None
+        for kept in (self._waiting, self._bound):
+            if len(kept) > MAX_WAITING:
+                kept.popitem(last=False)
         self._added.set()
 
+    def is_bound(self, holder):
+        """Tell whether a claim is known never to be used any more."""
+        return holder in self._bound
+
     async def run(self):
         """Return claims until cancelled."""
         while True:
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/claims.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/claims.py
@@ -26,6 +26,14 @@
     return None
 
 
+def holder_of(state, key):
+    """Return who may have run the request of a key, or None."""
+    held = _find(state, key)
+    if held is None or held.status is not state_module.ClaimStatus.HELD:
+        return None
+    return held.holder
+
+
 def _find(state, key):
     # Whether an expired claim is still in memory must change no decision.
     held = state.claims.get(key)
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/tickets.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/tickets.py
@@ -102,6 +102,15 @@
             )
         self._used[ticket.number] = ticket.issued_s
 
+    def is_used(self, text):
+        """Tell whether a text holds a ticket of this incarnation in use."""
+        try:
+            ticket = parse(text)
+        except errors.BadRequest:
+            return False
+        is_own = ticket.incarnation == self.incarnation
+        return is_own and ticket.number in self._used
+
     def give_back(self, ticket):
         """Let a ticket be used again: its request certainly did not run."""
         self._used.pop(ticket.number, None)
