--- a/features/pages.feature
+++ b/features/pages.feature
@@ -37,6 +37,7 @@
       | docs/PROOFS.md    |
       | docs/CAPACITY.md  |
       | docs/DESIGN.md    |
+      | docs/DESIGN.md    |
 
   Scenario Outline: The table of <what> in OPERATING.md matches the code
     When the table headed "<head>" is read from "docs/OPERATING.md"
@@ -61,6 +62,7 @@
       | docs/GLOSSARY.md  |
       | docs/PROOFS.md    |
       | docs/CAPACITY.md  |
+      | docs/DESIGN.md    |
 
   Scenario: PROOFS.md names every scenario that proves an invariant
     When the proofs are read from "docs/PROOFS.md"
