--- a/features/runner.py
+++ b/features/runner.py
@@ -92,7 +92,7 @@
 
 def _print_verdict(reports):
     statuses = list(itertools.chain.from_iterable(r.statuses for r in reports))
-    failed = {name for name, status in statuses if status != 'passed'}
+    failed = {n.strip() for n, status in statuses if status != 'passed'}
     red = known_red()
     for name in sorted(failed & red):
         print(f'known red, failed as listed: {name}')
