--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 TAGS ?=
-PACKAGES := fleet platform daemon cli
+PACKAGES := fleet platform daemon cli jobs scheduler
 PROJECTS := $(PACKAGES:%=packages/hawthorndeal-%)
 INPUTS := constraints.txt requirements.txt $(PROJECTS:%=%/pyproject.toml)
 STAMP := $(VENV)/installed-$(shell cat $(INPUTS) | cksum | cut -d' ' -f1)
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of several steps, and every decision on them; no I/O."""
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
@@ -0,0 +1,111 @@
+"""Decide when a daemon may claim a partition, and when it may still act.
+
+A partition has one owner. Its epoch fences its appends in the store and its
+orders at executors. Orders to hosts are fenced by time alone.
+"""
+
+import attrs
+
+# Longest time between two appends of an owner.
+RENEW_PERIOD_S = 0.4
+# Silence, while the store can be read, after which others claim.
+SILENCE_S = 1.6
+# Claimants spread over this time, so that one of them is first.
+CLAIM_SPREAD_S = 0.3
+# Age of the last reading up to which the store counts as readable.
+FRESH_READ_S = 0.7
+# An owner renews the leases of executors while the store confirmed it this
+# recently: longer than the store is usually away.
+HOLD_CONFIRMED_S = 8.0
+# An owner gives orders to hosts while the store confirmed it this recently.
+HOST_CONFIRMED_S = 0.9
+# Added to what a successor waits, for calls that are on their way.
+HOST_CALL_MARGIN_S = 0.8
+
+
+@attrs.define
+class OwnerView:
+    """Hold what one daemon has seen of a partition's owner.
+
+    Times are seconds of its steady clock.
+
+    :ivar last_sign_s: when something of the owner's was last read
+    :ivar readable_since_s: since when the store was read without a break;
+        None while it can't be read
+    """
+
+    is_claimable: bool = True
+    last_sign_s: float = 0.0
+    last_read_s: float | None = None
+    readable_since_s: float | None = None
+
+    def note_read(self, sent_s):
+        """Note that everything up to the end was read by a call."""
+        last_s = self.last_read_s
+        if last_s is None or sent_s - last_s > SILENCE_S:
+            self.readable_since_s = sent_s
+        self.last_read_s = sent_s
+
+    def note_owner(self, now_s, is_released):
+        """Note a record of the owner's."""
+        self.last_sign_s = now_s
+        self.is_claimable = is_released
+
+    def may_claim(self, now_s, delay_s):
+        """Tell whether to claim now.
+
+        :param delay_s: this daemon's part of the spread
+        """
+        if self.last_read_s is None:
+            return False
+        if now_s - self.last_read_s > FRESH_READ_S + RENEW_PERIOD_S:
+            return False
+        if self.is_claimable:
+            return True
+        silent_s = now_s - max(self.last_sign_s, self.readable_since_s)
+        return silent_s > SILENCE_S + delay_s
+
+
+@attrs.define
+class Tenure:
+    """Hold how long an owner may act.
+
+    Times are seconds of a clock that also counts while the host is
+    suspended.
+
+    :ivar epoch: of this tenure
+    :ivar confirmed_s: when the last append was sent that the store took
+    :ivar host_orders_from_s: earliest order to a host
+    """
+
+    epoch: int
+    confirmed_s: float
+    host_orders_from_s: float
+    is_lost: bool = False
+
+    def may_hold(self, now_s):
+        """Tell whether leases of executors may be renewed."""
+        return not self.is_lost and now_s - self.confirmed_s < HOLD_CONFIRMED_S
+
+    def may_order_hosts(self, now_s):
+        """Tell whether a host may be ordered about."""
+        return (
+            not self.is_lost
+            and now_s >= self.host_orders_from_s
+            and now_s - self.confirmed_s < HOST_CONFIRMED_S
+        )
+
+
+def first_host_order_s(claimed_s, lease_s):
+    """Return when a new owner may first order a host.
+
+    :param claimed_s: when its claim was sent
+    :param lease_s: time that must lie between orders of two owners
+    """
+    margin_s = HOST_CONFIRMED_S + HOST_CALL_MARGIN_S
+    return claimed_s + margin_s + lease_s
+
+
+def last_inherited_lease_s(claimed_s, longest_lease_s):
+    """Return when leases given by earlier owners have run out."""
+    return claimed_s + HOLD_CONFIRMED_S + longest_lease_s
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
@@ -0,0 +1,127 @@
+"""Decide which executor runs a task; answers one task of an open step."""
+
+import itertools
+
+# Weights of what speaks against an executor; the least sum is chosen.
+WRONG_RACK_COST = 4.0
+SERVING_BESIDE_FILLER_COST = 1.0
+USED_GAIN = 1.0
+
+
+def choose(executors, step, task_id, task, now_s, ticketed=None):
+    """Return the executor for a task, or None where none has room.
+
+    :param executors: those of the pool
+    :param step: declared step of the task
+    :param ticketed: executors allowed for the step; None for all
+    """
+    candidates = [
+        executor
+        for executor in executors
+        if is_usable(executor, now_s)
+        and (ticketed is None or executor.executor_id in ticketed)
+        and has_place(executor, step, task_id)
+    ]
+    if not candidates:
+        return None
+    # A retry goes elsewhere where it can: the executor may be to blame.
+    others = [e for e in candidates if e.executor_id != task.executor]
+    pool = others if task.failures and others else candidates
+    return min(pool, key=lambda executor: _cost(executor, step))
+
+
+def is_usable(executor, now_s):
+    """Tell whether new runs may go to an executor."""
+    return (
+        executor.is_fenced
+        and executor.clock_s is not None
+        and not executor.entry.is_leaving
+        and not executor.is_reserved
+        and executor.missing_since_s is None
+        and executor.suspended_until_s <= now_s
+    )
+
+
+def has_place(executor, step, task_id):
+    """Tell whether a task may run on an executor and fits."""
+    if step.required_label and step.required_label not in (
+        executor.entry.labels
+    ):
+        return False
+    if step.max_per_executor:
+        if executor.count_of(task_id) >= step.max_per_executor:
+            return False
+    return step.reserved.is_within(executor.free)
+
+
+def _cost(executor, step):
+    cost = 0.0
+    if step.data_rack and step.data_rack != executor.entry.rack:
+        cost += WRONG_RACK_COST
+    if step.is_filler or step.tail_target_ms:
+        cost += SERVING_BESIDE_FILLER_COST * sum(
+            other.step.is_filler != step.is_filler
+            for other in executor.runs.values()
+        )
+    # Packed executors leave others empty, which can then be given away.
+    capacity = executor.entry.capacity
+    used = 1.0 - executor.free.cpu_millicores / max(1, capacity.cpu_millicores)
+    return cost - USED_GAIN * used
+
+
+def choose_gang(executors, step, task_ids, task, now_s, ticketed=None):
+    """Return an executor for each member of a gang, or None.
+
+    One rack is tried before several where that matters to the tasks.
+    """
+    groups = [list(executors)]
+    if step.is_rack_sensitive:
+        groups = [*_by_rack(executors), *groups]
+    for group in groups:
+        chosen = _fit_all(group, step, task_ids, now_s, ticketed)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def _fit_all(executors, step, task_ids, now_s, ticketed):
+    usable = [
+        executor
+        for executor in executors
+        if is_usable(executor, now_s)
+        and (ticketed is None or executor.executor_id in ticketed)
+    ]
+    rooms = [
+        itertools.repeat(executor, _room(executor, step, task_ids[0]))
+        for executor in sorted(usable, key=lambda e: _cost(e, step))
+    ]
+    chosen = list(itertools.islice(itertools.chain(*rooms), len(task_ids)))
+    return chosen if len(chosen) == len(task_ids) else None
+
+
+def _room(executor, step, task_id):
+    if not has_place(executor, step, task_id):
+        return 0
+    need, free = step.reserved, executor.free
+    fits = [
+        have // want
+        for want, have in (
+            (need.cpu_millicores, free.cpu_millicores),
+            (need.memory_mb, free.memory_mb),
+            (need.gpus, free.gpus),
+        )
+        if want
+    ]
+    if step.max_per_executor:
+        fits.append(step.max_per_executor - executor.count_of(task_id))
+    return min(fits, default=step.count)
+
+
+def _by_rack(executors):
+    keyed = sorted(executors, key=rack_of)
+    return [list(group) for _, group in itertools.groupby(keyed, rack_of)]
+
+
+def rack_of(executor):
+    """Return the rack of an executor, or an empty text."""
+    return executor.entry.rack
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
@@ -0,0 +1,144 @@
+"""Every daemon's copy of a partition: its jobs, its owner and its waves."""
+
+import attrs
+
+from hawthorndeal_fleet import errors
+
+from . import jobs
+from . import journal
+
+
+@attrs.frozen
+class Folded:
+    """Tell what a record changed.
+
+    :ivar job: the job that it is about, if any
+    """
+
+    kind: str
+    job: jobs.Job | None = None
+
+
+class Replica:
+    """Fold the records of one partition.
+
+    The fold is idempotent: a record may be read again after the newest one
+    of its key. While this daemon owns the partition, its own progress
+    records are left out, since the scheduler's objects are newer.
+    """
+
+    def __init__(self):
+        self.jobs = {}
+        self.upkeep = {}
+        self.ownership = None
+        self.own_epoch = None
+        self._offsets = {}
+        self._early = {}
+
+    def apply(self, key, value, offset):
+        """Take in one record.
+
+        :raises errors.InvalidRecord: when it can't be read; nothing changed
+        """
+        if offset <= self._offsets.get(key, -1):
+            return None
+        kind, _, rest = key.partition('/')
+        fold = self._FOLDS.get(kind)
+        if fold is None:
+            raise errors.InvalidRecord(f'unknown key {key!r:.80}')
+        folded = fold(self, rest, value)
+        self._offsets[key] = offset
+        return folded
+
+    def _fold_job(self, job_id, value):
+        if not value:
+            job = self.jobs.pop(job_id, None)
+            self._forget(job_id)
+            return Folded(journal.JOB, job)
+        if job_id in self.jobs:
+            return Folded(journal.JOB, self.jobs[job_id])
+        accepted = journal.decode(value, journal.Submission)
+        job = jobs.Job(
+            job_id, accepted.queue, accepted.pool, accepted.accepted_s,
+            accepted.spec,
+        )  # fmt: skip
+        self.jobs[job_id] = job
+        # Pages of the newest records come in the order of keys.
+        for early_fold, arguments in self._early.pop(job_id, ()):
+            early_fold(self, *arguments)
+        return Folded(journal.JOB, job)
+
+    def _fold_cancel(self, job_id, value):
+        job = self.jobs.get(job_id)
+        if not value:
+            return Folded(journal.CANCEL)
+        if job is None:
+            self._keep_early(job_id, Replica._fold_cancel, (job_id, value))
+            return Folded(journal.CANCEL)
+        self.cancel(job)
+        return Folded(journal.CANCEL, job)
+
+    def _fold_progress(self, rest, value):
+        job_id, _, number = rest.rpartition('/')
+        job = self.jobs.get(job_id)
+        if not value or self.own_epoch is not None:
+            return Folded(journal.PROGRESS, job)
+        if job is None:
+            self._keep_early(job_id, Replica._fold_progress, (rest, value))
+            return Folded(journal.PROGRESS)
+        if not number.isdecimal() or int(number) >= job.spec.occurrences:
+            raise errors.InvalidRecord(f'no occurrence {rest!r:.80}')
+        journal.restore_progress(value, job.occurrence(int(number)))
+        self.refresh(job)
+        return Folded(journal.PROGRESS, job)
+
+    def _fold_owner(self, _, value):
+        ownership = journal.decode(value, journal.Ownership)
+        if self.ownership and ownership.epoch < self.ownership.epoch:
+            raise errors.InvalidRecord(f'old epoch {ownership.epoch}')
+        self.ownership = ownership
+        return Folded(journal.OWNER)
+
+    def _fold_upkeep(self, number, value):
+        if not number.isdecimal():
+            raise errors.InvalidRecord(f'no wave {number!r:.80}')
+        progress = journal.decode(value, journal.UpkeepProgress)
+        if self.own_epoch is None:
+            self.upkeep[int(number)] = progress
+        return Folded(journal.UPKEEP)
+
+    def cancel(self, job):
+        """Note that the store holds a job's cancellation."""
+        job.is_cancelled = True
+        if self.own_epoch is None:
+            self.refresh(job)
+        elif not job.shown.is_final:
+            job.shown = jobs.JobState.CANCELLED
+
+    def refresh(self, job):
+        """Show a job as the store has it."""
+        job.shown = job.state()
+        job.is_shown_begun = job.has_begun
+
+    def waiting(self, queue):
+        """Return how many accepted jobs of a queue have not begun."""
+        return sum(
+            job.queue == queue
+            and not job.is_shown_begun
+            and not job.shown.is_final
+            for job in self.jobs.values()
+        )
+
+    def _keep_early(self, job_id, fold, arguments):
+        self._early.setdefault(job_id, []).append((fold, arguments))
+
+    def _forget(self, job_id):
+        self._early.pop(job_id, None)
+
+    _FOLDS = {
+        journal.JOB: _fold_job,
+        journal.CANCEL: _fold_cancel,
+        journal.PROGRESS: _fold_progress,
+        journal.OWNER: _fold_owner,
+        journal.UPKEEP: _fold_upkeep,
+    }
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
@@ -0,0 +1,238 @@
+"""Follow runs from their order to their end; answers unknown outcomes.
+
+==========================  ================================================
+what is known               what is assumed
+==========================  ================================================
+a start was not answered    it may run now or later, until a stop of it was
+                            answered and a later look doesn't list it
+a stop was not answered     the run goes on; the stop is repeated
+a look lists a run          it runs, whatever was answered before
+a look doesn't list a run   nothing, unless its start or its stop was
+                            answered before the look was sent
+an executor is not reached  its runs go on until the last lease given has
+                            surely run out
+another life of its host    all runs of the earlier life have ended
+the owner changed           a run in the store may run, until its executor
+                            has seen the new epoch and doesn't list it
+==========================  ================================================
+"""
+
+import enum
+
+import attrs
+
+from . import executors
+from . import jobs
+
+# Time for a look to show a run whose start was not answered.
+UNKNOWN_START_WAIT_S = 0.2
+STOP_RETRY_S = 0.4
+
+_Phase = executors.RunPhase
+_Cause = executors.EndCause
+
+
+class StartAnswer(enum.Enum):
+    """Name what an executor said to an order to start."""
+
+    ACCEPTED = 'accepted'
+    # A newer owner has been there.
+    FENCED = 'fenced'
+    # The number is not above one that was stopped or has ended there.
+    OLD_RUN = 'old_run'
+    TOO_LATE = 'too_late'
+    NO_ROOM = 'no_room'
+    BAD_TICKET = 'bad_ticket'
+    INVALID = 'invalid'
+    # It refuses all work for now, and has done nothing.
+    UNHEALTHY = 'unhealthy'
+    # This life of the host has ended.
+    GONE = 'gone'
+    UNKNOWN = 'unknown'
+
+
+@attrs.frozen
+class RunOver:
+    """Tell that a run neither goes on nor can begin.
+
+    :ivar cause: None where it never began
+    """
+
+    run: executors.Run
+    cause: executors.EndCause | None
+    checkpoint: str = ''
+
+
+@attrs.frozen
+class StrayRun:
+    """Name a run that no known task has ordered."""
+
+    executor_id: str
+    task_id: jobs.TaskId
+    number: int
+
+
+@attrs.frozen
+class Reading:
+    """Hold what a look came to.
+
+    :ivar over: runs that are over
+    :ivar found: runs whose start was unknown and that do run
+    :ivar strays: runs to stop that belong to no known task
+    """
+
+    over: list[RunOver]
+    found: list[executors.Run]
+    strays: list[StrayRun]
+
+
+def read_look(executor, look, find_occurrence):
+    """Take in what an executor answered, and return what it means.
+
+    :param find_occurrence: returns the occurrence of a task, or None
+    """
+    executor.is_fenced = True
+    executor.reached_s = look.received_s
+    executor.read_clock(look.clock_s, look.received_s)
+    over = _read_ends(executor, look)
+    found, strays = [], []
+    listed = set()
+    for row in look.running:
+        key = row.task_id, row.number
+        listed.add(key)
+        run = executor.runs.get(key)
+        if run is None:
+            run = _adopt(executor, row, look, find_occurrence)
+        if run is None:
+            strays.append(
+                StrayRun(executor.executor_id, row.task_id, row.number)
+            )
+        elif _note_running(run, row, look):
+            found.append(run)
+    if look.is_whole:
+        over += _vanished(executor, look, listed)
+    return Reading(over, found, strays)
+
+
+def _read_ends(executor, look):
+    over = []
+    for end in look.ended:
+        if end.sequence <= executor.last_processed_end:
+            continue
+        executor.last_processed_end = end.sequence
+        run = executor.runs.get((end.task_id, end.number))
+        if run is not None:
+            over.append(RunOver(run, end.cause, end.checkpoint))
+    return over
+
+
+def _adopt(executor, row, look, find_occurrence):
+    occurrence = find_occurrence(row.task_id)
+    if occurrence is None or occurrence.task(row.task_id) is None:
+        return None
+    spec = occurrence.job.spec.steps[row.task_id.step]
+    run = executors.Run(
+        row.task_id, row.number, occurrence, executor.executor_id,
+        spec.reserved, _Phase.STOPPED, look.sent_s,
+    )  # fmt: skip
+    # Only the run that the task has ordered may go on.
+    run.is_stop_wanted = not is_current(run)
+    executor.add(run)
+    return run
+
+
+def is_current(run):
+    """Tell whether a run is the one that its task has ordered."""
+    task = run.task
+    return (
+        task.state is jobs.TaskState.ORDERED
+        and task.run == run.number
+        and task.executor == run.executor_id
+    )
+
+
+def _note_running(run, row, look):
+    is_new = run.phase is not _Phase.RUNNING
+    if row.percent > run.percent or is_new:
+        run.advanced_s = look.received_s
+    run.percent = row.percent
+    run.usage = row.usage
+    run.checkpoint = row.checkpoint or run.checkpoint
+    if run.began_s is None:
+        run.began_s = look.received_s
+    if is_new and not (run.phase is _Phase.STOPPED and run.is_stop_wanted):
+        run.phase = _Phase.RUNNING
+        run.changed_s = look.received_s
+        return True
+    return False
+
+
+def _vanished(executor, look, listed):
+    return [
+        RunOver(run, cause, run.checkpoint)
+        for key, run in executor.runs.items()
+        if key not in listed and look.sent_s > run.changed_s
+        for cause in _cause_of_absence(run)
+        if all(run.key != (end.task_id, end.number) for end in look.ended)
+    ]
+
+
+def _cause_of_absence(run):
+    if run.phase is _Phase.RUNNING:
+        return [_Cause.LAPSED]
+    # It was stopped, and either never began or its end was taken in before.
+    return [None] if run.phase is _Phase.STOPPED else []
+
+
+def note_start_answer(run, answer, now_s):
+    """Take in the answer to an order to start.
+
+    :returns: a :class:`RunOver` where the run can't begin, else None
+    """
+    if run.phase is not _Phase.SENT:
+        return None
+    if answer is StartAnswer.ACCEPTED:
+        run.phase = _Phase.RUNNING
+        run.changed_s = run.advanced_s = now_s
+        run.began_s = now_s
+        return None
+    if answer is StartAnswer.UNKNOWN:
+        run.phase = _Phase.UNKNOWN
+        run.changed_s = now_s
+        run.stop_retry_s = now_s + UNKNOWN_START_WAIT_S
+        return None
+    return RunOver(run, None)
+
+
+def note_stop_answer(run, is_answered, now_s):
+    """Take in whether an order to stop was answered."""
+    run.is_stop_sent = False
+    if not is_answered:
+        run.stop_retry_s = now_s + STOP_RETRY_S
+        return
+    run.stop_retry_s = now_s + STOP_RETRY_S
+    if run.phase in (_Phase.SENT, _Phase.UNKNOWN, _Phase.RUNNING):
+        run.phase = _Phase.STOPPED
+        run.changed_s = now_s
+
+
+def needs_stop(run, now_s):
+    """Tell whether a stop of a run is due now."""
+    if run.is_stop_sent or now_s < run.stop_retry_s:
+        return False
+    if run.phase is _Phase.UNKNOWN:
+        return True
+    is_sent = run.phase in (_Phase.SENT, _Phase.RUNNING)
+    return run.is_stop_wanted and is_sent
+
+
+def inherit(executor, run_key, occurrence, since_s):
+    """Put a run that an earlier owner has ordered on its executor."""
+    task_id, number = run_key
+    spec = occurrence.job.spec.steps[task_id.step]
+    run = executors.Run(
+        task_id, number, occurrence, executor.executor_id, spec.reserved,
+        _Phase.STOPPED, since_s,
+    )  # fmt: skip
+    executor.add(run)
+    return run
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -0,0 +1,506 @@
+"""Hold an owned partition, and decide what starts and what stops."""
+
+import attrs
+
+from . import executors as executors_module
+from . import jobs
+from . import ordering
+from . import placement
+from . import queues
+from . import run_tracking
+from . import specs
+
+# A job's age on takeover comes from two clocks that may disagree.
+MAX_AGE_S = 120.0
+SUSPEND_S = 1.0
+MAX_SUSPEND_S = 8.0
+# Failed runs in a row before an executor is left alone for a while.
+SUSPICIOUS_FAILURES = 2
+NO_ROOM_WAIT_S = 0.2
+
+_Phase = executors_module.RunPhase
+_Cause = executors_module.EndCause
+_Answer = run_tracking.StartAnswer
+
+
+@attrs.frozen
+class Turn:
+    """Hold what one turn decided.
+
+    :ivar starts: runs to order once their records are in the store
+    :ivar stops: runs to stop now
+    :ivar strays: runs of no known task to stop now
+    """
+
+    starts: list[executors_module.Run]
+    stops: list[executors_module.Run]
+    strays: list[run_tracking.StrayRun]
+
+
+class Scheduler:
+    """Decide on the jobs and the executors of one partition.
+
+    It reads no clock and calls nobody. Times are seconds of the daemon's
+    steady clock, but for ``wall_s``, seconds since the epoch.
+
+    :param replica: the partition's jobs
+    :param configuration: queues and pools in force
+    :param lease_duration_s: how long executors work without a renewal
+    """
+
+    def __init__(self, replica, configuration, lease_duration_s):
+        self.executors = {}
+        self._replica = replica
+        self._configuration = configuration
+        self.lease_duration_s = lease_duration_s
+        self._open_steps = {}
+        self._future = {}
+        self._changed = {}
+        self._strays = {}
+        self._stale_pools = set()
+        self._queues = dict(configuration.queues)
+
+    # Jobs
+
+    def add_job(self, job, now_s, wall_s, age_s=None):
+        """Take in an accepted job.
+
+        :param age_s: time since it was accepted, where that is known
+        """
+        if job.is_over:
+            return
+        if age_s is None:
+            age_s = min(MAX_AGE_S, max(0.0, wall_s - job.accepted_s))
+        accepted_s = now_s - age_s
+        first = len(job.occurrences)
+        for number in sorted(job.occurrences):
+            self._open_occurrence(job.occurrences[number], accepted_s)
+        if first < job.spec.occurrences:
+            self._future[job.job_id] = (job, first, accepted_s)
+
+    def cancel_job(self, job):
+        """Have everything of a cancelled job stopped."""
+        self._close_job(job)
+
+    def _open_occurrence(self, occurrence, accepted_s):
+        for step in range(len(occurrence.tasks)):
+            if occurrence.is_step_open(step):
+                self._open_step(occurrence, step, accepted_s)
+
+    def _open_step(self, occurrence, step, accepted_s):
+        key = occurrence.job.job_id, occurrence.number, step
+        if key in self._open_steps or occurrence.is_step_done(step):
+            return
+        job = occurrence.job
+        queue = self.queue_of(job)
+        objective_s = ordering.objective_s(queue, job.spec)
+        pending = [
+            index
+            for index, task in enumerate(occurrence.tasks[step])
+            if task.state is jobs.TaskState.PENDING
+        ]
+        self._open_steps[key] = ordering.OpenStep(
+            occurrence, step, pending, accepted_s + objective_s,
+            accepted_s + ordering.LATEST_FACTOR * objective_s,
+            queue.priority, ordering.remaining_s(job.spec, step),
+        )  # fmt: skip
+        self._stale_pools.add(queue.pool)
+
+    def _open_due(self, now_s, wall_s):
+        for job_id, (job, number, accepted_s) in list(self._future.items()):
+            begins_s = accepted_s
+            while number < job.spec.occurrences:
+                due_s = job.spec.due_s(number)
+                if due_s > wall_s:
+                    break
+                begins_s = now_s if job.spec.repetitions else accepted_s
+                occurrence = job.occurrence(number)
+                self._open_occurrence(occurrence, begins_s)
+                number += 1
+            if number >= job.spec.occurrences:
+                del self._future[job_id]
+            else:
+                self._future[job_id] = (job, number, accepted_s)
+
+    def _close_job(self, job):
+        self._future.pop(job.job_id, None)
+        for occurrence in job.occurrences.values():
+            for step in range(len(occurrence.tasks)):
+                key = job.job_id, occurrence.number, step
+                self._open_steps.pop(key, None)
+        for executor in self.executors.values():
+            for run in executor.runs.values():
+                if run.task_id.job_id == job.job_id:
+                    run.is_stop_wanted = True
+
+    def queue_of(self, job):
+        """Return the queue of a job; the last one known where it is gone."""
+        queue = self._queues.get(job.queue)
+        if queue is None:
+            queue = queues.Queue(job.queue, job.pool)
+            self._queues[job.queue] = queue
+        return queue
+
+    def set_configuration(self, configuration):
+        """Put a newer configuration in force."""
+        self._configuration = configuration
+        self._queues.update(configuration.queues)
+        self._stale_pools.update(configuration.pools)
+
+    @property
+    def has_strays(self):
+        """Tell whether runs of no known task are to be stopped."""
+        return bool(self._strays)
+
+    @property
+    def open_steps(self):
+        """Return the steps whose tasks may start."""
+        return self._open_steps.values()
+
+    # Executors
+
+    def take_entry(self, entry, now_s):
+        """Take in what an executor tells of itself."""
+        executor = self.executors.get(entry.executor_id)
+        if executor is None:
+            executor = executors_module.Executor(
+                entry, entry.capacity, idle_since_s=now_s, reached_s=now_s
+            )
+            self.executors[entry.executor_id] = executor
+        else:
+            self._update_entry(executor, entry)
+        executor.missing_since_s = None
+        if entry.clock_s is not None:
+            executor.read_clock(entry.clock_s, now_s)
+        self._stale_pools.add(entry.pool)
+        return executor
+
+    def _update_entry(self, executor, entry):
+        grown = entry.capacity - executor.entry.capacity
+        executor.free = executor.free + grown
+        executor.entry = entry
+
+    def miss_entry(self, executor_id, now_s):
+        """Note that an executor is not listed any more."""
+        executor = self.executors.get(executor_id)
+        if executor is not None and executor.missing_since_s is None:
+            executor.missing_since_s = now_s
+
+    def end_executor(self, executor_id, now_s):
+        """Take in that an executor's life is over, with all its runs."""
+        if executor_id not in self.executors:
+            return []
+        over = self.lapse_executor(executor_id, now_s)
+        del self.executors[executor_id]
+        return over
+
+    def lapse_executor(self, executor_id, now_s):
+        """Take in that an executor has killed all its runs."""
+        executor = self.executors[executor_id]
+        over = [
+            run_tracking.RunOver(run, _Cause.LAPSED, run.checkpoint)
+            for run in list(executor.runs.values())
+        ]
+        for ended in over:
+            self._finish(executor, ended, now_s)
+        return over
+
+    def inherit(self, now_s, inherited_lease_s):
+        """Take in the runs that earlier owners have ordered.
+
+        :param inherited_lease_s: when the last lease that an earlier owner
+            may have given has surely run out
+        """
+        for job in self._replica.jobs.values():
+            for occurrence in job.occurrences.values():
+                for task_id, task in _ordered(occurrence):
+                    executor = self._executor_of(task.executor, now_s)
+                    executor.lease_ends_s = inherited_lease_s
+                    run = run_tracking.inherit(
+                        executor, (task_id, task.run), occurrence, now_s
+                    )
+                    run.is_stop_wanted = job.is_over
+
+    def _executor_of(self, executor_id, now_s):
+        executor = self.executors.get(executor_id)
+        if executor is None:
+            entry = executors_module.ExecutorEntry(
+                executor_id, '', '', '', specs.Resources()
+            )
+            executor = executors_module.Executor(entry, entry.capacity)
+            executor.missing_since_s = now_s
+            self.executors[executor_id] = executor
+        return executor
+
+    def take_look(self, executor_id, look, now_s):
+        """Take in what an executor answered, and return what is over."""
+        executor = self.executors.get(executor_id)
+        if executor is None:
+            return []
+        reading = run_tracking.read_look(executor, look, self._find)
+        self._strays.update(
+            {(s.executor_id, s.task_id, s.number): s for s in reading.strays}
+        )
+        for ended in reading.over:
+            self._finish(executor, ended, now_s)
+        if reading.over or not executor.runs:
+            self._stale_pools.add(executor.entry.pool)
+        return reading.over
+
+    def _find(self, task_id):
+        job = self._replica.jobs.get(task_id.job_id)
+        if job is None or task_id.step >= len(job.spec.steps):
+            return None
+        return job.occurrences.get(task_id.occurrence)
+
+    # Answers to orders
+
+    def take_start_answer(self, run, answer, now_s):
+        """Take in the answer to an order to start."""
+        executor = self.executors.get(run.executor_id)
+        if executor is None:
+            return
+        ended = run_tracking.note_start_answer(run, answer, now_s)
+        if answer is _Answer.UNHEALTHY:
+            self._suspect(executor, now_s)
+        if answer is _Answer.NO_ROOM:
+            executor.suspended_until_s = now_s + NO_ROOM_WAIT_S
+        if ended is not None:
+            self._finish(executor, ended, now_s)
+
+    def take_stop_answer(self, run, is_answered, now_s):
+        """Take in whether an order to stop was answered."""
+        run_tracking.note_stop_answer(run, is_answered, now_s)
+
+    # Ends
+
+    def _finish(self, executor, ended, now_s):
+        run, task = ended.run, ended.run.task
+        was_current = run_tracking.is_current(run)
+        executor.remove(run, now_s)
+        self._stale_pools.add(executor.entry.pool)
+        self._judge_executor(executor, ended, now_s)
+        if not was_current:
+            if ended.cause is _Cause.DONE and not run.step.is_lasting:
+                self._mark_done(run, now_s)
+            return
+        if ended.checkpoint and run.step.is_checkpointing:
+            task.checkpoint = ended.checkpoint
+        self._changed[run.occurrence] = None
+        if ended.cause is _Cause.DONE and not run.step.is_lasting:
+            self._mark_done(run, now_s)
+        elif ended.cause is _Cause.FAILED and not run.step.is_lasting:
+            self._mark_failed(run, now_s)
+        else:
+            self._mark_pending(run)
+
+    def _judge_executor(self, executor, ended, now_s):
+        if ended.cause is _Cause.DONE:
+            executor.failure_streak = 0
+        elif ended.cause is _Cause.FAILED:
+            executor.failure_streak += 1
+            if executor.failure_streak >= SUSPICIOUS_FAILURES:
+                self._suspect(executor, now_s)
+
+    def _suspect(self, executor, now_s):
+        factor = 2 ** max(0, executor.failure_streak - SUSPICIOUS_FAILURES)
+        wait_s = min(MAX_SUSPEND_S, SUSPEND_S * factor)
+        executor.suspended_until_s = max(
+            executor.suspended_until_s, now_s + wait_s
+        )
+
+    def _mark_done(self, run, now_s):
+        occurrence, step = run.occurrence, run.task_id.step
+        tasks = [run.task]
+        if run.step.is_gang:
+            tasks = occurrence.tasks[step]
+        for task in tasks:
+            if task.state is not jobs.TaskState.DONE:
+                task.state = jobs.TaskState.DONE
+                occurrence.done_counts[step] += 1
+        self._changed[occurrence] = None
+        self._stop_other_runs(run)
+        if occurrence.is_step_done(step):
+            self._close_step(occurrence, step)
+
+    def _stop_other_runs(self, ended_run):
+        if ended_run.step.is_gang:
+            return
+        for executor in self.executors.values():
+            for run in executor.runs.values():
+                if run.task_id == ended_run.task_id:
+                    run.is_stop_wanted = True
+
+    def _close_step(self, occurrence, step):
+        key = occurrence.job.job_id, occurrence.number, step
+        closed = self._open_steps.pop(key, None)
+        if closed is None or occurrence.job.is_over:
+            return
+        objective_s = ordering.objective_s(
+            self.queue_of(occurrence.job), occurrence.job.spec
+        )
+        self._open_occurrence(occurrence, closed.objective_s - objective_s)
+
+    def _mark_failed(self, run, now_s):
+        occurrence, step = run.occurrence, run.task_id.step
+        run.task.failures += 1
+        failures = run.task.failures
+        if run.step.is_gang:
+            failures = sum(t.failures for t in occurrence.tasks[step])
+        job = occurrence.job
+        if failures >= self.queue_of(job).max_attempts:
+            run.task.state = jobs.TaskState.FAILED
+            job.is_failed = True
+            self._close_job(job)
+        else:
+            self._mark_pending(run)
+
+    def _mark_pending(self, run):
+        run.task.state = jobs.TaskState.PENDING
+        key = (
+            run.task_id.job_id,
+            run.task_id.occurrence,
+            run.task_id.step,
+        )
+        open_step = self._open_steps.get(key)
+        if open_step is not None:
+            open_step.pending.append(run.task_id.index)
+            self._stale_pools.add(self.queue_of(run.occurrence.job).pool)
+
+    # Turns
+
+    def plan(self, now_s, wall_s):
+        """Decide what starts and what stops now."""
+        self._open_due(now_s, wall_s)
+        starts = []
+        stale, self._stale_pools = self._stale_pools, set()
+        for pool in stale:
+            starts += self._fill_pool(pool, now_s)
+        stops = [
+            run
+            for executor in self.executors.values()
+            for run in executor.runs.values()
+            if run_tracking.needs_stop(run, now_s)
+        ]
+        strays = list(self._strays.values())
+        self._strays.clear()
+        return Turn(starts, stops, strays)
+
+    def _fill_pool(self, pool, now_s):
+        executors = self.executors_of(pool)
+        if not any(placement.is_usable(e, now_s) for e in executors):
+            return []
+        waiting = [
+            open_step
+            for open_step in self._open_steps.values()
+            if open_step.pending
+            and self.queue_of(open_step.occurrence.job).pool == pool
+        ]
+        waiting.sort(key=lambda open_step: ordering.rank(open_step, now_s))
+        starts = []
+        for open_step in waiting:
+            starts += self._fill_step(open_step, executors, now_s)
+        return starts
+
+    def _fill_step(self, open_step, executors, now_s):
+        if open_step.spec.is_gang:
+            return self._start_gang(open_step, executors, now_s)
+        starts = []
+        while open_step.pending:
+            index = open_step.pending[0]
+            task_id = _task_id(open_step, index)
+            task = open_step.occurrence.task(task_id)
+            executor = placement.choose(
+                executors, open_step.spec, task_id, task, now_s
+            )
+            if executor is None:
+                break
+            open_step.pending.pop(0)
+            starts.append(
+                self._order(open_step, task_id, executor, task.run + 1, now_s)
+            )
+        return starts
+
+    def _start_gang(self, open_step, executors, now_s):
+        tasks = open_step.occurrence.tasks[open_step.step]
+        if len(open_step.pending) < len(tasks):
+            return []
+        ids = [_task_id(open_step, index) for index in range(len(tasks))]
+        chosen = placement.choose_gang(
+            executors, open_step.spec, ids, tasks[0], now_s
+        )
+        if chosen is None:
+            return []
+        open_step.pending.clear()
+        number = max(task.run for task in tasks) + 1
+        checkpoint = next((t.checkpoint for t in tasks if t.checkpoint), '')
+        for task in tasks:
+            task.checkpoint = checkpoint
+        return [
+            self._order(open_step, task_id, executor, number, now_s)
+            for task_id, executor in zip(ids, chosen)
+        ]
+
+    def _order(self, open_step, task_id, executor, number, now_s):
+        occurrence = open_step.occurrence
+        task = occurrence.task(task_id)
+        task.state = jobs.TaskState.ORDERED
+        task.run = number
+        task.executor = executor.executor_id
+        run = executors_module.Run(
+            task_id, number, occurrence, executor.executor_id,
+            open_step.spec.reserved, _Phase.PLANNED, now_s,
+        )  # fmt: skip
+        executor.add(run)
+        self._changed[occurrence] = None
+        return run
+
+    def executors_of(self, pool):
+        """Return the executors of a pool."""
+        return [e for e in self.executors.values() if e.entry.pool == pool]
+
+    def release(self, run, now_s):
+        """Take back a planned run that was not sent."""
+        executor = self.executors.get(run.executor_id)
+        if executor is not None:
+            self._finish(executor, run_tracking.RunOver(run, None), now_s)
+
+    # What has to be stored
+
+    def take_changed(self):
+        """Return the occurrences changed since the last call."""
+        changed, self._changed = list(self._changed), {}
+        return changed
+
+    def snapshot_ends(self):
+        """Return the last end taken in, by executor."""
+        return {
+            executor.executor_id: executor.last_processed_end
+            for executor in self.executors.values()
+            if executor.last_processed_end > executor.last_recorded_end
+        }
+
+    def note_recorded_ends(self, ends):
+        """Note that ends are in the store, so that they may be forgotten."""
+        for executor_id, sequence in ends.items():
+            executor = self.executors.get(executor_id)
+            if executor is not None:
+                executor.last_recorded_end = sequence
+
+
+def _ordered(occurrence):
+    for step, tasks in enumerate(occurrence.tasks):
+        for index, task in enumerate(tasks):
+            if task.state is jobs.TaskState.ORDERED:
+                job_id = occurrence.job.job_id
+                yield (
+                    jobs.TaskId(job_id, occurrence.number, step, index),
+                    task,
+                )
+
+
+def _task_id(open_step, index):
+    occurrence = open_step.occurrence
+    return jobs.TaskId(
+        occurrence.job.job_id, occurrence.number, open_step.step, index
+    )
--- /dev/null
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""The tasks of a daemon that own, place and follow jobs."""
--- /dev/null
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
@@ -0,0 +1,385 @@
+"""Move hosts between pools and have them maintained, for an owner."""
+
+import asyncio
+
+import attrs
+
+from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import capacity
+from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import placement
+from hawthorndeal_jobs import specs
+from hawthorndeal_jobs import upkeep
+from hawthorndeal_platform import host_orders
+
+TURN_S = 0.1
+LIST_PERIOD_S = 1.0
+# After an order a list is asked for sooner, since its outcome matters.
+LIST_SOON_S = 0.3
+# A host that doesn't arrive in its new pool by then is counted out.
+ARRIVAL_LIMIT_S = 4.0
+# A list says that a life has ended only of executors silent this long.
+SILENT_S = 1.0
+ORDER_RETRY_S = 0.5
+
+
+class HostKeeper:
+    """Be a task that gives orders to hosts.
+
+    :param parts: what an owner works with
+    :param owner: whose tenure allows the orders
+    """
+
+    def __init__(self, parts, owner):
+        self._parts = parts
+        self._owner = owner
+        self._hosts = {}
+        self._listed_s = None
+        self._list_due_s = 0.0
+        self._moving = {}
+        self._retry_s = {}
+        self._emptying = set()
+        self._changed_waves = set()
+        self._is_ordering = False
+        self._upkeep = parts.jobs_reader.replica.upkeep
+
+    async def run(self):
+        """Look after hosts until cancelled."""
+        if not self._parts.settings.hosts_address:
+            return
+        while True:
+            try:
+                await self._turn()
+            except errors.PlatformError as error:
+                self._owner.events.write(
+                    'host_service_failed', why=str(error)[:160]
+                )
+                await asyncio.sleep(LIST_SOON_S)
+            await asyncio.sleep(TURN_S)
+
+    async def finish(self):
+        """Wait for an order that is under way."""
+        while self._is_ordering:
+            await asyncio.sleep(TURN_S / 10)
+
+    async def _turn(self):
+        now_s = self._owner.now_s()
+        if now_s >= self._list_due_s:
+            await self._list(now_s)
+        if self._listed_s is None:
+            return
+        for wave in list(self._parts.configuration_reader.waves.values()):
+            await self._keep_wave(wave)
+        for move in self._plan_moves():
+            await self._move(move)
+
+    # What is known of hosts
+
+    async def _list(self, sent_s):
+        entries = await self._parts.hosts.list()
+        self._listed_s = sent_s
+        self._list_due_s = sent_s + LIST_PERIOD_S
+        self._hosts = {entry.host: entry for entry in entries}
+        for entry in entries:
+            self._note_entry(entry, sent_s)
+
+    def _note_entry(self, entry, sent_s):
+        arrival = self._moving.get(entry.host)
+        is_there = entry.state is host_orders.HostState.UP
+        if arrival and is_there and entry.pool == arrival[0]:
+            del self._moving[entry.host]
+        for executor in list(self._owner.scheduler.executors.values()):
+            if executor.entry.host != entry.host:
+                continue
+            if entry.executor_id == executor.executor_id and is_there:
+                continue
+            if sent_s - executor.reached_s > SILENT_S:
+                self._owner.end_executor(executor, 'its host was listed so')
+
+    def _executor_on(self, host):
+        entry = self._hosts.get(host)
+        if entry is None:
+            return None
+        return self._owner.scheduler.executors.get(entry.executor_id)
+
+    # Capacity
+
+    def _plan_moves(self):
+        now_s = self._owner.now_s()
+        scheduler = self._owner.scheduler
+        configuration = self._parts.configuration_reader.configuration
+        loads = [
+            self._load(pool, now_s) for pool in configuration.pools.values()
+        ]
+        idle = [
+            capacity.IdleHost(host, entry.pool, idle_s)
+            for host, entry in self._hosts.items()
+            if entry.pool in configuration.pools
+            for idle_s in self._idle_s(host, entry, now_s)
+        ]
+        return capacity.plan_moves(loads, idle)
+
+    def _load(self, pool, now_s):
+        scheduler = self._owner.scheduler
+        executors = [
+            executor
+            for executor in scheduler.executors_of(pool.name)
+            if placement.is_usable(executor, now_s)
+        ]
+        waiting = _sum(
+            _times(step.spec.reserved, len(step.pending))
+            for step in scheduler.open_steps
+            if step.pending
+            and scheduler.queue_of(step.occurrence.job).pool == pool.name
+        )
+        arriving = sum(
+            target == pool.name and now_s < limit_s
+            for target, limit_s in self._moving.values()
+        )
+        return capacity.PoolLoad(
+            pool.name,
+            pool.is_standby,
+            waiting,
+            _sum(executor.free for executor in executors),
+            arriving,
+            self._host_capacity(pool.name),
+            len(executors),
+        )
+
+    def _host_capacity(self, pool):
+        executors = list(self._owner.scheduler.executors.values())
+        own = [e for e in executors if e.entry.pool == pool] or executors
+        return max(
+            (e.entry.capacity for e in own),
+            key=lambda capacity: capacity.cpu_millicores,
+            default=specs.Resources(),
+        )
+
+    def _idle_s(self, host, entry, now_s):
+        if host in self._moving or host in self._emptying:
+            return []
+        if entry.state is not host_orders.HostState.UP:
+            return []
+        if now_s < self._retry_s.get(host, 0.0):
+            return []
+        pools = self._parts.configuration_reader.configuration.pools
+        if pools[entry.pool].is_standby:
+            return [capacity.MIN_IDLE_S]
+        executor = self._executor_on(host)
+        if executor is None or executor.runs or executor.entry.is_leaving:
+            return []
+        if executor.is_reserved:
+            return []
+        return [now_s - executor.idle_since_s]
+
+    async def _move(self, move):
+        arrival_s = self._owner.now_s() + ARRIVAL_LIMIT_S
+        await self._order(
+            move.host,
+            'host_moved',
+            lambda holder: self._parts.hosts.move(
+                move.host, move.to_pool, holder
+            ),
+            {'from_pool': move.from_pool, 'to_pool': move.to_pool},
+            lambda: self._note_moving(move, arrival_s),
+        )
+
+    def _note_moving(self, move, arrival_s):
+        self._moving[move.host] = (move.to_pool, arrival_s)
+        entry = self._hosts[move.host]
+        self._hosts[move.host] = attrs.evolve(
+            entry,
+            pool=move.to_pool,
+            state=host_orders.HostState.MOVING,
+        )
+
+    async def _order(self, host, event, call, fields, note_done):
+        """Give one order, if the tenure allows it.
+
+        The executor gets no new tasks from before the order on.
+        """
+        owner = self._owner
+        executor = self._executor_on(host)
+        if executor is not None:
+            if executor.runs:
+                return False
+            executor.is_reserved = True
+        if not owner.tenure.may_order_hosts(self._parts.clock.boot_s()):
+            if executor is not None:
+                executor.is_reserved = host in self._emptying
+            return False
+        holder = host_orders.Holder(self._parts.settings.daemon, owner.epoch)
+        self._is_ordering = True
+        outcome = 'done'
+        try:
+            await call(holder)
+        except errors.OutcomeUnknown as error:
+            outcome = f'unknown: {error}'
+            self._list_due_s = owner.now_s() + LIST_SOON_S
+        except errors.PlatformError as error:
+            outcome = f'refused: {error}'
+            self._retry_s[host] = owner.now_s() + ORDER_RETRY_S
+            if executor is not None:
+                executor.is_reserved = host in self._emptying
+        finally:
+            self._is_ordering = False
+        if outcome == 'done':
+            note_done()
+            if executor is not None:
+                owner.end_executor(executor, event)
+            self._list_due_s = owner.now_s() + LIST_SOON_S
+        owner.events.write(
+            event, host=host, epoch=owner.epoch, outcome=outcome, **fields
+        )
+        return outcome == 'done'
+
+    # Waves
+
+    def take_records(self):
+        """Return the records of waves that have changed."""
+        changed, self._changed_waves = self._changed_waves, set()
+        return [
+            journal.upkeep_record(number, self._upkeep[number])
+            for number in changed
+        ]
+
+    async def _keep_wave(self, wave):
+        progress = self._upkeep.get(wave.number)
+        if progress is None:
+            progress = journal.UpkeepProgress([], self._parts.clock.now_s())
+            self._upkeep[wave.number] = progress
+            self._changed_waves.add(wave.number)
+            await self._tell(wave.number, False)
+        if progress.is_completed:
+            return
+        gone = set(wave.hosts) - set(self._hosts)
+        if upkeep.is_completed(wave, progress.begun, gone):
+            await self._complete(wave)
+            return
+        plan = upkeep.plan_wave(
+            self._wave_progress(wave, progress),
+            [
+                self._due_host(host)
+                for host in wave.hosts
+                if host not in progress.begun and host in self._hosts
+            ],
+        )
+        for host in plan.empty:
+            self._begin_emptying(host, wave.number)
+        for host in plan.begin:
+            await self._maintain(host, wave)
+        self._empty_hosts()
+
+    def _wave_progress(self, wave, progress):
+        down = sum(
+            self._hosts[host].state is host_orders.HostState.IN_MAINTENANCE
+            for host in wave.hosts
+            if host in self._hosts
+        )
+        elapsed_s = self._parts.clock.now_s() - progress.seen_s
+        return upkeep.WaveProgress(
+            len(wave.hosts), len(progress.begun), down, wave.max_count,
+            wave.duration_s, max(0.0, elapsed_s),
+        )  # fmt: skip
+
+    def _due_host(self, host):
+        entry = self._hosts[host]
+        executor = self._executor_on(host)
+        is_up = entry.state is host_orders.HostState.UP
+        is_up = is_up and host not in self._moving
+        if self._owner.now_s() < self._retry_s.get(host, 0.0):
+            is_up = False
+        if executor is not None and executor.entry.is_leaving:
+            is_up = False
+        runs = len(executor.runs) if executor is not None else 0
+        return upkeep.DueHost(host, runs, host in self._emptying, is_up)
+
+    def _begin_emptying(self, host, number):
+        self._emptying.add(host)
+        executor = self._executor_on(host)
+        if executor is not None:
+            executor.is_reserved = True
+        self._owner.events.write('host_emptying', host=host, wave=number)
+
+    def _empty_hosts(self):
+        """Have lasting tasks leave hosts that are to go down."""
+        for host in self._emptying:
+            executor = self._executor_on(host)
+            if executor is None:
+                continue
+            executor.is_reserved = True
+            for run in list(executor.runs.values()):
+                if run.step.is_lasting and not run.is_stop_wanted:
+                    self._try_displace(run)
+
+    def _try_displace(self, run):
+        scheduler = self._owner.scheduler
+        tasks = run.occurrence.tasks[run.task_id.step]
+        at_work = sum(
+            other.percent >= 100
+            and not other.is_stop_wanted
+            and other.task_id.step == run.task_id.step
+            and other.occurrence is run.occurrence
+            and other is not run
+            for executor in scheduler.executors.values()
+            for other in executor.runs.values()
+        )
+        if upkeep.may_end_lasting(
+            at_work, len(tasks) - 1, run.step.max_unavailable
+        ):
+            run.is_stop_wanted = True
+            self._owner.events.write(
+                'run_displaced',
+                task=str(run.task_id),
+                executor=run.executor_id,
+                others_at_work=at_work,
+                max_unavailable=run.step.max_unavailable,
+            )
+
+    async def _maintain(self, host, wave):
+        entry = self._hosts[host]
+
+        def note_done():
+            progress = self._upkeep[wave.number]
+            progress = attrs.evolve(progress, begun=[*progress.begun, host])
+            self._upkeep[wave.number] = progress
+            self._changed_waves.add(wave.number)
+            self._emptying.discard(host)
+            self._hosts[host] = attrs.evolve(
+                entry, state=host_orders.HostState.IN_MAINTENANCE
+            )
+
+        await self._order(
+            host,
+            'host_maintenance_begun',
+            lambda holder: self._parts.hosts.maintain(
+                host, wave.number, holder
+            ),
+            {'wave': wave.number},
+            note_done,
+        )
+
+    async def _complete(self, wave):
+        await self._tell(wave.number, True)
+        progress = attrs.evolve(self._upkeep[wave.number], is_completed=True)
+        self._upkeep[wave.number] = progress
+        self._changed_waves.add(wave.number)
+        self._owner.events.write('wave_completed', wave=wave.number)
+
+    async def _tell(self, number, is_completed):
+        await self._parts.wave_reports.tell(number, is_completed)
+
+
+def _sum(amounts):
+    total = specs.Resources()
+    for amount in amounts:
+        total = total + amount
+    return total
+
+
+def _times(amount, count):
+    return specs.Resources(
+        amount.cpu_millicores * count,
+        amount.memory_mb * count,
+        amount.gpus * count,
+    )
--- /dev/null
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/journal_writer.py
@@ -0,0 +1,71 @@
+"""Append the owner's records, each once and in order."""
+
+import asyncio
+
+import attrs
+
+from hawthorndeal_fleet import errors
+from hawthorndeal_platform import keyed_log
+
+RETRY_S = 0.05
+MAX_RETRY_S = 0.5
+MAX_BATCH_BYTES = 1_000_000
+
+
+class JournalWriter:
+    """Append under one epoch; the store sorts out repeats.
+
+    :param log: a :class:`keyed_log.KeyedLog`
+    :param partition: where to append
+    :param tenure: of this owner; lost when the store says so
+    :param clock: the daemon's clocks
+    :param rng: spreads retries
+    """
+
+    def __init__(self, log, partition, tenure, clock, rng):
+        self._log = log
+        self._partition = partition
+        self._tenure = tenure
+        self._clock = clock
+        self._rng = rng
+        self._fence = keyed_log.Fence(tenure.epoch, 0)
+
+    async def append(self, records):
+        """Append records, however often that has to be tried.
+
+        :raises keyed_log.Fenced: a newer owner has taken over
+        """
+        for batch in _batches(records):
+            await self._append_batch(batch)
+
+    async def _append_batch(self, batch):
+        self._fence = attrs.evolve(
+            self._fence, sequence=self._fence.sequence + 1
+        )
+        retry_s = RETRY_S
+        while True:
+            sent_s = self._clock.boot_s()
+            try:
+                await self._log.append(self._partition, batch, self._fence)
+            except keyed_log.Fenced:
+                self._tenure.is_lost = True
+                raise
+            except errors.PlatformError:
+                # A repeat with the same sequence is taken at most once.
+                await asyncio.sleep(retry_s * self._rng.uniform(0.5, 1.0))
+                retry_s = min(MAX_RETRY_S, retry_s * 2)
+            else:
+                self._tenure.confirmed_s = sent_s
+                return
+
+
+def _batches(records):
+    batch, size = [], 0
+    for record in records:
+        if batch and size + len(record.value) > MAX_BATCH_BYTES:
+            yield batch
+            batch, size = [], 0
+        batch.append(record)
+        size += len(record.value) + len(record.key)
+    if batch:
+        yield batch
--- /dev/null
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/metrics.py
@@ -0,0 +1,93 @@
+"""Counters, gauges and latency histograms in the text exposition format."""
+
+import prometheus_client
+from prometheus_client import exposition
+
+# Bounds of the latency histograms, in seconds.
+_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+
+
+class Metrics:
+    """Keep the metrics of one daemon.
+
+    Names follow the conventions of the exposition format: base units,
+    counters end in ``_total``.
+    """
+
+    content_type = exposition.CONTENT_TYPE_LATEST
+
+    def __init__(self):
+        self._registry = prometheus_client.CollectorRegistry()
+        self._requests = prometheus_client.Counter(
+            'hawthorndeal_requests',
+            'Requests of callers, by method and status.',
+            ['method', 'status'],
+            registry=self._registry,
+        )
+        self._request_seconds = prometheus_client.Histogram(
+            'hawthorndeal_request_duration_seconds',
+            'Time from a request to its answer.',
+            ['method'],
+            buckets=_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._runs = prometheus_client.Counter(
+            'hawthorndeal_runs',
+            'Orders to start a run, by what the executor said.',
+            ['answer'],
+            registry=self._registry,
+        )
+        self._ends = prometheus_client.Counter(
+            'hawthorndeal_run_ends',
+            'Runs that are over, by cause.',
+            ['cause'],
+            registry=self._registry,
+        )
+        self._host_orders = prometheus_client.Counter(
+            'hawthorndeal_host_orders',
+            'Orders to hosts, by kind.',
+            ['kind'],
+            registry=self._registry,
+        )
+        self._gauges = {
+            name: prometheus_client.Gauge(
+                f'hawthorndeal_{name}', text, registry=self._registry
+            )
+            for name, text in _GAUGES.items()
+        }
+
+    def note_request(self, method, status, took_s):
+        """Count one answered request."""
+        self._requests.labels(method, str(status)).inc()
+        self._request_seconds.labels(method).observe(took_s)
+
+    def note_start(self, answer):
+        """Count one order to start a run."""
+        self._runs.labels(answer).inc()
+
+    def note_end(self, cause):
+        """Count one run that is over."""
+        self._ends.labels(cause).inc()
+
+    def note_host_order(self, kind):
+        """Count one order to a host."""
+        self._host_orders.labels(kind).inc()
+
+    def set_gauge(self, name, value):
+        """Set a gauge."""
+        self._gauges[name].set(value)
+
+    def exposition(self):
+        """Return all metrics as text."""
+        return exposition.generate_latest(self._registry)
+
+
+_GAUGES = {
+    'jobs': 'Jobs in the replica.',
+    'jobs_waiting': 'Accepted jobs of which no task has begun.',
+    'owner_epoch': 'Epoch of the partition owned here; 0 where none is.',
+    'store_read_age_seconds': 'Age of the last reading up to the end.',
+    'executors': 'Executors known to the owner.',
+    'runs_active': 'Runs that take room on executors.',
+    'log_lines_dropped': 'Lines that standard output did not take.',
+}
--- /dev/null
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/partition.py
@@ -0,0 +1,161 @@
+"""Take in what is followed: jobs, configuration and executors."""
+
+from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import ownership
+from hawthorndeal_jobs import replica as replica_module
+
+_OWNER_KINDS = (journal.OWNER, journal.PROGRESS, journal.UPKEEP)
+
+
+class JobsReader:
+    """Keep a replica of the jobs, and watch the partition's owner.
+
+    :param clock: the daemon's clocks
+    :param events: the decision log
+    """
+
+    def __init__(self, clock, events):
+        self.replica = replica_module.Replica()
+        self.owner_view = ownership.OwnerView()
+        self.on_folded = None
+        self._clock = clock
+        self._events = events
+
+    def reset(self):
+        """Forget all jobs; they are to be read anew."""
+        self.replica = replica_module.Replica()
+
+    def take(self, record):
+        """Fold one record."""
+        folded = self.replica.apply(record.key, record.value, record.offset)
+        if folded is None:
+            return
+        if folded.kind in _OWNER_KINDS:
+            self._note_owner(folded)
+        if self.on_folded is not None:
+            self.on_folded(folded)
+
+    def _note_owner(self, folded):
+        current = self.replica.ownership
+        is_released = current is None or current.is_released
+        self.owner_view.note_owner(self._clock.monotonic_s(), is_released)
+        if folded.kind == journal.OWNER:
+            self._events.write(
+                'owner_seen',
+                owner=current.daemon,
+                epoch=current.epoch,
+                is_released=current.is_released,
+            )
+
+    def note_loaded(self, keys):
+        """Note that the partition was read whole."""
+        self._events.write(
+            'jobs_loaded', keys=len(keys), jobs=len(self.replica.jobs)
+        )
+
+    def note_read(self, sent_s):
+        """Note that a call sent then has reached the end."""
+        self.owner_view.note_read(sent_s)
+
+
+class ConfigurationReader:
+    """Keep the newest configuration and the waves that operators ask for.
+
+    :param formats: decodes the operators' records
+    :param events: the decision log
+    """
+
+    def __init__(self, formats, events):
+        self.configuration = None
+        self.waves = {}
+        self.on_changed = None
+        self._formats = formats
+        self._events = events
+
+    def take(self, record):
+        """Take in one record of the operators'."""
+        try:
+            if record.key == self._formats.configuration_key:
+                self._take_configuration(record)
+            elif record.key.startswith(self._formats.wave_prefix):
+                self._take_wave(record)
+        except ValueError as error:
+            raise errors.InvalidRecord(str(error)) from error
+
+    def _take_configuration(self, record):
+        # A record that was dropped says nothing about what is in force.
+        if not record.value:
+            return
+        newer = self._formats.decode_configuration(record.value)
+        current = self.configuration
+        if current is not None and newer.version <= current.version:
+            return
+        self.configuration = newer
+        self._events.write(
+            'configuration_in_force',
+            version=newer.version,
+            queues=len(newer.queues),
+            offset=record.offset,
+        )
+        if self.on_changed is not None:
+            self.on_changed(newer)
+
+    def _take_wave(self, record):
+        if not record.value:
+            return
+        wave = self._formats.decode_wave(record.value)
+        if wave.number not in self.waves:
+            self._events.write(
+                'wave_seen', wave=wave.number, hosts=len(wave.hosts)
+            )
+        self.waves[wave.number] = wave
+
+    def note_loaded(self, keys):
+        """Note that all records were read; dropped ones change nothing."""
+
+    def note_read(self, sent_s):
+        """Note a reading; the configuration needs no freshness."""
+
+
+class EntriesReader:
+    """Keep what executors tell of themselves.
+
+    :param formats: decodes the entries
+    :param events: the decision log
+    """
+
+    def __init__(self, formats, clock, events):
+        self.entries = {}
+        self.on_entry = None
+        self.on_missing = None
+        self._formats = formats
+        self._clock = clock
+        self._events = events
+
+    def take(self, record):
+        """Take in one entry of an executor; an empty one is its end."""
+        if not record.value:
+            if self.entries.pop(record.key, None) is not None:
+                self._miss(record.key)
+            return
+        try:
+            entry = self._formats.decode_entry(record.key, record.value)
+        except ValueError as error:
+            raise errors.InvalidRecord(str(error)) from error
+        self.entries[record.key] = entry
+        if self.on_entry is not None:
+            self.on_entry(entry, self._clock.monotonic_s())
+
+    def _miss(self, executor_id):
+        if self.on_missing is not None:
+            self.on_missing(executor_id)
+
+    def note_loaded(self, keys):
+        """Take entries that are not there any more as dropped."""
+        for executor_id in set(self.entries) - keys:
+            del self.entries[executor_id]
+            self._miss(executor_id)
+
+    def note_read(self, sent_s):
+        """Note a reading; entries tell their own age."""
--- /dev/null
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -0,0 +1,275 @@
+"""Build a scheduling daemon from its settings and keep it running."""
+
+import asyncio
+import pathlib
+import random
+import signal
+import uuid
+
+import attrs
+
+from hawthorndeal_daemon import supervisor
+from hawthorndeal_daemon import web
+from hawthorndeal_fleet import errors
+from hawthorndeal_platform import keyed_log
+
+from . import callers
+from . import clock as clock_module
+from . import decision_log
+from . import following
+from . import metrics as metrics_module
+from . import owner as owner_module
+from . import partition
+from . import settings as settings_module
+from . import submitter as submitter_module
+
+JOBS_TOPIC = 'hawthorndeal'
+OPERATORS_WAIT_S = 1.0
+SETTINGS_PERIOD_S = 1.0
+GAUGES_PERIOD_S = 1.0
+# Time before the end of the grace period at which the process is done.
+EXIT_MARGIN_S = 1.5
+
+
+@attrs.define(eq=False)
+class Adapter:
+    """Hold the platform's side of a daemon.
+
+    :ivar log: a :class:`keyed_log.KeyedLog`
+    :ivar executors: an :class:`executor_orders.Executors`
+    :ivar hosts: a :class:`host_orders.HostOrders`
+    :ivar formats: decodes what operators, executors and callers write
+    :ivar wave_reports: tells operators how far a wave is
+    :ivar operators_topic: where operators write
+    :ivar entries_topic: where executors tell of themselves
+    :ivar close: closes the connections
+    """
+
+    log: object
+    executors: object
+    hosts: object
+    formats: object
+    wave_reports: object
+    operators_topic: str
+    entries_topic: str
+    close: object
+
+
+class Parts:
+    """Hold what the tasks of a daemon share.
+
+    :param settings: checked settings
+    :param adapter: the platform's side
+    """
+
+    def __init__(self, settings, adapter):
+        self.settings = settings
+        self.clock = clock_module.SteadyClock()
+        self.rng = random.Random(uuid.uuid4().hex)
+        self.events = decision_log.DecisionLog(settings.daemon)
+        self.metrics = metrics_module.Metrics()
+        self.log = adapter.log
+        self.executors = adapter.executors
+        self.hosts = adapter.hosts
+        self.wave_reports = adapter.wave_reports
+        self.jobs_reader = partition.JobsReader(self.clock, self.events)
+        self.configuration_reader = partition.ConfigurationReader(
+            adapter.formats, self.events
+        )
+        self.entries_reader = partition.EntriesReader(
+            adapter.formats, self.clock, self.events
+        )
+        jobs = keyed_log.Partition(JOBS_TOPIC)
+        self.jobs_follower = self._follow(jobs, self.jobs_reader)
+        self.operators_follower = self._follow(
+            keyed_log.Partition(adapter.operators_topic),
+            self.configuration_reader,
+            OPERATORS_WAIT_S,
+        )
+        self.entries_follower = self._follow(
+            keyed_log.Partition(adapter.entries_topic), self.entries_reader
+        )
+        self.submitter = submitter_module.Submitter(self.log, jobs)
+        self._owner = None
+
+    def _follow(self, place, reader, wait_s=following.WAIT_S):
+        return following.Follower(
+            self.log, place, reader, self.clock, self.events, wait_s
+        )
+
+    def attach(self, owner):
+        """Have an owner take in what is followed."""
+        self._owner = owner
+        self.jobs_reader.on_folded = owner.take_folded
+        self.configuration_reader.on_changed = owner.take_configuration
+        self.entries_reader.on_entry = owner.take_entry
+        self.entries_reader.on_missing = owner.miss_entry
+
+    def detach(self):
+        """Have nobody take in what is followed."""
+        self._owner = None
+        self.jobs_reader.on_folded = None
+        self.configuration_reader.on_changed = None
+        self.entries_reader.on_entry = None
+        self.entries_reader.on_missing = None
+        self.entries_reader.entries.clear()
+        self.entries_follower.is_loaded = False
+
+    def reload_jobs(self):
+        """Read the jobs anew."""
+        self.jobs_reader.reset()
+        self.jobs_follower.is_loaded = False
+
+    def note_cancelled(self, job):
+        """Note that the store holds a job's cancellation."""
+        self.jobs_reader.replica.cancel(job)
+        if self._owner is not None:
+            self._owner.cancel_job(job)
+
+    def set_gauges(self):
+        """Bring the gauges up to date."""
+        replica = self.jobs_reader.replica
+        last_s = self.jobs_reader.owner_view.last_read_s
+        gauges = {
+            'jobs': len(replica.jobs),
+            'jobs_waiting': sum(
+                not job.is_shown_begun for job in replica.jobs.values()
+            ),
+            'store_read_age_seconds': self.clock.monotonic_s()
+            - (last_s or 0.0),
+            'owner_epoch': self._owner.epoch if self._owner else 0,
+            'log_lines_dropped': self.events.dropped_lines,
+        }
+        if self._owner is not None:
+            known = self._owner.scheduler.executors.values()
+            gauges['executors'] = len(known)
+            gauges['runs_active'] = sum(len(e.runs) for e in known)
+        for name, value in gauges.items():
+            self.metrics.set_gauge(name, value)
+
+
+class SettingsWatch:
+    """Be a task that notices a changed settings file.
+
+    :param path: the file
+    :param parts: what the daemon works with
+    """
+
+    name = 'settings'
+
+    def __init__(self, path, parts):
+        self._path = pathlib.Path(path)
+        self._parts = parts
+        self._last = None
+        self.asked = asyncio.Event()
+
+    async def run(self):
+        """Look at the file from time to time, and when asked."""
+        self._last = self._path.read_bytes()
+        while True:
+            try:
+                await asyncio.wait_for(self.asked.wait(), SETTINGS_PERIOD_S)
+            except asyncio.TimeoutError:
+                pass
+            else:
+                self._parts.events.write('reload_asked')
+            self.asked.clear()
+            self._parts.set_gauges()
+            self._reload()
+
+    def _reload(self):
+        try:
+            text = self._path.read_bytes()
+            if text == self._last:
+                return
+            self._last = text
+            fresh = settings_module.parse(text, str(self._path))
+        except (OSError, errors.InvalidFile) as error:
+            self._parts.events.write('settings_ignored', why=str(error)[:200])
+            return
+        current = self._parts.settings
+        changed = [
+            field.name
+            for field in attrs.fields(settings_module.Settings)
+            if getattr(current, field.name) != getattr(fresh, field.name)
+        ]
+        self._parts.settings = fresh
+        self._parts.events.write('settings_reloaded', changed=changed)
+
+    async def stop(self):
+        """Do nothing."""
+
+
+class Service:
+    """Be one running daemon.
+
+    :param settings: checked settings
+    :param settings_path: file they came from
+    :param adapter: the platform's side
+    """
+
+    def __init__(self, settings, settings_path, adapter):
+        self._adapter = adapter
+        self._parts = parts = Parts(settings, adapter)
+        self._interface = callers.CallersInterface(parts, adapter.formats)
+        self._watch = SettingsWatch(settings_path, parts)
+        self._candidate = owner_module.Candidate(parts)
+        self._supervisor = supervisor.Supervisor(
+            'daemon',
+            [
+                parts.operators_follower,
+                parts.jobs_follower,
+                parts.submitter,
+                web.WebServer(
+                    'readiness',
+                    lambda: callers.make_readiness_app(self._interface),
+                    settings.readiness_address,
+                ),
+                web.WebServer(
+                    'metrics',
+                    lambda: callers.make_metrics_app(parts.metrics),
+                    settings.metrics_address,
+                ),
+                web.WebServer(
+                    'callers',
+                    lambda: callers.make_app(self._interface, parts),
+                    settings.callers_address,
+                    settings.max_callers,
+                ),
+                self._watch,
+                self._candidate,
+            ],
+            parts.clock,
+        )
+
+    async def run(self):
+        """Serve until SIGTERM or SIGINT, then leave in good order."""
+        self._parts.events.open()
+        self._parts.events.write('started', zone=self._parts.settings.zone)
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._watch.asked.set)
+        running = asyncio.create_task(self._supervisor.run())
+        waiting = asyncio.create_task(stopping.wait())
+        await asyncio.wait(
+            [running, waiting], return_when=asyncio.FIRST_COMPLETED
+        )
+        if not running.done():
+            await self._leave()
+        waiting.cancel()
+        await self._supervisor.stop()
+        await self._adapter.close()
+        await running
+
+    async def _leave(self):
+        parts = self._parts
+        left_s = parts.settings.shutdown_grace_s - EXIT_MARGIN_S
+        parts.events.write('stopping', grace_s=left_s)
+        self._interface.is_draining = True
+        ends_s = parts.clock.monotonic_s() + left_s
+        await self._candidate.stop()
+        # Callers on open connections are served to the last.
+        await asyncio.sleep(max(0.0, ends_s - parts.clock.monotonic_s()))
+        parts.events.write('stopped')
--- /dev/null
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
@@ -0,0 +1,78 @@
+"""The checked settings of a daemon that schedules jobs."""
+
+import attrs
+from attrs import validators
+
+from hawthorndeal_daemon import settings as daemon_settings
+from hawthorndeal_fleet import checks
+from hawthorndeal_fleet import codec
+from hawthorndeal_fleet import errors
+from hawthorndeal_fleet import yamltext
+
+_ADDRESSES = ('callers_address', 'readiness_address', 'metrics_address')
+
+
+def _positive(default=attrs.NOTHING):
+    return attrs.field(default=default, validator=validators.gt(0))
+
+
+@attrs.frozen
+class Settings:
+    """Hold what a daemon has to know before it starts.
+
+    :ivar daemon: this entry host's name
+    :ivar callers_address: where callers are served, as ``IP:PORT``
+    :ivar readiness_address: where the balancer asks whether it is ready
+    :ivar metrics_address: where metrics are served
+    :ivar store_address: the platform's store
+    :ivar hosts_address: the service that runs the hosts; empty for none
+    :ivar advice_address: the service that permits executors; empty for none
+    :ivar longest_lease_ms: longest lease that executors grant
+    :ivar lease_s: lease that the owner asks for
+    :ivar host_order_lease_ms: time between orders of two owners to hosts
+    :ivar shutdown_grace_s: time from SIGTERM to the end of the process
+    :ivar job_retention_s: how long the end of a job is told
+    :ivar away_notice_ms: how long a lasting task may be away before it
+        counts as unavailable
+    :ivar host_move_s: time for a host to change its pool
+    """
+
+    daemon: str
+    zone: str
+    callers_address: str
+    readiness_address: str
+    metrics_address: str
+    store_address: str
+    hosts_address: str = ''
+    advice_address: str = ''
+    longest_lease_ms: float = _positive(10000.0)
+    lease_s: float = _positive(4.0)
+    host_order_lease_ms: float = _positive(3000.0)
+    shutdown_grace_s: float = _positive(6.0)
+    job_retention_s: float = _positive(120.0)
+    away_notice_ms: float = _positive(4500.0)
+    host_move_s: float = _positive(1.5)
+    max_body_bytes: int = _positive(262144)
+    max_callers: int = _positive(1500)
+
+
+def parse(text, source):
+    """Return the settings that a YAML text holds.
+
+    :param text: the whole text, as bytes
+    :param source: the file's name, for the problems
+    :raises errors.InvalidFile: with every problem found
+    """
+    settings = codec.from_file(yamltext.parse(text, source), Settings, source)
+    problems = [
+        errors.Problem(source, field, f'expected IP:PORT, got {address!r}')
+        for field in (*_ADDRESSES, 'store_address')
+        for address in [getattr(settings, field)]
+        if not checks.is_address(address)
+    ]
+    if problems:
+        raise errors.InvalidFile(problems)
+    return settings
+
+
+split_address = daemon_settings.split_address
