Tell the lives of a host apart by the order of their entries

After the log was cut short, entries of ended lives were read again, and each ended the life that runs now.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -46,8 +46,8 @@
     RUNNING = 'running'
     # The order was not answered: it may have run, or may run later.
     UNKNOWN = 'unknown'
-    # A stop was answered, so that it can't begin any more.
-    STOPPED = 'stopped'
+    # An earlier owner has stored it, and may have ordered it.
+    INHERITED = 'inherited'
 
 
 @attrs.define(eq=False)
@@ -55,6 +55,8 @@
     """Follow one run of a task on one executor.
 
     :ivar changed_s: when the phase changed, on this daemon's steady clock
+    :ivar barred_since_s: since when it can't begin any more, unless it has
+        begun before; None while it may begin
     :ivar is_stop_wanted: whether it has to end
     :ivar is_stop_sent: whether a stop is under way
     :ivar percent: progress as last reported
@@ -69,6 +71,7 @@
     reserved: specs.Resources
     phase: RunPhase
     changed_s: float
+    barred_since_s: float | None = None
     is_stop_wanted: bool = False
     is_stop_sent: bool = False
     stop_retry_s: float = 0.0
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
@@ -132,11 +132,16 @@
         return None
     spec = occurrence.job.spec.steps[row.task_id.step]
     run = executors.Run(
-        row.task_id, row.number, occurrence, executor.executor_id,
-        spec.reserved, _Phase.STOPPED, look.sent_s,
-    )  # fmt: skip
+        row.task_id,
+        row.number,
+        occurrence,
+        executor.executor_id,
+        spec.reserved,
+        _Phase.RUNNING,
+        look.received_s,
+    )
     # Only the run that the task has ordered may go on.
-    run.is_stop_wanted = not is_current(run)
+    run.is_stop_wanted = occurrence.job.is_over or not is_current(run)
     executor.add(run)
     return run
 
@@ -160,28 +165,34 @@
     run.checkpoint = row.checkpoint or run.checkpoint
     if run.began_s is None:
         run.began_s = look.received_s
-    if is_new and not (run.phase is _Phase.STOPPED and run.is_stop_wanted):
-        run.phase = _Phase.RUNNING
-        run.changed_s = look.received_s
-        return True
-    return False
+    if not is_new:
+        return False
+    run.phase = _Phase.RUNNING
+    run.changed_s = look.received_s
+    return True
 
 
 def _vanished(executor, look, listed):
+    ended = {(end.task_id, end.number) for end in look.ended}
     return [
-        RunOver(run, cause, run.checkpoint)
+        RunOver(run, _cause_of_absence(run), run.checkpoint)
         for key, run in executor.runs.items()
-        if key not in listed and look.sent_s > run.changed_s
-        for cause in _cause_of_absence(run)
-        if all(run.key != (end.task_id, end.number) for end in look.ended)
+        if key not in listed
+        and key not in ended
+        and _must_be_listed(run, look.sent_s)
     ]
 
 
+def _must_be_listed(run, sent_s):
+    if run.phase is _Phase.RUNNING and sent_s > run.changed_s:
+        return True
+    barred_s = run.barred_since_s
+    return barred_s is not None and sent_s > barred_s
+
+
 def _cause_of_absence(run):
-    if run.phase is _Phase.RUNNING:
-        return [_Cause.LAPSED]
-    # It was stopped, and either never began or its end was taken in before.
-    return [None] if run.phase is _Phase.STOPPED else []
+    # One that was stopped never began, or its end was taken in before.
+    return _Cause.LAPSED if run.phase is _Phase.RUNNING else None
 
 
 def note_start_answer(run, answer, now_s):
@@ -207,23 +218,18 @@
 def note_stop_answer(run, is_answered, now_s):
     """Take in whether an order to stop was answered."""
     run.is_stop_sent = False
-    if not is_answered:
-        run.stop_retry_s = now_s + STOP_RETRY_S
-        return
     run.stop_retry_s = now_s + STOP_RETRY_S
-    if run.phase in (_Phase.SENT, _Phase.UNKNOWN, _Phase.RUNNING):
-        run.phase = _Phase.STOPPED
-        run.changed_s = now_s
+    if is_answered and run.barred_since_s is None:
+        run.barred_since_s = now_s
 
 
 def needs_stop(run, now_s):
     """Tell whether a stop of a run is due now."""
     if run.is_stop_sent or now_s < run.stop_retry_s:
         return False
-    if run.phase is _Phase.UNKNOWN:
-        return True
-    is_sent = run.phase in (_Phase.SENT, _Phase.RUNNING)
-    return run.is_stop_wanted and is_sent
+    if run.phase is _Phase.PLANNED:
+        return False
+    return run.is_stop_wanted or run.phase is _Phase.UNKNOWN
 
 
 def inherit(executor, run_key, occurrence, since_s):
@@ -231,8 +237,15 @@
     task_id, number = run_key
     spec = occurrence.job.spec.steps[task_id.step]
     run = executors.Run(
-        task_id, number, occurrence, executor.executor_id, spec.reserved,
-        _Phase.STOPPED, since_s,
-    )  # fmt: skip
+        task_id,
+        number,
+        occurrence,
+        executor.executor_id,
+        spec.reserved,
+        _Phase.INHERITED,
+        since_s,
+        # Looks carry the new epoch, which bars earlier owners' orders.
+        barred_since_s=since_s,
+    )
     executor.add(run)
     return run
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -170,6 +170,7 @@
         else:
             self._update_entry(executor, entry)
         executor.missing_since_s = None
+        executor.reached_s = max(executor.reached_s, now_s)
         if entry.clock_s is not None:
             executor.read_clock(entry.clock_s, now_s)
         self._stale_pools.add(entry.pool)
@@ -281,19 +282,29 @@
         self._stale_pools.add(executor.entry.pool)
         self._judge_executor(executor, ended, now_s)
         if not was_current:
-            if ended.cause is _Cause.DONE and not run.step.is_lasting:
-                self._mark_done(run, now_s)
+            self._finish_superseded(ended)
             return
         if ended.checkpoint and run.step.is_checkpointing:
             task.checkpoint = ended.checkpoint
         self._changed[run.occurrence] = None
         if ended.cause is _Cause.DONE and not run.step.is_lasting:
-            self._mark_done(run, now_s)
+            self._mark_done(run)
         elif ended.cause is _Cause.FAILED and not run.step.is_lasting:
-            self._mark_failed(run, now_s)
+            self._mark_failed(run)
         else:
             self._mark_pending(run)
 
+    def _finish_superseded(self, ended):
+        """Take in the end of a run that its task no longer counts on."""
+        run = ended.run
+        if run.step.is_lasting:
+            return
+        if ended.cause is _Cause.DONE:
+            self._mark_done(run)
+        elif ended.cause is _Cause.FAILED:
+            run.task.failures += 1
+            self._changed[run.occurrence] = None
+
     def _judge_executor(self, executor, ended, now_s):
         if ended.cause is _Cause.DONE:
             executor.failure_streak = 0
@@ -309,7 +320,7 @@
             executor.suspended_until_s, now_s + wait_s
         )
 
-    def _mark_done(self, run, now_s):
+    def _mark_done(self, run):
         occurrence, step = run.occurrence, run.task_id.step
         tasks = [run.task]
         if run.step.is_gang:
@@ -341,7 +352,7 @@
         )
         self._open_occurrence(occurrence, closed.objective_s - objective_s)
 
-    def _mark_failed(self, run, now_s):
+    def _mark_failed(self, run):
         occurrence, step = run.occurrence, run.task_id.step
         run.task.failures += 1
         failures = run.task.failures
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
@@ -39,6 +39,7 @@
         self._moving = {}
         self._retry_s = {}
         self._emptying = set()
+        self._unlisted = set()
         self._changed_waves = set()
         self._is_ordering = False
         self._upkeep = parts.jobs_reader.replica.upkeep
@@ -81,20 +82,32 @@
         self._list_due_s = sent_s + LIST_PERIOD_S
         self._hosts = {entry.host: entry for entry in entries}
         for entry in entries:
-            self._note_entry(entry, sent_s)
+            self._note_entry(entry)
+        self._end_past_lives(entries, sent_s)
 
-    def _note_entry(self, entry, sent_s):
+    def _note_entry(self, entry):
         arrival = self._moving.get(entry.host)
         is_there = entry.state is host_orders.HostState.UP
         if arrival and is_there and entry.pool == arrival[0]:
             del self._moving[entry.host]
-        for executor in list(self._owner.scheduler.executors.values()):
-            if executor.entry.host != entry.host:
-                continue
-            if entry.executor_id == executor.executor_id and is_there:
-                continue
-            if sent_s - executor.reached_s > SILENT_S:
-                self._owner.end_executor(executor, 'its host was listed so')
+
+    def _end_past_lives(self, entries, sent_s):
+        """End the executors that no host has had for two lists."""
+        listed = {
+            entry.executor_id
+            for entry in entries
+            if entry.state is not host_orders.HostState.DOWN
+        }
+        known = self._owner.scheduler.executors
+        unlisted = {
+            executor_id
+            for executor_id, executor in known.items()
+            if executor_id not in listed
+            and sent_s - executor.reached_s > SILENT_S
+        }
+        for executor_id in unlisted & self._unlisted:
+            self._owner.end_executor(known[executor_id], 'no host has it')
+        self._unlisted = unlisted
 
     def _executor_on(self, host):
         entry = self._hosts.get(host)
@@ -106,7 +119,6 @@
 
     def _plan_moves(self):
         now_s = self._owner.now_s()
-        scheduler = self._owner.scheduler
         configuration = self._parts.configuration_reader.configuration
         loads = [
             self._load(pool, now_s) for pool in configuration.pools.values()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -159,6 +159,8 @@
         )
         self.keeper = host_keeper.HostKeeper(parts, self)
         self._agents = {}
+        self._ended_lives = set()
+        self._entry_offsets = {}
         self._calls = set()
         self._wake = asyncio.Event()
         self._is_releasing = False
@@ -214,8 +216,10 @@
             await asyncio.sleep(CHECK_PERIOD_S / 5)
             self._check_lost()
         now_s, wall_s = self.now_s(), parts.clock.now_s()
-        for entry in parts.entries_reader.entries.values():
-            self._take_entry(entry, now_s)
+        reader = parts.entries_reader
+        for entry in reader.entries.values():
+            offset = reader.offsets[entry.executor_id]
+            self._take_entry(entry, offset, now_s)
         longest_s = parts.settings.longest_lease_ms / 1000 + LEASE_MARGIN_S
         self.scheduler.inherit(
             now_s, ownership.last_inherited_lease_s(now_s, longest_s)
@@ -275,6 +279,7 @@
         self._wake.clear()
         parts = self._parts
         now_s = self.now_s()
+        self._check_unlisted()
         turn = self.scheduler.plan(now_s, parts.clock.now_s())
         for run in turn.stops:
             self._send_stop(run)
@@ -349,23 +354,38 @@
         self.scheduler.set_configuration(configuration)
         self._wake.set()
 
-    def take_entry(self, entry, now_s):
-        """Take in what an executor tells of itself."""
-        executor = self._take_entry(entry, now_s)
-        self._ensure_agent(executor)
-        self._wake.set()
+    def take_entry(self, entry, offset, now_s):
+        """Take in what an executor tells of itself.
 
-    def _take_entry(self, entry, now_s):
-        for other in list(self.scheduler.executors.values()):
-            is_earlier_life = (
-                entry.host
-                and other.entry.host == entry.host
-                and other.executor_id != entry.executor_id
-            )
-            if is_earlier_life:
-                self.end_executor(other, 'its host has another life')
+        :param offset: rises with each entry that is written
+        """
+        executor = self._take_entry(entry, offset, now_s)
+        if executor is not None:
+            self._ensure_agent(executor)
+            self._wake.set()
+
+    def _take_entry(self, entry, offset, now_s):
+        # Entries of lives that are over are kept for a while, and are read
+        # again whenever the log was cut short.
+        if entry.executor_id in self._ended_lives:
+            return None
+        for other in self._other_lives(entry):
+            if self._entry_offsets.get(other.executor_id, -1) > offset:
+                self._ended_lives.add(entry.executor_id)
+                return None
+            self.end_executor(other, 'its host has another life')
+        self._entry_offsets[entry.executor_id] = offset
         return self.scheduler.take_entry(entry, now_s)
 
+    def _other_lives(self, entry):
+        return [
+            other
+            for other in self.scheduler.executors.values()
+            if entry.host
+            and other.entry.host == entry.host
+            and other.executor_id != entry.executor_id
+        ]
+
     def miss_entry(self, executor_id):
         """Take in that an executor is not listed any more."""
         self.scheduler.miss_entry(executor_id, self.now_s())
@@ -428,8 +448,15 @@
             return True
         return False
 
+    def _check_unlisted(self):
+        # Nobody looks at executors whose address isn't known.
+        for executor in list(self.scheduler.executors.values()):
+            if executor.executor_id not in self._agents:
+                self.check_lapse(executor)
+
     def end_executor(self, executor, why):
         """Take in that an executor's life is over."""
+        self._ended_lives.add(executor.executor_id)
         over = self.scheduler.end_executor(executor.executor_id, self.now_s())
         self.events.write(
             'executor_gone',
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/partition.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/partition.py
@@ -127,6 +127,7 @@
 
     def __init__(self, formats, clock, events):
         self.entries = {}
+        self.offsets = {}
         self.on_entry = None
         self.on_missing = None
         self._formats = formats
@@ -139,13 +140,16 @@
             if self.entries.pop(record.key, None) is not None:
                 self._miss(record.key)
             return
+        if record.offset < self.offsets.get(record.key, 0):
+            return
         try:
             entry = self._formats.decode_entry(record.key, record.value)
         except ValueError as error:
             raise errors.InvalidRecord(str(error)) from error
         self.entries[record.key] = entry
+        self.offsets[record.key] = record.offset
         if self.on_entry is not None:
-            self.on_entry(entry, self._clock.monotonic_s())
+            self.on_entry(entry, record.offset, self._clock.monotonic_s())
 
     def _miss(self, executor_id):
         if self.on_missing is not None:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -113,6 +113,7 @@
         self.entries_reader.on_entry = None
         self.entries_reader.on_missing = None
         self.entries_reader.entries.clear()
+        self.entries_reader.offsets.clear()
         self.entries_follower.is_loaded = False
 
     def reload_jobs(self):
