--- /dev/null
+++ b/features/fakes/links.py
@@ -0,0 +1,63 @@
+"""The way from one daemon to what it calls, and what goes wrong on it."""
+
+import asyncio
+
+import attrs
+
+from hawthorndeal_fleet import errors
+
+LATENCY_S = 0.001
+CALL_TIMEOUT_S = 1.0
+LATE_S = (2.0, 6.0)
+
+
+@attrs.define(eq=False)
+class Link:
+    """Carry calls of one daemon.
+
+    :ivar is_cut: whether nothing gets through
+    :ivar lost_share: calls carried out whose answers are lost
+    :ivar late_share: calls not answered and carried out seconds later
+    """
+
+    rng: object
+    is_cut: bool = False
+    lost_share: float = 0.0
+    late_share: float = 0.0
+    latency_s: float = LATENCY_S
+
+    async def call(self, act, wait=None):
+        """Carry out an act at the other end and return what it says.
+
+        :param act: changes the other end, without waiting
+        :param wait: awaited at the other end before the act
+        """
+        await asyncio.sleep(self.latency_s)
+        if self.is_cut:
+            await self._time_out()
+        if self.late_share and self.rng.random() < self.late_share:
+            delay_s = self.rng.uniform(*LATE_S)
+            asyncio.get_running_loop().call_later(delay_s, _quietly, act)
+            await self._time_out()
+        if wait is not None:
+            await wait()
+        if self.is_cut:
+            await self._time_out()
+        answer = act()
+        if self.lost_share and self.rng.random() < self.lost_share:
+            await self._time_out()
+        await asyncio.sleep(self.latency_s)
+        if self.is_cut:
+            await self._time_out()
+        return answer
+
+    async def _time_out(self):
+        await asyncio.sleep(CALL_TIMEOUT_S)
+        raise errors.OutcomeUnknown('no answer in time')
+
+
+def _quietly(act):
+    try:
+        act()
+    except errors.HawthorndealError:
+        return
--- /dev/null
+++ b/features/fakes/task_executors.py
@@ -0,0 +1,240 @@
+"""Executors in memory that judge every order they get."""
+
+import asyncio
+
+import attrs
+
+from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import executors as executors_module
+from hawthorndeal_jobs import run_tracking
+from hawthorndeal_jobs import specs
+from hawthorndeal_platform import executor_orders
+
+STOP_S = 0.1
+
+_Answer = run_tracking.StartAnswer
+_Cause = executors_module.EndCause
+
+
+@attrs.define(eq=False)
+class FakeRun:
+    """Hold one run on a fake executor."""
+
+    task_id: object
+    number: int
+    ends_s: float
+    began_s: float
+    cause: object = None
+    stops_s: float | None = None
+
+
+class FakeExecutor:
+    """Run tasks in virtual time, and list what became of them.
+
+    :param world: knows durations, and judges what happens
+    :param clock_rate: of its own steady clock against the true time
+    """
+
+    def __init__(self, world, entry, clock_rate=1.0):
+        self.entry = entry
+        self.is_gone = False
+        self.is_cut = False
+        self.fails_all = False
+        self.is_hanging = False
+        self.runs = {}
+        self._world = world
+        self._rate = clock_rate
+        self._token = 0
+        self._deadline_s = 0.0
+        self._ends = []
+        self._sequence = 0
+        self._barred = {}
+
+    def clock_s(self):
+        """Return its steady clock."""
+        return 1000.0 + self._world.now_s() * self._rate
+
+    def advance(self):
+        """Bring runs up to now."""
+        now_s = self._world.now_s()
+        if self.runs and self.clock_s() > self._deadline_s:
+            late_s = (self.clock_s() - self._deadline_s) / self._rate
+            for run in list(self.runs.values()):
+                # What ended before the lease did has ended as it should.
+                if run.ends_s <= now_s - late_s:
+                    self._end(run, run.cause)
+                else:
+                    self._end(run, _Cause.LAPSED)
+        for run in list(self.runs.values()):
+            if run.stops_s is not None and run.stops_s <= now_s:
+                self._end(run, _Cause.STOPPED)
+            elif run.ends_s <= now_s:
+                self._end(run, run.cause)
+
+    def _end(self, run, cause):
+        del self.runs[run.task_id, run.number]
+        self._bar(run.task_id, run.number)
+        self._sequence += 1
+        self._ends.append(
+            executors_module.ReportedEnd(
+                self._sequence, run.task_id, run.number, cause, ''
+            )
+        )
+        self._world.judge_end(self, run, cause)
+
+    def _bar(self, task_id, number):
+        self._barred[task_id] = max(number, self._barred.get(task_id, 0))
+
+    def crash(self):
+        """End this life, with all that runs."""
+        self.advance()
+        self.is_gone = True
+        self.runs.clear()
+
+    def _check(self, epoch):
+        if self.is_gone:
+            raise executor_orders.ExecutorGone(self.entry.executor_id)
+        self.advance()
+        if epoch < self._token:
+            raise executor_orders.ExecutorFenced(f'epoch {epoch}')
+        self._token = epoch
+
+    def start(self, order):
+        """Begin a run, or say why not."""
+        try:
+            self._check(order.epoch)
+        except executor_orders.ExecutorGone:
+            return _Answer.GONE, None
+        except executor_orders.ExecutorFenced:
+            return _Answer.FENCED, self.clock_s()
+        return self._start(order), self.clock_s()
+
+    def _start(self, order):
+        key = order.task_id, order.number
+        if order.deadline_s < self.clock_s():
+            return _Answer.TOO_LATE
+        self._deadline_s = max(self._deadline_s, order.deadline_s)
+        if key in self.runs:
+            return _Answer.ACCEPTED
+        if order.number <= self._barred.get(order.task_id, 0):
+            return _Answer.OLD_RUN
+        now_s = self._world.now_s()
+        cause = _Cause.FAILED if self.fails_all else _Cause.DONE
+        lasts_s = self._world.duration_s(order.task_id)
+        if self.is_hanging:
+            lasts_s = float('inf')
+        run = FakeRun(
+            order.task_id, order.number, now_s + lasts_s, now_s, cause
+        )
+        self.runs[key] = run
+        self._world.judge_start(self, run)
+        return _Answer.ACCEPTED
+
+    def stop(self, task_id, number, epoch):
+        """End a run, or bar it."""
+        self._check(epoch)
+        run = self.runs.get((task_id, number))
+        if run is None:
+            self._bar(task_id, number)
+        elif run.stops_s is None:
+            run.stops_s = self._world.now_s() + STOP_S
+
+    def look(self, epoch, last_end, deadline_s):
+        """Renew the lease, and tell of all runs."""
+        self._check(epoch)
+        if deadline_s is not None:
+            self._deadline_s = max(self._deadline_s, deadline_s)
+        self._ends = [e for e in self._ends if e.sequence > last_end]
+        self._world.note_acknowledged(self, last_end)
+        now_s = self._world.now_s()
+        running = tuple(
+            executors_module.ReportedRun(
+                run.task_id, run.number, '', self._percent(run, now_s)
+            )
+            for run in self.runs.values()
+        )
+        return running, tuple(self._ends)
+
+    def _percent(self, run, now_s):
+        if self._world.is_lasting(run.task_id):
+            return 100 if now_s - run.began_s > 0.5 else 0
+        if self.is_hanging:
+            return 0
+        lasts_s = max(0.001, run.ends_s - run.began_s)
+        return min(99, int(100 * (now_s - run.began_s) / lasts_s))
+
+    async def wait(self, last_end, wait_s):
+        """Wait for an end that is not acknowledged."""
+        limit_s = self._world.now_s() + wait_s
+        while self._world.now_s() < limit_s and not self.is_gone:
+            self.advance()
+            if any(end.sequence > last_end for end in self._ends):
+                return
+            await asyncio.sleep(min(0.01, wait_s))
+
+
+class ExecutorsClient:
+    """Be one daemon's way to all executors."""
+
+    def __init__(self, world, link):
+        self._world = world
+        self._link = link
+
+    def _find(self, target):
+        executor = self._world.executors.get(target.executor_id)
+        if executor is None or executor.is_cut:
+            return None
+        return executor
+
+    async def _call(self, target, act, wait=None):
+        executor = self._find(target)
+        if executor is None:
+            await asyncio.sleep(1.0)
+            raise errors.OutcomeUnknown('cut off')
+
+        async def wait_there():
+            if wait is not None:
+                await wait(executor)
+
+        return await self._link.call(lambda: act(executor), wait_there)
+
+    async def start(self, target, order):
+        """Order a run."""
+        try:
+            return await self._call(target, lambda e: e.start(order))
+        except errors.OutcomeUnknown:
+            return _Answer.UNKNOWN, None
+
+    async def stop(self, target, task_id, number, epoch):
+        """Order the end of a run."""
+        await self._call(target, lambda e: e.stop(task_id, number, epoch))
+
+    async def look(self, target, epoch, last_end, deadline_s, wait_s):
+        """Renew the lease of everything on an executor, and look at it."""
+        sent_s = self._world.now_s()
+        running, ended, clock_s = await self._call(
+            target,
+            lambda e: (*e.look(epoch, last_end, deadline_s), e.clock_s()),
+            lambda e: e.wait(last_end, wait_s),
+        )
+        return executors_module.Look(
+            sent_s, self._world.now_s(), clock_s, running, ended
+        )
+
+    async def pace(self, target, task_id, number, percent, epoch):
+        """Take note of nothing: fakes work at one speed."""
+        await self._call(target, lambda e: e.clock_s())
+
+
+def entry_of(executor_id, host, pool, zone, rack, cores=16):
+    """Return the entry of a fake executor."""
+    return executors_module.ExecutorEntry(
+        executor_id,
+        f'fake:{executor_id}',
+        pool,
+        zone,
+        specs.Resources(cores * 1000, 65536),
+        labels=('a', rack),
+        rack=rack,
+        host=host,
+    )
--- /dev/null
+++ b/features/stage/job_world.py
@@ -0,0 +1,522 @@
+"""Several daemons over fakes of the platform, in virtual time.
+
+The daemons are the real ones but for their sockets. The fakes judge every
+start, stop and order as it happens, and note what breaks a promise.
+"""
+
+import asyncio
+import collections
+import json
+import random
+
+import attrs
+
+from fakes import host_service
+from fakes import keyed_store
+from fakes import links
+from fakes import task_executors
+from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import jobs
+from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import queues
+from hawthorndeal_jobs import specs
+from hawthorndeal_platform import host_orders
+from hawthorndeal_platform import keyed_log
+from hawthorndeal_scheduler import callers
+from hawthorndeal_scheduler import service
+from hawthorndeal_scheduler import settings as settings_module
+from stage import virtual_time
+
+OPERATORS = keyed_log.Partition('operators')
+ENTRIES = keyed_log.Partition('entries')
+BEAT_S = 1.5
+RACK_HOSTS = 4
+ZONES = ('cz-a', 'cz-b', 'cz-c')
+HOST_LEASE_S = 3.0
+
+
+class WorldFormats:
+    """Decode the fakes' records, which hold the product's own types."""
+
+    configuration_key = 'config'
+    wave_prefix = 'wave/'
+
+    def __init__(self):
+        self.objects = {}
+
+    def put(self, thing):
+        """Return a record's value that stands for an object."""
+        key = str(len(self.objects))
+        self.objects[key] = thing
+        return key.encode()
+
+    def decode_configuration(self, value):
+        """Return a configuration."""
+        return self.objects[value.decode()]
+
+    decode_wave = decode_configuration
+
+    def decode_entry(self, executor_id, value):
+        """Return an executor's entry."""
+        return self.objects[value.decode()]
+
+    def is_job_id(self, text):
+        """Tell whether a text is a job's id."""
+        return bool(text)
+
+    def decode_job(self, body):
+        """Return the job that a body stands for.
+
+        :raises ValueError: when it stands for none
+        """
+        if body.decode(errors='replace') not in self.objects:
+            raise ValueError(f'not a job: {body!r:.40}')
+        return self.objects[body.decode()]
+
+
+class Daemon:
+    """Be one daemon without sockets.
+
+    :param world: what it works in
+    """
+
+    def __init__(self, world, name):
+        self.name = name
+        self.link = links.Link(world.rng)
+        self._world = world
+        self._tasks = []
+        self._make()
+
+    def _make(self):
+        world = self._world
+        adapter = service.Adapter(
+            log=keyed_store.StoreClient(world.store, self.link),
+            executors=task_executors.ExecutorsClient(world, self.link),
+            hosts=host_service.HostsClient(world.hosts, self.link),
+            formats=world.formats,
+            wave_reports=world,
+            operators_topic=OPERATORS.topic,
+            entries_topic=ENTRIES.topic,
+            close=None,
+        )
+        address = '127.0.0.1:1'
+        self.parts = service.Parts(
+            settings_module.Settings(
+                self.name,
+                'cz-a',
+                *([address] * 4),
+                hosts_address=address,
+            ),
+            adapter,
+        )
+        self.parts.clock = virtual_time.VirtualClock(world.loop)
+        for part in (
+            self.parts.jobs_reader,
+            self.parts.entries_reader,
+            self.parts.jobs_follower,
+            self.parts.operators_follower,
+            self.parts.entries_follower,
+        ):
+            part._clock = self.parts.clock
+        self.parts.rng = random.Random(world.rng.random())
+        self.parts.events = world.events_of(self.name)
+        self.interface = callers.CallersInterface(self.parts, world.formats)
+        self.candidate = service.owner_module.Candidate(self.parts)
+
+    def start(self):
+        """Begin to work."""
+        parts = self.parts
+        self._tasks = [
+            asyncio.create_task(part.run())
+            for part in (
+                parts.operators_follower,
+                parts.jobs_follower,
+                parts.submitter,
+                self.candidate,
+            )
+        ]
+
+    async def kill(self):
+        """End at once, with nothing said to anybody."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def restart(self):
+        """Come back with everything lost."""
+        await self.kill()
+        self._make()
+        self.start()
+
+
+class Events:
+    """Keep what a daemon logs."""
+
+    def __init__(self, world, name):
+        self._world = world
+        self._name = name
+        self.dropped_lines = 0
+
+    def write(self, kind, **fields):
+        """Keep one event."""
+        self._world.log.append(
+            (round(self._world.now_s(), 4), self._name, kind, fields)
+        )
+
+
+class World:
+    """Hold daemons, store, hosts and executors.
+
+    :param seed: of everything that is random
+    """
+
+    def __init__(self, seed, daemons=3, hosts_per_pool=4, pools=('web', 'ci')):
+        self.loop = asyncio.get_running_loop()
+        self.rng = random.Random(seed)
+        self.log = []
+        self.broken = []
+        self.store = keyed_store.KeyedStore()
+        self.formats = WorldFormats()
+        self.hosts = host_service.HostService(self)
+        self.executors = {}
+        self.specs = {}
+        self.cancelled = {}
+        self.waves_completed = set()
+        self.done = {}
+        self._ended_rows = {}
+        self._life = 0
+        self._tasks = []
+        self.configuration = None
+        self._version = 0
+        self._pools = pools
+        for pool in (*pools, 'spare'):
+            for number in range(hosts_per_pool):
+                self._add_host(pool, number)
+        self.configure()
+        self.daemons = [Daemon(self, f'entry-{n}') for n in range(daemons)]
+        self._max_down = {}
+
+    # The world's side of things
+
+    def now_s(self):
+        """Return the virtual time."""
+        return self.loop.time()
+
+    def events_of(self, name):
+        """Return where a daemon logs."""
+        return Events(self, name)
+
+    async def tell(self, number, is_completed):
+        """Take a report of a wave."""
+        if is_completed:
+            self.waves_completed.add(number)
+
+    def configure(self, **changes):
+        """Have an operator write a newer configuration."""
+        self._version += 1
+        made = {
+            pool: queues.Queue(
+                pool,
+                pool,
+                f'{pool}.example',
+                '/jobs/',
+                stretch=1.6,
+                latency_target_s=0.6,
+            )
+            for pool in self._pools
+        }
+        made.update(changes)
+        pools = {pool: queues.Pool(pool) for pool in self._pools}
+        pools['spare'] = queues.Pool('spare', is_standby=True)
+        self.configuration = queues.Configuration(self._version, made, pools)
+        self._write(OPERATORS, 'config', self.configuration)
+
+    def add_wave(self, number, hosts, duration_s, max_count):
+        """Have an operator ask for maintenance."""
+        wave = queues.Wave(number, tuple(hosts), duration_s, max_count)
+        self._max_down[number] = max_count
+        self._write(OPERATORS, f'wave/{number}', wave)
+
+    def _write(self, partition, key, thing):
+        value = self.formats.put(thing)
+        self.store.append(partition, [journal.Record(key, value)])
+
+    def _add_host(self, pool, number):
+        rack = f'r{number // RACK_HOSTS}'
+        zone = ZONES[number % len(ZONES)]
+        host = f'{pool}-h{number}'
+        entry = host_orders.HostEntry(
+            host, pool, host_orders.HostState.UP, zone, rack, ''
+        )
+        self.hosts.entries[host] = entry
+        self.begin_life(host, pool)
+
+    def begin_life(self, host, pool):
+        """Have a host come up in a pool."""
+        self._life += 1
+        executor_id = f'x{self._life:04}'
+        entry = attrs.evolve(
+            self.hosts.entries[host],
+            pool=pool,
+            state=host_orders.HostState.UP,
+            executor_id='' if pool == 'spare' else executor_id,
+        )
+        self.hosts.entries[host] = entry
+        if pool == 'spare':
+            return
+        made = task_executors.entry_of(
+            executor_id, host, pool, entry.zone, entry.rack
+        )
+        rate = self.rng.uniform(0.98, 1.0)
+        executor = task_executors.FakeExecutor(self, made, rate)
+        self.executors[executor_id] = executor
+        self._beat(executor)
+
+    def _beat(self, executor):
+        if executor.is_gone:
+            return
+        if not executor.is_cut and not self.store.is_down:
+            entry = attrs.evolve(executor.entry, clock_s=executor.clock_s())
+            self._write(ENTRIES, entry.executor_id, entry)
+        self.loop.call_later(BEAT_S, self._beat, executor)
+
+    def take_host(self, entry, pool, state, lasts_s):
+        """Have a host leave, and come back later."""
+        executor = self.executors.get(entry.executor_id)
+        if executor is not None:
+            executor.crash()
+            self._drop_entry(executor)
+        self.hosts.entries[entry.host] = attrs.evolve(
+            entry, pool=pool, state=state, executor_id=''
+        )
+        self.loop.call_later(lasts_s, self.begin_life, entry.host, pool)
+
+    def _drop_entry(self, executor):
+        if self.store.is_down:
+            self.loop.call_later(BEAT_S, self._drop_entry, executor)
+            return
+        self.store.append(
+            ENTRIES, [journal.Record(executor.entry.executor_id)]
+        )
+
+    def crash_executor(self, executor, down_s):
+        """Have an executor die, and its host come back later."""
+        host = executor.entry.host
+        entry = self.hosts.entries[host]
+        executor.crash()
+        self.hosts.entries[host] = attrs.evolve(
+            entry, state=host_orders.HostState.DOWN, executor_id=''
+        )
+        self.loop.call_later(4.5, self._drop_entry, executor)
+        self.loop.call_later(down_s, self.begin_life, host, entry.pool)
+
+    # What jobs need
+
+    def _spec(self, task_id):
+        return self.specs[task_id.job_id].steps[task_id.step]
+
+    def is_lasting(self, task_id):
+        """Tell whether a task runs until it is stopped."""
+        return self._spec(task_id).is_lasting
+
+    def duration_s(self, task_id):
+        """Return how long a task really runs."""
+        spec = self._spec(task_id)
+        if spec.is_lasting:
+            return float('inf')
+        return spec.estimate_s * self.rng.uniform(0.5, 1.8)
+
+    # Judging
+
+    def _note_broken(self, promise, **fields):
+        self.broken.append((promise, round(self.now_s(), 3), fields))
+
+    def judge_start(self, executor, run):
+        """Judge a run that begins."""
+        task_id, name = run.task_id, str(run.task_id)
+        for other in self.executors.values():
+            other.advance()
+            for key in other.runs:
+                if key[0] == task_id and (
+                    other is not executor or key[1] != run.number
+                ):
+                    self._note_broken('runs twice', task=name)
+        spec = self._spec(task_id)
+        used = specs.Resources()
+        beside = 0
+        for key in executor.runs:
+            used = used + self._spec(key[0]).reserved
+            beside += (
+                key[0].job_id == task_id.job_id and key[0].step == task_id.step
+            )
+        if not used.is_within(executor.entry.capacity):
+            self._note_broken('over capacity', task=name)
+        if spec.max_per_executor and beside > spec.max_per_executor:
+            self._note_broken('too many of a step', task=name)
+        if self.done.get(task_id) == 'acknowledged':
+            self._note_broken('starts after its end', task=name)
+        for step in spec.after:
+            count = self.specs[task_id.job_id].steps[step].count
+            if any(
+                jobs.TaskId(task_id.job_id, task_id.occurrence, step, i)
+                not in self.done
+                for i in range(count)
+            ):
+                self._note_broken('starts before its turn', task=name)
+        cancelled_s = self.cancelled.get(task_id.job_id)
+        if cancelled_s is not None and self.now_s() > cancelled_s + 3.0:
+            self._note_broken('starts after its cancel', task=name)
+
+    def judge_end(self, executor, run, cause):
+        """Judge a run that ends."""
+        if cause is task_executors._Cause.DONE:
+            self.done.setdefault(run.task_id, 'ended')
+            row = executor.entry.executor_id, executor._sequence
+            self._ended_rows[row] = run.task_id
+
+    def note_acknowledged(self, executor, last_end):
+        """Note which ends a daemon has taken note of."""
+        for (executor_id, sequence), task_id in self._ended_rows.items():
+            mine = executor_id == executor.entry.executor_id
+            if mine and sequence <= last_end:
+                self.done[task_id] = 'acknowledged'
+
+    def judge_host_order(self, entry, wave, holder):
+        """Judge an order to a host."""
+        executor = self.executors.get(entry.executor_id)
+        if executor is not None:
+            executor.advance()
+            for key in executor.runs:
+                self._judge_displaced(key[0])
+        for then_s, other in self.hosts.orders[:-1]:
+            if other.daemon == holder.daemon and other.epoch == holder.epoch:
+                continue
+            if other.epoch >= holder.epoch:
+                self._note_broken('an older holder orders', host=entry.host)
+            elif self.now_s() - then_s < HOST_LEASE_S:
+                self._note_broken('holders take turns', host=entry.host)
+        if wave is not None:
+            down = sum(
+                other.state is host_orders.HostState.IN_MAINTENANCE
+                for other in self.hosts.entries.values()
+            )
+            if down >= self._max_down[wave]:
+                self._note_broken('too many hosts down', wave=wave)
+
+    def _judge_displaced(self, task_id):
+        self._note_broken('a host at work is taken', task=str(task_id))
+
+    # What callers do
+
+    def spec_body(self, spec):
+        """Return a body that stands for a job."""
+        return self.formats.put(spec)
+
+    async def submit(self, daemon, pool, job_id, spec):
+        """Submit a job, and return the kind of refusal, if any."""
+        self.specs[job_id] = spec
+        body = self.spec_body(spec)
+        return await self.submit_body(daemon, pool, job_id, body)
+
+    async def submit_body(self, daemon, pool, job_id, body):
+        """Submit a body, and return the kind of refusal, if any."""
+        try:
+            queue, _ = daemon.interface.find_queue(
+                f'{pool}.example', f'/jobs/{job_id}'
+            )
+            await daemon.interface.submit(queue, job_id, body)
+        except errors.RequestFailed as failure:
+            return failure.reason
+        return None
+
+    async def state(self, daemon, pool, job_id):
+        """Return the state that a daemon tells of a job."""
+        queue = daemon.parts.configuration_reader.configuration.queues[pool]
+        try:
+            job = await daemon.interface.find(queue, job_id)
+        except errors.RequestFailed as failure:
+            return failure.reason
+        return job.shown.value if job is not None else 'unknown'
+
+    async def cancel(self, daemon, pool, job_id):
+        """Cancel a job, and tell whether that was acknowledged."""
+        queue = daemon.parts.configuration_reader.configuration.queues[pool]
+        try:
+            is_there = await daemon.interface.cancel(queue, job_id)
+        except errors.RequestFailed:
+            return False
+        self.cancelled.setdefault(job_id, self.now_s())
+        return is_there
+
+    async def start(self):
+        """Start all daemons, and wait until one owns the jobs."""
+        for daemon in self.daemons:
+            daemon.start()
+        await self.wait_for(lambda: self.owner is not None, 10.0)
+
+    @property
+    def owner(self):
+        """Return the daemon at work as the owner, or None."""
+        owners = [
+            daemon
+            for daemon in self.daemons
+            if daemon.candidate.owner is not None
+            and not daemon.candidate.owner.tenure.is_lost
+        ]
+        return max(
+            owners, key=lambda d: d.candidate.owner.epoch, default=None
+        )
+
+    async def wait_for(self, is_met, timeout_s):
+        """Wait for a condition, and tell whether it was met."""
+        limit_s = self.now_s() + timeout_s
+        while not is_met():
+            if self.now_s() > limit_s:
+                return False
+            await asyncio.sleep(0.01)
+        return True
+
+    async def stop(self):
+        """End all daemons."""
+        for daemon in self.daemons:
+            await daemon.kill()
+
+    def running(self, job_id):
+        """Return the runs of a job, by task."""
+        found = collections.defaultdict(list)
+        for executor in self.executors.values():
+            executor.advance()
+            for key in executor.runs:
+                if key[0].job_id == job_id:
+                    found[key[0]].append(executor.entry.executor_id)
+        return found
+
+    def story(self):
+        """Return all events as text, for a failed scenario."""
+        return '\n'.join(
+            f'{time_s:9.4f} {name} {kind} {json.dumps(fields, default=str)}'
+            for time_s, name, kind, fields in self.log
+        )
+
+
+def one_step(count, estimate_s=0.5, cores=1.0, **options):
+    """Return a job of one step."""
+    request = specs.Resources(int(cores * 1000), 1024)
+    step = specs.StepSpec(count, request, estimate_s, **options)
+    return specs.JobSpec('payload', (step,))
+
+
+def chain(*counts, estimate_s=0.4, cores=1.0, **options):
+    """Return a job whose steps wait for each other."""
+    request = specs.Resources(int(cores * 1000), 1024)
+    steps = tuple(
+        specs.StepSpec(
+            count,
+            request,
+            estimate_s,
+            after=(number - 1,) if number else (),
+            **options,
+        )
+        for number, count in enumerate(counts)
+    )
+    return specs.JobSpec('payload', steps)
