--- a/features/stage/job_search.py
+++ b/features/stage/job_search.py
@@ -133,9 +133,7 @@
         owner = self.world.owner
         if owner is not None:
             owner.link.is_cut = True
-            self._later(
-                lasts_s, lambda: setattr(owner.link, 'is_cut', False)
-            )
+            self._later(lasts_s, lambda: setattr(owner.link, 'is_cut', False))
 
     def _set_links(self, field, value, lasts_s):
         for daemon in self.world.daemons:
--- a/features/stage/virtual_time.py
+++ b/features/stage/virtual_time.py
@@ -18,9 +18,7 @@
 
     def _run_once(self):
         if not self._ready and self._scheduled:
-            self._virtual_s = max(
-                self._virtual_s, self._scheduled[0].when()
-            )
+            self._virtual_s = max(self._virtual_s, self._scheduled[0].when())
         super()._run_once()
 
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -57,11 +57,14 @@
     :ivar epoch: rises with each claim; fences writes and orders
     :ivar daemon: the owner
     :ivar is_released: whether the owner has given it up in good order
+    :ivar is_ordering_hosts: whether it has waited for earlier owners' orders
+        to hosts to be over
     """
 
     epoch: int
     daemon: str
     is_released: bool = False
+    is_ordering_hosts: bool = False
 
 
 @attrs.frozen
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
@@ -7,9 +7,9 @@
 import attrs
 
 # Longest time between two appends of an owner.
-RENEW_PERIOD_S = 0.4
+RENEW_PERIOD_S = 0.25
 # Silence, while the store can be read, after which others claim.
-SILENCE_S = 1.6
+SILENCE_S = 1.2
 # Claimants spread over this time, so that one of them is first.
 CLAIM_SPREAD_S = 0.3
 # Age of the last reading up to which the store counts as readable.
@@ -20,7 +20,7 @@
 # An owner gives orders to hosts while the store confirmed it this recently.
 HOST_CONFIRMED_S = 0.9
 # Added to what a successor waits, for calls that are on their way.
-HOST_CALL_MARGIN_S = 0.8
+HOST_CALL_MARGIN_S = 0.7
 
 
 @attrs.define
@@ -29,12 +29,15 @@
 
     Times are seconds of its steady clock.
 
+    :ivar is_claimable: whether there is no owner
+    :ivar is_own_past: whether the owner is an earlier life of this daemon
     :ivar last_sign_s: when something of the owner's was last read
     :ivar readable_since_s: since when the store was read without a break;
         None while it can't be read
     """
 
     is_claimable: bool = True
+    is_own_past: bool = False
     last_sign_s: float = 0.0
     last_read_s: float | None = None
     readable_since_s: float | None = None
@@ -46,10 +49,11 @@
             self.readable_since_s = sent_s
         self.last_read_s = sent_s
 
-    def note_owner(self, now_s, is_released):
+    def note_owner(self, now_s, is_released, is_own_past):
         """Note a record of the owner's."""
         self.last_sign_s = now_s
         self.is_claimable = is_released
+        self.is_own_past = is_own_past
 
     def may_claim(self, now_s, delay_s):
         """Tell whether to claim now.
@@ -60,7 +64,7 @@
             return False
         if now_s - self.last_read_s > FRESH_READ_S + RENEW_PERIOD_S:
             return False
-        if self.is_claimable:
+        if self.is_claimable or self.is_own_past:
             return True
         silent_s = now_s - max(self.last_sign_s, self.readable_since_s)
         return silent_s > SILENCE_S + delay_s
@@ -96,14 +100,17 @@
         )
 
 
-def first_host_order_s(claimed_s, lease_s):
+def first_host_order_s(last_sign_s, lease_s):
     """Return when a new owner may first order a host.
 
-    :param claimed_s: when its claim was sent
+    A claim is taken only of a claimant that has read every append of the
+    owner before it, so that its last order was soon after the last of them.
+
+    :param last_sign_s: when the last append of an earlier owner was read
     :param lease_s: time that must lie between orders of two owners
     """
     margin_s = HOST_CONFIRMED_S + HOST_CALL_MARGIN_S
-    return claimed_s + margin_s + lease_s
+    return last_sign_s + margin_s + lease_s
 
 
 def last_inherited_lease_s(claimed_s, longest_lease_s):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -1,7 +1,10 @@
 """Hold an owned partition, and decide what starts and what stops."""
 
+import collections
+
 import attrs
 
+from . import demand
 from . import executors as executors_module
 from . import jobs
 from . import ordering
@@ -59,6 +62,7 @@
         self._strays = {}
         self._stale_pools = set()
         self._queues = dict(configuration.queues)
+        self._meters = collections.defaultdict(demand.DemandMeter)
 
     # Jobs
 
@@ -72,6 +76,9 @@
         if age_s is None:
             age_s = min(MAX_AGE_S, max(0.0, wall_s - job.accepted_s))
         accepted_s = now_s - age_s
+        if age_s < demand.WINDOW_S:
+            pool = self.queue_of(job).pool
+            self._meters[pool].note(demand.work_of(job.spec), now_s)
         first = len(job.occurrences)
         for number in sorted(job.occurrences):
             self._open_occurrence(job.occurrences[number], accepted_s)
@@ -133,6 +140,11 @@
                 if run.task_id.job_id == job.job_id:
                     run.is_stop_wanted = True
 
+    def growth_millicores(self, pool, now_s, ahead_s):
+        """Return what a pool's work will take beyond what it takes now."""
+        meter = self._meters[pool]
+        return meter.forecast(now_s, ahead_s) - meter.rate(now_s)
+
     def queue_of(self, job):
         """Return the queue of a job; the last one known where it is gone."""
         queue = self._queues.get(job.queue)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
@@ -21,6 +21,8 @@
 # A list says that a life has ended only of executors silent this long.
 SILENT_S = 1.0
 ORDER_RETRY_S = 0.5
+# From the end of a move until tasks start on the host.
+MOVE_MARGIN_S = 0.5
 
 
 class HostKeeper:
@@ -155,7 +157,11 @@
             _sum(executor.free for executor in executors),
             arriving,
             self._host_capacity(pool.name),
-            len(executors),
+            scheduler.growth_millicores(
+                pool.name,
+                now_s,
+                self._parts.settings.host_move_s + MOVE_MARGIN_S,
+            ),
         )
 
     def _host_capacity(self, pool):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import attrs
+
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import executors as executors_module
 from hawthorndeal_jobs import journal
@@ -80,6 +82,8 @@
         epoch = last.epoch + 1 if last else 1
         claim = journal.Ownership(epoch, parts.settings.daemon)
         end = parts.jobs_follower.next_offset
+        last_sign_s = parts.jobs_reader.owner_view.last_sign_s
+        parts.jobs_reader.epochs.add(epoch)
         sent_s = parts.clock.boot_s()
         try:
             offset = await parts.log.append(
@@ -98,13 +102,23 @@
             return None
         if parts.jobs_reader.replica.ownership != claim:
             return None
-        is_first = last is None
-        first_order_s = ownership.first_host_order_s(
-            sent_s, parts.settings.host_order_lease_ms / 1000
-        )
         parts.events.write('owner_claimed', epoch=epoch)
         return ownership.Tenure(
-            epoch, sent_s, sent_s if is_first else first_order_s
+            epoch, sent_s, self._first_host_order_s(last, last_sign_s)
+        )
+
+    def _first_host_order_s(self, last, last_sign_s):
+        parts = self._parts
+        now_s = parts.clock.boot_s()
+        if last is None:
+            return now_s
+        if last.daemon == parts.settings.daemon and last.is_ordering_hosts:
+            # Only this daemon has given orders since its last epoch.
+            return now_s
+        # Both clocks run alike, but for suspensions, which only prolong it.
+        ago_s = parts.clock.monotonic_s() - last_sign_s
+        return ownership.first_host_order_s(
+            now_s - ago_s, parts.settings.host_order_lease_ms / 1000
         )
 
     async def _own(self, tenure):
@@ -266,9 +280,7 @@
     async def _write_release(self):
         if self._calls:
             await self.keeper.finish()
-        released = journal.Ownership(
-            self.epoch, self._parts.settings.daemon, is_released=True
-        )
+        released = attrs.evolve(self._ownership(), is_released=True)
         await self._store([journal.ownership_record(released)])
         self.tenure.is_lost = True
         self.events.write('owner_released', epoch=self.epoch)
@@ -303,10 +315,17 @@
         confirmed_s = self.tenure.confirmed_s
         silent_s = self._parts.clock.boot_s() - confirmed_s
         if not records and silent_s > ownership.RENEW_PERIOD_S:
-            own = journal.Ownership(self.epoch, self._parts.settings.daemon)
-            records.append(journal.ownership_record(own))
+            records.append(journal.ownership_record(self._ownership()))
         return records
 
+    def _ownership(self):
+        now_s = self._parts.clock.boot_s()
+        return journal.Ownership(
+            self.epoch,
+            self._parts.settings.daemon,
+            is_ordering_hosts=now_s >= self.tenure.host_orders_from_s,
+        )
+
     async def _store(self, records):
         await self._writer.append(records)
         for job, state, has_begun in self._jobs_to_show.values():
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/partition.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/partition.py
@@ -11,11 +11,15 @@
 class JobsReader:
     """Keep a replica of the jobs, and watch the partition's owner.
 
+    :param daemon: this entry host's name
     :param clock: the daemon's clocks
     :param events: the decision log
     """
 
-    def __init__(self, clock, events):
+    def __init__(self, daemon, clock, events):
+        # Epochs that this life of the daemon has claimed.
+        self.epochs = set()
+        self._daemon = daemon
         self.replica = replica_module.Replica()
         self.owner_view = ownership.OwnerView()
         self.on_folded = None
@@ -38,8 +42,14 @@
 
     def _note_owner(self, folded):
         current = self.replica.ownership
-        is_released = current is None or current.is_released
-        self.owner_view.note_owner(self._clock.monotonic_s(), is_released)
+        if current is None:
+            return
+        self.owner_view.note_owner(
+            self._clock.monotonic_s(),
+            current.is_released,
+            current.daemon == self._daemon
+            and current.epoch not in self.epochs,
+        )
         if folded.kind == journal.OWNER:
             self._events.write(
                 'owner_seen',
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -72,7 +72,9 @@
         self.executors = adapter.executors
         self.hosts = adapter.hosts
         self.wave_reports = adapter.wave_reports
-        self.jobs_reader = partition.JobsReader(self.clock, self.events)
+        self.jobs_reader = partition.JobsReader(
+            settings.daemon, self.clock, self.events
+        )
         self.configuration_reader = partition.ConfigurationReader(
             adapter.formats, self.events
         )
