Count demand in hosts, corrected by run times that were seen

Cause: single large jobs and declared times far too long moved 20 hosts at a time, and cold pools kept many. Ruled out: packing (idle hosts were idle as expected). A failed keeper of hosts now ends the tenure instead of going unnoticed.

--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+from fakes import links
 from hawthorndeal_fleet import errors
 from hawthorndeal_platform import keyed_log
 
@@ -105,21 +106,28 @@
     def __init__(self, store, link):
         self._store = store
         self._link = link
+        self.is_cut = False
+
+    async def _call(self, act, wait=None):
+        if self.is_cut:
+            await asyncio.sleep(links.CALL_TIMEOUT_S)
+            raise errors.OutcomeUnknown('cut off from the store')
+        return await self._link.call(act, wait)
 
     async def append(self, partition, records, fence=None, end=None):
         """Append records, all or none, and return the first's offset."""
-        return await self._link.call(
+        return await self._call(
             lambda: self._store.append(partition, records, fence, end),
             lambda: asyncio.sleep(APPEND_S),
         )
 
     async def read(self, partition, offset, wait_s):
         """Return the records from an offset, waiting for the first."""
-        return await self._link.call(
+        return await self._call(
             lambda: self._store.read(partition, offset),
             lambda: self._store.wait(partition, offset, wait_s),
         )
 
     async def newest(self, partition, after_key=''):
         """Return the newest record of each key."""
-        return await self._link.call(lambda: self._store.newest(partition))
+        return await self._call(lambda: self._store.newest(partition))
--- a/features/stage/job_search.py
+++ b/features/stage/job_search.py
@@ -125,15 +125,30 @@
             await owner.restart()
 
     async def _do_cut_daemon(self, lasts_s):
-        link = self._rng.choice(self.world.daemons).link
-        link.is_cut = True
-        self._later(lasts_s, lambda: setattr(link, 'is_cut', False))
+        self._cut(self._rng.choice(self.world.daemons), lasts_s)
 
     async def _do_cut_owner(self, lasts_s):
         owner = self.world.owner
         if owner is not None:
-            owner.link.is_cut = True
-            self._later(lasts_s, lambda: setattr(owner.link, 'is_cut', False))
+            self._cut(owner, lasts_s)
+
+    def _cut(self, daemon, lasts_s):
+        for link in (daemon.link, daemon.hosts_link):
+            link.is_cut = True
+            self._later(lasts_s, lambda k=link: setattr(k, 'is_cut', False))
+
+    async def _do_cut_owner_from_store(self, lasts_s):
+        owner = self.world.owner
+        if owner is not None:
+            client = owner.parts.log
+            client.is_cut = True
+            self._later(lasts_s, lambda: setattr(client, 'is_cut', False))
+
+    async def _do_lose_host_answers(self, lasts_s):
+        for daemon in self.world.daemons:
+            link = daemon.hosts_link
+            link.lost_share = 0.3
+            self._later(lasts_s, lambda k=link: setattr(k, 'lost_share', 0.0))
 
     def _set_links(self, field, value, lasts_s):
         for daemon in self.world.daemons:
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -83,6 +83,8 @@
     def __init__(self, world, name):
         self.name = name
         self.link = links.Link(world.rng)
+        # Orders to hosts may be lost or unanswered, but are never late.
+        self.hosts_link = links.Link(world.rng)
         self._world = world
         self._tasks = []
         self._make()
@@ -92,7 +94,7 @@
         adapter = service.Adapter(
             log=keyed_store.StoreClient(world.store, self.link),
             executors=task_executors.ExecutorsClient(world, self.link),
-            hosts=host_service.HostsClient(world.hosts, self.link),
+            hosts=host_service.HostsClient(world.hosts, self.hosts_link),
             formats=world.formats,
             wave_reports=world,
             operators_topic=OPERATORS.topic,
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/capacity.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/capacity.py
@@ -1,8 +1,11 @@
 """Decide which hosts change their pool; answers demand that shifts.
 
-Pools get work by turns. A pool whose work grows beyond its room gets hosts
+Pools get work by turns. A pool whose work grows beyond its hosts gets hosts
 that are idle elsewhere, in time for what its growth foretells. Hosts that
 nobody needs are put on standby.
+
+Amounts of work are in hosts: the part of a host that a task takes of the
+resource that it takes most of.
 """
 
 import itertools
@@ -10,14 +13,18 @@
 
 import attrs
 
-from . import specs
-
 # A host that has just become idle may be needed again at once.
 MIN_IDLE_S = 0.3
 # Time idle after which standby saves more than the two moves cost.
-STANDBY_IDLE_S = 0.8
-# Room kept free in a pool, in hosts, for work that comes unannounced.
-FREE_HOSTS = 0.75
+STANDBY_IDLE_S = 1.2
+# Hosts kept free in a pool for work that comes unannounced.
+FREE_HOSTS = 0.5
+# Hosts beyond what a pool needs before one is given away.
+SPARE_HOSTS = 1.0
+# Tasks don't fill a host to the brim.
+FILL_FACTOR = 1.15
+# Time in which waiting work should be done.
+CLEAR_S = 2.0
 
 
 @attrs.frozen
@@ -36,30 +43,46 @@
 class PoolLoad:
     """Hold the load of one pool.
 
-    :ivar waiting: what tasks that could start now would take
-    :ivar free: room of its usable executors
-    :ivar growth_millicores: what expected work will take beyond the work
-        that arrives now
+    :ivar hosts: usable hosts in it
     :ivar arriving: hosts on their way to it
-    :ivar host_capacity: room of one host
+    :ivar lasting_hosts: what lasting tasks take or wait for
+    :ivar rate_hosts: what the work that arrives keeps busy
+    :ivar growth_hosts: what expected work will keep busy beyond that
+    :ivar backlog_host_s: work that waits, in host-seconds
+    :ivar starved_hosts: hosts for tasks that no host here has room for
     """
 
     pool: str
-    is_standby: bool
-    waiting: specs.Resources
-    free: specs.Resources
-    arriving: int
-    host_capacity: specs.Resources
-    growth_millicores: float = 0.0
+    is_standby: bool = False
+    hosts: int = 0
+    arriving: int = 0
+    lasting_hosts: float = 0.0
+    rate_hosts: float = 0.0
+    growth_hosts: float = 0.0
+    backlog_host_s: float = 0.0
+    starved_hosts: int = 0
+
+    @property
+    def needed_hosts(self):
+        """Return the hosts that the pool's work will take soon."""
+        # A rate that is just beginning says little of where it goes.
+        growth = min(self.growth_hosts, self.rate_hosts)
+        passing = self.rate_hosts + growth
+        backlog = self.backlog_host_s / CLEAR_S
+        return self.lasting_hosts + (passing + backlog) * FILL_FACTOR
 
 
 @attrs.frozen
 class Move:
-    """Put a host into another pool."""
+    """Put a host into another pool.
+
+    :ivar load: load of the pool whose need or lack of need decided it
+    """
 
     host: str
     from_pool: str
     to_pool: str
+    load: PoolLoad
 
 
 def plan_moves(loads, idle_hosts):
@@ -76,7 +99,7 @@
 
 
 def _plan_gains(by_pool, idle_hosts):
-    needs = {pool: hosts_needed(load) for pool, load in by_pool.items()}
+    needs = {pool: hosts_lacking(load) for pool, load in by_pool.items()}
     givers = sorted(
         (
             host
@@ -91,7 +114,8 @@
         for pool in sorted(needs, key=lambda name: -needs[name])
     )
     return [
-        Move(host.host, host.pool, pool) for host, pool in zip(givers, takers)
+        Move(host.host, host.pool, pool, by_pool[pool])
+        for host, pool in zip(givers, takers)
     ]
 
 
@@ -105,36 +129,22 @@
         if host.idle_s < STANDBY_IDLE_S or spare[host.pool] < 1:
             continue
         spare[host.pool] -= 1
-        moves.append(Move(host.host, host.pool, standby))
+        moves.append(Move(host.host, host.pool, standby, by_pool[host.pool]))
     return moves
 
 
-def hosts_needed(load):
-    """Return how many more hosts the work of a pool would fill."""
+def hosts_lacking(load):
+    """Return how many more hosts a pool should get."""
     if load.is_standby:
         return 0
-    capacity = load.host_capacity
-    lacking = load.waiting - load.free
-    lacking_millicores = lacking.cpu_millicores + load.growth_millicores
-    needed = max(
-        _hosts(lacking_millicores, capacity.cpu_millicores),
-        _hosts(lacking.memory_mb, capacity.memory_mb),
-        _hosts(lacking.gpus, capacity.gpus),
-    )
-    return max(0, needed - load.arriving)
+    lacking = load.needed_hosts + FREE_HOSTS - load.hosts
+    lacking = max(math.ceil(lacking), load.starved_hosts)
+    return max(0, lacking - load.arriving)
 
 
 def hosts_spare(load):
     """Return how many hosts a pool can do without."""
-    capacity = load.host_capacity.cpu_millicores
-    if load.is_standby or load.arriving or not capacity:
-        return 0
-    spare = load.free - load.waiting
-    kept = FREE_HOSTS * capacity + load.growth_millicores
-    return int((spare.cpu_millicores - kept) // capacity)
-
-
-def _hosts(lacking, capacity):
-    if lacking <= 0 or capacity <= 0:
+    if load.is_standby or load.starved_hosts:
         return 0
-    return math.ceil(lacking / capacity)
+    kept = load.needed_hosts + FREE_HOSTS + SPARE_HOSTS
+    return max(0, math.floor(load.hosts + load.arriving - kept + 0.5))
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/demand.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/demand.py
@@ -2,6 +2,7 @@
 
 import collections
 import itertools
+import math
 
 import attrs
 
@@ -9,25 +10,33 @@
 # Buckets of the latest rate, and as many before it for the trend.
 WINDOW_BUCKETS = 4
 WINDOW_S = BUCKET_S * WINDOW_BUCKETS
+# Jobs over which the mean work is taken.
+MEAN_JOBS = 30
 
 
 @attrs.define
 class DemandMeter:
-    """Keep the work that arrived in the last seconds.
+    """Keep what arrived in the last seconds.
 
-    Work is in millicore-seconds, so that a rate is in millicores: what the
-    work keeps busy on average.
+    Jobs are counted, and weighed by their mean work: a single large job says
+    little of how many follow. Work is in host-seconds, so that a rate is in
+    hosts: what the work keeps busy on average.
     """
 
     _buckets: collections.deque = attrs.Factory(
-        lambda: collections.deque([0.0] * 2 * WINDOW_BUCKETS)
+        lambda: collections.deque([0] * 2 * WINDOW_BUCKETS)
     )
     _begin_s: float | None = None
+    _mean_work: float = 0.0
+    _seen: int = 0
 
     def note(self, work, now_s):
-        """Note work that arrives now."""
+        """Note a job that arrives now."""
         self._advance(now_s)
-        self._buckets[-1] += work
+        self._buckets[-1] += 1
+        self._seen += 1
+        weight = 1.0 / min(self._seen, MEAN_JOBS)
+        self._mean_work += (work - self._mean_work) * weight
 
     def _advance(self, now_s):
         if self._begin_s is None:
@@ -35,30 +44,41 @@
         steps = int((now_s - self._begin_s) / BUCKET_S)
         for _ in range(min(steps, len(self._buckets))):
             self._buckets.popleft()
-            self._buckets.append(0.0)
+            self._buckets.append(0)
         self._begin_s += steps * BUCKET_S
 
-    def rate(self, now_s):
-        """Return the work a second of the latest window."""
+    def _counts(self, now_s):
         self._advance(now_s)
-        latest = itertools.islice(self._buckets, WINDOW_BUCKETS, None)
-        return sum(latest) / WINDOW_S
+        earlier = sum(itertools.islice(self._buckets, WINDOW_BUCKETS))
+        return earlier, sum(self._buckets) - earlier
+
+    def rate(self, now_s):
+        """Return the work a second that arrives, over both windows."""
+        earlier, latest = self._counts(now_s)
+        # A falling rate is believed later than a rising one.
+        jobs_per_s = max(latest, (earlier + latest) / 2) / WINDOW_S
+        return jobs_per_s * self._mean_work
 
-    def forecast(self, now_s, ahead_s):
-        """Return the rate expected soon, going on as it has grown."""
-        rate = self.rate(now_s)
-        earlier = itertools.islice(self._buckets, WINDOW_BUCKETS)
-        growth = (rate - sum(earlier) / WINDOW_S) / WINDOW_S
-        return rate + max(0.0, growth) * ahead_s
+    def growth(self, now_s, ahead_s):
+        """Return by how much the rate is expected to grow.
 
+        Only what is beyond chance counts as growth.
+        """
+        earlier, latest = self._counts(now_s)
+        chance = math.sqrt(earlier + 1)
+        jobs_per_s2 = max(0.0, latest - earlier - chance) / WINDOW_S**2
+        return jobs_per_s2 * ahead_s * self._mean_work
 
-def work_of(spec):
-    """Return the declared work of a job, in millicore-seconds.
+
+def work_of(spec, capacity):
+    """Return the declared work of a job, in host-seconds.
 
     Lasting tasks are left out: what they take is known once they run.
+
+    :param capacity: what one host has
     """
     return sum(
-        step.count * step.reserved.cpu_millicores * step.estimate_s
+        step.count * step.reserved.share_of(capacity) * step.estimate_s
         for step in spec.steps
         if not step.is_lasting
     )
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
@@ -15,6 +15,7 @@
     :ivar pending: indexes of tasks without a run
     :ivar objective_s: when its job should be done, since the epoch
     :ivar latest_s: when its job is too late to be of use
+    :ivar waits_since_s: since when none of its tasks has found room
     """
 
     occurrence: jobs.Occurrence
@@ -24,6 +25,7 @@
     latest_s: float
     priority: int
     remaining_s: float
+    waits_since_s: float | None = None
 
     @property
     def spec(self):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -4,7 +4,9 @@
 
 import attrs
 
+from . import capacity as capacity_module
 from . import demand
+from . import estimates
 from . import executors as executors_module
 from . import jobs
 from . import ordering
@@ -20,6 +22,9 @@
 # Failed runs in a row before an executor is left alone for a while.
 SUSPICIOUS_FAILURES = 2
 NO_ROOM_WAIT_S = 0.2
+# Time that a step waits with room for none of its tasks until it counts as
+# starved.
+STARVED_S = 1.0
 
 _Phase = executors_module.RunPhase
 _Cause = executors_module.EndCause
@@ -62,6 +67,7 @@
         self._strays = {}
         self._stale_pools = set()
         self._queues = dict(configuration.queues)
+        self._estimates = estimates.EstimateCorrector()
         self._meters = collections.defaultdict(demand.DemandMeter)
 
     # Jobs
@@ -78,7 +84,9 @@
         accepted_s = now_s - age_s
         if age_s < demand.WINDOW_S:
             pool = self.queue_of(job).pool
-            self._meters[pool].note(demand.work_of(job.spec), now_s)
+            work = demand.work_of(job.spec, self.host_capacity(pool))
+            factor = self._estimates.factor(job.queue)
+            self._meters[pool].note(work * factor, now_s)
         first = len(job.occurrences)
         for number in sorted(job.occurrences):
             self._open_occurrence(job.occurrences[number], accepted_s)
@@ -140,10 +148,51 @@
                 if run.task_id.job_id == job.job_id:
                     run.is_stop_wanted = True
 
-    def growth_millicores(self, pool, now_s, ahead_s):
-        """Return what a pool's work will take beyond what it takes now."""
-        meter = self._meters[pool]
-        return meter.forecast(now_s, ahead_s) - meter.rate(now_s)
+    def load_of(self, pool, arriving, ahead_s, now_s):
+        """Return the load of a pool, for decisions on its capacity.
+
+        :param arriving: hosts on their way to it
+        :param ahead_s: how far to look ahead
+        """
+        known = self.executors_of(pool.name)
+        usable = [e for e in known if placement.is_usable(e, now_s)]
+        capacity = self.host_capacity(pool.name)
+        waiting = [
+            step
+            for step in self._open_steps.values()
+            if step.pending
+            and self.queue_of(step.occurrence.job).pool == pool.name
+        ]
+        meter = self._meters[pool.name]
+        return capacity_module.PoolLoad(
+            pool.name,
+            pool.is_standby,
+            len(usable),
+            arriving,
+            _lasting_hosts(known, waiting, capacity),
+            meter.rate(now_s),
+            meter.growth(now_s, ahead_s),
+            sum(self._backlog(step, capacity) for step in waiting),
+            sum(_starved_hosts(step, now_s) for step in waiting),
+        )
+
+    def _backlog(self, open_step, capacity):
+        spec = open_step.spec
+        if spec.is_lasting:
+            return 0.0
+        work_s = spec.estimate_s * len(open_step.pending)
+        factor = self._estimates.factor(open_step.occurrence.job.queue)
+        return work_s * factor * spec.reserved.share_of(capacity)
+
+    def host_capacity(self, pool):
+        """Return what a host of a pool has; of any, where none is there."""
+        known = list(self.executors.values())
+        own = [e for e in known if e.entry.pool == pool] or known
+        return max(
+            (e.entry.capacity for e in own),
+            key=lambda capacity: capacity.cpu_millicores,
+            default=specs.Resources(),
+        )
 
     def queue_of(self, job):
         """Return the queue of a job; the last one known where it is gone."""
@@ -320,11 +369,20 @@
     def _judge_executor(self, executor, ended, now_s):
         if ended.cause is _Cause.DONE:
             executor.failure_streak = 0
+            self._learn(ended.run, now_s)
         elif ended.cause is _Cause.FAILED:
             executor.failure_streak += 1
             if executor.failure_streak >= SUSPICIOUS_FAILURES:
                 self._suspect(executor, now_s)
 
+    def _learn(self, run, now_s):
+        if run.began_s is not None and not run.step.is_lasting:
+            self._estimates.note(
+                run.occurrence.job.queue,
+                run.step.estimate_s,
+                now_s - run.began_s,
+            )
+
     def _suspect(self, executor, now_s):
         factor = 2 ** max(0, executor.failure_streak - SUSPICIOUS_FAILURES)
         wait_s = min(MAX_SUSPEND_S, SUSPEND_S * factor)
@@ -429,6 +487,8 @@
         if open_step.spec.is_gang:
             return self._start_gang(open_step, executors, now_s)
         starts = []
+        if open_step.waits_since_s is None:
+            open_step.waits_since_s = now_s
         while open_step.pending:
             index = open_step.pending[0]
             task_id = _task_id(open_step, index)
@@ -439,12 +499,15 @@
             if executor is None:
                 break
             open_step.pending.pop(0)
+            open_step.waits_since_s = now_s if open_step.pending else None
             starts.append(
                 self._order(open_step, task_id, executor, task.run + 1, now_s)
             )
         return starts
 
     def _start_gang(self, open_step, executors, now_s):
+        if open_step.waits_since_s is None:
+            open_step.waits_since_s = now_s
         tasks = open_step.occurrence.tasks[open_step.step]
         if len(open_step.pending) < len(tasks):
             return []
@@ -455,6 +518,7 @@
         if chosen is None:
             return []
         open_step.pending.clear()
+        open_step.waits_since_s = None
         number = max(task.run for task in tasks) + 1
         checkpoint = next((t.checkpoint for t in tasks if t.checkpoint), '')
         for task in tasks:
@@ -511,6 +575,31 @@
                 executor.last_recorded_end = sequence
 
 
+def _lasting_hosts(executors, waiting, capacity):
+    running = sum(
+        run.reserved.share_of(capacity)
+        for executor in executors
+        for run in executor.runs.values()
+        if run.step.is_lasting
+    )
+    return running + sum(
+        len(step.pending) * step.spec.reserved.share_of(capacity)
+        for step in waiting
+        if step.spec.is_lasting
+    )
+
+
+def _starved_hosts(open_step, now_s):
+    """Return the hosts that a step needs that finds no room for long."""
+    since_s = open_step.waits_since_s
+    if since_s is None or now_s - since_s < STARVED_S:
+        return 0
+    limit = open_step.spec.max_per_executor
+    if not limit:
+        return 1
+    return -(-len(open_step.pending) // limit)
+
+
 def _ordered(occurrence):
     for step, tasks in enumerate(occurrence.tasks):
         for index, task in enumerate(tasks):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/specs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/specs.py
@@ -29,6 +29,14 @@
             self.gpus - other.gpus,
         )
 
+    def share_of(self, other):
+        """Return the part that this takes of what it takes most of."""
+        return max(
+            _part(self.cpu_millicores, other.cpu_millicores),
+            _part(self.memory_mb, other.memory_mb),
+            _part(self.gpus, other.gpus),
+        )
+
     def is_within(self, other):
         """Tell whether all of this fits into another amount."""
         return (
@@ -38,6 +46,10 @@
         )
 
 
+def _part(amount, whole):
+    return amount / whole if whole else 0.0
+
+
 @attrs.frozen
 class StepSpec:
     """Declare the tasks of one step; they are all alike.
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
@@ -7,13 +7,13 @@
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import capacity
 from hawthorndeal_jobs import journal
-from hawthorndeal_jobs import placement
-from hawthorndeal_jobs import specs
 from hawthorndeal_jobs import upkeep
 from hawthorndeal_platform import host_orders
 
 TURN_S = 0.1
 LIST_PERIOD_S = 1.0
+# How often the load of each pool is logged.
+LOADS_PERIOD_S = 1.0
 # After an order a list is asked for sooner, since its outcome matters.
 LIST_SOON_S = 0.3
 # A host that doesn't arrive in its new pool by then is counted out.
@@ -38,10 +38,13 @@
         self._hosts = {}
         self._listed_s = None
         self._list_due_s = 0.0
+        self._loads_due_s = 0.0
         self._moving = {}
         self._retry_s = {}
         self._emptying = set()
         self._unlisted = set()
+        # Hosts whose last order was not answered, and since when.
+        self._unsure = {}
         self._changed_waves = set()
         self._is_ordering = False
         self._upkeep = parts.jobs_reader.replica.upkeep
@@ -85,6 +88,7 @@
         self._hosts = {entry.host: entry for entry in entries}
         for entry in entries:
             self._note_entry(entry)
+            self._settle(entry, sent_s)
         self._end_past_lives(entries, sent_s)
 
     def _note_entry(self, entry):
@@ -93,6 +97,15 @@
         if arrival and is_there and entry.pool == arrival[0]:
             del self._moving[entry.host]
 
+    def _settle(self, entry, sent_s):
+        """Let a host work on whose unanswered order came to nothing."""
+        if self._unsure.get(entry.host, sent_s) >= sent_s:
+            return
+        del self._unsure[entry.host]
+        executor = self._executor_on(entry.host)
+        if executor is not None:
+            executor.is_reserved = entry.host in self._emptying
+
     def _end_past_lives(self, entries, sent_s):
         """End the executors that no host has had for two lists."""
         listed = {
@@ -131,47 +144,27 @@
             if entry.pool in configuration.pools
             for idle_s in self._idle_s(host, entry, now_s)
         ]
+        self._log_loads(loads, now_s)
         return capacity.plan_moves(loads, idle)
 
+    def _log_loads(self, loads, now_s):
+        if now_s < self._loads_due_s:
+            return
+        self._loads_due_s = now_s + LOADS_PERIOD_S
+        for load in loads:
+            hosts = sum(e.pool == load.pool for e in self._hosts.values())
+            self._owner.events.write(
+                'pool_load', hosts=hosts, **_load_fields(load)
+            )
+
     def _load(self, pool, now_s):
         scheduler = self._owner.scheduler
-        executors = [
-            executor
-            for executor in scheduler.executors_of(pool.name)
-            if placement.is_usable(executor, now_s)
-        ]
-        waiting = _sum(
-            _times(step.spec.reserved, len(step.pending))
-            for step in scheduler.open_steps
-            if step.pending
-            and scheduler.queue_of(step.occurrence.job).pool == pool.name
-        )
         arriving = sum(
             target == pool.name and now_s < limit_s
             for target, limit_s in self._moving.values()
         )
-        return capacity.PoolLoad(
-            pool.name,
-            pool.is_standby,
-            waiting,
-            _sum(executor.free for executor in executors),
-            arriving,
-            self._host_capacity(pool.name),
-            scheduler.growth_millicores(
-                pool.name,
-                now_s,
-                self._parts.settings.host_move_s + MOVE_MARGIN_S,
-            ),
-        )
-
-    def _host_capacity(self, pool):
-        executors = list(self._owner.scheduler.executors.values())
-        own = [e for e in executors if e.entry.pool == pool] or executors
-        return max(
-            (e.entry.capacity for e in own),
-            key=lambda capacity: capacity.cpu_millicores,
-            default=specs.Resources(),
-        )
+        ahead_s = self._parts.settings.host_move_s + MOVE_MARGIN_S
+        return scheduler.load_of(pool, arriving, ahead_s, now_s)
 
     def _idle_s(self, host, entry, now_s):
         if host in self._moving or host in self._emptying:
@@ -198,7 +191,11 @@
             lambda holder: self._parts.hosts.move(
                 move.host, move.to_pool, holder
             ),
-            {'from_pool': move.from_pool, 'to_pool': move.to_pool},
+            {
+                'from_pool': move.from_pool,
+                'to_pool': move.to_pool,
+                **_load_fields(move.load),
+            },
             lambda: self._note_moving(move, arrival_s),
         )
 
@@ -233,6 +230,7 @@
             await call(holder)
         except errors.OutcomeUnknown as error:
             outcome = f'unknown: {error}'
+            self._unsure[host] = owner.now_s()
             self._list_due_s = owner.now_s() + LIST_SOON_S
         except errors.PlatformError as error:
             outcome = f'refused: {error}'
@@ -388,16 +386,14 @@
         await self._parts.wave_reports.tell(number, is_completed)
 
 
-def _sum(amounts):
-    total = specs.Resources()
-    for amount in amounts:
-        total = total + amount
-    return total
-
-
-def _times(amount, count):
-    return specs.Resources(
-        amount.cpu_millicores * count,
-        amount.memory_mb * count,
-        amount.gpus * count,
-    )
+def _load_fields(load):
+    return {
+        'pool': load.pool,
+        'usable_hosts': load.hosts,
+        'arriving_hosts': load.arriving,
+        'lasting_hosts': round(load.lasting_hosts, 2),
+        'rate_hosts': round(load.rate_hosts, 2),
+        'growth_hosts': round(load.growth_hosts, 2),
+        'backlog_host_s': round(load.backlog_host_s, 2),
+        'starved_hosts': load.starved_hosts,
+    }
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -24,8 +24,8 @@
 REACH_CLAIM_S = 3.0
 RELEASE_TIMEOUT_S = 1.5
 # The followers' pause between readings; an owner reads at once.
-FOLLOW_PAUSE_S = 0.1
-OWNER_PAUSE_S = 0.005
+FOLLOW_PAUSE_S = 0.15
+OWNER_PAUSE_S = 0.015
 LEASE_MARGIN_S = 0.5
 
 
@@ -213,8 +213,7 @@
         entries = asyncio.create_task(parts.entries_follower.run())
         try:
             await self._take_over()
-            keeper = asyncio.create_task(self.keeper.run())
-            self._calls.add(keeper)
+            self._spawn(self._guard(self.keeper.run()))
             await self._work()
         finally:
             parts.detach()
@@ -415,15 +414,16 @@
         if executor.executor_id in self._agents or not executor.entry.address:
             return
         agent = executor_agent.ExecutorAgent(executor, self)
-        task = asyncio.create_task(self._run_agent(agent))
+        task = asyncio.create_task(self._guard(agent.run()))
         self._agents[executor.executor_id] = (task, agent)
 
-    async def _run_agent(self, agent):
+    async def _guard(self, work):
+        """Give the partition up when a part of this owner fails."""
         try:
-            await agent.run()
+            await work
         except Exception as error:
-            self.events.write('agent_failed', why=repr(error)[:300])
-            self.lose('an agent failed')
+            self.events.write('owner_part_failed', why=repr(error)[:300])
+            self.lose(f'a part of it failed: {error!r:.100}')
 
     def take_look(self, executor, look):
         """Take in what an executor answered, and return what is over."""
