--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 empty :=
 space := $(empty) $(empty)
-export PYTHONPATH := $(subst $(space),:,$(PROJECTS:%=$(CURDIR)/%)):$(CURDIR)/features:$(CURDIR)
+export PYTHONPATH := $(subst $(space),:,$(PROJECTS:%=$(CURDIR)/%)):$(CURDIR)/features:$(CURDIR)/platform:$(CURDIR)
 export PIP_DISABLE_PIP_VERSION_CHECK := 1
 
 .PHONY: help install demo test lint format measure slopes proofs clean
--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -84,6 +84,10 @@
         kept = [r for _, r in sorted(part.newest.items()) if r.value]
         return keyed_log.NewestPage(tuple(kept), len(part.records))
 
+    def find(self, partition, key):
+        """Return the newest record of a key, or None."""
+        return self._parts[partition].newest.get(key)
+
     async def wait(self, partition, offset, wait_s):
         """Wait until there is a record at an offset."""
         part = self._parts[partition]
--- a/features/fakes/task_executors.py
+++ b/features/fakes/task_executors.py
@@ -137,6 +137,7 @@
         if run is None:
             self._bar(task_id, number)
         elif run.stops_s is None:
+            self._world.judge_stop(run)
             run.stops_s = self._world.now_s() + STOP_S
 
     def look(self, epoch, last_end, deadline_s):
--- /dev/null
+++ b/features/jobs_world.feature
@@ -0,0 +1,172 @@
+@jobs
+Feature: Jobs are kept, run once and shown truly, whatever fails
+
+  Daemons run over judging fakes in virtual time: every start, stop and order
+  to a host is judged as it happens.
+
+  @invariant_at_most_once
+  Scenario: A job submitted to two daemons at once is one job
+    Given daemons over fakes, with seed 1
+    When job "a" of 4 and 4 tasks goes to daemons 0 and 1 at once
+    And 6 seconds pass
+    Then job "a" is shown as completed by every daemon
+    And each task of "a" began once
+
+  Scenario: An id can't stand for another job
+    Given daemons over fakes, with seed 2
+    When job "a" of 2 and 2 tasks goes to daemon 0
+    And 1 second passes
+    And job "a" of 3 and 1 tasks goes to daemon 1
+    Then it was refused as job_conflict
+    And no promise was broken
+
+  Scenario Outline: What can't be accepted is refused at once: <case>
+    Given daemons over fakes, with seed 3
+    When <case> is submitted
+    Then it was refused as <reason>
+    And nothing of it is stored
+
+    Examples:
+      | case              | reason          |
+      | an unreadable job | bad_request     |
+      | a job without id  | bad_request     |
+      | a job to no queue | unknown_service |
+
+  @invariant_not_run
+  Scenario: A job whose storing was not answered is never called not run
+    Given daemons over fakes, with seed 4
+    When daemon 1 loses every answer
+    And job "a" of 2 and 2 tasks goes to daemon 1
+    Then it was refused as answer_lost
+    When 6 seconds pass
+    And job "a" of 2 and 2 tasks goes to daemon 0
+    Then it was accepted
+    And each task of "a" began once
+
+  @invariant_not_run
+  Scenario: A job refused while the store is down never runs
+    Given daemons over fakes, with seed 5
+    When the store goes down
+    And job "a" of 2 and 2 tasks goes to daemon 0
+    Then it was refused as not_ready
+    When the store comes back
+    And 6 seconds pass
+    Then no task of "a" has begun
+
+  @invariant_at_most_once
+  Scenario: A start that was not answered never makes a task run twice
+    Given daemons over fakes, with seed 6
+    When a third of all calls are carried out late, unanswered
+    And 12 jobs of 3 and 2 tasks are submitted
+    And 10 seconds pass
+    And calls are answered again
+    And 12 seconds pass
+    Then every job is shown as completed
+    And no promise was broken
+
+  Scenario: An end is stored before the executor may forget it
+    Given daemons over fakes, with seed 7
+    When 6 jobs of 3 and 2 tasks are submitted
+    And the owner is cut off from the store
+    And 12 seconds pass
+    Then every job is shown as completed
+    And no promise was broken
+
+  Scenario: Room is never exceeded while stops are under way
+    Given daemons over fakes, with seed 8
+    When 10 jobs of 16 and 4 tasks are submitted
+    And 0.3 seconds pass
+    And half of the jobs are cancelled
+    And 10 jobs of 16 and 4 tasks are submitted
+    And 20 seconds pass
+    Then every job is shown as completed or cancelled
+    And no promise was broken
+
+  Scenario: A retry keeps tasks of a step apart
+    Given daemons over fakes, with seed 9
+    When executors on one host fail all they start
+    And job "a" of 4 tasks, one on each host, goes to daemon 0
+    And 8 seconds pass
+    Then job "a" is shown as completed by every daemon
+    And no promise was broken
+
+  @invariant_budget
+  Scenario: A wave takes no more lasting tasks away than allowed
+    Given daemons over fakes, with seed 10
+    When job "l" of 3 lasting tasks, 1 of them unavailable at most, starts
+    And a wave over all hosts of its pool, 2 at once, within 20 seconds
+    And 26 seconds pass
+    Then the wave is reported as completed
+    And every host of it was maintained
+    And 3 tasks of "l" run
+    And no promise was broken
+
+  Scenario: A lasting task runs again soon after its host has crashed
+    Given daemons over fakes, with seed 11
+    When job "l" of 2 lasting tasks, 1 of them unavailable at most, starts
+    And the host of a task of "l" crashes for 20 seconds
+    And 6 seconds pass
+    Then 2 tasks of "l" run
+    And no promise was broken
+
+  Scenario Outline: Another owner goes on when the owner is <lost>
+    Given daemons over fakes, with seed 12
+    When 10 jobs of 4 and 4 tasks are submitted
+    And the owner is <lost>
+    Then another owner is at work within 2 seconds
+    When 15 seconds pass
+    Then every job is shown as completed
+    And no promise was broken
+
+    Examples:
+      | lost                   |
+      | killed                 |
+      | cut off from all       |
+      | cut off from the store |
+      | stopped in good order  |
+
+  Scenario: Daemons that have lost everything go on from the store alone
+    Given daemons over fakes, with seed 13
+    When 10 jobs of 4 and 4 tasks are submitted
+    And every daemon is killed
+    And 15 seconds pass
+    Then every job is shown as completed
+    And no promise was broken
+
+  Scenario: A cancelled job has no task left, and stays cancelled
+    Given daemons over fakes, with seed 14
+    When job "l" of 3 lasting tasks, 1 of them unavailable at most, starts
+    And job "l" is cancelled at daemon 2
+    And 2 seconds pass
+    Then 0 tasks of "l" run
+    And job "l" is shown as cancelled by every daemon
+
+  @invariant_at_most_once
+  Scenario: Entries of ended lives, read again, end no life that goes on
+    Given daemons over fakes, with seed 15
+    When hosts have moved between pools
+    And 6 jobs of 6 and 4 tasks are submitted
+    And the store forgets its history
+    And 12 seconds pass
+    Then every job is shown as completed
+    And no promise was broken
+
+  Scenario: Broken and foreign records are skipped, with a line each
+    Given daemons over fakes, with seed 16
+    When broken records are written among the jobs and the entries
+    And 3 jobs of 2 and 2 tasks are submitted
+    And 6 seconds pass
+    Then every job is shown as completed
+    And each broken record was logged once by each reader of it
+
+  @invariant_config_in_force
+  Scenario: A configuration that was dropped or is older changes nothing
+    Given daemons over fakes, with seed 17
+    When a newer configuration is written, then the older one, then none
+    And 2 seconds pass
+    Then every daemon has the newer configuration
+
+  @invariant_at_most_once @search
+  Scenario: Random troubles break no promise and lose no job
+    When the troubles of seeds 100 to 130 are played
+    Then no play broke a promise or left a job
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -29,6 +29,7 @@
 
 OPERATORS = keyed_log.Partition('operators')
 ENTRIES = keyed_log.Partition('entries')
+JOBS = keyed_log.Partition(service.JOBS_TOPIC)
 BEAT_S = 1.5
 RACK_HOSTS = 4
 ZONES = ('cz-a', 'cz-b', 'cz-c')
@@ -112,16 +113,18 @@
             adapter,
         )
         self.parts.clock = virtual_time.VirtualClock(world.loop)
+        self.parts.events = world.events_of(self.name)
         for part in (
             self.parts.jobs_reader,
+            self.parts.configuration_reader,
             self.parts.entries_reader,
             self.parts.jobs_follower,
             self.parts.operators_follower,
             self.parts.entries_follower,
         ):
             part._clock = self.parts.clock
+            part._events = self.parts.events
         self.parts.rng = random.Random(world.rng.random())
-        self.parts.events = world.events_of(self.name)
         self.interface = callers.CallersInterface(self.parts, world.formats)
         self.candidate = service.owner_module.Candidate(self.parts)
 
@@ -185,6 +188,7 @@
         self.cancelled = {}
         self.waves_completed = set()
         self.done = {}
+        self.starts = collections.Counter()
         self._ended_rows = {}
         self._life = 0
         self._tasks = []
@@ -335,6 +339,7 @@
 
     def judge_start(self, executor, run):
         """Judge a run that begins."""
+        self.starts[run.task_id] += 1
         task_id, name = run.task_id, str(run.task_id)
         for other in self.executors.values():
             other.advance()
@@ -380,8 +385,37 @@
         """Note which ends a daemon has taken note of."""
         for (executor_id, sequence), task_id in self._ended_rows.items():
             mine = executor_id == executor.entry.executor_id
-            if mine and sequence <= last_end:
+            if not mine or sequence > last_end:
+                continue
+            if self.done[task_id] != 'acknowledged':
                 self.done[task_id] = 'acknowledged'
+                self._judge_recorded(task_id)
+
+    def _judge_recorded(self, task_id):
+        key = f'{journal.PROGRESS}/{task_id.job_id}/{task_id.occurrence}'
+        record = self.store.find(JOBS, key)
+        tasks = json.loads(record.value)['t'] if record else []
+        row = tasks[task_id.step][task_id.index] if tasks else []
+        if not row or row[0] != jobs.TaskState.DONE:
+            self._note_broken('forgotten before stored', task=str(task_id))
+
+    def judge_stop(self, run):
+        """Judge an order that ends a run."""
+        spec = self._spec(run.task_id)
+        if spec.max_unavailable is None or not spec.is_lasting:
+            return
+        if run.task_id.job_id in self.cancelled:
+            return
+        at_work = sum(
+            self.now_s() - other.began_s > 0.5 and other.stops_s is None
+            for executor in self.executors.values()
+            for other in executor.runs.values()
+            if other.task_id.job_id == run.task_id.job_id
+            and other.task_id.step == run.task_id.step
+            and other.task_id != run.task_id
+        )
+        if spec.count - 1 - at_work >= spec.max_unavailable:
+            self._note_broken('too many away', task=str(run.task_id))
 
     def judge_host_order(self, entry, wave, holder):
         """Judge an order to a host."""
--- /dev/null
+++ b/features/steps/jobs_world.py
@@ -0,0 +1,387 @@
+"""Steps that play daemons over judging fakes in virtual time."""
+
+import asyncio
+
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+
+from hawthorndeal_jobs import journal
+from stage import job_search
+from stage import job_world
+from stage import virtual_time
+
+BROKEN_VALUES = (b'', b'{', b'\xff\xfe', b'[]', b'{"spec":7}', b'null')
+
+
+@given('daemons over fakes, with seed {seed:d}')
+def make_world(context, seed):
+    context.runner = asyncio.Runner(loop_factory=virtual_time.VirtualLoop)
+
+    async def make():
+        context.world = job_world.World(seed)
+        await context.world.start()
+
+    context.add_cleanup(_end_world, context.runner, context)
+    context.runner.run(make())
+    context.jobs = {}
+
+
+def _end_world(runner, context):
+    runner.run(context.world.stop())
+    runner.close()
+
+
+def _submit(context, daemon, job_id, spec, pool='web'):
+    world = context.world
+    context.jobs[job_id] = pool
+    context.refusal = context.runner.run(
+        world.submit(world.daemons[daemon], pool, job_id, spec)
+    )
+
+
+@step('{seconds:g} seconds pass')
+@step('{seconds:g} second passes')
+def wait(context, seconds):
+    context.runner.run(asyncio.sleep(seconds))
+
+
+@when('job "{job_id}" of {first:d} and {second:d} tasks goes to daemon {n:d}')
+def submit_one(context, job_id, first, second, n):
+    _submit(context, n, job_id, job_world.chain(first, second))
+
+
+@when(
+    'job "{job_id}" of {first:d} and {second:d} tasks goes to daemons '
+    '{one:d} and {other:d} at once'
+)
+def submit_twice(context, job_id, first, second, one, other):
+    world = context.world
+    spec = job_world.chain(first, second)
+    context.jobs[job_id] = 'web'
+
+    async def both():
+        return await asyncio.gather(
+            world.submit(world.daemons[one], 'web', job_id, spec),
+            world.submit(world.daemons[other], 'web', job_id, spec),
+        )
+
+    assert context.runner.run(both()) == [None, None]
+
+
+@when('job "{job_id}" of {count:d} tasks, one on each host, goes to daemon 0')
+def submit_apart(context, job_id, count):
+    spec = job_world.one_step(count, max_per_executor=1)
+    _submit(context, 0, job_id, spec)
+
+
+@when(
+    'job "{job_id}" of {count:d} lasting tasks, {gone:d} of them unavailable '
+    'at most, starts'
+)
+def submit_lasting(context, job_id, count, gone):
+    spec = job_world.one_step(
+        count, is_lasting=True, max_per_executor=1, max_unavailable=gone
+    )
+    _submit(context, 0, job_id, spec)
+    wait(context, 3.0)
+    assert len(context.world.running(job_id)) == count
+
+
+@when('{count:d} jobs of {first:d} and {second:d} tasks are submitted')
+def submit_many(context, count, first, second):
+    world = context.world
+
+    async def submit_all():
+        for number in range(count):
+            job_id = f'j{len(context.jobs)}'
+            pool = ('web', 'ci')[number % 2]
+            spec = job_world.chain(first, second)
+            context.jobs[job_id] = pool
+            for attempt in range(30):
+                daemon = world.daemons[(number + attempt) % 3]
+                if await world.submit(daemon, pool, job_id, spec) is None:
+                    break
+                await asyncio.sleep(0.3)
+            await asyncio.sleep(0.05)
+
+    context.runner.run(submit_all())
+
+
+@when('{case} is submitted')
+def submit_bad(context, case):
+    world = context.world
+    good = world.spec_body(job_world.chain(1))
+    pool, job_id, body = {
+        'an unreadable job': ('web', 'bad', b'{'),
+        'a job without id': ('web', '', good),
+        'a job to no queue': ('nowhere', 'bad', good),
+    }[case]
+    context.stored = world.store.find(job_world.JOBS, 'job/bad')
+    context.refusal = context.runner.run(
+        world.submit_body(world.daemons[0], pool, job_id, body)
+    )
+
+
+@then('nothing of it is stored')
+def check_nothing_stored(context):
+    assert context.world.store.find(job_world.JOBS, 'job/bad') is None
+
+
+@then('it was refused as {reason}')
+def check_refused(context, reason):
+    assert context.refusal == reason, context.refusal
+
+
+@then('it was accepted')
+def check_accepted(context):
+    assert context.refusal is None, context.refusal
+
+
+@when('daemon {n:d} loses every answer')
+def lose_answers(context, n):
+    context.world.daemons[n].link.lost_share = 1.0
+
+
+@when('a third of all calls are carried out late, unanswered')
+def make_late(context):
+    for daemon in context.world.daemons:
+        daemon.link.late_share = 0.33
+
+
+@when('calls are answered again')
+def answer_again(context):
+    for daemon in context.world.daemons:
+        daemon.link.late_share = 0.0
+
+
+@when('the store goes down')
+def take_store_down(context):
+    context.world.store.is_down = True
+
+
+@when('the store comes back')
+def bring_store_back(context):
+    context.world.store.is_down = False
+
+
+@when('the store forgets its history')
+def forget(context):
+    for partition in (job_world.JOBS, job_world.ENTRIES):
+        context.world.store.forget(partition)
+
+
+@when('half of the jobs are cancelled')
+def cancel_half(context):
+    world = context.world
+    for job_id, pool in list(context.jobs.items())[::2]:
+        done = world.cancel(world.daemons[1], pool, job_id)
+        assert context.runner.run(done)
+
+
+@when('job "{job_id}" is cancelled at daemon {n:d}')
+def cancel_one(context, job_id, n):
+    world = context.world
+    done = world.cancel(world.daemons[n], context.jobs[job_id], job_id)
+    assert context.runner.run(done)
+
+
+@when('executors on one host fail all they start')
+def fail_all(context):
+    executor = next(
+        e for e in context.world.executors.values() if e.entry.pool == 'web'
+    )
+    executor.fails_all = True
+
+
+@when(
+    'a wave over all hosts of its pool, {most:d} at once, within {limit:g} '
+    'seconds'
+)
+def add_wave(context, most, limit):
+    hosts = [h for h in context.world.hosts.entries if h.startswith('web')]
+    context.wave_hosts = hosts
+    context.world.add_wave(1, hosts, limit, most)
+
+
+@then('the wave is reported as completed')
+def check_wave(context):
+    assert 1 in context.world.waves_completed, context.world.story()[-3000:]
+
+
+@then('every host of it was maintained')
+def check_maintained(context):
+    assert context.world.hosts.maintained == set(context.wave_hosts)
+
+
+@when('the host of a task of "{job_id}" crashes for {seconds:g} seconds')
+def crash_host(context, job_id, seconds):
+    world = context.world
+    executor_id = next(iter(world.running(job_id).values()))[0]
+    world.crash_executor(world.executors[executor_id], seconds)
+
+
+@then('{count:d} tasks of "{job_id}" run')
+def check_running(context, count, job_id):
+    running = context.world.running(job_id)
+    assert len(running) == count, dict(running)
+
+
+@when('the owner is {lost}')
+def lose_owner(context, lost):
+    world = context.world
+    context.old_owner = owner = world.owner
+    context.lost_s = world.now_s()
+    if lost == 'killed':
+        context.runner.run(owner.kill())
+    elif lost == 'cut off from all':
+        owner.link.is_cut = owner.hosts_link.is_cut = True
+    elif lost == 'cut off from the store':
+        owner.parts.log.is_cut = True
+    else:
+        context.runner.run(owner.candidate.stop())
+
+
+@then('another owner is at work within {seconds:g} seconds')
+def check_new_owner(context, seconds):
+    world = context.world
+
+    def is_met():
+        return world.owner not in (None, context.old_owner)
+
+    async def wait_for_it():
+        left_s = context.lost_s + seconds - world.now_s()
+        return await world.wait_for(is_met, left_s)
+
+    assert context.runner.run(wait_for_it()), world.story()[-3000:]
+
+
+@when('every daemon is killed')
+def kill_all(context):
+    async def kill():
+        for daemon in context.world.daemons:
+            await daemon.kill()
+        for daemon in context.world.daemons:
+            await daemon.restart()
+
+    context.runner.run(kill())
+
+
+@when('hosts have moved between pools')
+def move_hosts(context):
+    world = context.world
+    submit_many(context, 8, 16, 16)
+    wait(context, 15.0)
+    moved = [o for o in world.log if o[2] == 'host_moved']
+    assert moved, 'no host moved'
+
+
+@when('broken records are written among the jobs and the entries')
+def write_broken(context):
+    world = context.world
+    context.broken = 0
+    for number, value in enumerate(BROKEN_VALUES[1:]):
+        for key in (f'job/{number}x', f'strange/{number}', 'owner'):
+            record = journal.Record(key, value)
+            world.store.append(job_world.JOBS, [record])
+            context.broken += 1
+
+
+@then('each broken record was logged once by each reader of it')
+def check_logged(context):
+    world = context.world
+    for daemon in world.daemons:
+        offsets = [
+            fields['offset']
+            for _, name, kind, fields in world.log
+            if kind == 'record_skipped'
+            and name == daemon.name
+            and fields['topic'] == job_world.JOBS.topic
+        ]
+        assert len(offsets) == len(set(offsets)) == context.broken, offsets
+
+
+@when('a newer configuration is written, then the older one, then none')
+def write_configurations(context):
+    world = context.world
+    older = world.configuration
+    world.configure()
+    context.newer = world.configuration
+    wait(context, 0.5)
+    world._write(job_world.OPERATORS, 'config', older)
+    record = journal.Record('config')
+    world.store.append(job_world.OPERATORS, [record])
+    world.store.forget(job_world.OPERATORS)
+
+
+@then('every daemon has the newer configuration')
+def check_configuration(context):
+    for daemon in context.world.daemons:
+        held = daemon.parts.configuration_reader.configuration
+        assert held == context.newer, held.version
+
+
+def _states(context, job_id):
+    world = context.world
+
+    async def ask_all():
+        pool = context.jobs[job_id]
+        return [
+            await world.state(daemon, pool, job_id)
+            for daemon in world.daemons
+            if daemon is not getattr(context, 'old_owner', None)
+        ]
+
+    return context.runner.run(ask_all())
+
+
+@then('job "{job_id}" is shown as {state} by every daemon')
+def check_shown(context, job_id, state):
+    states = _states(context, job_id)
+    assert set(states) == {state}, (states, context.world.story()[-3000:])
+
+
+@then('every job is shown as {wanted}')
+def check_all_shown(context, wanted):
+    allowed = set(wanted.split(' or '))
+    for job_id in context.jobs:
+        states = set(_states(context, job_id))
+        assert states <= allowed, (job_id, states)
+
+
+@then('each task of "{job_id}" began once')
+def check_began_once(context, job_id):
+    counts = {
+        str(task_id): count
+        for task_id, count in context.world.starts.items()
+        if task_id.job_id == job_id
+    }
+    assert counts and set(counts.values()) == {1}, counts
+
+
+@then('no task of "{job_id}" has begun')
+def check_none_begun(context, job_id):
+    assert all(t.job_id != job_id for t in context.world.starts)
+
+
+@then('no promise was broken')
+def check_nothing_broken(context):
+    assert not context.world.broken, context.world.broken
+
+
+@when('the troubles of seeds {first:d} to {last:d} are played')
+def play_seeds(context, first, last):
+    context.verdicts = [
+        job_search.play(seed) for seed in range(first, last + 1)
+    ]
+
+
+@then('no play broke a promise or left a job')
+def check_plays(context):
+    bad = [
+        (v.seed, v.broken[:3], v.unfinished[:3], v.troubles)
+        for v in context.verdicts
+        if v.broken or v.unfinished
+    ]
+    assert not bad, bad
