--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -126,7 +126,7 @@
             part._events = self.parts.events
         self.parts.rng = random.Random(world.rng.random())
         self.interface = callers.CallersInterface(self.parts, world.formats)
-        self.candidate = service.owner_module.Candidate(self.parts)
+        self.candidate = service.candidate_module.Candidate(self.parts)
 
     def start(self):
         """Begin to work."""
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -62,6 +62,8 @@
     :ivar percent: progress as last reported
     :ivar usage: tail in ms for a serving task, millicores otherwise
     :ivar advanced_s: when the progress last grew
+    :ivar planned_s: when it was decided
+    :ivar second_choice: executor it would have gone to otherwise, if any
     """
 
     task_id: jobs.TaskId
@@ -79,6 +81,8 @@
     usage: int = 0
     advanced_s: float = 0.0
     began_s: float | None = None
+    planned_s: float = 0.0
+    second_choice: str = ''
     pace_percent: int = 100
     checkpoint: str = ''
     tail_high_since_s: float | None = None
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/open_steps.py
@@ -0,0 +1,157 @@
+"""Keep the steps whose tasks may start, and the occurrences not yet due."""
+
+import collections
+
+from . import demand
+from . import estimates
+from . import jobs
+from . import ordering
+from . import queues
+
+# A job's age on takeover comes from two clocks that may disagree.
+MAX_AGE_S = 120.0
+
+
+class OpenSteps:
+    """Follow which steps of which jobs are open.
+
+    Times are seconds of the daemon's steady clock, but for ``wall_s``,
+    seconds since the epoch.
+
+    :param configuration: queues in force
+    """
+
+    def __init__(self, configuration):
+        # Pools in which something may start that could not before.
+        self.stale_pools = set()
+        self.estimates = estimates.EstimateCorrector()
+        self.meters = collections.defaultdict(demand.DemandMeter)
+        self._steps = {}
+        self._future = {}
+        self._queues = dict(configuration.queues)
+
+    def set_configuration(self, configuration):
+        """Put newer queues in force; jobs of dropped ones go on."""
+        self._queues.update(configuration.queues)
+        self.stale_pools.update(configuration.pools)
+
+    def queue_of(self, job):
+        """Return the queue of a job; the last one known where it is gone."""
+        queue = self._queues.get(job.queue)
+        if queue is None:
+            queue = queues.Queue(job.queue, job.pool)
+            self._queues[job.queue] = queue
+        return queue
+
+    def pool_of(self, job):
+        """Return the pool in which tasks of a job start."""
+        return self.queue_of(job).pool
+
+    def waiting_in(self, pool):
+        """Return the steps of a pool with tasks that wait for room."""
+        return [
+            step
+            for step in self._steps.values()
+            if step.pending and self.pool_of(step.occurrence.job) == pool
+        ]
+
+    def add_job(self, job, now_s, wall_s, age_s, capacity):
+        """Take in an accepted job.
+
+        :param age_s: time since it was accepted; None where only the time
+            of day tells
+        :param capacity: what a host of its pool has
+        """
+        if job.is_over or job.job_id in self._future:
+            return
+        if age_s is None:
+            age_s = min(MAX_AGE_S, max(0.0, wall_s - job.accepted_s))
+        elif not job.occurrences:
+            self._note_demand(job, capacity, now_s)
+        accepted_s = now_s - age_s
+        for number in sorted(job.occurrences):
+            self._open_occurrence(job.occurrences[number], accepted_s)
+        first = len(job.occurrences)
+        if first < job.spec.occurrences:
+            self._future[job.job_id] = (job, first, accepted_s)
+
+    def _note_demand(self, job, capacity, now_s):
+        work = demand.work_of(job.spec, capacity)
+        factor = self.estimates.factor(job.queue)
+        self.meters[self.pool_of(job)].note(work * factor, now_s)
+
+    def open_due(self, now_s, wall_s):
+        """Open the occurrences that are due."""
+        for job_id, (job, number, accepted_s) in list(self._future.items()):
+            begins_s = now_s if job.spec.repetitions else accepted_s
+            while number < job.spec.occurrences:
+                if job.spec.due_s(number) > wall_s:
+                    break
+                self._open_occurrence(job.occurrence(number), begins_s)
+                number += 1
+            if number < job.spec.occurrences:
+                self._future[job_id] = (job, number, accepted_s)
+            else:
+                del self._future[job_id]
+
+    def _open_occurrence(self, occurrence, accepted_s):
+        for step in range(len(occurrence.tasks)):
+            if occurrence.is_step_open(step):
+                self._open(occurrence, step, accepted_s)
+
+    def _open(self, occurrence, step, accepted_s):
+        key = occurrence.job.job_id, occurrence.number, step
+        if key in self._steps or occurrence.is_step_done(step):
+            return
+        job = occurrence.job
+        queue = self.queue_of(job)
+        objective_s = ordering.objective_s(queue, job.spec)
+        pending = [
+            index
+            for index, task in enumerate(occurrence.tasks[step])
+            if task.state is jobs.TaskState.PENDING
+        ]
+        self._steps[key] = ordering.OpenStep(
+            occurrence,
+            step,
+            pending,
+            accepted_s + objective_s,
+            accepted_s + ordering.LATEST_FACTOR * objective_s,
+            queue.priority,
+            ordering.remaining_s(job.spec, step),
+        )
+        self.stale_pools.add(queue.pool)
+
+    def close_done(self, occurrence, step):
+        """Close a step that is done, and open those that waited for it."""
+        key = occurrence.job.job_id, occurrence.number, step
+        closed = self._steps.pop(key, None)
+        if closed is None or occurrence.job.is_over:
+            return
+        job = occurrence.job
+        objective_s = ordering.objective_s(self.queue_of(job), job.spec)
+        self._open_occurrence(occurrence, closed.objective_s - objective_s)
+
+    def close_job(self, job):
+        """Close all steps of a job that is over."""
+        self._future.pop(job.job_id, None)
+        for occurrence in job.occurrences.values():
+            for step in range(len(occurrence.tasks)):
+                self._steps.pop((job.job_id, occurrence.number, step), None)
+
+    def put_back(self, task_id, job):
+        """Have a task that needs another run wait again."""
+        key = task_id.job_id, task_id.occurrence, task_id.step
+        open_step = self._steps.get(key)
+        if open_step is not None:
+            open_step.pending.append(task_id.index)
+            self.stale_pools.add(self.pool_of(job))
+
+    def backlog_host_s(self, open_step, capacity):
+        """Return the work that waits in a step, in host-seconds."""
+        spec = open_step.spec
+        if spec.is_lasting:
+            return 0.0
+        declared_s = spec.estimate_s * len(open_step.pending)
+        factor = self.estimates.factor(open_step.occurrence.job.queue)
+        return declared_s * factor * spec.reserved.share_of(capacity)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
@@ -18,9 +18,9 @@
 # recently: longer than the store is usually away.
 HOLD_CONFIRMED_S = 8.0
 # An owner gives orders to hosts while the store confirmed it this recently.
-HOST_CONFIRMED_S = 0.9
+HOST_CONFIRMED_S = 0.7
 # Added to what a successor waits, for calls that are on their way.
-HOST_CALL_MARGIN_S = 0.7
+HOST_CALL_MARGIN_S = 0.6
 
 
 @attrs.define
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
@@ -1,5 +1,6 @@
 """Decide which executor runs a task; answers one task of an open step."""
 
+import heapq
 import itertools
 
 # Weights of what speaks against an executor; the least sum is chosen.
@@ -9,11 +10,12 @@
 
 
 def choose(executors, step, task_id, task, now_s, ticketed=None):
-    """Return the executor for a task, or None where none has room.
+    """Return the best executor for a task and the next best.
 
     :param executors: those of the pool
     :param step: declared step of the task
     :param ticketed: executors allowed for the step; None for all
+    :returns: a pair; None stands for an executor that isn't there
     """
     candidates = [
         executor
@@ -22,12 +24,14 @@
         and (ticketed is None or executor.executor_id in ticketed)
         and has_place(executor, step, task_id)
     ]
-    if not candidates:
-        return None
-    # A retry goes elsewhere where it can: the executor may be to blame.
-    others = [e for e in candidates if e.executor_id != task.executor]
-    pool = others if task.failures and others else candidates
-    return min(pool, key=lambda executor: _cost(executor, step))
+    if task.failures:
+        # A retry goes elsewhere where it can: the executor may be to blame.
+        others = [e for e in candidates if e.executor_id != task.executor]
+        candidates = others or candidates
+    ranked = heapq.nsmallest(
+        2, candidates, key=lambda executor: _cost(executor, step)
+    )
+    return (*ranked, None, None)[:2]
 
 
 def is_usable(executor, now_s):
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_loads.py
@@ -0,0 +1,70 @@
+"""Measure the load of a pool, for decisions on its capacity."""
+
+from . import capacity as capacity_module
+from . import placement
+from . import specs
+
+# Time that a step waits with room for none of its tasks until it counts as
+# starved.
+STARVED_S = 1.0
+
+
+def measure(pool, executors, open_steps, arriving, ahead_s, now_s):
+    """Return the load of a pool.
+
+    :param executors: all that are known, by id
+    :param open_steps: the steps whose tasks may start
+    :param arriving: hosts on their way to the pool
+    :param ahead_s: how far to look ahead
+    """
+    known = [e for e in executors.values() if e.entry.pool == pool.name]
+    capacity = host_capacity(pool.name, executors)
+    waiting = open_steps.waiting_in(pool.name)
+    meter = open_steps.meters[pool.name]
+    return capacity_module.PoolLoad(
+        pool.name,
+        pool.is_standby,
+        sum(placement.is_usable(e, now_s) for e in known),
+        arriving,
+        _lasting_hosts(known, waiting, capacity),
+        meter.rate(now_s),
+        meter.growth(now_s, ahead_s),
+        sum(open_steps.backlog_host_s(step, capacity) for step in waiting),
+        sum(_starved_hosts(step, now_s) for step in waiting),
+    )
+
+
+def host_capacity(pool, executors):
+    """Return what a host of a pool has; of any, where none is there."""
+    known = list(executors.values())
+    own = [e for e in known if e.entry.pool == pool] or known
+    return max(
+        (e.entry.capacity for e in own),
+        key=lambda capacity: capacity.cpu_millicores,
+        default=specs.Resources(),
+    )
+
+
+def _lasting_hosts(executors, waiting, capacity):
+    running = sum(
+        run.reserved.share_of(capacity)
+        for executor in executors
+        for run in executor.runs.values()
+        if run.step.is_lasting
+    )
+    return running + sum(
+        len(step.pending) * step.spec.reserved.share_of(capacity)
+        for step in waiting
+        if step.spec.is_lasting
+    )
+
+
+def _starved_hosts(open_step, now_s):
+    """Return the hosts that a step needs that finds no room for long."""
+    since_s = open_step.waits_since_s
+    if since_s is None or now_s - since_s < STARVED_S:
+        return 0
+    limit = open_step.spec.max_per_executor
+    if not limit:
+        return 1
+    return -(-len(open_step.pending) // limit)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -1,30 +1,18 @@
 """Hold an owned partition, and decide what starts and what stops."""
 
-import collections
+import itertools
 
 import attrs
 
-from . import capacity as capacity_module
-from . import demand
-from . import estimates
 from . import executors as executors_module
 from . import jobs
+from . import open_steps as open_steps_module
 from . import ordering
 from . import placement
-from . import queues
+from . import pool_loads
 from . import run_tracking
 from . import specs
-
-# A job's age on takeover comes from two clocks that may disagree.
-MAX_AGE_S = 120.0
-SUSPEND_S = 1.0
-MAX_SUSPEND_S = 8.0
-# Failed runs in a row before an executor is left alone for a while.
-SUSPICIOUS_FAILURES = 2
-NO_ROOM_WAIT_S = 0.2
-# Time that a step waits with room for none of its tasks until it counts as
-# starved.
-STARVED_S = 1.0
+from . import suspicion
 
 _Phase = executors_module.RunPhase
 _Cause = executors_module.EndCause
@@ -53,22 +41,14 @@
 
     :param replica: the partition's jobs
     :param configuration: queues and pools in force
-    :param lease_duration_s: how long executors work without a renewal
     """
 
-    def __init__(self, replica, configuration, lease_duration_s):
+    def __init__(self, replica, configuration):
         self.executors = {}
+        self.steps = open_steps_module.OpenSteps(configuration)
         self._replica = replica
-        self._configuration = configuration
-        self.lease_duration_s = lease_duration_s
-        self._open_steps = {}
-        self._future = {}
         self._changed = {}
         self._strays = {}
-        self._stale_pools = set()
-        self._queues = dict(configuration.queues)
-        self._estimates = estimates.EstimateCorrector()
-        self._meters = collections.defaultdict(demand.DemandMeter)
 
     # Jobs
 
@@ -77,147 +57,41 @@
 
         :param age_s: time since it was accepted, where that is known
         """
-        if job.is_over:
-            return
-        if age_s is None:
-            age_s = min(MAX_AGE_S, max(0.0, wall_s - job.accepted_s))
-        accepted_s = now_s - age_s
-        if age_s < demand.WINDOW_S:
-            pool = self.queue_of(job).pool
-            work = demand.work_of(job.spec, self.host_capacity(pool))
-            factor = self._estimates.factor(job.queue)
-            self._meters[pool].note(work * factor, now_s)
-        first = len(job.occurrences)
-        for number in sorted(job.occurrences):
-            self._open_occurrence(job.occurrences[number], accepted_s)
-        if first < job.spec.occurrences:
-            self._future[job.job_id] = (job, first, accepted_s)
+        capacity = pool_loads.host_capacity(
+            self.steps.pool_of(job), self.executors
+        )
+        self.steps.add_job(job, now_s, wall_s, age_s, capacity)
 
     def cancel_job(self, job):
         """Have everything of a cancelled job stopped."""
         self._close_job(job)
 
-    def _open_occurrence(self, occurrence, accepted_s):
-        for step in range(len(occurrence.tasks)):
-            if occurrence.is_step_open(step):
-                self._open_step(occurrence, step, accepted_s)
-
-    def _open_step(self, occurrence, step, accepted_s):
-        key = occurrence.job.job_id, occurrence.number, step
-        if key in self._open_steps or occurrence.is_step_done(step):
-            return
-        job = occurrence.job
-        queue = self.queue_of(job)
-        objective_s = ordering.objective_s(queue, job.spec)
-        pending = [
-            index
-            for index, task in enumerate(occurrence.tasks[step])
-            if task.state is jobs.TaskState.PENDING
-        ]
-        self._open_steps[key] = ordering.OpenStep(
-            occurrence, step, pending, accepted_s + objective_s,
-            accepted_s + ordering.LATEST_FACTOR * objective_s,
-            queue.priority, ordering.remaining_s(job.spec, step),
-        )  # fmt: skip
-        self._stale_pools.add(queue.pool)
-
-    def _open_due(self, now_s, wall_s):
-        for job_id, (job, number, accepted_s) in list(self._future.items()):
-            begins_s = accepted_s
-            while number < job.spec.occurrences:
-                due_s = job.spec.due_s(number)
-                if due_s > wall_s:
-                    break
-                begins_s = now_s if job.spec.repetitions else accepted_s
-                occurrence = job.occurrence(number)
-                self._open_occurrence(occurrence, begins_s)
-                number += 1
-            if number >= job.spec.occurrences:
-                del self._future[job_id]
-            else:
-                self._future[job_id] = (job, number, accepted_s)
-
     def _close_job(self, job):
-        self._future.pop(job.job_id, None)
-        for occurrence in job.occurrences.values():
-            for step in range(len(occurrence.tasks)):
-                key = job.job_id, occurrence.number, step
-                self._open_steps.pop(key, None)
-        for executor in self.executors.values():
-            for run in executor.runs.values():
-                if run.task_id.job_id == job.job_id:
-                    run.is_stop_wanted = True
-
-    def load_of(self, pool, arriving, ahead_s, now_s):
-        """Return the load of a pool, for decisions on its capacity.
-
-        :param arriving: hosts on their way to it
-        :param ahead_s: how far to look ahead
-        """
-        known = self.executors_of(pool.name)
-        usable = [e for e in known if placement.is_usable(e, now_s)]
-        capacity = self.host_capacity(pool.name)
-        waiting = [
-            step
-            for step in self._open_steps.values()
-            if step.pending
-            and self.queue_of(step.occurrence.job).pool == pool.name
-        ]
-        meter = self._meters[pool.name]
-        return capacity_module.PoolLoad(
-            pool.name,
-            pool.is_standby,
-            len(usable),
-            arriving,
-            _lasting_hosts(known, waiting, capacity),
-            meter.rate(now_s),
-            meter.growth(now_s, ahead_s),
-            sum(self._backlog(step, capacity) for step in waiting),
-            sum(_starved_hosts(step, now_s) for step in waiting),
-        )
-
-    def _backlog(self, open_step, capacity):
-        spec = open_step.spec
-        if spec.is_lasting:
-            return 0.0
-        work_s = spec.estimate_s * len(open_step.pending)
-        factor = self._estimates.factor(open_step.occurrence.job.queue)
-        return work_s * factor * spec.reserved.share_of(capacity)
-
-    def host_capacity(self, pool):
-        """Return what a host of a pool has; of any, where none is there."""
-        known = list(self.executors.values())
-        own = [e for e in known if e.entry.pool == pool] or known
-        return max(
-            (e.entry.capacity for e in own),
-            key=lambda capacity: capacity.cpu_millicores,
-            default=specs.Resources(),
+        self.steps.close_job(job)
+        for run in self._all_runs():
+            if run.task_id.job_id == job.job_id:
+                run.is_stop_wanted = True
+
+    def _all_runs(self):
+        return itertools.chain.from_iterable(
+            executor.runs.values() for executor in self.executors.values()
         )
 
-    def queue_of(self, job):
-        """Return the queue of a job; the last one known where it is gone."""
-        queue = self._queues.get(job.queue)
-        if queue is None:
-            queue = queues.Queue(job.queue, job.pool)
-            self._queues[job.queue] = queue
-        return queue
-
     def set_configuration(self, configuration):
         """Put a newer configuration in force."""
-        self._configuration = configuration
-        self._queues.update(configuration.queues)
-        self._stale_pools.update(configuration.pools)
+        self.steps.set_configuration(configuration)
+
+    def load_of(self, pool, arriving, ahead_s, now_s):
+        """Return the load of a pool; see :func:`pool_loads.measure`."""
+        return pool_loads.measure(
+            pool, self.executors, self.steps, arriving, ahead_s, now_s
+        )
 
     @property
     def has_strays(self):
         """Tell whether runs of no known task are to be stopped."""
         return bool(self._strays)
 
-    @property
-    def open_steps(self):
-        """Return the steps whose tasks may start."""
-        return self._open_steps.values()
-
     # Executors
 
     def take_entry(self, entry, now_s):
@@ -234,7 +108,7 @@
         executor.reached_s = max(executor.reached_s, now_s)
         if entry.clock_s is not None:
             executor.read_clock(entry.clock_s, now_s)
-        self._stale_pools.add(entry.pool)
+        self.steps.stale_pools.add(entry.pool)
         return executor
 
     def _update_entry(self, executor, entry):
@@ -306,7 +180,7 @@
         for ended in reading.over:
             self._finish(executor, ended, now_s)
         if reading.over or not executor.runs:
-            self._stale_pools.add(executor.entry.pool)
+            self.steps.stale_pools.add(executor.entry.pool)
         return reading.over
 
     def _find(self, task_id):
@@ -324,9 +198,9 @@
             return
         ended = run_tracking.note_start_answer(run, answer, now_s)
         if answer is _Answer.UNHEALTHY:
-            self._suspect(executor, now_s)
+            suspicion.suspend(executor, now_s)
         if answer is _Answer.NO_ROOM:
-            executor.suspended_until_s = now_s + NO_ROOM_WAIT_S
+            suspicion.note_no_room(executor, now_s)
         if ended is not None:
             self._finish(executor, ended, now_s)
 
@@ -340,7 +214,7 @@
         run, task = ended.run, ended.run.task
         was_current = run_tracking.is_current(run)
         executor.remove(run, now_s)
-        self._stale_pools.add(executor.entry.pool)
+        self.steps.stale_pools.add(executor.entry.pool)
         self._judge_executor(executor, ended, now_s)
         if not was_current:
             self._finish_superseded(ended)
@@ -368,28 +242,19 @@
 
     def _judge_executor(self, executor, ended, now_s):
         if ended.cause is _Cause.DONE:
-            executor.failure_streak = 0
+            suspicion.note_done(executor)
             self._learn(ended.run, now_s)
         elif ended.cause is _Cause.FAILED:
-            executor.failure_streak += 1
-            if executor.failure_streak >= SUSPICIOUS_FAILURES:
-                self._suspect(executor, now_s)
+            suspicion.note_failed(executor, now_s)
 
     def _learn(self, run, now_s):
         if run.began_s is not None and not run.step.is_lasting:
-            self._estimates.note(
+            self.steps.estimates.note(
                 run.occurrence.job.queue,
                 run.step.estimate_s,
                 now_s - run.began_s,
             )
 
-    def _suspect(self, executor, now_s):
-        factor = 2 ** max(0, executor.failure_streak - SUSPICIOUS_FAILURES)
-        wait_s = min(MAX_SUSPEND_S, SUSPEND_S * factor)
-        executor.suspended_until_s = max(
-            executor.suspended_until_s, now_s + wait_s
-        )
-
     def _mark_done(self, run):
         occurrence, step = run.occurrence, run.task_id.step
         tasks = [run.task]
@@ -402,25 +267,14 @@
         self._changed[occurrence] = None
         self._stop_other_runs(run)
         if occurrence.is_step_done(step):
-            self._close_step(occurrence, step)
+            self.steps.close_done(occurrence, step)
 
     def _stop_other_runs(self, ended_run):
         if ended_run.step.is_gang:
             return
-        for executor in self.executors.values():
-            for run in executor.runs.values():
-                if run.task_id == ended_run.task_id:
-                    run.is_stop_wanted = True
-
-    def _close_step(self, occurrence, step):
-        key = occurrence.job.job_id, occurrence.number, step
-        closed = self._open_steps.pop(key, None)
-        if closed is None or occurrence.job.is_over:
-            return
-        objective_s = ordering.objective_s(
-            self.queue_of(occurrence.job), occurrence.job.spec
-        )
-        self._open_occurrence(occurrence, closed.objective_s - objective_s)
+        for run in self._all_runs():
+            if run.task_id == ended_run.task_id:
+                run.is_stop_wanted = True
 
     def _mark_failed(self, run):
         occurrence, step = run.occurrence, run.task_id.step
@@ -429,7 +283,7 @@
         if run.step.is_gang:
             failures = sum(t.failures for t in occurrence.tasks[step])
         job = occurrence.job
-        if failures >= self.queue_of(job).max_attempts:
+        if failures >= self.steps.queue_of(job).max_attempts:
             run.task.state = jobs.TaskState.FAILED
             job.is_failed = True
             self._close_job(job)
@@ -438,23 +292,15 @@
 
     def _mark_pending(self, run):
         run.task.state = jobs.TaskState.PENDING
-        key = (
-            run.task_id.job_id,
-            run.task_id.occurrence,
-            run.task_id.step,
-        )
-        open_step = self._open_steps.get(key)
-        if open_step is not None:
-            open_step.pending.append(run.task_id.index)
-            self._stale_pools.add(self.queue_of(run.occurrence.job).pool)
+        self.steps.put_back(run.task_id, run.occurrence.job)
 
     # Turns
 
     def plan(self, now_s, wall_s):
         """Decide what starts and what stops now."""
-        self._open_due(now_s, wall_s)
+        self.steps.open_due(now_s, wall_s)
         starts = []
-        stale, self._stale_pools = self._stale_pools, set()
+        stale, self.steps.stale_pools = self.steps.stale_pools, set()
         for pool in stale:
             starts += self._fill_pool(pool, now_s)
         stops = [
@@ -471,12 +317,7 @@
         executors = self.executors_of(pool)
         if not any(placement.is_usable(e, now_s) for e in executors):
             return []
-        waiting = [
-            open_step
-            for open_step in self._open_steps.values()
-            if open_step.pending
-            and self.queue_of(open_step.occurrence.job).pool == pool
-        ]
+        waiting = self.steps.waiting_in(pool)
         waiting.sort(key=lambda open_step: ordering.rank(open_step, now_s))
         starts = []
         for open_step in waiting:
@@ -493,16 +334,18 @@
             index = open_step.pending[0]
             task_id = _task_id(open_step, index)
             task = open_step.occurrence.task(task_id)
-            executor = placement.choose(
+            executor, second = placement.choose(
                 executors, open_step.spec, task_id, task, now_s
             )
             if executor is None:
                 break
             open_step.pending.pop(0)
             open_step.waits_since_s = now_s if open_step.pending else None
-            starts.append(
-                self._order(open_step, task_id, executor, task.run + 1, now_s)
+            run = self._order(
+                open_step, task_id, executor, task.run + 1, now_s
             )
+            run.second_choice = second.executor_id if second else ''
+            starts.append(run)
         return starts
 
     def _start_gang(self, open_step, executors, now_s):
@@ -537,6 +380,7 @@
         run = executors_module.Run(
             task_id, number, occurrence, executor.executor_id,
             open_step.spec.reserved, _Phase.PLANNED, now_s,
+            planned_s=now_s,
         )  # fmt: skip
         executor.add(run)
         self._changed[occurrence] = None
@@ -575,31 +419,6 @@
                 executor.last_recorded_end = sequence
 
 
-def _lasting_hosts(executors, waiting, capacity):
-    running = sum(
-        run.reserved.share_of(capacity)
-        for executor in executors
-        for run in executor.runs.values()
-        if run.step.is_lasting
-    )
-    return running + sum(
-        len(step.pending) * step.spec.reserved.share_of(capacity)
-        for step in waiting
-        if step.spec.is_lasting
-    )
-
-
-def _starved_hosts(open_step, now_s):
-    """Return the hosts that a step needs that finds no room for long."""
-    since_s = open_step.waits_since_s
-    if since_s is None or now_s - since_s < STARVED_S:
-        return 0
-    limit = open_step.spec.max_per_executor
-    if not limit:
-        return 1
-    return -(-len(open_step.pending) // limit)
-
-
 def _ordered(occurrence):
     for step, tasks in enumerate(occurrence.tasks):
         for index, task in enumerate(tasks):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/upkeep.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/upkeep.py
@@ -3,7 +3,7 @@
 import attrs
 
 # Part of a wave's time after which all its hosts should have begun.
-PLANNED_SHARE = 0.7
+PLANNED_SHARE = 0.55
 
 
 @attrs.frozen
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -191,6 +191,8 @@
             job=job_id,
             queue=queue.name,
             status=answer.status,
+            version=parts.configuration_reader.configuration.version,
+            waiting=interface.waiting(queue),
         )
     return answer
 
--- /dev/null
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
@@ -0,0 +1,127 @@
+"""Claim a partition when its owner falls silent, and hand it over."""
+
+import asyncio
+
+from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import ownership
+from hawthorndeal_platform import keyed_log
+
+from . import owner as owner_module
+
+CHECK_PERIOD_S = 0.05
+REACH_CLAIM_S = 3.0
+# The followers' pause between readings; an owner reads almost at once.
+FOLLOW_PAUSE_S = 0.15
+OWNER_PAUSE_S = 0.015
+
+
+class Candidate:
+    """Be a task that claims a partition when its owner falls silent.
+
+    :param parts: what an owner works with
+    """
+
+    name = 'owner'
+
+    def __init__(self, parts):
+        self._parts = parts
+        self._is_stopping = False
+        self._owner = None
+        parts.jobs_follower.pause_s = FOLLOW_PAUSE_S
+
+    @property
+    def owner(self):
+        """Return the owner that is at work here, or None."""
+        return self._owner
+
+    async def run(self):
+        """Claim and own, again and again, until cancelled."""
+        parts = self._parts
+        while not self._is_stopping:
+            delay_s = parts.rng.uniform(0.0, ownership.CLAIM_SPREAD_S)
+            await self._wait_for_silence(delay_s)
+            tenure = await self._claim()
+            if tenure is not None:
+                await self._own(tenure)
+        await asyncio.Event().wait()
+
+    async def _wait_for_silence(self, delay_s):
+        parts = self._parts
+        while self._is_stopping or not (
+            parts.jobs_follower.is_loaded
+            and parts.configuration_reader.configuration is not None
+            and parts.jobs_reader.owner_view.may_claim(
+                parts.clock.monotonic_s(), delay_s
+            )
+        ):
+            await asyncio.sleep(CHECK_PERIOD_S)
+
+    async def _claim(self):
+        parts = self._parts
+        last = parts.jobs_reader.replica.ownership
+        epoch = last.epoch + 1 if last else 1
+        claim = journal.Ownership(epoch, parts.settings.daemon)
+        end = parts.jobs_follower.next_offset
+        last_sign_s = parts.jobs_reader.owner_view.last_sign_s
+        parts.jobs_reader.epochs.add(epoch)
+        sent_s = parts.clock.boot_s()
+        try:
+            offset = await parts.log.append(
+                parts.jobs_follower.partition,
+                [journal.ownership_record(claim)],
+                keyed_log.Fence(epoch, 0),
+                end,
+            )
+        except errors.PlatformError as error:
+            parts.events.write(
+                'claim_failed', epoch=epoch, why=str(error)[:160]
+            )
+            await asyncio.sleep(parts.rng.uniform(0.02, 0.1))
+            return None
+        if not await parts.jobs_follower.reach(offset, REACH_CLAIM_S):
+            return None
+        if parts.jobs_reader.replica.ownership != claim:
+            return None
+        parts.events.write('owner_claimed', epoch=epoch)
+        return ownership.Tenure(
+            epoch, sent_s, self._first_host_order_s(last, last_sign_s)
+        )
+
+    def _first_host_order_s(self, last, last_sign_s):
+        parts = self._parts
+        now_s = parts.clock.boot_s()
+        if last is None:
+            return now_s
+        if last.daemon == parts.settings.daemon and last.is_ordering_hosts:
+            # Only this daemon has given orders since its last epoch.
+            return now_s
+        # Both clocks run alike, but for suspensions, which only prolong it.
+        ago_s = parts.clock.monotonic_s() - last_sign_s
+        return ownership.first_host_order_s(
+            now_s - ago_s, parts.settings.host_order_lease_ms / 1000
+        )
+
+    async def _own(self, tenure):
+        parts = self._parts
+        parts.jobs_reader.replica.own_epoch = tenure.epoch
+        parts.jobs_follower.pause_s = OWNER_PAUSE_S
+        self._owner = owner_module.Owner(parts, tenure)
+        try:
+            await self._owner.run()
+        except (owner_module.LostOwnership, keyed_log.Fenced) as error:
+            parts.events.write(
+                'owner_lost', epoch=tenure.epoch, why=str(error)[:160]
+            )
+        finally:
+            self._owner = None
+            parts.jobs_reader.replica.own_epoch = None
+            parts.jobs_follower.pause_s = FOLLOW_PAUSE_S
+            # What was decided and not stored is forgotten.
+            parts.reload_jobs()
+
+    async def stop(self):
+        """Hand the partition over."""
+        self._is_stopping = True
+        if self._owner is not None:
+            await self._owner.release()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
@@ -5,6 +5,8 @@
 from hawthorndeal_fleet import errors
 from hawthorndeal_platform import executor_orders
 
+from . import run_orders
+
 LOOK_WAIT_S = 1.0
 # Ends come in groups: one look then serves several.
 LOOK_PAUSE_S = 0.03
@@ -27,12 +29,6 @@
         self._recorded = asyncio.Event()
         self._is_lost = False
 
-    @property
-    def target(self):
-        """Return who must answer calls."""
-        entry = self._executor.entry
-        return executor_orders.Target(entry.executor_id, entry.address)
-
     def hurry(self):
         """Look at the executor soon."""
         self._work.set()
@@ -75,7 +71,7 @@
             deadline_s = executor.give_lease(owner.lease_s, now_s)
         wait_s = LOOK_WAIT_S if executor.is_fenced else 0.0
         look = await owner.executors.look(
-            self.target,
+            run_orders.target_of(executor),
             owner.epoch,
             executor.last_recorded_end,
             deadline_s,
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
@@ -219,7 +219,7 @@
             if executor.runs:
                 return False
             executor.is_reserved = True
-        if not owner.tenure.may_order_hosts(self._parts.clock.boot_s()):
+        if not owner.may_order_hosts():
             if executor is not None:
                 executor.is_reserved = host in self._emptying
             return False
@@ -244,6 +244,7 @@
             if executor is not None:
                 owner.end_executor(executor, event)
             self._list_due_s = owner.now_s() + LIST_SOON_S
+        self._parts.metrics.note_host_order(event)
         owner.events.write(
             event, host=host, epoch=owner.epoch, outcome=outcome, **fields
         )
--- /dev/null
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
@@ -0,0 +1,139 @@
+"""Send orders to executors for an owner, and take in the answers."""
+
+from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import executors as executors_module
+from hawthorndeal_jobs import run_tracking
+from hawthorndeal_platform import executor_orders
+
+_Answer = run_tracking.StartAnswer
+
+
+def target_of(executor):
+    """Return who must answer calls to an executor."""
+    entry = executor.entry
+    return executor_orders.Target(entry.executor_id, entry.address)
+
+
+class RunOrders:
+    """Start and stop runs; each call is a task of its own.
+
+    :param owner: whose epoch fences the orders
+    :param calls: an :class:`executor_orders.Executors`
+    :param metrics: counts the answers
+    """
+
+    def __init__(self, owner, calls, metrics):
+        self._owner = owner
+        self._calls = calls
+        self._metrics = metrics
+
+    # Starts
+
+    def send_start(self, run):
+        """Order a run whose record is in the store."""
+        owner = self._owner
+        executor = owner.scheduler.executors.get(run.executor_id)
+        if executor is None or run.key not in executor.runs:
+            return
+        if run.is_stop_wanted or not owner.may_hold():
+            owner.scheduler.release(run, owner.now_s())
+            owner.wake()
+            return
+        run.phase = executors_module.RunPhase.SENT
+        run.changed_s = owner.now_s()
+        owner.spawn(self._start(run, executor))
+
+    async def _start(self, run, executor):
+        owner = self._owner
+        order = executor_orders.StartOrder(
+            run.task_id,
+            run.number,
+            run.occurrence.job.spec.payload,
+            executor.give_lease(owner.lease_s, owner.now_s()),
+            owner.epoch,
+            run.task.checkpoint,
+        )
+        answer, clock_s = await self._calls.start(target_of(executor), order)
+        if clock_s is not None:
+            executor.read_clock(clock_s, owner.now_s())
+        self._log_start(run, executor, answer)
+        self._take_start_answer(run, executor, answer)
+
+    def _log_start(self, run, executor, answer):
+        self._metrics.note_start(answer.value)
+        is_begun = answer is _Answer.ACCEPTED
+        owner = self._owner
+        owner.events.write(
+            'run_started' if is_begun else 'run_not_started',
+            task=str(run.task_id),
+            run=run.number,
+            executor=run.executor_id,
+            second_choice=run.second_choice,
+            answer=answer.value,
+            epoch=owner.epoch,
+            free_millicores=executor.free.cpu_millicores,
+            planned_s=round(owner.now_s() - run.planned_s, 4),
+        )
+
+    def _take_start_answer(self, run, executor, answer):
+        owner = self._owner
+        if answer is _Answer.FENCED:
+            owner.lose('an executor has seen a newer owner')
+        elif answer is _Answer.GONE:
+            owner.end_executor(executor, 'another life at its address')
+        else:
+            owner.scheduler.take_start_answer(run, answer, owner.now_s())
+            owner.hurry(executor)
+            if answer is not _Answer.ACCEPTED:
+                owner.wake()
+
+    # Stops
+
+    def send_stop(self, run):
+        """Order the end of a run."""
+        run.is_stop_sent = True
+        self._owner.spawn(self._stop(run))
+
+    async def _stop(self, run):
+        owner = self._owner
+        is_answered = await self._try_stop(
+            run.executor_id, run.task_id, run.number
+        )
+        owner.scheduler.take_stop_answer(run, is_answered, owner.now_s())
+        self._log_stop('run_stop', run, is_answered)
+
+    def send_stray_stop(self, stray):
+        """Order the end of a run that no known task has ordered."""
+        self._owner.spawn(self._stop_stray(stray))
+
+    async def _stop_stray(self, stray):
+        is_answered = await self._try_stop(
+            stray.executor_id, stray.task_id, stray.number
+        )
+        self._log_stop('stray_run_stop', stray, is_answered)
+
+    def _log_stop(self, event, run, is_answered):
+        self._owner.events.write(
+            event,
+            task=str(run.task_id),
+            run=run.number,
+            executor=run.executor_id,
+            is_answered=is_answered,
+        )
+
+    async def _try_stop(self, executor_id, task_id, number):
+        owner = self._owner
+        executor = owner.scheduler.executors.get(executor_id)
+        if executor is None or not executor.entry.address:
+            return False
+        try:
+            await self._calls.stop(
+                target_of(executor), task_id, number, owner.epoch
+            )
+        except executor_orders.ExecutorGone:
+            owner.end_executor(executor, 'another life at its address')
+            return False
+        except errors.PlatformError:
+            # Repeated until it is answered or the run is over.
+            return False
+        return True
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -14,11 +14,11 @@
 from hawthorndeal_platform import keyed_log
 
 from . import callers
+from . import candidate as candidate_module
 from . import clock as clock_module
 from . import decision_log
 from . import following
 from . import metrics as metrics_module
-from . import owner as owner_module
 from . import partition
 from . import settings as settings_module
 from . import submitter as submitter_module
@@ -216,7 +216,7 @@
         self._parts = parts = Parts(settings, adapter)
         self._interface = callers.CallersInterface(parts, adapter.formats)
         self._watch = SettingsWatch(settings_path, parts)
-        self._candidate = owner_module.Candidate(parts)
+        self._candidate = candidate_module.Candidate(parts)
         self._supervisor = supervisor.Supervisor(
             'daemon',
             [
