--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -96,6 +96,7 @@
             log=keyed_store.StoreClient(world.store, self.link),
             executors=task_executors.ExecutorsClient(world, self.link),
             hosts=host_service.HostsClient(world.hosts, self.hosts_link),
+            advice=world.adviser,
             formats=world.formats,
             wave_reports=world,
             operators_topic=OPERATORS.topic,
@@ -143,9 +144,11 @@
 
     async def kill(self):
         """End at once, with nothing said to anybody."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        # A wait that ends as it is cancelled may take the first one up.
+        while any(not task.done() for task in self._tasks):
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.sleep(0)
 
     async def restart(self):
         """Come back with everything lost."""
@@ -183,6 +186,7 @@
         self.store = keyed_store.KeyedStore()
         self.formats = WorldFormats()
         self.hosts = host_service.HostService(self)
+        self.adviser = None
         self.executors = {}
         self.specs = {}
         self.cancelled = {}
--- a/packages/hawthorndeal-cli/hawthorndeal_cli/commands.py
+++ b/packages/hawthorndeal-cli/hawthorndeal_cli/commands.py
@@ -1,11 +1,15 @@
 """The commands of the command line."""
 
 import datetime
+import sys
 import urllib.parse
 
+from hawthorndeal_platform import files
+
 from . import applying
 from . import command
 from . import failures
+from . import log_story
 from . import planning
 
 SHORT_ID_CHARS = 12
@@ -86,9 +90,20 @@
         parser.add_argument(
             'id', help='the id of a job, or the name of a host'
         )
+        parser.add_argument(
+            '--logs',
+            nargs='+',
+            metavar='FILE',
+            help='tell the story of the id from log files of daemons; '
+            '- reads standard input',
+        )
 
     def run(self, options):
         """Return a row for each thing with the id and each reason."""
+        if options.logs:
+            return log_story.rows(
+                log_story.tell(options.id, _read_lines(options.logs))
+            )
         path = f'/v1/explain/{urllib.parse.quote(options.id, safe="")}'
         found = command.make_client(options).read(path)['found']
         if not found:
@@ -105,6 +120,13 @@
         ]
 
 
+def _read_lines(paths):
+    # Bytes that are no text make one line unreadable, not the file.
+    for path in paths:
+        data = sys.stdin.buffer.read() if path == '-' else files.read(path)
+        yield from data.decode(errors='replace').splitlines()
+
+
 class Audit(command.Command):
     """Show who changed what, and what was refused."""
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/capacity.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/capacity.py
@@ -8,7 +8,6 @@
 resource that it takes most of.
 """
 
-import itertools
 import math
 
 import attrs
@@ -109,10 +108,12 @@
         # Hosts that run in vain go before those that are off.
         key=lambda host: (by_pool[host.pool].is_standby, -host.idle_s),
     )
-    takers = itertools.chain.from_iterable(
-        itertools.repeat(pool, needs[pool])
-        for pool in sorted(needs, key=lambda name: -needs[name])
-    )
+    # Each pool in turn, so that one that needs many starves no other.
+    rounds = range(max(needs.values(), default=0))
+    by_need = sorted(needs, key=lambda name: -needs[name])
+    takers = [
+        pool for turn in rounds for pool in by_need if needs[pool] > turn
+    ]
     return [
         Move(host.host, host.pool, pool, by_pool[pool])
         for host, pool in zip(givers, takers)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -62,6 +62,9 @@
     :ivar percent: progress as last reported
     :ivar usage: tail in ms for a serving task, millicores otherwise
     :ivar advanced_s: when the progress last grew
+    :ivar pace_percent: share of its speed that it was told to work at
+    :ivar paced_s: when that last changed
+    :ivar ticket: permission of the advice service, where one is needed
     :ivar planned_s: when it was decided
     :ivar second_choice: executor it would have gone to otherwise, if any
     """
@@ -84,9 +87,9 @@
     planned_s: float = 0.0
     second_choice: str = ''
     pace_percent: int = 100
+    paced_s: float = 0.0
+    ticket: str = ''
     checkpoint: str = ''
-    tail_high_since_s: float | None = None
-    tail_low_since_s: float | None = None
 
     @property
     def step(self):
@@ -188,7 +191,6 @@
     failure_streak: int = 0
     idle_since_s: float = 0.0
     missing_since_s: float | None = None
-    tickets: dict = attrs.Factory(dict)
 
     @property
     def executor_id(self):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/open_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/open_steps.py
@@ -47,12 +47,16 @@
         """Return the pool in which tasks of a job start."""
         return self.queue_of(job).pool
 
+    def pending(self):
+        """Return the steps with tasks that wait for room."""
+        return [step for step in self._steps.values() if step.pending]
+
     def waiting_in(self, pool):
         """Return the steps of a pool with tasks that wait for room."""
         return [
             step
-            for step in self._steps.values()
-            if step.pending and self.pool_of(step.occurrence.job) == pool
+            for step in self.pending()
+            if self.pool_of(step.occurrence.job) == pool
         ]
 
     def add_job(self, job, now_s, wall_s, age_s, capacity):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
@@ -27,6 +27,11 @@
     remaining_s: float
     waits_since_s: float | None = None
 
+    @property
+    def key(self):
+        """Return what names the step."""
+        return self.occurrence.job.job_id, self.occurrence.number, self.step
+
     @property
     def spec(self):
         """Return the declared step."""
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -8,11 +8,13 @@
 from . import jobs
 from . import open_steps as open_steps_module
 from . import ordering
+from . import pacing
 from . import placement
 from . import pool_loads
 from . import run_tracking
 from . import specs
 from . import suspicion
+from . import tickets as tickets_module
 
 _Phase = executors_module.RunPhase
 _Cause = executors_module.EndCause
@@ -26,11 +28,13 @@
     :ivar starts: runs to order once their records are in the store
     :ivar stops: runs to stop now
     :ivar strays: runs of no known task to stop now
+    :ivar paces: runs whose pace changes now
     """
 
     starts: list[executors_module.Run]
     stops: list[executors_module.Run]
     strays: list[run_tracking.StrayRun]
+    paces: list[pacing.PaceOrder]
 
 
 class Scheduler:
@@ -46,6 +50,7 @@
     def __init__(self, replica, configuration):
         self.executors = {}
         self.steps = open_steps_module.OpenSteps(configuration)
+        self.tickets = tickets_module.Tickets()
         self._replica = replica
         self._changed = {}
         self._strays = {}
@@ -68,6 +73,7 @@
 
     def _close_job(self, job):
         self.steps.close_job(job)
+        self.tickets.forget(job.job_id)
         for run in self._all_runs():
             if run.task_id.job_id == job.job_id:
                 run.is_stop_wanted = True
@@ -199,6 +205,8 @@
         ended = run_tracking.note_start_answer(run, answer, now_s)
         if answer is _Answer.UNHEALTHY:
             suspicion.suspend(executor, now_s)
+        if answer is _Answer.BAD_TICKET:
+            self.tickets.drop(step_key(run.task_id), run.executor_id)
         if answer is _Answer.NO_ROOM:
             suspicion.note_no_room(executor, now_s)
         if ended is not None:
@@ -311,7 +319,12 @@
         ]
         strays = list(self._strays.values())
         self._strays.clear()
-        return Turn(starts, stops, strays)
+        paces = [
+            order
+            for executor in self.executors.values()
+            for order in pacing.plan(executor.runs.values(), now_s)
+        ]
+        return Turn(starts, stops, strays, paces)
 
     def _fill_pool(self, pool, now_s):
         executors = self.executors_of(pool)
@@ -330,12 +343,13 @@
         starts = []
         if open_step.waits_since_s is None:
             open_step.waits_since_s = now_s
+        ticketed = self._tickets_of(open_step, now_s)
         while open_step.pending:
             index = open_step.pending[0]
             task_id = _task_id(open_step, index)
             task = open_step.occurrence.task(task_id)
             executor, second = placement.choose(
-                executors, open_step.spec, task_id, task, now_s
+                executors, open_step.spec, task_id, task, now_s, ticketed
             )
             if executor is None:
                 break
@@ -345,6 +359,7 @@
                 open_step, task_id, executor, task.run + 1, now_s
             )
             run.second_choice = second.executor_id if second else ''
+            run.ticket = (ticketed or {}).get(executor.executor_id, '')
             starts.append(run)
         return starts
 
@@ -355,8 +370,9 @@
         if len(open_step.pending) < len(tasks):
             return []
         ids = [_task_id(open_step, index) for index in range(len(tasks))]
+        ticketed = self._tickets_of(open_step, now_s)
         chosen = placement.choose_gang(
-            executors, open_step.spec, ids, tasks[0], now_s
+            executors, open_step.spec, ids, tasks[0], now_s, ticketed
         )
         if chosen is None:
             return []
@@ -366,10 +382,29 @@
         checkpoint = next((t.checkpoint for t in tasks if t.checkpoint), '')
         for task in tasks:
             task.checkpoint = checkpoint
-        return [
+        runs = [
             self._order(open_step, task_id, executor, number, now_s)
             for task_id, executor in zip(ids, chosen)
         ]
+        for run in runs:
+            run.ticket = (ticketed or {}).get(run.executor_id, '')
+        return runs
+
+    def _tickets_of(self, open_step, now_s):
+        """Return tickets by executor; None where none are needed."""
+        job = open_step.occurrence.job
+        if self.steps.queue_of(job).advice is None:
+            return None
+        return self.tickets.valid(open_step.key, now_s)
+
+    def unadvised(self, now_s):
+        """Return the steps that wait for advice, with their queues."""
+        return [
+            (step, queue)
+            for step in self.steps.pending()
+            for queue in [self.steps.queue_of(step.occurrence.job)]
+            if queue.advice and not self.tickets.valid(step.key, now_s)
+        ]
 
     def _order(self, open_step, task_id, executor, number, now_s):
         occurrence = open_step.occurrence
@@ -390,6 +425,16 @@
         """Return the executors of a pool."""
         return [e for e in self.executors.values() if e.entry.pool == pool]
 
+    def has_other_place(self, run, now_s):
+        """Tell whether a run's task could go on elsewhere in its pool."""
+        pool = self.steps.pool_of(run.occurrence.job)
+        return any(
+            executor.executor_id != run.executor_id
+            and placement.is_usable(executor, now_s)
+            and placement.has_place(executor, run.step, run.task_id)
+            for executor in self.executors_of(pool)
+        )
+
     def release(self, run, now_s):
         """Take back a planned run that was not sent."""
         executor = self.executors.get(run.executor_id)
@@ -419,6 +464,11 @@
                 executor.last_recorded_end = sequence
 
 
+def step_key(task_id):
+    """Return what names the step of a task."""
+    return task_id.job_id, task_id.occurrence, task_id.step
+
+
 def _ordered(occurrence):
     for step, tasks in enumerate(occurrence.tasks):
         for index, task in enumerate(tasks):
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/tickets.py
@@ -0,0 +1,50 @@
+"""Keep which executors a step may run on, where a service decides that."""
+
+import attrs
+
+# Tickets are not used in the last part of their time.
+MARGIN_S = 0.3
+
+
+@attrs.frozen
+class Ticket:
+    """Permit an executor to run the tasks of a step."""
+
+    text: str
+    expires_s: float
+
+
+class Tickets:
+    """Hold tickets by step and executor."""
+
+    def __init__(self):
+        self._by_step = {}
+
+    def note(self, step_key, good, validity_s, asked_s):
+        """Take in the service's answer on a step.
+
+        :param good: ticket texts by executor
+        """
+        expires_s = asked_s + validity_s - MARGIN_S
+        held = self._by_step.setdefault(step_key, {})
+        held.update(
+            {name: Ticket(text, expires_s) for name, text in good.items()}
+        )
+
+    def valid(self, step_key, now_s):
+        """Return the tickets of a step that are still good, by executor."""
+        held = self._by_step.get(step_key, {})
+        return {
+            name: ticket.text
+            for name, ticket in held.items()
+            if now_s < ticket.expires_s
+        }
+
+    def drop(self, step_key, executor_id):
+        """Forget a ticket that was refused."""
+        self._by_step.get(step_key, {}).pop(executor_id, None)
+
+    def forget(self, job_id):
+        """Forget everything of a job."""
+        for key in [key for key in self._by_step if key[0] == job_id]:
+            del self._by_step[key]
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
@@ -38,8 +38,8 @@
         self._recorded.set()
 
     async def run(self):
-        """Look until the executor's life is over."""
-        while True:
+        """Look until the executor's life or the tenure is over."""
+        while not self._owner.tenure.is_lost:
             if not self._needs_look():
                 self._work.clear()
                 await self._work.wait()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
@@ -1,6 +1,7 @@
 """Move hosts between pools and have them maintained, for an owner."""
 
 import asyncio
+import collections
 
 import attrs
 
@@ -43,6 +44,8 @@
         self._retry_s = {}
         self._emptying = set()
         self._unlisted = set()
+        # Lasting tasks, by pool, that could go on nowhere else.
+        self._blocked = collections.Counter()
         # Hosts whose last order was not answered, and since when.
         self._unsure = {}
         self._changed_waves = set()
@@ -50,10 +53,10 @@
         self._upkeep = parts.jobs_reader.replica.upkeep
 
     async def run(self):
-        """Look after hosts until cancelled."""
+        """Look after hosts until the tenure is over."""
         if not self._parts.settings.hosts_address:
             return
-        while True:
+        while not self._owner.tenure.is_lost:
             try:
                 await self._turn()
             except errors.PlatformError as error:
@@ -164,7 +167,9 @@
             for target, limit_s in self._moving.values()
         )
         ahead_s = self._parts.settings.host_move_s + MOVE_MARGIN_S
-        return scheduler.load_of(pool, arriving, ahead_s, now_s)
+        load = scheduler.load_of(pool, arriving, ahead_s, now_s)
+        blocked = min(self._blocked[pool.name], len(self._emptying))
+        return attrs.evolve(load, starved_hosts=load.starved_hosts + blocked)
 
     def _idle_s(self, host, entry, now_s):
         if host in self._moving or host in self._emptying:
@@ -320,6 +325,7 @@
 
     def _empty_hosts(self):
         """Have lasting tasks leave hosts that are to go down."""
+        self._blocked.clear()
         for host in self._emptying:
             executor = self._executor_on(host)
             if executor is None:
@@ -331,6 +337,9 @@
 
     def _try_displace(self, run):
         scheduler = self._owner.scheduler
+        if not scheduler.has_other_place(run, self._owner.now_s()):
+            self._blocked[scheduler.steps.pool_of(run.occurrence.job)] += 1
+            return
         tasks = run.occurrence.tasks[run.task_id.step]
         at_work = sum(
             other.percent >= 100
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -9,6 +9,7 @@
 from hawthorndeal_jobs import ownership
 from hawthorndeal_jobs import scheduler as scheduler_module
 
+from . import advice_asker
 from . import executor_agent
 from . import host_keeper
 from . import journal_writer
@@ -119,8 +120,12 @@
         try:
             await self._take_over()
             self.spawn(self._guard(self.keeper.run()))
+            asker = advice_asker.AdviceAsker(parts, self)
+            self.spawn(self._guard(asker.run()))
             await self._work()
         finally:
+            # Parts that miss their cancellation end by this.
+            self.tenure.is_lost = True
             parts.detach()
             entries.cancel()
             for task in [*self._calls, *(t for t, _ in self._agents.values())]:
@@ -199,6 +204,8 @@
         turn = self.scheduler.plan(now_s, parts.clock.now_s())
         for run in turn.stops:
             self._orders.send_stop(run)
+        for order in turn.paces:
+            self._orders.send_pace(order)
         for stray in turn.strays:
             self._orders.send_stray_stop(stray)
         records = self._due_records(now_s)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
@@ -52,6 +52,7 @@
             executor.give_lease(owner.lease_s, owner.now_s()),
             owner.epoch,
             run.task.checkpoint,
+            run.ticket,
         )
         answer, clock_s = await self._calls.start(target_of(executor), order)
         if clock_s is not None:
@@ -121,6 +122,41 @@
             is_answered=is_answered,
         )
 
+    # Paces
+
+    def send_pace(self, order):
+        """Have a run work at another pace."""
+        run = order.run
+        run.pace_percent, before = order.percent, run.pace_percent
+        run.paced_s = self._owner.now_s()
+        self._owner.spawn(self._pace(run, before))
+
+    async def _pace(self, run, before):
+        owner = self._owner
+        executor = owner.scheduler.executors.get(run.executor_id)
+        if executor is None:
+            return
+        outcome = 'done'
+        try:
+            await self._calls.pace(
+                target_of(executor),
+                run.task_id,
+                run.number,
+                run.pace_percent,
+                owner.epoch,
+            )
+        except errors.PlatformError as error:
+            outcome = str(error)[:80]
+            run.pace_percent = before
+        owner.events.write(
+            'run_paced',
+            task=str(run.task_id),
+            executor=run.executor_id,
+            percent=run.pace_percent,
+            before=before,
+            outcome=outcome,
+        )
+
     async def _try_stop(self, executor_id, task_id, number):
         owner = self._owner
         executor = owner.scheduler.executors.get(executor_id)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -38,6 +38,7 @@
     :ivar log: a :class:`keyed_log.KeyedLog`
     :ivar executors: an :class:`executor_orders.Executors`
     :ivar hosts: a :class:`host_orders.HostOrders`
+    :ivar advice: an :class:`advice.Advice`, or None where there is none
     :ivar formats: decodes what operators, executors and callers write
     :ivar wave_reports: tells operators how far a wave is
     :ivar operators_topic: where operators write
@@ -48,6 +49,7 @@
     log: object
     executors: object
     hosts: object
+    advice: object
     formats: object
     wave_reports: object
     operators_topic: str
@@ -71,6 +73,7 @@
         self.log = adapter.log
         self.executors = adapter.executors
         self.hosts = adapter.hosts
+        self.advice = adapter.advice
         self.wave_reports = adapter.wave_reports
         self.jobs_reader = partition.JobsReader(
             settings.daemon, self.clock, self.events
