--- a/features/jobs_world.feature
+++ b/features/jobs_world.feature
@@ -159,6 +159,21 @@
     Then every job is shown as completed
     And each broken record was logged once by each reader of it
 
+  Scenario: Tasks on an executor that stands still run again elsewhere
+    Given daemons over fakes, with seed 19
+    When executors on one host stand still
+    And 4 jobs of 8 and 2 tasks are submitted
+    And 12 seconds pass
+    Then every job is shown as completed
+    And no promise was broken
+
+  Scenario: A job that ended long ago is dropped everywhere
+    Given daemons over fakes, with seed 20
+    When 3 jobs of 2 and 2 tasks are submitted
+    And 140 seconds pass
+    Then every job is shown as unknown
+    And nothing of the jobs is stored
+
   @invariant_config_in_force
   Scenario: A configuration that was dropped or is older changes nothing
     Given daemons over fakes, with seed 17
--- a/features/pages.feature
+++ b/features/pages.feature
@@ -3,7 +3,7 @@
 
   Scenario: The commands of the pages work on a running deployment
     Given the deployment that the tour leaves running
-    When every console block of "README.md, docs/OPERATING.md" is run there
+    When every console block of "README.md, docs/OPERATIONS.md" is run there
     Then at least 15 commands ran and each ended with exit code 0
 
   Scenario Outline: A page whose command is <fault> fails the check above
@@ -23,7 +23,7 @@
 
     Examples:
       | page              | count |
-      | docs/OPERATING.md | 5     |
+      | docs/OPERATIONS.md | 5     |
 
   Scenario Outline: Every block of <page> is run, checked or marked as output
     When the blocks of "<page>" are listed
@@ -32,15 +32,15 @@
     Examples:
       | page              |
       | README.md         |
-      | docs/OPERATING.md |
+      | docs/OPERATIONS.md |
       | docs/GLOSSARY.md  |
       | docs/PROOFS.md    |
       | docs/CAPACITY.md  |
       | docs/DESIGN.md    |
       | docs/DESIGN.md    |
 
-  Scenario Outline: The table of <what> in OPERATING.md matches the code
-    When the table headed "<head>" is read from "docs/OPERATING.md"
+  Scenario Outline: The table of <what> in OPERATIONS.md matches the code
+    When the table headed "<head>" is read from "docs/OPERATIONS.md"
     Then it lists the <what> of the code, and each has a meaning
 
     Examples:
@@ -58,7 +58,7 @@
     Examples:
       | page              |
       | README.md         |
-      | docs/OPERATING.md |
+      | docs/OPERATIONS.md |
       | docs/GLOSSARY.md  |
       | docs/PROOFS.md    |
       | docs/CAPACITY.md  |
--- a/features/pages_rolling.feature
+++ b/features/pages_rolling.feature
@@ -1,5 +1,5 @@
 @pages
-Feature: Daemons are rolled as OPERATING.md says
+Feature: Daemons are rolled as OPERATIONS.md says
 
   @invariant_graceful_stop @invariant_config_in_force
   Scenario: Rolling every daemon under load loses nothing
--- a/features/steps/jobs_world.py
+++ b/features/steps/jobs_world.py
@@ -195,6 +195,22 @@
     executor.fails_all = True
 
 
+@when('executors on one host stand still')
+def hang_all(context):
+    executor = next(
+        e for e in context.world.executors.values() if e.entry.pool == 'web'
+    )
+    executor.is_hanging = True
+
+
+@then('nothing of the jobs is stored')
+def check_dropped(context):
+    store = context.world.store
+    for job_id in context.jobs:
+        for key in (f'job/{job_id}', f'progress/{job_id}/0'):
+            assert not store.find(job_world.JOBS, key).value, key
+
+
 @when(
     'a wave over all hosts of its pool, {most:d} at once, within {limit:g} '
     'seconds'
--- a/features/steps/pages.py
+++ b/features/steps/pages.py
@@ -282,7 +282,7 @@
 
 @when('metrics come in for every gauge that the page lists')
 def receive(context):
-    rows = table(read(context, 'docs/OPERATING.md'), 'metric')
+    rows = table(read(context, 'docs/OPERATIONS.md'), 'metric')
     context.listed = {row[0].strip('`') for row in rows}
     gauges = {row[0].strip('`') for row in rows if row[1] == 'gauge'}
     processes.wait_until(
--- a/features/steps/pages_tables.py
+++ b/features/steps/pages_tables.py
@@ -1,4 +1,4 @@
-"""Steps that hold the tables of OPERATING.md against the code."""
+"""Steps that hold the tables of OPERATIONS.md against the code."""
 
 import ast
 import itertools
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -185,10 +185,16 @@
         )
         for ended in reading.over:
             self._finish(executor, ended, now_s)
+        for run in suspicion.judge_progress(executor, self._expected_s, now_s):
+            run.is_stop_wanted = True
         if reading.over or not executor.runs:
             self.steps.stale_pools.add(executor.entry.pool)
         return reading.over
 
+    def _expected_s(self, run):
+        factor = self.steps.estimates.factor(run.occurrence.job.queue)
+        return run.step.estimate_s * factor
+
     def _find(self, task_id):
         job = self._replica.jobs.get(task_id.job_id)
         if job is None or task_id.step >= len(job.spec.steps):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -21,6 +21,9 @@
 IDLE_TURN_S = 0.1
 RELEASE_TIMEOUT_S = 1.5
 LEASE_MARGIN_S = 0.5
+EXPIRY_PERIOD_S = 1.0
+# Daemons learn of an end a little later than the owner.
+RETENTION_MARGIN_S = 10.0
 
 
 class LostOwnership(errors.HawthorndealError):
@@ -67,6 +70,7 @@
         self._lost_why = ''
         self._jobs_to_show = {}
         self._ends_to_forget = {}
+        self._expiry_due_s = 0.0
         # Whether the store holds that this owner orders hosts.
         self._is_ordering_told = False
         self._is_ordering_stored = False
@@ -218,6 +222,7 @@
         changed = self.scheduler.take_changed()
         records = [journal.progress_record(o) for o in changed]
         records += self.keeper.take_records()
+        records += self._expired_records(now_s)
         self._jobs_to_show = {
             o.job.job_id: (o.job, o.job.state(), o.job.has_begun)
             for o in changed
@@ -233,6 +238,22 @@
             records.append(journal.ownership_record(current))
         return records
 
+    def _expired_records(self, now_s):
+        """Return the records that drop jobs whose end is told no more."""
+        if now_s < self._expiry_due_s:
+            return []
+        self._expiry_due_s = now_s + EXPIRY_PERIOD_S
+        kept_s = self._parts.settings.job_retention_s + RETENTION_MARGIN_S
+        records = []
+        for job in self._parts.jobs_reader.replica.jobs.values():
+            if not job.shown.is_final:
+                continue
+            if job.final_since_s is None:
+                job.final_since_s = now_s
+            if now_s - job.final_since_s > kept_s:
+                records += journal.dropped_records(job)
+        return records
+
     def _ownership(self):
         now_s = self._parts.clock.boot_s()
         return journal.Ownership(
