--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -34,6 +34,8 @@
 RACK_HOSTS = 4
 ZONES = ('cz-a', 'cz-b', 'cz-c')
 HOST_LEASE_S = 3.0
+# What the page on operations needn't list.
+UNLISTED_EVENTS = frozenset({'jobs_loaded', 'advice_taken'})
 
 
 class WorldFormats:
--- a/features/steps/jobs_world.py
+++ b/features/steps/jobs_world.py
@@ -321,6 +321,12 @@
     assert epochs - {1}, context.world.story()[-3000:]
 
 
+@when('cut connections work again')
+def mend(context):
+    for daemon in context.world.daemons:
+        daemon.link.is_cut = daemon.hosts_link.is_cut = False
+
+
 @when('every daemon is killed')
 def kill_all(context):
     async def kill():
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/decision_log.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/decision_log.py
@@ -28,7 +28,9 @@
         self._counts = collections.Counter()
         self._left_out = collections.Counter()
         self._pending = b''
+        # Lines that were not taken, in all and since the last that was.
         self.dropped_lines = 0
+        self._untold = 0
 
     def open(self):
         """Write to standard output from now on."""
@@ -65,24 +67,32 @@
         line = {'time_s': round(now_s, 3), 'daemon': self._daemon}
         line['event'] = kind
         line.update(fields)
-        if self.dropped_lines:
-            line['dropped_before'] = self.dropped_lines
+        if self._untold:
+            line['dropped_before'] = self._untold
         text = json.dumps(line, separators=(',', ':'), default=str)
         self._send(text.encode() + b'\n')
 
     def _send(self, data):
+        # What waits goes first: else a log that was full once stays full.
+        self._flush()
         if len(self._pending) + len(data) > MAX_PENDING_BYTES:
             self.dropped_lines += 1
+            self._untold += 1
             return
+        self._untold = 0
         self._pending += data
+        self._flush()
+
+    def _flush(self):
+        if not self._pending:
+            return
         try:
             written = os.write(self._descriptor, self._pending)
         except BlockingIOError:
             return
         except OSError:
             # Nobody reads; the process must go on all the same.
+            self.dropped_lines += self._pending.count(b'\n')
             self._pending = b''
-            self.dropped_lines += 1
             return
         self._pending = self._pending[written:]
-        self.dropped_lines = 0
