--- a/features/jobs_world.feature
+++ b/features/jobs_world.feature
@@ -151,6 +151,35 @@
     Then every job is shown as completed
     And no promise was broken
 
+  @invariant_at_most_once
+  Scenario Outline: A new owner tells the lives of a host apart, seed <seed>
+    Given daemons over fakes, with seed <seed>
+    When 6 jobs of 6 and 4 tasks are submitted
+    And a host crashes for 1 second and comes back
+    And 2 seconds pass
+    And the owner is killed
+    And 15 seconds pass
+    Then every job is shown as completed
+    And no living executor was taken for ended
+    And no promise was broken
+
+    Examples:
+      | seed |
+      | 31   |
+      | 32   |
+      | 33   |
+
+  @invariant_at_most_once
+  Scenario: A new owner waits for leases on executors that it can't reach
+    Given daemons over fakes, with seed 34
+    When 4 jobs of 6 and 6 tasks of 3 seconds are submitted
+    And 1 second passes
+    And an executor with tasks is cut off and runs on
+    And the owner is killed
+    And 50 seconds pass
+    Then every job is shown as completed
+    And no promise was broken
+
   Scenario: Broken and foreign records are skipped, with a line each
     Given daemons over fakes, with seed 16
     When broken records are written among the jobs and the entries
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -266,7 +266,8 @@
     def begin_life(self, host, pool):
         """Have a host come up in a pool."""
         self._life += 1
-        executor_id = f'x{self._life:04}'
+        # Ids tell nothing of which life came first.
+        executor_id = f'x{self._life * 7919 % 9973:04}'
         entry = attrs.evolve(
             self.hosts.entries[host],
             pool=pool,
--- a/features/steps/jobs_world.py
+++ b/features/steps/jobs_world.py
@@ -321,6 +321,43 @@
     assert epochs - {1}, context.world.story()[-3000:]
 
 
+@when(
+    '{n:d} jobs of {first:d} and {second:d} tasks of {s:g} seconds are '
+    'submitted'
+)
+def submit_long(context, n, first, second, s):
+    for number in range(n):
+        spec = job_world.chain(first, second, estimate_s=s)
+        _submit(context, number % 3, f'long{number}', spec)
+
+
+@when('an executor with tasks is cut off and runs on')
+def cut_executor(context):
+    world = context.world
+    executor = max(world.executors.values(), key=lambda e: len(e.runs))
+    assert executor.runs
+    executor.is_cut = True
+
+
+@when('a host crashes for 1 second and comes back')
+def crash_one(context):
+    world = context.world
+    executor = max(world.executors.values(), key=lambda e: len(e.runs))
+    world.crash_executor(executor, 1.0)
+
+
+@then('no living executor was taken for ended')
+def check_living(context):
+    world = context.world
+    ended = {
+        fields['executor']
+        for _, _, kind, fields in world.log
+        if kind == 'executor_gone'
+    }
+    living = {i for i, e in world.executors.items() if not e.is_gone}
+    assert not ended & living, ended & living
+
+
 @when('cut connections work again')
 def mend(context):
     for daemon in context.world.daemons:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -14,7 +14,7 @@
 # Age of the last reading up to which an absent job is surely unknown.
 FRESH_S = 1.5
 # The store counts as away when it was not read for so long.
-STORE_AWAY_S = 1.8
+STORE_AWAY_S = 1.2
 RETRY_AFTER_S = 1
 
 
