--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import suspicion
 from hawthorndeal_platform import executor_orders
 
 from . import run_orders
@@ -67,9 +68,12 @@
             await asyncio.sleep(RETRY_S)
             return
         deadline_s = None
-        if executor.clock_s is not None:
+        # A look that is not answered may renew the lease all the same: only
+        # one without a lease lets an unreachable executor's runs lapse.
+        if executor.clock_s is not None and not self._is_lost:
             deadline_s = executor.give_lease(owner.lease_s, now_s)
-        wait_s = LOOK_WAIT_S if executor.is_fenced else 0.0
+        is_calm = executor.is_fenced and not self._is_lost
+        wait_s = LOOK_WAIT_S if is_calm else 0.0
         look = await owner.executors.look(
             run_orders.target_of(executor),
             owner.epoch,
@@ -104,6 +108,7 @@
                 why=str(error)[:160],
             )
         self._is_lost = True
+        suspicion.suspend(self._executor, self._owner.now_s())
 
     def _note_regained(self):
         if self._is_lost:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/partition.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/partition.py
@@ -20,6 +20,7 @@
         # Epochs that this life of the daemon has claimed.
         self.epochs = set()
         self._daemon = daemon
+        self._owner_told = None
         self.replica = replica_module.Replica()
         self.owner_view = ownership.OwnerView()
         self.on_folded = None
@@ -50,8 +51,12 @@
             current.daemon == self._daemon
             and current.epoch not in self.epochs,
         )
-        if folded.kind == journal.OWNER:
-            self.owner_view.owner_read_s = self._clock.monotonic_s()
+        if folded.kind != journal.OWNER:
+            return
+        self.owner_view.owner_read_s = self._clock.monotonic_s()
+        seen = current.daemon, current.epoch, current.is_released
+        if seen != self._owner_told:
+            self._owner_told = seen
             self._events.write(
                 'owner_seen',
                 owner=current.daemon,
