--- a/features/steps/jobs_decisions.py
+++ b/features/steps/jobs_decisions.py
@@ -17,7 +17,7 @@
 from hawthorndeal_jobs import pacing
 from hawthorndeal_jobs import queues
 from hawthorndeal_jobs import specs
-from hawthorndeal_jobs import upkeep
+from hawthorndeal_jobs import wave_planning
 from stage import job_world
 
 NOW_S = 100.0
@@ -60,7 +60,7 @@
 
 @given('a wave of {total:d} hosts in {seconds:d} seconds, {most:d} at once')
 def make_wave(context, total, seconds, most):
-    context.wave = upkeep.WaveProgress(total, 0, 0, most, seconds, 0.0)
+    context.wave = wave_planning.WaveProgress(total, 0, 0, most, seconds, 0.0)
 
 
 @given(
@@ -76,14 +76,14 @@
 @given('{idle:d} due hosts are idle and {busy:d} have 3 tasks each')
 def make_due(context, idle, busy):
     context.due = [
-        *(upkeep.DueHost(f'i{n}', 0, False) for n in range(idle)),
-        *(upkeep.DueHost(f'b{n}', 3, False) for n in range(busy)),
+        *(wave_planning.DueHost(f'i{n}', 0, False) for n in range(idle)),
+        *(wave_planning.DueHost(f'b{n}', 3, False) for n in range(busy)),
     ]
 
 
 @when('the wave is planned')
 def plan_wave(context):
-    context.plan = upkeep.plan_wave(context.wave, context.due)
+    context.plan = wave_planning.plan_wave(context.wave, context.due)
 
 
 @then('{begin:d} hosts go down and {empty:d} are emptied')
@@ -99,7 +99,9 @@
 
 @then('that is {verdict} while {others:d} of the others are at work')
 def check_may_end(context, verdict, others):
-    may = upkeep.may_end_lasting(others, context.count - 1, context.gone)
+    may = wave_planning.may_end_lasting(
+        others, context.count - 1, context.gone
+    )
     assert may == (verdict == 'allowed')
 
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -7,7 +7,7 @@
 ``cancel/ID``         that the job was cancelled               any daemon
 ``progress/ID/K``     the tasks of one occurrence              the owner
 ``owner``             who owns the partition                   a claimant
-``upkeep/N``          hosts that a wave has done               the owner
+``wave/N``            hosts that a wave has done               the owner
 ====================  =======================================  ==============
 
 An empty value drops a key.
@@ -27,7 +27,7 @@
 CANCEL = 'cancel'
 PROGRESS = 'progress'
 OWNER = 'owner'
-UPKEEP = 'upkeep'
+WAVE = 'wave'
 
 _converter = cattrs.Converter(omit_if_default=True)
 
@@ -71,7 +71,7 @@
 
 
 @attrs.frozen
-class UpkeepProgress:
+class WaveRecord:
     """Hold the hosts of a wave that have begun their maintenance.
 
     :ivar seen_s: when the wave was first seen, since the epoch
@@ -113,9 +113,9 @@
     return Record(OWNER, _encode(ownership))
 
 
-def upkeep_record(number, progress):
+def wave_record(number, progress):
     """Return the record of a wave's progress."""
-    return Record(f'{UPKEEP}/{number}', _encode(progress))
+    return Record(f'{WAVE}/{number}', _encode(progress))
 
 
 def dropped_records(job):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
@@ -16,7 +16,7 @@
 FRESH_READ_S = 0.7
 # An owner renews the leases of executors while the store confirmed it this
 # recently: longer than the store is usually away.
-HOLD_CONFIRMED_S = 8.0
+RENEW_CONFIRMED_S = 8.0
 # An owner gives orders to hosts while the store confirmed it this recently.
 HOST_CONFIRMED_S = 0.7
 # Added to what a successor waits, for calls that are on their way.
@@ -93,9 +93,11 @@
     hosts_quiet_since_s: float
     is_lost: bool = False
 
-    def may_hold(self, now_s):
+    def may_renew_leases(self, now_s):
         """Tell whether leases of executors may be renewed."""
-        return not self.is_lost and now_s - self.confirmed_s < HOLD_CONFIRMED_S
+        return (
+            not self.is_lost and now_s - self.confirmed_s < RENEW_CONFIRMED_S
+        )
 
     def may_order_hosts(self, now_s):
         """Tell whether a host may be ordered about."""
@@ -124,4 +126,4 @@
 
 def last_inherited_lease_s(claimed_s, longest_lease_s):
     """Return when leases given by earlier owners have run out."""
-    return claimed_s + HOLD_CONFIRMED_S + longest_lease_s
+    return claimed_s + RENEW_CONFIRMED_S + longest_lease_s
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
@@ -29,7 +29,7 @@
 
     def __init__(self):
         self.jobs = {}
-        self.upkeep = {}
+        self.wave_records = {}
         self.ownership = None
         self.own_epoch = None
         self._offsets = {}
@@ -99,13 +99,13 @@
         self.ownership = ownership
         return Folded(journal.OWNER)
 
-    def _fold_upkeep(self, number, value):
+    def _fold_wave(self, number, value):
         if not number.isdecimal():
             raise errors.InvalidRecord(f'no wave {number!r:.80}')
-        progress = journal.decode(value, journal.UpkeepProgress)
+        progress = journal.decode(value, journal.WaveRecord)
         if self.own_epoch is None:
-            self.upkeep[int(number)] = progress
-        return Folded(journal.UPKEEP)
+            self.wave_records[int(number)] = progress
+        return Folded(journal.WAVE)
 
     def cancel(self, job):
         """Note that the store holds a job's cancellation."""
@@ -140,5 +140,5 @@
         journal.CANCEL: _fold_cancel,
         journal.PROGRESS: _fold_progress,
         journal.OWNER: _fold_owner,
-        journal.UPKEEP: _fold_upkeep,
+        journal.WAVE: _fold_wave,
     }
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
@@ -64,7 +64,7 @@
     async def _look(self):
         executor, owner = self._executor, self._owner
         now_s = owner.now_s()
-        if not owner.may_hold():
+        if not owner.may_renew_leases():
             await asyncio.sleep(RETRY_S)
             return
         deadline_s = None
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
@@ -8,7 +8,7 @@
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import capacity
 from hawthorndeal_jobs import journal
-from hawthorndeal_jobs import upkeep
+from hawthorndeal_jobs import wave_planning
 from hawthorndeal_platform import host_orders
 
 TURN_S = 0.1
@@ -50,7 +50,7 @@
         self._unsure = {}
         self._changed_waves = set()
         self._is_ordering = False
-        self._upkeep = parts.jobs_reader.replica.upkeep
+        self._wave_records = parts.jobs_reader.replica.wave_records
 
     async def run(self):
         """Look after hosts until the tenure is over."""
@@ -279,24 +279,24 @@
         """Return the records of waves that have changed."""
         changed, self._changed_waves = self._changed_waves, set()
         return [
-            journal.upkeep_record(number, self._upkeep[number])
+            journal.wave_record(number, self._wave_records[number])
             for number in changed
         ]
 
     async def _keep_wave(self, wave):
-        progress = self._upkeep.get(wave.number)
+        progress = self._wave_records.get(wave.number)
         if progress is None:
-            progress = journal.UpkeepProgress([], self._parts.clock.now_s())
-            self._upkeep[wave.number] = progress
+            progress = journal.WaveRecord([], self._parts.clock.now_s())
+            self._wave_records[wave.number] = progress
             self._changed_waves.add(wave.number)
             await self._tell(wave.number, False)
         if progress.is_completed:
             return
         gone = set(wave.hosts) - set(self._hosts)
-        if upkeep.is_completed(wave, progress.begun, gone):
+        if wave_planning.is_completed(wave, progress.begun, gone):
             await self._complete(wave)
             return
-        plan = upkeep.plan_wave(
+        plan = wave_planning.plan_wave(
             self._wave_progress(wave, progress),
             [
                 self._due_host(host)
@@ -317,7 +317,7 @@
             if host in self._hosts
         )
         elapsed_s = self._parts.clock.now_s() - progress.seen_s
-        return upkeep.WaveProgress(
+        return wave_planning.WaveProgress(
             len(wave.hosts), len(progress.begun), down, wave.max_count,
             wave.duration_s, max(0.0, elapsed_s),
         )  # fmt: skip
@@ -333,7 +333,7 @@
         if executor is not None and executor.entry.is_leaving:
             is_up = False
         runs = len(executor.runs) if executor is not None else 0
-        return upkeep.DueHost(host, runs, host in self._emptying, is_up)
+        return wave_planning.DueHost(host, runs, host in self._emptying, is_up)
 
     def _begin_emptying(self, host, number):
         self._emptying.add(host)
@@ -369,7 +369,7 @@
             for executor in scheduler.executors.values()
             for other in executor.runs.values()
         )
-        if upkeep.may_end_lasting(
+        if wave_planning.may_end_lasting(
             at_work, len(tasks) - 1, run.step.max_unavailable
         ):
             run.is_stop_wanted = True
@@ -385,9 +385,9 @@
         entry = self._hosts[host]
 
         def note_done():
-            progress = self._upkeep[wave.number]
+            progress = self._wave_records[wave.number]
             progress = attrs.evolve(progress, begun=[*progress.begun, host])
-            self._upkeep[wave.number] = progress
+            self._wave_records[wave.number] = progress
             self._changed_waves.add(wave.number)
             self._emptying.discard(host)
             self._hosts[host] = attrs.evolve(
@@ -406,8 +406,10 @@
 
     async def _complete(self, wave):
         await self._tell(wave.number, True)
-        progress = attrs.evolve(self._upkeep[wave.number], is_completed=True)
-        self._upkeep[wave.number] = progress
+        progress = attrs.evolve(
+            self._wave_records[wave.number], is_completed=True
+        )
+        self._wave_records[wave.number] = progress
         self._changed_waves.add(wave.number)
         self._owner.events.write('wave_completed', wave=wave.number)
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -84,9 +84,9 @@
         """Return the steady time."""
         return self._parts.clock.monotonic_s()
 
-    def may_hold(self):
+    def may_renew_leases(self):
         """Tell whether leases of executors may be renewed."""
-        return self.tenure.may_hold(self._parts.clock.boot_s())
+        return self.tenure.may_renew_leases(self._parts.clock.boot_s())
 
     def may_order_hosts(self):
         """Tell whether hosts may be ordered about now.
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/partition.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/partition.py
@@ -5,7 +5,7 @@
 from hawthorndeal_jobs import ownership
 from hawthorndeal_jobs import replica as replica_module
 
-_OWNER_KINDS = (journal.OWNER, journal.PROGRESS, journal.UPKEEP)
+_OWNER_KINDS = (journal.OWNER, journal.PROGRESS, journal.WAVE)
 
 
 class JobsReader:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
@@ -35,7 +35,7 @@
         executor = owner.scheduler.executors.get(run.executor_id)
         if executor is None or run.key not in executor.runs:
             return
-        if run.is_stop_wanted or not owner.may_hold():
+        if run.is_stop_wanted or not owner.may_renew_leases():
             owner.scheduler.release(run, owner.now_s())
             owner.wake()
             return
