Count work that is told late of a run given up with its lease

Cause: a run on an executor unreachable past its lease is given up and its task waits again. Change: such an end marks the task done, takes it out of what waits and stops what else runs of it. A done task also leaves what waits where a superseded run ends well, and nothing is taken in for a job that is over. Ruled out: counting late failures too; a new owner could not tell them from ones that its predecessor has stored, and would fail the job early.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/open_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/open_steps.py
@@ -151,6 +151,19 @@
             open_step.pending.append(task_id.index)
             self.stale_pools.add(self.pool_of(job))
 
+    def take_out_done(self, occurrence, step):
+        """Have no done task of a step wait any more."""
+        open_step = self._steps.get(
+            (occurrence.job.job_id, occurrence.number, step)
+        )
+        if open_step is not None:
+            tasks = occurrence.tasks[step]
+            open_step.pending = [
+                index
+                for index in open_step.pending
+                if tasks[index].state is not jobs.TaskState.DONE
+            ]
+
     def backlog_host_s(self, open_step, capacity):
         """Return the work that waits in a step, in host-seconds."""
         spec = open_step.spec
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
@@ -11,6 +11,8 @@
                             answered before the look was sent
 an executor is not reached  its runs go on until the last lease given has
                             surely run out
+a run that was given up     its work counts, and what else runs of its
+is told to be done          task is stopped
 another life of its host    all runs of the earlier life have ended
 the owner changed           a run in the store may run, until its executor
                             has seen the new epoch and doesn't list it
@@ -94,7 +96,7 @@
     executor.is_fenced = True
     executor.reached_s = look.received_s
     executor.read_clock(look.clock_s, look.received_s)
-    over = _read_ends(executor, look)
+    over = _read_ends(executor, look, find_occurrence)
     found, strays = [], []
     listed = set()
     for row in look.running:
@@ -114,24 +116,38 @@
     return Reading(over, found, strays)
 
 
-def _read_ends(executor, look):
+def _read_ends(executor, look, find_occurrence):
     over = []
     for end in look.ended:
         if end.sequence <= executor.last_processed_end:
             continue
         executor.last_processed_end = end.sequence
         run = executor.runs.get((end.task_id, end.number))
+        if run is None and end.cause is _Cause.DONE:
+            # It was given up with its lease, and had been done before.
+            run = _run_of(executor, end, look, find_occurrence)
         if run is not None:
             over.append(RunOver(run, end.cause, end.checkpoint))
     return over
 
 
 def _adopt(executor, row, look, find_occurrence):
+    run = _run_of(executor, row, look, find_occurrence)
+    if run is None:
+        return None
+    # Only the run that the task has ordered may go on.
+    run.is_stop_wanted = run.occurrence.job.is_over or not is_current(run)
+    executor.add(run)
+    return run
+
+
+def _run_of(executor, row, look, find_occurrence):
+    """Return the run that a row tells of; None where no task is known."""
     occurrence = find_occurrence(row.task_id)
     if occurrence is None or occurrence.task(row.task_id) is None:
         return None
     spec = occurrence.job.spec.steps[row.task_id.step]
-    run = executors.Run(
+    return executors.Run(
         row.task_id,
         row.number,
         occurrence,
@@ -140,10 +156,6 @@
         _Phase.RUNNING,
         look.received_s,
     )
-    # Only the run that the task has ordered may go on.
-    run.is_stop_wanted = occurrence.job.is_over or not is_current(run)
-    executor.add(run)
-    return run
 
 
 def is_current(run):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -246,7 +246,7 @@
     def _finish_superseded(self, ended):
         """Take in the end of a run that its task no longer counts on."""
         run = ended.run
-        if run.step.is_lasting:
+        if run.step.is_lasting or run.occurrence.job.is_over:
             return
         if ended.cause is _Cause.DONE:
             self._mark_done(run)
@@ -279,6 +279,7 @@
                 task.state = jobs.TaskState.DONE
                 occurrence.done_counts[step] += 1
         self._changed[occurrence] = None
+        self.steps.take_out_done(occurrence, step)
         self._stop_other_runs(run)
         if occurrence.is_step_done(step):
             self.steps.close_done(occurrence, step)
