Search orders, answers, losses and takeovers on the scheduler by itself

A model plays the daemon around the pure scheduler in its plainest form: store before sending, sending as the play says. Hypothesis draws the plays, seeds are in the table and printed.

--- a/features/jobs_scheduler.feature
+++ b/features/jobs_scheduler.feature
@@ -13,3 +13,14 @@
       | case                        | then                    |
       | the task waits again        | nothing starts          |
       | the task runs somewhere else | the task starts on "b" |
+
+  @invariant_at_most_once
+  Scenario Outline: No order of answers, losses and takeovers breaks a promise
+    When 100 random plays of seed <seed> are tried on the scheduler
+    Then no play breaks a promise or leaves a job undone
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
--- a/features/stage/scheduler_desk.py
+++ b/features/stage/scheduler_desk.py
@@ -10,6 +10,11 @@
 
 POOL = 'web'
 CAPACITY = specs.Resources(4000, 16384)
+CONFIGURATION = queues.Configuration(
+    1,
+    {POOL: queues.Queue(POOL, POOL, 'web.example', '/')},
+    {POOL: queues.Pool(POOL)},
+)
 
 
 def steps(*counts, **options):
@@ -37,12 +42,7 @@
     def __init__(self):
         self.now_s = 100.0
         self.replica = replica.Replica()
-        self.configuration = queues.Configuration(
-            1,
-            {POOL: queues.Queue(POOL, POOL, 'web.example', '/')},
-            {POOL: queues.Pool(POOL)},
-        )
-        self.scheduler = scheduler.Scheduler(self.replica, self.configuration)
+        self.scheduler = scheduler.Scheduler(self.replica, CONFIGURATION)
 
     def add_executor(self, name):
         """Have an executor be listed and answer a first look."""
--- a/features/steps/jobs_scheduler.py
+++ b/features/steps/jobs_scheduler.py
@@ -3,11 +3,19 @@
 from behave import given
 from behave import then
 from behave import when
+import hypothesis
+from hypothesis import strategies
 
 from hawthorndeal_jobs import executors
 from hawthorndeal_jobs import jobs
 from hawthorndeal_jobs import run_tracking
 from stage import scheduler_desk
+from stage import scheduler_model
+
+CHOICES = 64
+MAX_ACTIONS = 200
+# A play with few kinds of trouble meets each of them often.
+MAX_TROUBLES = 4
 
 
 @given('a task that runs on executor "{first}", of "{first_}" and "{second}"')
@@ -63,3 +71,37 @@
     assert turn.stops == running
     assert context.job.occurrences[0] in desk.scheduler.take_changed()
     assert run_tracking.is_current(context.run) is False
+
+
+@when('{plays:d} random plays of seed {seed:d} are tried on the scheduler')
+def try_plays(context, plays, seed):
+    choices = strategies.integers(0, CHOICES - 1)
+    troubles = strategies.lists(
+        strategies.sampled_from(scheduler_model.TROUBLES),
+        max_size=MAX_TROUBLES,
+    )
+    actions_of = troubles.flatmap(
+        lambda kinds: strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(scheduler_model.actions_of(kinds)),
+                choices,
+            ),
+            max_size=MAX_ACTIONS,
+        )
+    )
+
+    @hypothesis.settings(max_examples=plays, deadline=None, database=None)
+    @hypothesis.seed(seed)
+    @hypothesis.given(actions_of)
+    def check(actions):
+        model = scheduler_model.play(actions)
+        undone = model.finish()
+        assert not model.broken, (seed, model.broken)
+        assert not undone, (seed, undone)
+
+    context.check_plays = check
+
+
+@then('no play breaks a promise or leaves a job undone')
+def check_plays(context):
+    context.check_plays()
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -246,7 +246,7 @@
     def _finish_superseded(self, ended):
         """Take in the end of a run that its task no longer counts on."""
         run = ended.run
-        if run.step.is_lasting or run.occurrence.job.is_over:
+        if run.step.is_lasting:
             return
         if ended.cause is _Cause.DONE:
             self._mark_done(run)
@@ -275,7 +275,8 @@
         if run.step.is_gang:
             tasks = occurrence.tasks[step]
         for task in tasks:
-            if task.state is not jobs.TaskState.DONE:
+            # A job that has failed stays failed.
+            if task.state not in (jobs.TaskState.DONE, jobs.TaskState.FAILED):
                 task.state = jobs.TaskState.DONE
                 occurrence.done_counts[step] += 1
         self._changed[occurrence] = None
