Answer what a leaving daemon can't finish, and log libraries by events

Change: a leaving daemon bounds every wait by its own end, answers what it can't finish as unknown and refuses what it won't begin; what libraries log becomes one short event each; a cut request leaves its own line. Before: the new scenarios failed (no such method; no handler).

--- a/features/jobs_adapter.feature
+++ b/features/jobs_adapter.feature
@@ -63,6 +63,11 @@
     When 50 lines are written within one second, and one later
     Then 5 of them came, and a line tells that 45 were left out
 
+  Scenario: What libraries log becomes one line each
+    Given a decision log that writes 5 lines of a kind in a second
+    When a library logs an error of 5000 characters with its traceback
+    Then one line tells the library, the error's type and the text in short
+
   Scenario: The metrics parse as their format says
     Given metrics of two requests, a start and an end
     When they are parsed by the library's own parser
--- a/features/jobs_world.feature
+++ b/features/jobs_world.feature
@@ -233,3 +233,12 @@
   Scenario: Random troubles break no promise and lose no job
     When the troubles of seeds 300 to 325 are played
     Then no play broke a promise or left a job
+
+  Scenario: A daemon that leaves answers what it can't finish
+    Given daemons over fakes, with seed 19
+    And a store that nothing reaches
+    And daemon 1 closes in 0.6 seconds
+    When a job is submitted to daemon 1
+    Then that is refused as answer_lost within 0.6 seconds
+    When a job is submitted to daemon 1
+    Then that is refused as shutting_down within 0.1 seconds
--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import random
 import re
@@ -391,6 +392,8 @@
         'host_service_failed',
         'advice_failed',
         'claim_failed',
+        'request_cut',
+        'library_message',
         'run_paced',
         'stray_run_stop',
         'run_not_started',
@@ -412,3 +415,24 @@
     assert not missing, missing
     surplus = written - listed - job_world.UNLISTED_EVENTS
     assert not surplus, surplus
+
+
+@when('a library logs an error of {length:d} characters with its traceback')
+def log_error(context, length):
+    library = logging.Logger('some.library')
+    library.addHandler(decision_log.LibraryHandler(context.log))
+    try:
+        raise ValueError('x' * length)
+    except ValueError:
+        library.exception('failed with %s', 'y' * length)
+
+
+@then("one line tells the library, the error's type and the text in short")
+def check_library_line(context):
+    data = os.read(context.reading, 65536)
+    (line,) = data.splitlines()
+    told = json.loads(line)
+    assert told['event'] == 'library_message', told
+    assert told['logger'] == 'some.library', told
+    assert told['error'].startswith('ValueError('), told
+    assert len(line) < 1000, len(line)
--- a/features/steps/jobs_world.py
+++ b/features/steps/jobs_world.py
@@ -504,3 +504,32 @@
         if v.broken or v.unfinished
     ]
     assert not bad, bad
+
+
+@given('a store that nothing reaches')
+def cut_store(context):
+    for daemon in context.world.daemons:
+        daemon.link.is_cut = True
+
+
+@given('daemon {number:d} closes in {left_s:g} seconds')
+def close_soon(context, number, left_s):
+    daemon = context.world.daemons[number]
+    daemon.interface.begin_closing(context.world.now_s() + left_s)
+
+
+@when('a job is submitted to daemon {number:d}')
+def submit_to(context, number):
+    world = context.world
+    begun_s = world.now_s()
+    daemon = world.daemons[number]
+    context.refusal = context.runner.run(
+        world.submit(daemon, 'web', 'late', job_world.one_step(1))
+    )
+    context.took_s = world.now_s() - begun_s
+
+
+@then('that is refused as {reason} within {limit_s:g} seconds')
+def check_refused_soon(context, reason, limit_s):
+    assert context.refusal == reason, context.refusal
+    assert context.took_s <= limit_s, context.took_s
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -1,5 +1,7 @@
 """The interface for callers: submit, ask, cancel and count jobs."""
 
+import asyncio
+import math
 import time
 
 import sanic
@@ -10,6 +12,8 @@
 from hawthorndeal_jobs import journal
 
 APPEND_TIMEOUT_S = 2.0
+# With less time left until the daemon ends, an append isn't begun.
+LEAST_APPEND_S = 0.05
 CATCH_UP_S = 0.4
 # Age of the last reading up to which an absent job is surely unknown.
 FRESH_S = 1.5
@@ -28,7 +32,23 @@
     def __init__(self, parts, formats):
         self._parts = parts
         self._formats = formats
-        self.is_draining = False
+        self._closes_s = math.inf
+
+    @property
+    def is_draining(self):
+        """Tell whether the daemon is leaving."""
+        return self._closes_s < math.inf
+
+    def begin_closing(self, closes_s):
+        """Answer everything by then, and be ready for nobody new.
+
+        :param closes_s: on the daemon's steady clock
+        """
+        self._closes_s = closes_s
+
+    def _limit(self, timeout_s):
+        left_s = self._closes_s - self._parts.clock.monotonic_s()
+        return min(timeout_s, left_s)
 
     @property
     def is_ready(self):
@@ -91,8 +111,11 @@
         await self._append(record)
 
     async def _append(self, record):
+        timeout_s = self._limit(APPEND_TIMEOUT_S)
+        if timeout_s < LEAST_APPEND_S:
+            raise errors.ShuttingDown('this daemon stops', RETRY_AFTER_S)
         try:
-            await self._parts.submitter.append(record, APPEND_TIMEOUT_S)
+            await self._parts.submitter.append(record, timeout_s)
         except errors.PlatformUnavailable as error:
             raise errors.NotReady(
                 'the store takes nothing now', RETRY_AFTER_S
@@ -114,7 +137,7 @@
         if job is not None:
             return job
         follower = self._parts.jobs_follower
-        await follower.catch_up(CATCH_UP_S)
+        await follower.catch_up(max(0.0, self._limit(CATCH_UP_S)))
         job = self._find(queue, job_id)
         if job is None and not (follower.is_loaded and self._is_fresh()):
             raise errors.NotReady('jobs can not be read now', RETRY_AFTER_S)
@@ -152,7 +175,11 @@
         begun_s = time.monotonic()
         if interface.is_draining:
             request.stream.keep_alive = False
-        answer = await _serve(request, interface, parts)
+        try:
+            answer = await _serve(request, interface, parts)
+        except asyncio.CancelledError:
+            _log_cut(request, time.monotonic() - begun_s, parts)
+            raise
         took_s = time.monotonic() - begun_s
         metrics.note_request(request.method, answer.status, took_s)
         return answer
@@ -203,6 +230,16 @@
     return response.json({'state': job.shown.value})
 
 
+def _log_cut(request, took_s, parts):
+    parts.events.write(
+        'request_cut',
+        method=request.method,
+        path=request.path[:80],
+        took_s=round(took_s, 3),
+        why='the caller left, or the daemon ended',
+    )
+
+
 def _log_refusal(request, failure, parts):
     view = parts.jobs_reader.owner_view
     parts.events.write(
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/decision_log.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/decision_log.py
@@ -2,6 +2,7 @@
 
 import collections
 import json
+import logging
 import os
 import sys
 import time
@@ -10,6 +11,7 @@
 MAX_LINES_PER_KIND = 200
 # Bytes kept while standard output takes nothing.
 MAX_PENDING_BYTES = 262144
+MAX_TEXT = 200
 
 
 class DecisionLog:
@@ -96,3 +98,25 @@
             self._pending = b''
             return
         self._pending = self._pending[written:]
+
+
+class LibraryHandler(logging.Handler):
+    """Turn what libraries log into events, one short line each.
+
+    :param events: a :class:`DecisionLog`
+    """
+
+    def __init__(self, events):
+        super().__init__(logging.WARNING)
+        self._events = events
+
+    def emit(self, record):
+        """Write one record; of an error, its type and message only."""
+        error = record.exc_info[1] if record.exc_info else None
+        self._events.write(
+            'library_message',
+            logger=record.name,
+            level=record.levelname,
+            text=record.getMessage()[:MAX_TEXT],
+            error=repr(error)[:MAX_TEXT] if error is not None else '',
+        )
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -1,6 +1,7 @@
 """Build a scheduling daemon from its settings and keep it running."""
 
 import asyncio
+import logging
 import pathlib
 import random
 import signal
@@ -29,6 +30,8 @@
 GAUGES_PERIOD_S = 1.0
 # Time before the end of the grace period at which the process is done.
 EXIT_MARGIN_S = 1.5
+# Time for the last answers to reach callers.
+ANSWER_S = 0.2
 
 
 @attrs.define(eq=False)
@@ -251,6 +254,9 @@
     async def run(self):
         """Serve until SIGTERM or SIGINT, then leave in good order."""
         self._parts.events.open()
+        logging.basicConfig(
+            handlers=[decision_log.LibraryHandler(self._parts.events)]
+        )
         self._parts.events.write('started', zone=self._parts.settings.zone)
         stopping = asyncio.Event()
         loop = asyncio.get_running_loop()
@@ -273,8 +279,8 @@
         parts = self._parts
         left_s = parts.settings.shutdown_grace_s - EXIT_MARGIN_S
         parts.events.write('stopping', grace_s=left_s)
-        self._interface.is_draining = True
         ends_s = parts.clock.monotonic_s() + left_s
+        self._interface.begin_closing(ends_s - ANSWER_S)
         await self._candidate.stop()
         # Callers on open connections are served to the last.
         await asyncio.sleep(max(0.0, ends_s - parts.clock.monotonic_s()))
