Let a new owner at once order the hosts that were left alone

Cause: hosts check no epochs, so a successor waited until 4.3 s after its predecessor's last record before it ordered any host. Ruled out: a shorter silence before claims, which a slow store would mistake for a lost owner; shorter leases, which the platform sets. Change: an owner stores which hosts it is about to order, then orders. A successor knows which hosts were left alone and waits for the others only. Hosts that a predecessor's order may still reach get no tasks until that is over, and count as down in their wave. The figures that told of all hosts at once leave the record of the ownership. The judge in job_world compares orders for one host, as the host service promises for each host separately; it compared orders for any two. Before: three new scenarios of jobs_world failed (no move within 2.5 s).

--- a/features/fakes/host_service.py
+++ b/features/fakes/host_service.py
@@ -27,7 +27,7 @@
         entry = self.entries[host]
         if entry.state is not host_orders.HostState.UP:
             raise host_orders.HostBusy(host)
-        self.orders.append((self._world.now_s(), holder))
+        self.orders.append((self._world.now_s(), host, holder))
         self._world.judge_host_order(entry, wave, holder)
         state = host_orders.HostState.MOVING
         if wave is not None:
--- a/features/jobs_decisions.feature
+++ b/features/jobs_decisions.feature
@@ -94,3 +94,30 @@
     Given an idle executor whose last lease is over
     When a stored run on it is ordered, and its sending waits
     Then the run does not count as lapsed
+
+  @invariant_one_pool
+  Scenario Outline: A host may be ordered when <case>: <verdict>
+    Given the last owner was daemon "a", silent for <silent> seconds
+    And it has stored that its order to host "h" was <told>
+    When daemon "<next>" takes over, whose lease on hosts is 3 seconds
+    Then "h" may be ordered <verdict>, and another host at once
+
+    Examples:
+      | case                            | told              | silent | next | verdict      |
+      | its order may be on its way     | still to be given | 1.5    | b    | in 2.9 s     |
+      | its order was over lately       | over for 1.0 s    | 1.5    | b    | in 0.6 s     |
+      | its order was over long ago     | over for 2.0 s    | 1.5    | b    | at once      |
+      | only this daemon has ordered it | over for 0.0 s    | 1.5    | a    | at once      |
+      | its own order may still arrive  | still to be given | 0.5    | a    | in 0.8 s     |
+
+  @invariant_one_pool
+  Scenario: No order is given before the store knows of it
+    Given daemon "a" takes over, whose lease on hosts is 3 seconds
+    When it is about to order host "h"
+    Then it may not order "h"
+    When its records are taken to the store
+    Then it may not order "h"
+    When they are stored
+    Then it may order "h"
+    When the order is over
+    Then it may not order "h"
--- a/features/jobs_world.feature
+++ b/features/jobs_world.feature
@@ -234,6 +234,21 @@
     When the troubles of seeds 300 to 325 are played
     Then no play broke a promise or left a job
 
+  Scenario Outline: A new owner at once orders hosts left alone: <loss>
+    Given daemons over fakes, with seed <seed>
+    When 10 seconds pass
+    And a wide job in pool "web" has hosts moved
+    And the owner is <loss>
+    And a wide job arrives in pool "ci"
+    Then another owner moves a host within 2.5 seconds of the loss
+    And no promise was broken
+
+    Examples:
+      | seed | loss                   |
+      | 41   | killed                 |
+      | 42   | cut off from all       |
+      | 43   | cut off from the store |
+
   Scenario: A daemon that leaves answers what it can't finish
     Given daemons over fakes, with seed 19
     And a store that nothing reaches
--- a/features/steps/jobs_decisions.py
+++ b/features/steps/jobs_decisions.py
@@ -12,6 +12,7 @@
 from hawthorndeal_jobs import demand
 from hawthorndeal_jobs import estimates
 from hawthorndeal_jobs import executors
+from hawthorndeal_jobs import host_intents
 from hawthorndeal_jobs import jobs
 from hawthorndeal_jobs import ordering
 from hawthorndeal_jobs import ownership
@@ -339,3 +340,65 @@
 @then('the run does not count as lapsed')
 def check_not_lapsed(context):
     assert not context.executor.has_lapsed(NOW_S)
+
+
+@given('the last owner was daemon "a", silent for {silent_s:g} seconds')
+def make_silent(context, silent_s):
+    context.last_sign_s = NOW_S - silent_s
+
+
+@given('it has stored that its order to host "h" was {told}')
+def store_intent(context, told):
+    quiet_s = None
+    if told != 'still to be given':
+        quiet_s = float(told.split()[2])
+    context.inherited = [host_intents.HostIntent('h', 'a', quiet_s)]
+
+
+@given('daemon "{daemon}" takes over, whose lease on hosts is 3 seconds')
+@when('daemon "{daemon}" takes over, whose lease on hosts is 3 seconds')
+def take_over(context, daemon):
+    context.intents = host_intents.HostIntents(daemon, 3.0)
+    if 'inherited' in context:
+        context.intents.inherit(
+            context.inherited, context.last_sign_s, context.last_sign_s
+        )
+
+
+@then('"h" may be ordered {verdict}, and another host at once')
+def check_wait(context, verdict):
+    expected_s = 0.0 if verdict == 'at once' else float(verdict.split()[1])
+    wait_s = context.intents.wait_s('h', NOW_S)
+    assert abs(wait_s - expected_s) < 1e-6, wait_s
+    assert context.intents.wait_s('other', NOW_S) == 0.0
+
+
+@when('it is about to order host "{host}"')
+def begin_order(context, host):
+    context.intents.begin([host], NOW_S)
+
+
+@when('its records are taken to the store')
+def take_intents(context):
+    (intent,) = context.intents.take_changed(NOW_S)
+    assert intent.quiet_s is None, intent
+
+
+@when('they are stored')
+def store_intents(context):
+    context.intents.note_stored()
+
+
+@when('the order is over')
+def end_order(context):
+    context.intents.end('h', NOW_S)
+
+
+@then('it may not order "{host}"')
+def check_may_not(context, host):
+    assert not context.intents.may_order(host)
+
+
+@then('it may order "{host}"')
+def check_may_now(context, host):
+    assert context.intents.may_order(host)
--- a/features/steps/jobs_world.py
+++ b/features/steps/jobs_world.py
@@ -533,3 +533,51 @@
 def check_refused_soon(context, reason, limit_s):
     assert context.refusal == reason, context.refusal
     assert context.took_s <= limit_s, context.took_s
+
+
+def _submit_wide(context, pool):
+    world = context.world
+    context.jobs[pool] = pool
+    spec = job_world.one_step(6, estimate_s=2.0, cores=4.0)
+    lost = getattr(context, 'old_owner', None)
+    daemon = next(d for d in world.daemons if d is not lost)
+    refusal = context.runner.run(world.submit(daemon, pool, pool, spec))
+    assert refusal is None, refusal
+
+
+def _moves_since(context, time_s, epochs):
+    return [
+        (at_s, fields)
+        for at_s, _, kind, fields in context.world.log
+        if kind == 'host_moved'
+        and at_s > time_s
+        and fields['outcome'] == 'done'
+        and (fields['epoch'] > 1) == (epochs == 'later')
+    ]
+
+
+@when('a wide job in pool "{pool}" has hosts moved')
+def move_by_job(context, pool):
+    world = context.world
+    begun_s = world.now_s()
+    _submit_wide(context, pool)
+    is_met = world.wait_for(
+        lambda: _moves_since(context, begun_s, 'first'), 3.0
+    )
+    assert context.runner.run(is_met), world.story()[-3000:]
+    context.runner.run(asyncio.sleep(0.3))
+
+
+@when('a wide job arrives in pool "{pool}"')
+def arrive_wide(context, pool):
+    _submit_wide(context, pool)
+
+
+@then('another owner moves a host within {limit_s:g} seconds of the loss')
+def check_next_moves(context, limit_s):
+    world = context.world
+    left_s = context.lost_s + limit_s - world.now_s()
+    is_met = world.wait_for(
+        lambda: _moves_since(context, context.lost_s, 'later'), left_s
+    )
+    assert context.runner.run(is_met), world.story()[-3000:]
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -8,6 +8,7 @@
 ``progress/ID/K``     the tasks of one occurrence              the owner
 ``owner``             who owns the partition                   a claimant
 ``wave/N``            hosts that a wave has done               the owner
+``hosts``             hosts it has ordered about, or is to     the owner
 ====================  =======================================  ==============
 
 An empty value drops a key.
@@ -28,6 +29,7 @@
 PROGRESS = 'progress'
 OWNER = 'owner'
 WAVE = 'wave'
+HOSTS = 'hosts'
 
 _converter = cattrs.Converter(omit_if_default=True)
 
@@ -57,17 +59,11 @@
     :ivar epoch: rises with each claim; fences writes and orders
     :ivar daemon: the owner
     :ivar is_released: whether the owner has given it up in good order
-    :ivar is_ordering_hosts: whether it has waited for earlier owners' orders
-        to hosts to be over
-    :ivar hosts_quiet_s: how long, when it was written, no owner had given
-        an order to a host
     """
 
     epoch: int
     daemon: str
     is_released: bool = False
-    is_ordering_hosts: bool = False
-    hosts_quiet_s: float = 0.0
 
 
 @attrs.frozen
@@ -118,6 +114,11 @@
     return Record(f'{WAVE}/{number}', _encode(progress))
 
 
+def host_intents_record(intents):
+    """Return the record of the hosts that an owner orders about."""
+    return Record(HOSTS, _encode(intents))
+
+
 def dropped_records(job):
     """Return the records that drop everything of a job."""
     keys = [f'{PROGRESS}/{job.job_id}/{k}' for k in job.occurrences]
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
@@ -1,11 +1,13 @@
 """Decide when a daemon may claim a partition, and when it may still act.
 
 A partition has one owner. Its epoch fences its appends in the store and its
-orders at executors. Orders to hosts are fenced by time alone.
+orders at executors. Orders to hosts are fenced by :mod:`host_intents`.
 """
 
 import attrs
 
+from . import host_intents
+
 # Longest time between two appends of an owner.
 RENEW_PERIOD_S = 0.25
 # Silence, while the store can be read, after which others claim.
@@ -17,12 +19,6 @@
 # An owner renews the leases of executors while the store confirmed it this
 # recently: longer than the store is usually away.
 RENEW_CONFIRMED_S = 8.0
-# An owner gives orders to hosts while the store confirmed it this recently.
-HOST_CONFIRMED_S = 0.7
-# Added to what a successor waits, for calls that are on their way.
-HOST_CALL_MARGIN_S = 0.6
-# Added to the time between orders of two owners.
-HOST_LEASE_MARGIN_S = 0.1
 
 
 @attrs.define
@@ -34,7 +30,7 @@
     :ivar is_claimable: whether there is no owner
     :ivar is_own_past: whether the owner is an earlier life of this daemon
     :ivar last_sign_s: when something of the owner's was last read
-    :ivar owner_read_s: when the record of the ownership was last read
+    :ivar intents_read_s: when the owner's intents were last read
     :ivar readable_since_s: since when the store was read without a break;
         None while it can't be read
     """
@@ -42,7 +38,7 @@
     is_claimable: bool = True
     is_own_past: bool = False
     last_sign_s: float = 0.0
-    owner_read_s: float = 0.0
+    intents_read_s: float = 0.0
     last_read_s: float | None = None
     readable_since_s: float | None = None
 
@@ -83,14 +79,10 @@
 
     :ivar epoch: of this tenure
     :ivar confirmed_s: when the last append was sent that the store took
-    :ivar host_orders_from_s: earliest order to a host
-    :ivar hosts_quiet_since_s: since when no owner has ordered a host
     """
 
     epoch: int
     confirmed_s: float
-    host_orders_from_s: float
-    hosts_quiet_since_s: float
     is_lost: bool = False
 
     def may_renew_leases(self, now_s):
@@ -103,27 +95,10 @@
         """Tell whether a host may be ordered about."""
         return (
             not self.is_lost
-            and now_s >= self.host_orders_from_s
-            and now_s - self.confirmed_s < HOST_CONFIRMED_S
+            and now_s - self.confirmed_s < host_intents.CONFIRMED_S
         )
 
 
-def hosts_quiet_since_s(last, view):
-    """Return since when no earlier owner has ordered a host.
-
-    A claim is taken only of a claimant that has read every append of the
-    owner before it, so that its last order was soon after the last of them.
-    One that released the partition, or had not begun to order hosts, has
-    told since when none was ordered.
-
-    :param last: the last record of the ownership
-    :param view: what this daemon has seen of the owner
-    """
-    if last.is_released or not last.is_ordering_hosts:
-        return view.owner_read_s - last.hosts_quiet_s
-    return view.last_sign_s + HOST_CONFIRMED_S + HOST_CALL_MARGIN_S
-
-
 def last_inherited_lease_s(claimed_s, longest_lease_s):
     """Return when leases given by earlier owners have run out."""
     return claimed_s + RENEW_CONFIRMED_S + longest_lease_s
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
@@ -4,6 +4,7 @@
 
 from hawthorndeal_fleet import errors
 
+from . import host_intents
 from . import jobs
 from . import journal
 
@@ -31,6 +32,7 @@
         self.jobs = {}
         self.wave_records = {}
         self.ownership = None
+        self.host_intents = []
         self.own_epoch = None
         self._offsets = {}
         self._early = {}
@@ -107,6 +109,11 @@
             self.wave_records[int(number)] = progress
         return Folded(journal.WAVE)
 
+    def _fold_hosts(self, _, value):
+        intents = journal.decode(value, list[host_intents.HostIntent])
+        self.host_intents = intents
+        return Folded(journal.HOSTS)
+
     def cancel(self, job):
         """Note that the store holds a job's cancellation."""
         job.is_cancelled = True
@@ -141,4 +148,5 @@
         journal.PROGRESS: _fold_progress,
         journal.OWNER: _fold_owner,
         journal.WAVE: _fold_wave,
+        journal.HOSTS: _fold_hosts,
     }
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
@@ -5,6 +5,7 @@
 import attrs
 
 from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import host_intents
 from hawthorndeal_jobs import journal
 from hawthorndeal_jobs import ownership
 from hawthorndeal_platform import keyed_log
@@ -43,9 +44,9 @@
         while not self._is_stopping:
             delay_s = parts.rng.uniform(0.0, ownership.CLAIM_SPREAD_S)
             await self._wait_for_silence(delay_s)
-            tenure = await self._claim()
-            if tenure is not None:
-                await self._own(tenure)
+            owner = await self._claim()
+            if owner is not None:
+                await self._own(owner)
         await asyncio.Event().wait()
 
     async def _wait_for_silence(self, delay_s):
@@ -66,6 +67,7 @@
         claim = journal.Ownership(epoch, parts.settings.daemon)
         end = parts.jobs_follower.next_offset
         view = attrs.evolve(parts.jobs_reader.owner_view)
+        inherited = parts.jobs_reader.replica.host_intents
         parts.jobs_reader.epochs.add(epoch)
         sent_s = parts.clock.boot_s()
         try:
@@ -85,40 +87,39 @@
             return None
         if parts.jobs_reader.replica.ownership != claim:
             return None
-        tenure = self._make_tenure(epoch, sent_s, last, view)
-        wait_s = max(0.0, tenure.host_orders_from_s - parts.clock.boot_s())
         parts.events.write(
-            'owner_claimed', epoch=epoch, hosts_wait_s=round(wait_s, 2)
+            'owner_claimed', epoch=epoch, intents=len(inherited)
+        )
+        return owner_module.Owner(
+            parts,
+            ownership.Tenure(epoch, sent_s),
+            self._make_intents(inherited, view),
         )
-        return tenure
 
-    def _make_tenure(self, epoch, sent_s, last, view):
+    def _make_intents(self, inherited, view):
         parts = self._parts
-        now_s = parts.clock.boot_s()
-        lease_s = parts.settings.host_order_lease_ms / 1000
-        lease_s += ownership.HOST_LEASE_MARGIN_S
-        if last is None:
-            return ownership.Tenure(epoch, sent_s, now_s, now_s - lease_s)
+        intents = host_intents.HostIntents(
+            parts.settings.daemon, parts.settings.host_order_lease_ms / 1000
+        )
         # The clocks run alike, but for suspensions, which only prolong it.
-        steady_ahead_s = now_s - parts.clock.monotonic_s()
-        quiet_s = ownership.hosts_quiet_since_s(last, view) + steady_ahead_s
-        orders_from_s = quiet_s + lease_s
-        if last.daemon == parts.settings.daemon and last.is_ordering_hosts:
-            # Only this daemon has given orders since its last epoch.
-            orders_from_s = now_s
-        return ownership.Tenure(epoch, sent_s, orders_from_s, quiet_s)
-
-    async def _own(self, tenure):
+        ahead_s = parts.clock.boot_s() - parts.clock.monotonic_s()
+        intents.inherit(
+            inherited,
+            view.intents_read_s + ahead_s,
+            view.last_sign_s + ahead_s,
+        )
+        return intents
+
+    async def _own(self, owner):
         parts = self._parts
-        parts.jobs_reader.replica.own_epoch = tenure.epoch
+        epoch = owner.epoch
+        parts.jobs_reader.replica.own_epoch = epoch
         parts.jobs_follower.pause_s = OWNER_PAUSE_S
-        self._owner = owner_module.Owner(parts, tenure)
+        self._owner = owner
         try:
-            await self._owner.run()
+            await owner.run()
         except (owner_module.LostOwnership, keyed_log.Fenced) as error:
-            parts.events.write(
-                'owner_lost', epoch=tenure.epoch, why=str(error)[:160]
-            )
+            parts.events.write('owner_lost', epoch=epoch, why=str(error)[:160])
         finally:
             self._owner = None
             parts.jobs_reader.replica.own_epoch = None
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
@@ -22,6 +22,8 @@
 # A list says that a life has ended only of executors silent this long.
 SILENT_S = 1.0
 ORDER_RETRY_S = 0.5
+# Orders are put off when the store doesn't take them by then.
+ANNOUNCE_LIMIT_S = 0.5
 # From the end of a move until tasks start on the host.
 MOVE_MARGIN_S = 0.5
 
@@ -31,11 +33,14 @@
 
     :param parts: what an owner works with
     :param owner: whose tenure allows the orders
+    :param intents: tells which hosts may be ordered about
     """
 
-    def __init__(self, parts, owner):
+    def __init__(self, parts, owner, intents):
         self._parts = parts
         self._owner = owner
+        self._intents = intents
+        self._stored = asyncio.Event()
         self._hosts = {}
         self._listed_s = None
         self._list_due_s = 0.0
@@ -56,6 +61,7 @@
         """Look after hosts until the tenure is over."""
         if not self._parts.settings.hosts_address:
             return
+        self._reserve_expected()
         while not self._owner.tenure.is_lost:
             try:
                 await self._turn()
@@ -66,6 +72,15 @@
                 await asyncio.sleep(LIST_SOON_S)
             await asyncio.sleep(TURN_S)
 
+    def _reserve_expected(self):
+        """Have nothing start where an earlier owner's order may arrive."""
+        expected = self._intents.expected(self._parts.clock.boot_s())
+        for host, left_s in expected.items():
+            self._unsure[host] = self._owner.now_s() + left_s
+            executor = self._executor_on(host)
+            if executor is not None:
+                executor.is_reserved = True
+
     async def finish(self):
         """Wait for an order that is under way."""
         while self._is_ordering:
@@ -79,7 +94,9 @@
             return
         for wave in list(self._parts.configuration_reader.waves.values()):
             await self._keep_wave(wave)
-        for move in self._plan_moves():
+        moves = self._plan_moves()
+        await self._announce([move.host for move in moves])
+        for move in moves:
             await self._move(move)
 
     # What is known of hosts
@@ -187,6 +204,8 @@
     def _idle_s(self, host, entry, now_s):
         if host in self._moving or host in self._emptying:
             return []
+        if self._must_wait(host):
+            return []
         if entry.state is not host_orders.HostState.UP:
             return []
         if not self._is_listed_rightly(host, entry):
@@ -228,60 +247,99 @@
             state=host_orders.HostState.MOVING,
         )
 
-    async def _order(self, host, event, call, fields, note_done):
-        """Give one order, if the tenure allows it.
+    # Orders
+
+    def _must_wait(self, host):
+        """Tell whether an earlier owner's order is too recent."""
+        return self._intents.wait_s(host, self._parts.clock.boot_s()) > 0
 
-        The executor gets no new tasks from before the order on.
+    async def _announce(self, hosts):
+        """Store that hosts are about to be ordered, before they are.
+
+        Their executors get no new tasks from now on.
         """
-        owner = self._owner
+        if not hosts or not self._owner.may_order_hosts():
+            return
+        self._intents.begin(hosts, self._parts.clock.boot_s())
+        for host in hosts:
+            executor = self._executor_on(host)
+            if executor is not None:
+                executor.is_reserved = True
+        self._stored.clear()
+        self._owner.wake()
+        try:
+            await asyncio.wait_for(self._stored.wait(), ANNOUNCE_LIMIT_S)
+        except asyncio.TimeoutError:
+            self._owner.events.write('host_orders_put_off', hosts=len(hosts))
+
+    def _end_intent(self, host):
+        self._intents.end(host, self._parts.clock.boot_s())
+
+    def _unreserve(self, host):
         executor = self._executor_on(host)
         if executor is not None:
-            if executor.runs:
-                return False
-            executor.is_reserved = True
-        if not owner.may_order_hosts():
+            executor.is_reserved = host in self._emptying
+
+    async def _order(self, host, event, call, fields, note_done):
+        """Give one order that was announced, if the tenure allows it."""
+        owner = self._owner
+        executor = self._executor_on(host)
+        is_busy = executor is not None and executor.runs
+        may_order = owner.may_order_hosts() and self._intents.may_order(host)
+        if is_busy or not may_order:
+            self._end_intent(host)
+            self._unreserve(host)
+            return
+        outcome = await self._call(host, call)
+        if outcome == 'done':
+            note_done()
             if executor is not None:
-                executor.is_reserved = host in self._emptying
-            return False
+                owner.end_executor(executor, event)
+            self._list_due_s = owner.now_s() + LIST_SOON_S
+        self._parts.metrics.note_host_order(event)
+        owner.events.write(
+            event, host=host, epoch=owner.epoch, outcome=outcome, **fields
+        )
+
+    async def _call(self, host, call):
+        """Return what became of a call to the host service, as text."""
+        owner = self._owner
         holder = host_orders.Holder(self._parts.settings.daemon, owner.epoch)
         self._is_ordering = True
-        owner.tenure.hosts_quiet_since_s = self._parts.clock.boot_s()
-        outcome = 'done'
         try:
             await call(holder)
         except errors.OutcomeUnknown as error:
-            outcome = f'unknown: {error}'
             self._unsure[host] = owner.now_s()
             self._list_due_s = owner.now_s() + LIST_SOON_S
+            return f'unknown: {error}'
         except errors.PlatformError as error:
-            outcome = f'refused: {error}'
             self._retry_s[host] = owner.now_s() + ORDER_RETRY_S
-            if executor is not None:
-                executor.is_reserved = host in self._emptying
+            self._unreserve(host)
+            return f'refused: {error}'
         finally:
             self._is_ordering = False
             # Even an order that was not answered is over by now.
-            owner.tenure.hosts_quiet_since_s = self._parts.clock.boot_s()
-        if outcome == 'done':
-            note_done()
-            if executor is not None:
-                owner.end_executor(executor, event)
-            self._list_due_s = owner.now_s() + LIST_SOON_S
-        self._parts.metrics.note_host_order(event)
-        owner.events.write(
-            event, host=host, epoch=owner.epoch, outcome=outcome, **fields
-        )
-        return outcome == 'done'
+            self._end_intent(host)
+        return 'done'
 
     # Waves
 
     def take_records(self):
-        """Return the records of waves that have changed."""
+        """Return the records of what has changed."""
         changed, self._changed_waves = self._changed_waves, set()
-        return [
+        records = [
             journal.wave_record(number, self._wave_records[number])
             for number in sorted(changed)
         ]
+        intents = self._intents.take_changed(self._parts.clock.boot_s())
+        if intents is not None:
+            records.append(journal.host_intents_record(intents))
+        return records
+
+    def note_stored(self):
+        """Note that the records taken last are in the store."""
+        self._intents.note_stored()
+        self._stored.set()
 
     async def _keep_wave(self, wave):
         progress = self._wave_records.get(wave.number)
@@ -306,6 +364,7 @@
         )
         for host in plan.empty:
             self._begin_emptying(host, wave.number)
+        await self._announce(plan.begin)
         for host in plan.begin:
             await self._maintain(host, wave)
         self._empty_hosts()
@@ -313,6 +372,8 @@
     def _wave_progress(self, wave, progress):
         down = sum(
             self._hosts[host].state is host_orders.HostState.IN_MAINTENANCE
+            # An earlier owner may just have taken it down.
+            or (host not in progress.begun and self._must_wait(host))
             for host in wave.hosts
             if host in self._hosts
         )
@@ -328,6 +389,7 @@
         is_up = entry.state is host_orders.HostState.UP
         is_up = is_up and host not in self._moving
         is_up = is_up and self._is_listed_rightly(host, entry)
+        is_up = is_up and not self._must_wait(host)
         if self._owner.now_s() < self._retry_s.get(host, 0.0):
             is_up = False
         if executor is not None and executor.entry.is_leaving:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -37,9 +37,10 @@
 
     :param parts: what it works with
     :param tenure: how long it may act
+    :param intents: which hosts it may order about
     """
 
-    def __init__(self, parts, tenure):
+    def __init__(self, parts, tenure, intents):
         self.tenure = tenure
         self.events = parts.events
         self.executors = parts.executors
@@ -56,7 +57,7 @@
             parts.clock,
             parts.rng,
         )
-        self.keeper = host_keeper.HostKeeper(parts, self)
+        self.keeper = host_keeper.HostKeeper(parts, self, intents)
         self._orders = run_orders.RunOrders(
             self, parts.executors, parts.metrics
         )
@@ -71,9 +72,6 @@
         self._jobs_to_show = {}
         self._ends_to_forget = {}
         self._expiry_due_s = 0.0
-        # Whether the store holds that this owner orders hosts.
-        self._is_ordering_told = False
-        self._is_ordering_stored = False
 
     @property
     def epoch(self):
@@ -89,13 +87,10 @@
         return self.tenure.may_renew_leases(self._parts.clock.boot_s())
 
     def may_order_hosts(self):
-        """Tell whether hosts may be ordered about now.
-
-        The store must know first: a later life of this daemon relies on it.
-        """
-        if self._is_releasing or not self._is_ordering_stored:
-            return False
-        return self.tenure.may_order_hosts(self._parts.clock.boot_s())
+        """Tell whether hosts may be ordered about now."""
+        return not self._is_releasing and self.tenure.may_order_hosts(
+            self._parts.clock.boot_s()
+        )
 
     def wake(self):
         """Have a turn taken soon."""
@@ -195,7 +190,8 @@
         if self._calls:
             await self.keeper.finish()
         released = attrs.evolve(self._ownership(), is_released=True)
-        await self._store([journal.ownership_record(released)])
+        records = self.keeper.take_records()
+        await self._store([*records, journal.ownership_record(released)])
         self.tenure.is_lost = True
         self.events.write('owner_released', epoch=self.epoch)
 
@@ -231,12 +227,8 @@
         self._ends_to_forget = self.scheduler.snapshot_ends()
         confirmed_s = self.tenure.confirmed_s
         silent_s = self._parts.clock.boot_s() - confirmed_s
-        current = self._ownership()
-        is_news = current.is_ordering_hosts and not self._is_ordering_told
-        is_due = not records and silent_s > ownership.RENEW_PERIOD_S
-        if is_news or is_due:
-            self._is_ordering_told = current.is_ordering_hosts
-            records.append(journal.ownership_record(current))
+        if not records and silent_s > ownership.RENEW_PERIOD_S:
+            records.append(journal.ownership_record(self._ownership()))
         return records
 
     def _expired_records(self, now_s):
@@ -256,17 +248,11 @@
         return records
 
     def _ownership(self):
-        now_s = self._parts.clock.boot_s()
-        return journal.Ownership(
-            self.epoch,
-            self._parts.settings.daemon,
-            is_ordering_hosts=now_s >= self.tenure.host_orders_from_s,
-            hosts_quiet_s=round(now_s - self.tenure.hosts_quiet_since_s, 3),
-        )
+        return journal.Ownership(self.epoch, self._parts.settings.daemon)
 
     async def _store(self, records):
         await self._writer.append(records)
-        self._is_ordering_stored = self._is_ordering_told
+        self.keeper.note_stored()
         for job, state, has_begun in self._jobs_to_show.values():
             self._show(job, state, has_begun)
         self._jobs_to_show = {}
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/partition.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/partition.py
@@ -5,7 +5,7 @@
 from hawthorndeal_jobs import ownership
 from hawthorndeal_jobs import replica as replica_module
 
-_OWNER_KINDS = (journal.OWNER, journal.PROGRESS, journal.WAVE)
+_OWNER_KINDS = (journal.OWNER, journal.PROGRESS, journal.WAVE, journal.HOSTS)
 
 
 class JobsReader:
@@ -36,6 +36,8 @@
         folded = self.replica.apply(record.key, record.value, record.offset)
         if folded is None:
             return
+        if folded.kind == journal.HOSTS:
+            self.owner_view.intents_read_s = self._clock.monotonic_s()
         if folded.kind in _OWNER_KINDS:
             self._note_owner(folded)
         if self.on_folded is not None:
@@ -53,7 +55,6 @@
         )
         if folded.kind != journal.OWNER:
             return
-        self.owner_view.owner_read_s = self._clock.monotonic_s()
         seen = current.daemon, current.epoch, current.is_released
         if seen != self._owner_told:
             self._owner_told = seen
