--- a/features/jobs_world.feature
+++ b/features/jobs_world.feature
@@ -276,6 +276,12 @@
       | 62   |
       | 63   |
 
+  Scenario: Daemons that all begin anew take jobs at once
+    Given daemons over fakes, with seed 71
+    When all daemons are killed, and begin anew after 2 seconds
+    Then each of them is ready within 0.2 seconds
+    And an owner is at work within 0.5 seconds
+
   Scenario: A daemon that leaves answers what it can't finish
     Given daemons over fakes, with seed 19
     And a store that nothing reaches
--- a/features/steps/jobs_world.py
+++ b/features/steps/jobs_world.py
@@ -654,3 +654,35 @@
     )
     ninth = took_s[len(took_s) * 9 // 10 - 1]
     assert ninth <= limit_s, took_s
+
+
+@when('all daemons are killed, and begin anew after {seconds:g} seconds')
+def restart_all(context, seconds):
+    world = context.world
+
+    async def restart():
+        for daemon in world.daemons:
+            await daemon.kill()
+        await asyncio.sleep(seconds)
+        for daemon in world.daemons:
+            await daemon.restart()
+
+    context.runner.run(restart())
+    context.begun_s = world.now_s()
+
+
+@then('each of them is ready within {limit_s:g} seconds')
+def check_ready(context, limit_s):
+    daemons = context.world.daemons
+    is_met = context.world.wait_for(
+        lambda: all(d.interface.is_ready for d in daemons), limit_s
+    )
+    assert context.runner.run(is_met), context.world.story()[-2000:]
+
+
+@then('an owner is at work within {limit_s:g} seconds')
+def check_owner_soon(context, limit_s):
+    world = context.world
+    left_s = context.begun_s + limit_s - world.now_s()
+    is_met = world.wait_for(lambda: world.owner is not None, left_s)
+    assert context.runner.run(is_met), world.story()[-2000:]
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/following.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/following.py
@@ -49,6 +49,7 @@
         self._events = events
         self._wait_s = wait_s
         self._is_lost = False
+        self._is_at_end = False
         self._hurry = asyncio.Event()
         self._progress = asyncio.Event()
 
@@ -73,14 +74,15 @@
         if not self.is_loaded:
             await self._load()
         sent_s = self._clock.monotonic_s()
-        page = await self._log.read(
-            self.partition, self.next_offset, self._wait_s
-        )
+        # Until the end was reached once, nobody knows how old all this is.
+        wait_s = self._wait_s if self._is_at_end else 0.0
+        page = await self._log.read(self.partition, self.next_offset, wait_s)
         self._note_regained()
         for record in page.records:
             self._take(record)
         self.next_offset = max(self.next_offset, page.next_offset)
         if page.next_offset >= page.end:
+            self._is_at_end = True
             self._reader.note_read(sent_s)
         self._progress.set()
         self._progress = asyncio.Event()
@@ -96,6 +98,7 @@
             return
 
     async def _load(self):
+        self._is_at_end = False
         keys, next_key, first_end = set(), '', None
         while True:
             page = await self._log.newest(self.partition, next_key)
