Let a claim win also while callers append all the time

Cause: a claim was taken only where nothing had been appended since its daemon's last reading. Tried and dropped: claiming again at once after each failure; where appends come every 4 ms none of 30 tries in a row met the end. Change: the second try is without the condition. Epochs hold a random part, so that two daemons never claim the same one; the highest wins, and the claimant reads back up to its claim before it acts or takes over intents.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/host_intents.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/host_intents.py
@@ -58,12 +58,11 @@
     def inherit(self, intents, read_s, last_sign_s):
         """Take in what earlier owners have stored.
 
-        A claim is taken only of a claimant that has read every append of
-        the owner before it, so that its last order was soon after the last
-        of them.
+        An owner gives no order that it has stored no intent for, and none
+        long after the store last confirmed it.
 
         :param read_s: when the intents were read
-        :param last_sign_s: when anything of the last owner's was read
+        :param last_sign_s: when anything of an owner's was last read
         """
         for intent in intents:
             if intent.quiet_s is None:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import attrs
-
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import host_intents
 from hawthorndeal_jobs import journal
@@ -16,6 +14,9 @@
 REACH_CLAIM_S = 3.0
 # A reading that waits longer has nothing new to wait for.
 CLAIM_READ_S = 0.05
+CLAIM_PAUSE_S = (0.02, 0.1)
+# Epochs of one round of claims; each daemon takes one of them at random.
+EPOCH_SPAN = 1 << 20
 # The followers' pause between readings; an owner reads almost at once.
 FOLLOW_PAUSE_S = 0.15
 OWNER_PAUSE_S = 0.015
@@ -63,27 +64,47 @@
             await asyncio.sleep(CHECK_PERIOD_S)
 
     async def _try_claim(self, delay_s):
-        """Claim from the very end: what callers append moves it."""
+        """Claim, and return the owner to run; None where that failed.
+
+        A claim on condition that nothing was appended meanwhile has one
+        winner. Where callers append all the time it may fail for ever: then
+        the highest epoch wins.
+        """
         parts = self._parts
         follower = parts.jobs_follower
-        follower.pause_s = OWNER_PAUSE_S
-        await follower.catch_up(CLAIM_READ_S)
-        now_s = parts.clock.monotonic_s()
+        follower.pause_s = 0.0
         owner = None
-        if parts.jobs_reader.owner_view.may_claim(now_s, delay_s):
-            owner = await self._claim()
+        for is_conditional in (True, False):
+            await follower.catch_up(CLAIM_READ_S)
+            now_s = parts.clock.monotonic_s()
+            if not parts.jobs_reader.owner_view.may_claim(now_s, delay_s):
+                break
+            end = follower.next_offset if is_conditional else None
+            try:
+                owner = await self._claim(end)
+                break
+            except keyed_log.EndMoved:
+                continue
         if owner is None:
             follower.pause_s = FOLLOW_PAUSE_S
+            await asyncio.sleep(parts.rng.uniform(*CLAIM_PAUSE_S))
         return owner
 
-    async def _claim(self):
+    def _next_epoch(self):
+        """Return an epoch above all others, which no other daemon takes."""
+        last = self._parts.jobs_reader.replica.ownership
+        number = last.epoch // EPOCH_SPAN + 1 if last else 1
+        return number * EPOCH_SPAN + self._parts.rng.randrange(EPOCH_SPAN)
+
+    async def _claim(self, end):
+        """Append a claim, and return the owner to run, or None.
+
+        :param end: where the partition must end; None for anywhere
+        :raises keyed_log.EndMoved: it ends elsewhere
+        """
         parts = self._parts
-        last = parts.jobs_reader.replica.ownership
-        epoch = last.epoch + 1 if last else 1
+        epoch = self._next_epoch()
         claim = journal.Ownership(epoch, parts.settings.daemon)
-        end = parts.jobs_follower.next_offset
-        view = attrs.evolve(parts.jobs_reader.owner_view)
-        inherited = parts.jobs_reader.replica.host_intents
         parts.jobs_reader.epochs.add(epoch)
         sent_s = parts.clock.boot_s()
         try:
@@ -97,30 +118,29 @@
             parts.events.write(
                 'claim_failed', epoch=epoch, why=str(error)[:160]
             )
-            await asyncio.sleep(parts.rng.uniform(0.02, 0.1))
+            if isinstance(error, keyed_log.EndMoved):
+                raise
             return None
         if not await parts.jobs_follower.reach(offset, REACH_CLAIM_S):
             return None
+        # All that earlier owners have stored was read by now.
         if parts.jobs_reader.replica.ownership != claim:
             return None
-        parts.events.write(
-            'owner_claimed', epoch=epoch, intents=len(inherited)
-        )
-        return owner_module.Owner(
-            parts,
-            ownership.Tenure(epoch, sent_s),
-            self._make_intents(inherited, view),
-        )
+        intents = self._make_intents()
+        parts.events.write('owner_claimed', epoch=epoch)
+        tenure = ownership.Tenure(epoch, sent_s)
+        return owner_module.Owner(parts, tenure, intents)
 
-    def _make_intents(self, inherited, view):
+    def _make_intents(self):
         parts = self._parts
+        view = parts.jobs_reader.owner_view
         intents = host_intents.HostIntents(
             parts.settings.daemon, parts.settings.host_order_lease_ms / 1000
         )
         # The clocks run alike, but for suspensions, which only prolong it.
         ahead_s = parts.clock.boot_s() - parts.clock.monotonic_s()
         intents.inherit(
-            inherited,
+            parts.jobs_reader.replica.host_intents,
             view.intents_read_s + ahead_s,
             view.last_sign_s + ahead_s,
         )
