Wait until entry hosts know each other before the log ends

Listed as red: 'With the log down, tickets go on serving' was told once that no entry host runs as the ticket's incarnation. Cause: the step killed the log as soon as all entry hosts were ready, and one that had not yet read that another joined can't forward to it. The new scenario shows this: an entry host that is paused while another joins, with the log gone, tells that the holder is unreachable, and nothing runs, which is right.

--- a/features/requests_processes.feature
+++ b/features/requests_processes.feature
@@ -17,6 +17,7 @@
 
   Scenario: With the log down, tickets go on serving non-idempotent work
     Given a running deployment with slow endpoints and an applied fleet
+    And all entry hosts know each other
     When the platform's log ends and "entry-a1" issues a ticket
     Then a request with the ticket at "entry-b1" is told answered
     And a request with the ticket at "entry-c1" is told already_claimed
@@ -25,3 +26,11 @@
     When "entry-a1" is gone
     Then a request with the ticket at "entry-c1" is told ticket_holder_unreachable
     And the endpoints ran that request 1 times
+
+  Scenario: A ticket of an entry host that joined unseen runs nothing elsewhere
+    Given a running deployment with slow endpoints and an applied fleet
+    And "entry-a1" begins anew while "entry-b1" is paused
+    When the platform's log ends and "entry-a1" issues a ticket
+    And "entry-b1" goes on
+    Then a request with the ticket at "entry-b1" is told ticket_holder_unreachable
+    And the endpoints ran that request 0 times
--- a/features/steps/requests_processes.py
+++ b/features/steps/requests_processes.py
@@ -15,6 +15,7 @@
 SERVICE = 'portal'
 WORK_S = 0.7
 SHORT_S = 1.5
+KNOWN_TIMEOUT_S = 10.0
 
 
 @given('a running deployment with slow endpoints and an applied fleet')
@@ -114,6 +115,40 @@
     assert context.exit_code == code, context.exit_code
 
 
+@given('all entry hosts know each other')
+def await_acquainted(context):
+    names = sorted(context.stage.daemons)
+
+    def is_met(name):
+        _, status = context.stage.control(name, '/v1/status')
+        return sorted(m['daemon'] for m in status['members']) == names
+
+    for name in names:
+        processes.wait_until(
+            lambda name=name: is_met(name),
+            KNOWN_TIMEOUT_S,
+            f'{name} knows all entry hosts',
+        )
+
+
+@given('"{daemon}" begins anew while "{paused}" is paused')
+def begin_unseen(context, daemon, paused):
+    stage = context.stage
+    stage.daemons[paused].freeze()
+    stage.daemons[daemon].kill()
+    stage.daemons[daemon].start()
+    processes.wait_until(
+        lambda: deployment.is_ready(stage.daemons[daemon].url),
+        KNOWN_TIMEOUT_S,
+        f'{daemon} ready',
+    )
+
+
+@when('"{daemon}" goes on')
+def go_on(context, daemon):
+    context.stage.daemons[daemon].wake()
+
+
 @when('the platform\'s log ends and "{daemon}" issues a ticket')
 def issue(context, daemon):
     context.stage.log.kill()
