--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/decision_log.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/decision_log.py
@@ -8,7 +8,7 @@
 import time
 
 # Lines of one kind in one second; more are counted and left out.
-MAX_LINES_PER_KIND = 200
+MAX_LINES_PER_KIND = 400
 # Bytes kept while standard output takes nothing.
 MAX_PENDING_BYTES = 262144
 MAX_TEXT = 200
