Send appends again while their answers are out, and wait for a slow store

Where answers get lost, each lost one cost the same second. Lost readings are noticed 0.3 s after their time and repeated at once. An owner is taken for silent after twice the longest gap of late. It orders hosts while the store confirmed it in the last 2.5 s (0.7), and waits until its own intents are stored, not any append.

--- a/features/fakes/links.py
+++ b/features/fakes/links.py
@@ -43,7 +43,12 @@
             asyncio.get_running_loop().call_later(delay_s, _quietly, act)
             await self._time_out(timeout_s)
         if wait is not None:
-            await wait()
+            waiting = asyncio.create_task(wait())
+            done, _ = await asyncio.wait([waiting], timeout=timeout_s)
+            if not done:
+                # The other end goes on with it all the same.
+                waiting.add_done_callback(lambda _: _quietly(act))
+                raise errors.OutcomeUnknown('no answer in time')
         if self.is_cut:
             await self._time_out(timeout_s)
         answer = act()
--- a/features/jobs_decisions.feature
+++ b/features/jobs_decisions.feature
@@ -69,6 +69,17 @@
     When 10 jobs arrive in each quarter of the next second
     Then growth is expected
 
+  Scenario Outline: A call is sent again after several times the usual: <case>
+    Given a callee whose answers took <took> seconds, ten of them
+    When one more takes <last> seconds
+    Then the next call is sent again after <delay> seconds
+
+    Examples:
+      | case                | took  | last  | delay |
+      | it is quick         | 0.005 | 0.005 | 0.25  |
+      | it is slow          | 0.3   | 0.3   | 1.8   |
+      | it has become slow  | 0.005 | 0.5   | 3.0   |
+
   Scenario Outline: An owner is succeeded when <case>: <verdict>
     Given a store read <read_ago> seconds ago, readable for <readable> seconds
     And the owner's last sign was <sign_ago> seconds ago
@@ -104,11 +115,11 @@
 
     Examples:
       | case                            | told              | silent | next | verdict      |
-      | its order may be on its way     | still to be given | 1.5    | b    | in 2.9 s     |
+      | its order may be on its way     | still to be given | 1.5    | b    | in 4.7 s     |
       | its order was over lately       | over for 1.0 s    | 1.5    | b    | in 0.6 s     |
       | its order was over long ago     | over for 2.0 s    | 1.5    | b    | at once      |
       | only this daemon has ordered it | over for 0.0 s    | 1.5    | a    | at once      |
-      | its own order may still arrive  | still to be given | 0.5    | a    | in 0.8 s     |
+      | its own order may still arrive  | still to be given | 0.5    | a    | in 2.6 s     |
 
   @invariant_one_pool
   Scenario: No order is given before the store knows of it
--- a/features/jobs_world.feature
+++ b/features/jobs_world.feature
@@ -276,6 +276,35 @@
       | 62   |
       | 63   |
 
+  Scenario Outline: Jobs are still of use where the store loses answers, seed <seed>
+    Given daemons over fakes, with seed <seed>
+    And 4 seconds pass
+    When the store loses a third of its answers
+    And 40 jobs of 4 tasks of half a second arrive in 5 seconds
+    And 25 seconds pass
+    Then 9 of 10 of them were done within 6 seconds
+    And no promise was broken
+
+    Examples:
+      | seed |
+      | 83   |
+      | 84   |
+      | 85   |
+
+  Scenario Outline: Hosts move where the store takes an append each 0.4 s, seed <seed>
+    Given daemons over fakes, with seed <seed>
+    And 4 seconds pass
+    When the store takes an append each 0.4 s
+    And 40 jobs of 4 tasks of half a second arrive in 5 seconds
+    And 6 seconds pass
+    Then hosts have moved since the jobs began to arrive
+    And no promise was broken
+
+    Examples:
+      | seed |
+      | 81   |
+      | 82   |
+
   Scenario: Daemons that all begin anew take jobs at once
     Given daemons over fakes, with seed 71
     When all daemons are killed, and begin anew after 2 seconds
--- a/features/steps/jobs_decisions.py
+++ b/features/steps/jobs_decisions.py
@@ -20,6 +20,7 @@
 from hawthorndeal_jobs import queues
 from hawthorndeal_jobs import specs
 from hawthorndeal_jobs import wave_planning
+from hawthorndeal_platform import hedging
 from hawthorndeal_scheduler import run_orders
 from stage import job_world
 
@@ -272,7 +273,7 @@
             for pool, queue in world.configuration.queues.items()
         }
     )
-    context.runner.run(world.daemons[0].restart())
+    context.runner.run(world.owner.restart())
     context.runner.run(asyncio.sleep(3.0))
     assert isinstance(world, job_world.World)
 
@@ -402,3 +403,20 @@
 @then('it may order "{host}"')
 def check_may_now(context, host):
     assert context.intents.may_order(host)
+
+
+@given('a callee whose answers took {took_s:g} seconds, ten of them')
+def make_pace(context, took_s):
+    context.pace = hedging.Pace()
+    for _ in range(10):
+        context.pace.note_answer(took_s)
+
+
+@when('one more takes {took_s:g} seconds')
+def note_answer(context, took_s):
+    context.pace.note_answer(took_s)
+
+
+@then('the next call is sent again after {delay_s:g} seconds')
+def check_pace_delay(context, delay_s):
+    assert abs(context.pace.delay_s - delay_s) < 1e-3, context.pace.delay_s
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/host_intents.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/host_intents.py
@@ -8,8 +8,9 @@
 
 import attrs
 
-# An owner gives orders to hosts while the store confirmed it this recently.
-CONFIRMED_S = 0.7
+# An owner gives orders to hosts while the store confirmed it this recently;
+# a slow store takes more than a second to do so.
+CONFIRMED_S = 2.5
 # Time for a call that is on its way to be over.
 CALL_MARGIN_S = 0.6
 # Added to the time between orders of two owners.
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
@@ -12,6 +12,12 @@
 RENEW_PERIOD_S = 0.25
 # Silence, while the store can be read, after which others claim.
 SILENCE_S = 1.2
+# Where the store is slow, an owner is heard of less often: silence counts
+# from so many times the longest gap of late, up to a limit.
+GAP_FACTOR = 2.0
+MAX_SILENCE_S = 5.0
+# Part of the longest gap that is still believed after each shorter one.
+GAP_DECAY = 0.9
 # Claimants spread over this time, so that one of them is first.
 CLAIM_SPREAD_S = 0.3
 # Age of the last reading up to which the store counts as readable.
@@ -30,6 +36,7 @@
     :ivar is_claimable: whether there is no owner
     :ivar is_own_past: whether the owner is an earlier life of this daemon
     :ivar last_sign_s: when something of the owner's was last read
+    :ivar longest_gap_s: longest time between two of its signs of late
     :ivar intents_read_s: when the owner's intents were last read
     :ivar readable_since_s: since when the store was read without a break;
         None while it can't be read
@@ -38,6 +45,7 @@
     is_claimable: bool = True
     is_own_past: bool = False
     last_sign_s: float = 0.0
+    longest_gap_s: float = 0.0
     intents_read_s: float = 0.0
     last_read_s: float | None = None
     readable_since_s: float | None = None
@@ -51,6 +59,9 @@
 
     def note_owner(self, now_s, is_released, is_own_past):
         """Note a record of the owner's."""
+        gap_s = now_s - max(self.last_sign_s, self.readable_since_s or now_s)
+        faded_s = self.longest_gap_s * GAP_DECAY
+        self.longest_gap_s = max(gap_s, faded_s)
         self.last_sign_s = now_s
         self.is_claimable = is_released
         self.is_own_past = is_own_past
@@ -67,7 +78,13 @@
         if self.is_claimable or self.is_own_past:
             return True
         silent_s = now_s - max(self.last_sign_s, self.readable_since_s)
-        return silent_s > SILENCE_S + delay_s
+        return silent_s > self.allowed_silence_s + delay_s
+
+    @property
+    def allowed_silence_s(self):
+        """Return the silence that an owner at work may keep."""
+        usual_s = GAP_FACTOR * self.longest_gap_s
+        return min(MAX_SILENCE_S, max(SILENCE_S, usual_s))
 
 
 @attrs.define
--- /dev/null
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
@@ -0,0 +1,88 @@
+"""Send a call again while its answer is out; answers lost and slow ones.
+
+Where answers get lost, it pays to repeat soon. Where the callee has more to
+do than it can, repeats make that worse. So the first call stays under way,
+a repeat is sent after several times what answers take, and each further one
+after a longer time.
+"""
+
+import asyncio
+import time
+
+import attrs
+
+from hawthorndeal_fleet import errors
+
+# A repeat is sent after so many times what an answer usually takes.
+USUAL_FACTOR = 6.0
+LEAST_DELAY_S = 0.25
+# Each further repeat is sent after so much more time than the one before.
+DELAY_GROWTH = 1.4
+# Weight of an answer that came sooner than usual.
+SOONER_WEIGHT = 0.3
+FIRST_USUAL_S = 0.02
+
+
+@attrs.define
+class Pace:
+    """Keep how long one callee's answers take.
+
+    An answer that comes late counts at once, one that comes soon by and by.
+    """
+
+    _usual_s: float = FIRST_USUAL_S
+
+    @property
+    def delay_s(self):
+        """Return the time after which a call is sent again."""
+        return max(LEAST_DELAY_S, self._usual_s * USUAL_FACTOR)
+
+    def note_answer(self, took_s):
+        """Take in how long an answer took."""
+        if took_s > self._usual_s:
+            self._usual_s = took_s
+        else:
+            self._usual_s += (took_s - self._usual_s) * SOONER_WEIGHT
+
+
+async def call(send, pace, limit_s, now_s=time.monotonic):
+    """Return the first answer to a call that may be sent several times.
+
+    :param send: sends the call once; a repeat must do no harm
+    :param pace: of the callee
+    :param limit_s: time to give up after
+    :param now_s: returns the steady time
+    :raises errors.OutcomeUnknown: no answer came in time
+    """
+    ends_s = now_s() + limit_s
+    delay_s = pace.delay_s
+    copies = set()
+    try:
+        while True:
+            copies.add(asyncio.create_task(_send_timed(send, pace, now_s)))
+            next_s = min(ends_s, now_s() + delay_s)
+            delay_s *= DELAY_GROWTH
+            while copies and now_s() < next_s:
+                done, copies = await asyncio.wait(
+                    copies,
+                    timeout=next_s - now_s(),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for copy in done:
+                    # Only one that may have arrived is worth repeating.
+                    if not isinstance(copy.exception(), errors.OutcomeUnknown):
+                        return copy.result()
+            if now_s() >= ends_s:
+                raise errors.OutcomeUnknown(f'no answer in {limit_s} s')
+            if not copies:
+                await asyncio.sleep(max(0.0, next_s - now_s()))
+    finally:
+        for copy in copies:
+            copy.cancel()
+
+
+async def _send_timed(send, pace, now_s):
+    sent_s = now_s()
+    answer = await send()
+    pace.note_answer(now_s() - sent_s)
+    return answer
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/following.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/following.py
@@ -5,7 +5,7 @@
 
 from hawthorndeal_fleet import errors
 
-WAIT_S = 0.5
+WAIT_S = 0.3
 RETRY_S = 0.1
 MAX_RETRY_S = 0.5
 
@@ -55,17 +55,19 @@
 
     async def run(self):
         """Follow until cancelled."""
-        retry_s = RETRY_S
+        retry_s = 0.0
         while True:
             try:
                 await self._step()
-                retry_s = RETRY_S
+                retry_s = 0.0
             except errors.OffsetExpired:
                 self.is_loaded = False
             except errors.PlatformError as error:
                 self._note_lost(error)
+                # An answer may be lost; the next asks for what is there.
+                self._is_at_end = False
                 await asyncio.sleep(retry_s)
-                retry_s = min(MAX_RETRY_S, retry_s * 2)
+                retry_s = min(MAX_RETRY_S, max(RETRY_S, retry_s * 2))
 
     async def stop(self):
         """Do nothing: a reading may be cut off anywhere."""
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
@@ -23,7 +23,7 @@
 SILENT_S = 1.0
 ORDER_RETRY_S = 0.5
 # Orders are put off when the store doesn't take them by then.
-ANNOUNCE_LIMIT_S = 0.5
+ANNOUNCE_LIMIT_S = 2.5
 # From the end of a move until tasks start on the host.
 MOVE_MARGIN_S = 0.5
 
@@ -265,10 +265,13 @@
             executor = self._executor_on(host)
             if executor is not None:
                 executor.is_reserved = True
-        self._stored.clear()
         self._owner.wake()
         try:
-            await asyncio.wait_for(self._stored.wait(), ANNOUNCE_LIMIT_S)
+            async with asyncio.timeout(ANNOUNCE_LIMIT_S):
+                # An append that was under way doesn't hold them yet.
+                while not all(map(self._intents.may_order, hosts)):
+                    self._stored.clear()
+                    await self._stored.wait()
         except asyncio.TimeoutError:
             self._owner.events.write('host_orders_put_off', hosts=len(hosts))
 
