--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -394,6 +394,7 @@
         'claim_failed',
         'request_cut',
         'library_message',
+        'host_orders_put_off',
         'run_paced',
         'stray_run_stop',
         'run_not_started',
