--- /dev/null
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_keeper.py
@@ -0,0 +1,166 @@
+"""Take a wave's hosts down for maintenance, for an owner."""
+
+import collections
+
+import attrs
+
+from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import wave_planning
+from hawthorndeal_platform import host_orders
+
+
+class WaveKeeper:
+    """Go on with waves, host by host.
+
+    :param parts: what an owner works with
+    :param owner: knows what runs where
+    :param book: keeps what is known of hosts
+    :param ordering: gives the orders
+    :ivar blocked: lasting tasks, by pool, that could go on nowhere else
+    """
+
+    def __init__(self, parts, owner, book, ordering):
+        self._parts = parts
+        self._owner = owner
+        self._book = book
+        self._ordering = ordering
+        self.blocked = collections.Counter()
+        self._changed_waves = set()
+        self._wave_records = parts.jobs_reader.replica.wave_records
+
+    def take_records(self):
+        """Return the records of waves that have changed."""
+        changed, self._changed_waves = self._changed_waves, set()
+        return [
+            journal.wave_record(number, self._wave_records[number])
+            for number in sorted(changed)
+        ]
+
+    async def keep(self, wave):
+        """Go on with a wave."""
+        progress = self._wave_records.get(wave.number)
+        if progress is None:
+            progress = journal.WaveRecord([], self._parts.clock.now_s())
+            self._wave_records[wave.number] = progress
+            self._changed_waves.add(wave.number)
+            await self._tell(wave.number, False)
+        if progress.is_completed:
+            return
+        gone = set(wave.hosts) - set(self._book.entries)
+        if wave_planning.is_completed(wave, progress.begun, gone):
+            await self._complete(wave)
+            return
+        plan = wave_planning.plan_wave(
+            self._wave_progress(wave, progress),
+            [
+                self._due_host(host)
+                for host in wave.hosts
+                if host not in progress.begun and host in self._book.entries
+            ],
+        )
+        for host in plan.empty:
+            self._begin_emptying(host, wave.number)
+        await self._ordering.announce(plan.begin)
+        for host in plan.begin:
+            await self._maintain(host, wave)
+        self._empty_hosts()
+
+    def _wave_progress(self, wave, progress):
+        down = sum(
+            self._book.entries[host].state
+            is host_orders.HostState.IN_MAINTENANCE
+            # An earlier owner may just have taken it down.
+            or (host not in progress.begun and self._ordering.must_wait(host))
+            for host in wave.hosts
+            if host in self._book.entries
+        )
+        elapsed_s = self._parts.clock.now_s() - progress.seen_s
+        return wave_planning.WaveProgress(
+            len(wave.hosts), len(progress.begun), down, wave.max_count,
+            wave.duration_s, max(0.0, elapsed_s),
+        )  # fmt: skip
+
+    def _due_host(self, host):
+        executor = self._book.executor_on(host)
+        runs = len(executor.runs) if executor is not None else 0
+        is_up = self._book.is_steady(host)
+        return wave_planning.DueHost(
+            host,
+            runs,
+            host in self._book.emptying,
+            is_up and not self._ordering.must_wait(host),
+        )
+
+    def _begin_emptying(self, host, number):
+        self._book.emptying.add(host)
+        self._book.reserve(host)
+        self._owner.events.write('host_emptying', host=host, wave=number)
+
+    def _empty_hosts(self):
+        """Have lasting tasks leave hosts that are to go down."""
+        self.blocked.clear()
+        for host in sorted(self._book.emptying):
+            executor = self._book.executor_on(host)
+            if executor is None:
+                continue
+            executor.is_reserved = True
+            for run in list(executor.runs.values()):
+                if run.step.is_lasting and not run.is_stop_wanted:
+                    self._try_displace(run)
+
+    def _try_displace(self, run):
+        scheduler = self._owner.scheduler
+        if not scheduler.has_other_place(run, self._owner.now_s()):
+            self.blocked[scheduler.steps.pool_of(run.occurrence.job)] += 1
+            return
+        tasks = run.occurrence.tasks[run.task_id.step]
+        at_work = sum(
+            other.percent >= 100
+            and not other.is_stop_wanted
+            and other.task_id.step == run.task_id.step
+            and other.occurrence is run.occurrence
+            and other is not run
+            for executor in scheduler.executors.values()
+            for other in executor.runs.values()
+        )
+        if wave_planning.may_end_lasting(
+            at_work, len(tasks) - 1, run.step.max_unavailable
+        ):
+            run.is_stop_wanted = True
+            self._owner.events.write(
+                'run_displaced',
+                task=str(run.task_id),
+                executor=run.executor_id,
+                others_at_work=at_work,
+                max_unavailable=run.step.max_unavailable,
+            )
+
+    async def _maintain(self, host, wave):
+        def note_done():
+            progress = self._wave_records[wave.number]
+            progress = attrs.evolve(progress, begun=[*progress.begun, host])
+            self._wave_records[wave.number] = progress
+            self._changed_waves.add(wave.number)
+            self._book.note_maintained(host)
+
+        await self._ordering.give(
+            host,
+            'host_maintenance_begun',
+            lambda holder: self._parts.hosts.maintain(
+                host, wave.number, holder
+            ),
+            {'wave': wave.number},
+            note_done,
+        )
+
+    async def _complete(self, wave):
+        await self._tell(wave.number, True)
+        progress = attrs.evolve(
+            self._wave_records[wave.number], is_completed=True
+        )
+        self._wave_records[wave.number] = progress
+        self._changed_waves.add(wave.number)
+        self._owner.events.write('wave_completed', wave=wave.number)
+
+    async def _tell(self, number, is_completed):
+        await self._parts.wave_reports.tell(number, is_completed)
