Play clock steps and slow or lossy stores in the search; settle copies

The search drew no trouble with the time of day and none with the store but its loss. With the new kinds it logged errors that nobody had taken: of two copies of an append done in the same moment the second's error was left. Change: all copies done are looked at, a success counts before a refusal, and what is left over is taken note of. Each case of the call has a scenario.

--- a/features/jobs_decisions.feature
+++ b/features/jobs_decisions.feature
@@ -80,6 +80,20 @@
       | it is slow          | 0.3   | 0.3   | 1.8   |
       | it has become slow  | 0.005 | 0.5   | 3.0   |
 
+  Scenario Outline: The first answer to a call and its copies counts: <case>
+    Given a call whose copies are <copies>
+    When it is made, with 1 second at most
+    Then it is <outcome>, after <sent> copies and <took> seconds
+
+    Examples:
+      | case                      | copies                        | outcome  | sent | took |
+      | it is answered            | answered in 0.01              | answered | 1    | 0.01 |
+      | its answer is lost        | lost, answered in 0.01        | answered | 2    | 0.26 |
+      | the first is only slow    | answered in 0.4, lost         | answered | 2    | 0.4  |
+      | it is refused             | refused in 0.01               | refused  | 1    | 0.01 |
+      | the connection breaks off | broken in 0.01, answered in 0 | answered | 2    | 0.25 |
+      | nothing is heard          | lost, lost, lost              | unknown  | 3    | 1.0  |
+
   Scenario Outline: An owner is succeeded when <case>: <verdict>
     Given a store read <read_ago> seconds ago, readable for <readable> seconds
     And the owner's last sign was <sign_ago> seconds ago
--- a/features/stage/job_search.py
+++ b/features/stage/job_search.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from fakes import links
 from stage import job_world
 from stage import virtual_time
 
@@ -172,6 +173,26 @@
         for follower in (owner.jobs_follower, owner.entries_follower):
             self.world.store.forget(follower.partition)
 
+    async def _do_step_clock(self, lasts_s):
+        """Have the time of day jump on one daemon, back or ahead."""
+        clock = self._rng.choice(self.world.daemons).parts.clock
+        clock.wall_step_s = self._rng.choice((-2400.0, -3.0, 3.0, 2400.0))
+        self._later(lasts_s, lambda: setattr(clock, 'wall_step_s', 0.0))
+
+    async def _do_slow_store(self, lasts_s):
+        store = self.world.store
+        store.append_s = self._rng.uniform(0.05, 0.4)
+        self._later(lasts_s, lambda: setattr(store, 'append_s', 0.0))
+
+    async def _do_lose_store_answers(self, lasts_s):
+        for daemon in self.world.daemons:
+            log = daemon.parts.log
+            usual, log._link = (
+                log._link,
+                links.Link(self.world.rng, lost_share=0.35),
+            )
+            self._later(lasts_s, lambda g=log, k=usual: setattr(g, '_link', k))
+
     def _an_executor(self):
         alive = [
             e
--- a/features/steps/jobs_decisions.py
+++ b/features/steps/jobs_decisions.py
@@ -8,6 +8,7 @@
 from behave import then
 from behave import when
 
+from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import capacity
 from hawthorndeal_jobs import demand
 from hawthorndeal_jobs import estimates
@@ -23,6 +24,7 @@
 from hawthorndeal_platform import hedging
 from hawthorndeal_scheduler import run_orders
 from stage import job_world
+from stage import virtual_time
 
 NOW_S = 100.0
 QUARTER_S = 0.25
@@ -420,3 +422,50 @@
 @then('the next call is sent again after {delay_s:g} seconds')
 def check_pace_delay(context, delay_s):
     assert abs(context.pace.delay_s - delay_s) < 1e-3, context.pace.delay_s
+
+
+class _Refused(errors.PlatformError):
+    """Stand for an answer that refuses."""
+
+
+@given('a call whose copies are {copies}')
+def make_copies(context, copies):
+    context.copies = [copy.split(' in ') for copy in copies.split(', ')]
+
+
+@when('it is made, with 1 second at most')
+def make_call(context):
+    context.sent = 0
+    runner = asyncio.Runner(loop_factory=virtual_time.VirtualLoop)
+
+    async def send():
+        how, *after_s = context.copies[context.sent]
+        context.sent += 1
+        await asyncio.sleep(float(after_s[0]) if after_s else 1e6)
+        if how == 'refused':
+            raise _Refused('no')
+        if how == 'broken':
+            raise errors.OutcomeUnknown('broken off')
+
+    async def make():
+        now_s = asyncio.get_running_loop().time
+        begun_s = now_s()
+        try:
+            await hedging.call(send, hedging.Pace(), 1.0, now_s)
+        except _Refused:
+            outcome = 'refused'
+        except errors.OutcomeUnknown:
+            outcome = 'unknown'
+        else:
+            outcome = 'answered'
+        return outcome, now_s() - begun_s
+
+    with runner:
+        context.outcome, context.took_s = runner.run(make())
+
+
+@then('it is {outcome:w}, after {sent:d} copies and {took_s:g} seconds')
+def check_call(context, outcome, sent, took_s):
+    assert context.outcome == outcome, context.outcome
+    assert context.sent == sent, context.sent
+    assert abs(context.took_s - took_s) < 0.005, context.took_s
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
@@ -68,10 +68,9 @@
                     timeout=next_s - now_s(),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
-                for copy in done:
-                    # Only one that may have arrived is worth repeating.
-                    if not isinstance(copy.exception(), errors.OutcomeUnknown):
-                        return copy.result()
+                answered = _pick_answered(done)
+                if answered is not None:
+                    return answered.result()
             if now_s() >= ends_s:
                 raise errors.OutcomeUnknown(f'no answer in {limit_s} s')
             if not copies:
@@ -79,6 +78,26 @@
     finally:
         for copy in copies:
             copy.cancel()
+            copy.add_done_callback(_forget)
+
+
+def _pick_answered(done):
+    """Return the copy that tells what became of the call, or None."""
+    unknown = [
+        copy
+        for copy in done
+        if isinstance(copy.exception(), errors.OutcomeUnknown)
+    ]
+    answered = [copy for copy in done if copy not in unknown]
+    # A success counts before a refusal that came at the same time.
+    answered.sort(key=lambda copy: copy.exception() is not None)
+    return answered[0] if answered else None
+
+
+def _forget(copy):
+    """Take note of a copy's error, which nobody waits for any more."""
+    if not copy.cancelled():
+        copy.exception()
 
 
 async def _send_timed(send, pace, now_s):
