Wait for a store that reads slowly, and judge it by its answers

Change: the time allowed follows what readings take and grows with each silence; the store counts as there while it answered in the last 1.2 s. Before: the new scenario failed (no daemon ready).

--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -33,8 +33,15 @@
         self.appends = 0
         # Appends are taken one after the other, each for so long.
         self.append_s = 0.0
+        # What a reading takes beyond its wait.
+        self.read_s = 0.0
         self._busy_until_s = 0.0
 
+    async def wait_to_read(self, partition, offset, wait_s):
+        """Wait for a record, and for the reading itself."""
+        await self.wait(partition, offset, wait_s)
+        await asyncio.sleep(self.read_s)
+
     async def wait_turn(self):
         """Wait until an append that arrives now is taken."""
         now_s = asyncio.get_running_loop().time()
@@ -122,6 +129,7 @@
         self._store = store
         self._link = link
         self._pace = hedging.Pace()
+        self._read_pace = hedging.Pace()
         self.is_cut = False
 
     async def _call(self, act, wait=None, timeout_s=links.CALL_TIMEOUT_S):
@@ -145,11 +153,16 @@
 
     async def read(self, partition, offset, wait_s):
         """Return the records from an offset, waiting for the first."""
-        return await self._call(
-            lambda: self._store.read(partition, offset),
-            lambda: self._store.wait(partition, offset, wait_s),
-            keyed_log.READ_MARGIN_S + wait_s,
-        )
+
+        async def send(timeout_s):
+            return await self._call(
+                lambda: self._store.read(partition, offset),
+                lambda: self._store.wait_to_read(partition, offset, wait_s),
+                timeout_s,
+            )
+
+        now_s = asyncio.get_running_loop().time
+        return await hedging.read(send, self._read_pace, wait_s, now_s)
 
     async def newest(self, partition, after_key=''):
         """Return the newest record of each key."""
--- a/features/jobs_decisions.feature
+++ b/features/jobs_decisions.feature
@@ -78,7 +78,8 @@
       | case                | took  | last  | delay |
       | it is quick         | 0.005 | 0.005 | 0.25  |
       | it is slow          | 0.3   | 0.3   | 1.8   |
-      | it has become slow  | 0.005 | 0.5   | 3.0   |
+      | it has become slow  | 0.005 | 0.3   | 1.8   |
+      | no more than that   | 0.005 | 0.9   | 2.0   |
 
   Scenario Outline: The first answer to a call and its copies counts: <case>
     Given a call whose copies are <copies>
--- a/features/jobs_world.feature
+++ b/features/jobs_world.feature
@@ -305,6 +305,13 @@
       | 81   |
       | 82   |
 
+  Scenario: A store that takes long to read counts as there
+    Given daemons over fakes, with seed 91
+    When a reading of the store takes 0.7 seconds longer
+    And 6 seconds pass
+    Then every daemon is ready at least 9 of 10 times in 5 seconds
+    And there was one owner all the time
+
   Scenario: Daemons that all begin anew take jobs at once
     Given daemons over fakes, with seed 71
     When all daemons are killed, and begin anew after 2 seconds
--- a/features/steps/jobs_decisions.py
+++ b/features/steps/jobs_decisions.py
@@ -233,6 +233,7 @@
     context.view = ownership.OwnerView(
         is_claimable=False,
         last_read_s=NOW_S - ago,
+        last_answer_s=NOW_S - ago,
         readable_since_s=NOW_S - readable,
     )
 
--- a/features/steps/jobs_world.py
+++ b/features/steps/jobs_world.py
@@ -1,6 +1,7 @@
 """Steps that play daemons over judging fakes in virtual time."""
 
 import asyncio
+import collections
 
 from behave import given
 from behave import step
@@ -726,3 +727,30 @@
         and entry[3]['outcome'] == 'done'
     ]
     assert moved, context.world.story()[-3000:]
+
+
+@when('a reading of the store takes {read_s:g} seconds longer')
+def slow_reads(context, read_s):
+    context.world.store.read_s = read_s
+
+
+@then('every daemon is ready at least 9 of 10 times in 5 seconds')
+def check_mostly_ready(context):
+    world = context.world
+    counts = collections.Counter()
+
+    async def watch():
+        for _ in range(50):
+            await asyncio.sleep(0.1)
+            counts.update(
+                d.name for d in world.daemons if d.interface.is_ready
+            )
+
+    context.runner.run(watch())
+    assert all(counts[d.name] >= 45 for d in world.daemons), counts
+
+
+@then('there was one owner all the time')
+def check_one_owner(context):
+    claimed = [o for o in context.world.log if o[2] == 'owner_claimed']
+    assert len(claimed) == 1, claimed
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
@@ -38,6 +38,8 @@
     :ivar last_sign_s: when something of the owner's was last read
     :ivar longest_gap_s: longest time between two of its signs of late
     :ivar intents_read_s: when the owner's intents were last read
+    :ivar last_read_s: when the last reading that reached the end was sent
+    :ivar last_answer_s: when it was answered
     :ivar readable_since_s: since when the store was read without a break;
         None while it can't be read
     """
@@ -48,10 +50,12 @@
     longest_gap_s: float = 0.0
     intents_read_s: float = 0.0
     last_read_s: float | None = None
+    last_answer_s: float | None = None
     readable_since_s: float | None = None
 
-    def note_read(self, sent_s):
+    def note_read(self, sent_s, now_s):
         """Note that everything up to the end was read by a call."""
+        self.last_answer_s = now_s
         last_s = self.last_read_s
         if last_s is None or sent_s - last_s > SILENCE_S:
             self.readable_since_s = sent_s
@@ -71,9 +75,9 @@
 
         :param delay_s: this daemon's part of the spread
         """
-        if self.last_read_s is None:
+        if self.last_answer_s is None:
             return False
-        if now_s - self.last_read_s > FRESH_READ_S + RENEW_PERIOD_S:
+        if now_s - self.last_answer_s > FRESH_READ_S + RENEW_PERIOD_S:
             return False
         if self.is_claimable or self.is_own_past:
             return True
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
@@ -16,7 +16,9 @@
 # A repeat is sent after so many times what an answer usually takes.
 USUAL_FACTOR = 6.0
 LEAST_DELAY_S = 0.25
-# Each further repeat is sent after so much more time than the one before.
+MOST_DELAY_S = 2.0
+# Each further repeat is sent after so much more time than the one before;
+# after calls without any answer the next is waited for so much longer.
 DELAY_GROWTH = 1.4
 # Weight of an answer that came sooner than usual.
 SOONER_WEIGHT = 0.3
@@ -31,14 +33,25 @@
     """
 
     _usual_s: float = FIRST_USUAL_S
+    _silences: int = 0
 
     @property
     def delay_s(self):
-        """Return the time after which a call is sent again."""
-        return max(LEAST_DELAY_S, self._usual_s * USUAL_FACTOR)
+        """Return the time after which an answer counts as overdue."""
+        delay_s = max(LEAST_DELAY_S, self._usual_s * USUAL_FACTOR)
+        return min(MOST_DELAY_S, delay_s * DELAY_GROWTH**self._silences)
+
+    def note_silence(self):
+        """Take in that no answer came: the callee may have become slow."""
+        self._silences += 1
+
+    def note_heard(self):
+        """Take in an answer that doesn't tell how long it took."""
+        self._silences = 0
 
     def note_answer(self, took_s):
         """Take in how long an answer took."""
+        self.note_heard()
         if took_s > self._usual_s:
             self._usual_s = took_s
         else:
@@ -72,6 +85,7 @@
                 if answered is not None:
                     return answered.result()
             if now_s() >= ends_s:
+                pace.note_silence()
                 raise errors.OutcomeUnknown(f'no answer in {limit_s} s')
             if not copies:
                 await asyncio.sleep(max(0.0, next_s - now_s()))
@@ -81,6 +95,32 @@
             copy.add_done_callback(_forget)
 
 
+async def read(send, pace, wait_s, now_s=time.monotonic):
+    """Return the page of a reading that may wait for records.
+
+    :param send: sends the call, given how long to wait for the answer
+    :param pace: of the callee's readings
+    :param wait_s: how long the callee may wait
+    :param now_s: returns the steady time
+    :raises errors.OutcomeUnknown: no answer came in time
+    """
+    sent_s = now_s()
+    try:
+        page = await send(wait_s + pace.delay_s)
+    except errors.OutcomeUnknown:
+        pace.note_silence()
+        raise
+    took_s = now_s() - sent_s
+    if not page.records:
+        pace.note_answer(max(0.0, took_s - wait_s))
+    elif not wait_s:
+        pace.note_answer(took_s)
+    else:
+        # It came as soon as there was a record, whenever that was.
+        pace.note_heard()
+    return page
+
+
 def _pick_answered(done):
     """Return the copy that tells what became of the call, or None."""
     unknown = [
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/keyed_log.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/keyed_log.py
@@ -13,9 +13,6 @@
     reason = 'fenced'
 
 
-# A reading is harmless to repeat: its answer may come so much later than
-# the reading was to wait.
-READ_MARGIN_S = 0.3
 # An append that was not answered by then counts as unknown.
 APPEND_LIMIT_S = 2.0
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -17,7 +17,7 @@
 CATCH_UP_S = 0.4
 # Age of the last reading up to which an absent job is surely unknown.
 FRESH_S = 1.5
-# The store counts as away when it was not read for so long.
+# The store counts as away when no reading was answered for so long.
 STORE_AWAY_S = 1.2
 RETRY_AFTER_S = 1
 
@@ -62,7 +62,7 @@
         )
 
     def _is_store_away(self):
-        last_s = self._parts.jobs_reader.owner_view.last_read_s
+        last_s = self._parts.jobs_reader.owner_view.last_answer_s
         now_s = self._parts.clock.monotonic_s()
         return last_s is None or now_s - last_s > STORE_AWAY_S
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/partition.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/partition.py
@@ -73,7 +73,7 @@
 
     def note_read(self, sent_s):
         """Note that a call sent then has reached the end."""
-        self.owner_view.note_read(sent_s)
+        self.owner_view.note_read(sent_s, self._clock.monotonic_s())
 
 
 class ConfigurationReader:
