--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -128,8 +128,8 @@
     def __init__(self, store, link):
         self._store = store
         self._link = link
-        self._pace = hedging.Pace()
-        self._read_pace = hedging.Pace()
+        self._append_latency = hedging.LatencyEstimate()
+        self._read_latency = hedging.LatencyEstimate()
         self.is_cut = False
 
     async def _call(self, act, wait=None, timeout_s=links.CALL_TIMEOUT_S):
@@ -146,7 +146,7 @@
                 self._store.wait_turn,
                 keyed_log.APPEND_LIMIT_S,
             ),
-            self._pace,
+            self._append_latency,
             keyed_log.APPEND_LIMIT_S,
             asyncio.get_running_loop().time,
         )
@@ -162,7 +162,7 @@
             )
 
         now_s = asyncio.get_running_loop().time
-        return await hedging.read(send, self._read_pace, wait_s, now_s)
+        return await hedging.read(send, self._read_latency, wait_s, now_s)
 
     async def newest(self, partition, after_key=''):
         """Return the newest record of each key."""
--- a/features/steps/jobs_decisions.py
+++ b/features/steps/jobs_decisions.py
@@ -409,20 +409,22 @@
 
 
 @given('a callee whose answers took {took_s:g} seconds, ten of them')
-def make_pace(context, took_s):
-    context.pace = hedging.Pace()
+def make_latency(context, took_s):
+    context.latency = hedging.LatencyEstimate()
     for _ in range(10):
-        context.pace.note_answer(took_s)
+        context.latency.note_answer(took_s)
 
 
 @when('one more takes {took_s:g} seconds')
 def note_answer(context, took_s):
-    context.pace.note_answer(took_s)
+    context.latency.note_answer(took_s)
 
 
 @then('the next call is sent again after {delay_s:g} seconds')
-def check_pace_delay(context, delay_s):
-    assert abs(context.pace.delay_s - delay_s) < 1e-3, context.pace.delay_s
+def check_overdue(context, delay_s):
+    assert abs(context.latency.delay_s - delay_s) < 1e-3, (
+        context.latency.delay_s
+    )
 
 
 class _Refused(errors.PlatformError):
@@ -452,7 +454,7 @@
         now_s = asyncio.get_running_loop().time
         begun_s = now_s()
         try:
-            await hedging.call(send, hedging.Pace(), 1.0, now_s)
+            await hedging.call(send, hedging.LatencyEstimate(), 1.0, now_s)
         except _Refused:
             outcome = 'refused'
         except errors.OutcomeUnknown:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/host_intents.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/host_intents.py
@@ -81,7 +81,7 @@
         lease_s = 0.0 if is_own else self._lease_s
         return max(0.0, known.quiet_since_s + lease_s - now_s)
 
-    def expected(self, now_s):
+    def outstanding(self, now_s):
         """Return hosts that an earlier owner's order may still reach.
 
         :returns: the time until that is over, by host
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
@@ -26,7 +26,7 @@
 
 
 @attrs.define
-class Pace:
+class LatencyEstimate:
     """Keep how long one callee's answers take.
 
     An answer that comes late counts at once, one that comes soon by and by.
@@ -58,21 +58,21 @@
             self._usual_s += (took_s - self._usual_s) * SOONER_WEIGHT
 
 
-async def call(send, pace, limit_s, now_s=time.monotonic):
+async def call(send, latency, limit_s, now_s=time.monotonic):
     """Return the first answer to a call that may be sent several times.
 
     :param send: sends the call once; a repeat must do no harm
-    :param pace: of the callee
+    :param latency: of the callee
     :param limit_s: time to give up after
     :param now_s: returns the steady time
     :raises errors.OutcomeUnknown: no answer came in time
     """
     ends_s = now_s() + limit_s
-    delay_s = pace.delay_s
+    delay_s = latency.delay_s
     copies = set()
     try:
         while True:
-            copies.add(asyncio.create_task(_send_timed(send, pace, now_s)))
+            copies.add(asyncio.create_task(_send_timed(send, latency, now_s)))
             next_s = min(ends_s, now_s() + delay_s)
             delay_s *= DELAY_GROWTH
             while copies and now_s() < next_s:
@@ -85,7 +85,7 @@
                 if answered is not None:
                     return answered.result()
             if now_s() >= ends_s:
-                pace.note_silence()
+                latency.note_silence()
                 raise errors.OutcomeUnknown(f'no answer in {limit_s} s')
             if not copies:
                 await asyncio.sleep(max(0.0, next_s - now_s()))
@@ -95,29 +95,29 @@
             copy.add_done_callback(_forget)
 
 
-async def read(send, pace, wait_s, now_s=time.monotonic):
+async def read(send, latency, wait_s, now_s=time.monotonic):
     """Return the page of a reading that may wait for records.
 
     :param send: sends the call, given how long to wait for the answer
-    :param pace: of the callee's readings
+    :param latency: of the callee's readings
     :param wait_s: how long the callee may wait
     :param now_s: returns the steady time
     :raises errors.OutcomeUnknown: no answer came in time
     """
     sent_s = now_s()
     try:
-        page = await send(wait_s + pace.delay_s)
+        page = await send(wait_s + latency.delay_s)
     except errors.OutcomeUnknown:
-        pace.note_silence()
+        latency.note_silence()
         raise
     took_s = now_s() - sent_s
     if not page.records:
-        pace.note_answer(max(0.0, took_s - wait_s))
+        latency.note_answer(max(0.0, took_s - wait_s))
     elif not wait_s:
-        pace.note_answer(took_s)
+        latency.note_answer(took_s)
     else:
         # It came as soon as there was a record, whenever that was.
-        pace.note_heard()
+        latency.note_heard()
     return page
 
 
@@ -140,8 +140,8 @@
         copy.exception()
 
 
-async def _send_timed(send, pace, now_s):
+async def _send_timed(send, latency, now_s):
     sent_s = now_s()
     answer = await send()
-    pace.note_answer(now_s() - sent_s)
+    latency.note_answer(now_s() - sent_s)
     return answer
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
@@ -42,7 +42,7 @@
         """Look after hosts until the tenure is over."""
         if not self._parts.settings.hosts_address:
             return
-        self._ordering.reserve_expected()
+        self._ordering.reserve_outstanding()
         while not self._owner.tenure.is_lost:
             try:
                 await self._turn()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_ordering.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_ordering.py
@@ -29,10 +29,10 @@
         self._stored = asyncio.Event()
         self._is_ordering = False
 
-    def reserve_expected(self):
+    def reserve_outstanding(self):
         """Have nothing start where an earlier owner's order may arrive."""
-        expected = self._intents.expected(self._parts.clock.boot_s())
-        for host, left_s in expected.items():
+        outstanding = self._intents.outstanding(self._parts.clock.boot_s())
+        for host, left_s in outstanding.items():
             self._book.note_unsure(host, self._owner.now_s() + left_s)
             self._book.reserve(host)
 
