End a host's other lives only when one of them answers

A new owner has no memory of which lives have ended. Ruled out: starts that were not answered (each was, or was stopped first), lapsed leases, the copies of appends. Change: an entry adds a life and ends none. A life that answers a look proves that the others of its host are over.

--- a/features/jobs_world.feature
+++ b/features/jobs_world.feature
@@ -326,3 +326,21 @@
     Then that is refused as answer_lost within 0.6 seconds
     When a job is submitted to daemon 1
     Then that is refused as shutting_down within 0.1 seconds
+
+  @invariant_at_most_once
+  Scenario Outline: An entry of an ended life that is stored late ends no other, seed <seed>
+    Given daemons over fakes, with seed <seed>
+    When hosts have moved between pools
+    And the owner is killed
+    And 3 seconds pass
+    And 6 jobs of 6 and 4 tasks are submitted
+    And entries of ended lives are stored again
+    And 12 seconds pass
+    Then every job is shown as completed
+    And no task began more than once
+    And no promise was broken
+
+    Examples:
+      | seed |
+      | 15   |
+      | 96   |
--- a/features/stage/job_search.py
+++ b/features/stage/job_search.py
@@ -193,6 +193,12 @@
             )
             self._later(lasts_s, lambda g=log, k=usual: setattr(g, '_link', k))
 
+    async def _do_enter_ended_life(self, lasts_s):
+        """Have an entry of a life that has ended be stored late."""
+        ended = [e for e in self.world.executors.values() if e.is_gone]
+        if ended and not self.world.store.is_down:
+            self.world.enter(self._rng.choice(ended).entry)
+
     def _an_executor(self):
         alive = [
             e
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -283,9 +283,13 @@
             return
         if not executor.is_cut and not self.store.is_down:
             entry = attrs.evolve(executor.entry, clock_s=executor.clock_s())
-            self._write(ENTRIES, entry.executor_id, entry)
+            self.enter(entry)
         self.loop.call_later(BEAT_S, self._beat, executor)
 
+    def enter(self, entry):
+        """Store what an executor tells of itself."""
+        self._write(ENTRIES, entry.executor_id, entry)
+
     def take_host(self, entry, pool, state, lasts_s):
         """Have a host leave, and come back later."""
         executor = self.executors.get(entry.executor_id)
--- a/features/steps/jobs_world.py
+++ b/features/steps/jobs_world.py
@@ -754,3 +754,20 @@
 def check_one_owner(context):
     claimed = [o for o in context.world.log if o[2] == 'owner_claimed']
     assert len(claimed) == 1, claimed
+
+
+@when('entries of ended lives are stored again')
+def store_late(context):
+    world = context.world
+    ended = [e for e in world.executors.values() if e.is_gone]
+    assert ended, 'no life has ended'
+    for executor in ended:
+        world.enter(executor.entry)
+    context.runner.run(asyncio.sleep(0.5))
+
+
+@then('no task began more than once')
+def check_no_task_twice(context):
+    counts = context.world.starts
+    twice = {str(t): count for t, count in counts.items() if count > 1}
+    assert counts and not twice, twice
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_book.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_book.py
@@ -104,9 +104,10 @@
         What executors tell of themselves is newer than the last list.
         """
         known = self._owner.scheduler.executors
-        for executor in known.values():
-            if executor.entry.host == host:
-                return executor
+        lives = [e for e in known.values() if e.entry.host == host]
+        if lives:
+            # An entry that is stored late may tell of a life that has ended.
+            return max(lives, key=lambda e: (e.is_fenced, e.reached_s))
         entry = self.entries.get(host)
         return known.get(entry.executor_id) if entry is not None else None
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -63,7 +63,6 @@
         )
         self._agents = {}
         self._ended_lives = set()
-        self._entry_offsets = {}
         self._calls = set()
         self._wake = asyncio.Event()
         self._is_releasing = False
@@ -141,8 +140,7 @@
         now_s, wall_s = self.now_s(), parts.clock.now_s()
         reader = parts.entries_reader
         for entry in reader.entries.values():
-            offset = reader.offsets[entry.executor_id]
-            self._take_entry(entry, offset, now_s)
+            self._take_entry(entry, now_s)
         longest_s = parts.settings.longest_lease_ms / 1000 + LEASE_MARGIN_S
         self.scheduler.inherit(
             now_s, ownership.last_inherited_lease_s(now_s, longest_s)
@@ -298,27 +296,18 @@
         self.scheduler.set_configuration(configuration)
         self.wake()
 
-    def take_entry(self, entry, offset, now_s):
-        """Take in what an executor tells of itself.
-
-        :param offset: rises with each entry that is written
-        """
-        executor = self._take_entry(entry, offset, now_s)
+    def take_entry(self, entry, now_s):
+        """Take in what an executor tells of itself."""
+        executor = self._take_entry(entry, now_s)
         if executor is not None:
             self._ensure_agent(executor)
             self.wake()
 
-    def _take_entry(self, entry, offset, now_s):
-        # Entries of lives that are over are kept for a while, and are read
-        # again whenever the log was cut short.
+    def _take_entry(self, entry, now_s):
+        # Entries of lives that are over are kept for a while, are read again
+        # whenever the log was cut short, and may be stored late.
         if entry.executor_id in self._ended_lives:
             return None
-        for other in self._other_lives(entry):
-            if self._entry_offsets.get(other.executor_id, -1) > offset:
-                self._ended_lives.add(entry.executor_id)
-                return None
-            self.end_executor(other, 'its host has another life')
-        self._entry_offsets[entry.executor_id] = offset
         return self.scheduler.take_entry(entry, now_s)
 
     def _other_lives(self, entry):
@@ -353,6 +342,9 @@
 
     def take_look(self, executor, look):
         """Take in what an executor answered, and return what is over."""
+        # Only an answer proves which of a host's lives goes on.
+        for other in self._other_lives(executor.entry):
+            self.end_executor(other, 'its host has another life')
         over = self.scheduler.take_look(
             executor.executor_id, look, self.now_s()
         )
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/partition.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/partition.py
@@ -166,7 +166,7 @@
         self.entries[record.key] = entry
         self.offsets[record.key] = record.offset
         if self.on_entry is not None:
-            self.on_entry(entry, record.offset, self._clock.monotonic_s())
+            self.on_entry(entry, self._clock.monotonic_s())
 
     def _miss(self, executor_id):
         if self.on_missing is not None:
