--- /dev/null
+++ b/features/steps/jobs_world_troubles.py
@@ -0,0 +1,275 @@
+"""Steps that trouble the store, the owner and entries in the world."""
+
+import asyncio
+import collections
+
+from behave import given
+from behave import then
+from behave import when
+
+from fakes import links
+from stage import job_world
+
+
+@given('a store that nothing reaches')
+def cut_store(context):
+    for daemon in context.world.daemons:
+        daemon.link.is_cut = True
+
+
+@given('daemon {number:d} closes in {left_s:g} seconds')
+def close_soon(context, number, left_s):
+    daemon = context.world.daemons[number]
+    daemon.interface.begin_closing(context.world.now_s() + left_s)
+
+
+@when('a job is submitted to daemon {number:d}')
+def submit_to(context, number):
+    world = context.world
+    begun_s = world.now_s()
+    daemon = world.daemons[number]
+    context.refusal = context.runner.run(
+        world.submit(daemon, 'web', 'late', job_world.one_step(1))
+    )
+    context.took_s = world.now_s() - begun_s
+
+
+@then('that is refused as {reason} within {limit_s:g} seconds')
+def check_refused_soon(context, reason, limit_s):
+    assert context.refusal == reason, context.refusal
+    assert context.took_s <= limit_s, context.took_s
+
+
+def _submit_wide(context, pool):
+    world = context.world
+    context.jobs[pool] = pool
+    spec = job_world.one_step(6, estimate_s=2.0, cores=4.0)
+    lost = getattr(context, 'old_owner', None)
+    daemon = next(d for d in world.daemons if d is not lost)
+    refusal = context.runner.run(world.submit(daemon, pool, pool, spec))
+    assert refusal is None, refusal
+
+
+def _moves_since(context, time_s, epochs):
+    return [
+        (at_s, fields)
+        for at_s, _, kind, fields in context.world.log
+        if kind == 'host_moved'
+        and at_s > time_s
+        and fields['outcome'] == 'done'
+        and (fields['epoch'] != context.first_epoch) == (epochs == 'later')
+    ]
+
+
+@when('a wide job in pool "{pool}" has hosts moved')
+def move_by_job(context, pool):
+    world = context.world
+    begun_s = world.now_s()
+    _submit_wide(context, pool)
+    is_met = world.wait_for(
+        lambda: _moves_since(context, begun_s, 'first'), 3.0
+    )
+    assert context.runner.run(is_met), world.story()[-3000:]
+    context.runner.run(asyncio.sleep(0.3))
+
+
+@when('a wide job arrives in pool "{pool}"')
+def arrive_wide(context, pool):
+    _submit_wide(context, pool)
+
+
+@then('another owner moves a host within {limit_s:g} seconds of the loss')
+def check_next_moves(context, limit_s):
+    world = context.world
+    left_s = context.lost_s + limit_s - world.now_s()
+    is_met = world.wait_for(
+        lambda: _moves_since(context, context.lost_s, 'later'), left_s
+    )
+    assert context.runner.run(is_met), world.story()[-3000:]
+
+
+@when(
+    '{per_s:d} jobs arrive in each of {seconds:d} seconds, and the owner is '
+    'killed'
+)
+def kill_under_load(context, per_s, seconds):
+    world = context.world
+    spec = job_world.one_step(1)
+
+    async def submit(number):
+        alive = [d for d in world.daemons if d is not context.old_owner]
+        await world.submit(alive[number % 2], 'web', f'j{number}', spec)
+
+    async def submit_all():
+        for number in range(per_s * seconds):
+            await asyncio.sleep(1.0 / per_s)
+            context.loading.append(asyncio.create_task(submit(number)))
+
+    async def play():
+        context.loading = []
+        context.old_owner = world.owner
+        context.loading.append(asyncio.create_task(submit_all()))
+        await asyncio.sleep(0.2)
+        context.lost_s = world.now_s()
+        await context.old_owner.kill()
+
+    context.runner.run(play())
+
+
+@then('the daemon that claims first owns it within {limit_s:g} seconds')
+def check_claims(context, limit_s):
+    claims = [
+        (time_s, kind)
+        for time_s, _, kind, _ in context.world.log
+        if kind in ('claim_failed', 'owner_claimed')
+        and time_s > context.lost_s
+    ]
+    first_s = claims[0][0]
+    owned_s = next(t for t, kind in claims if kind == 'owner_claimed')
+    assert owned_s - first_s <= limit_s, claims
+
+
+@when('{share:d} in 100 calls of the owner are carried out seconds late')
+def delay_calls(context, share):
+    # The store and the hosts go on answering.
+    link = links.Link(context.world.rng, late_share=share / 100)
+    context.world.owner.parts.executors._link = link
+
+
+@when('the store takes an append each {append_s:g} s')
+def slow_store(context, append_s):
+    context.world.store.append_s = append_s
+
+
+@when('the store loses a third of its answers')
+def lose_store_answers(context):
+    for daemon in context.world.daemons:
+        link = links.Link(context.world.rng, lost_share=1 / 3)
+        daemon.parts.log._link = link
+
+
+@when('{count:d} jobs of {tasks:d} tasks of half a second arrive in 5 seconds')
+def arrive_evenly(context, count, tasks):
+    world = context.world
+    context.handed_in_s = {}
+
+    async def submit(job_id):
+        spec = job_world.one_step(tasks, estimate_s=0.5)
+        for attempt in range(40):
+            daemon = world.daemons[attempt % 3]
+            if await world.submit(daemon, 'web', job_id, spec) is None:
+                return
+            await asyncio.sleep(0.2)
+
+    async def arrive():
+        for number in range(count):
+            job_id = f'even{number}'
+            context.handed_in_s[job_id] = world.now_s()
+            context.submitting = asyncio.create_task(submit(job_id))
+            await asyncio.sleep(5.0 / count)
+
+    context.runner.run(arrive())
+
+
+@then('9 of 10 of them were done within {limit_s:g} seconds')
+def check_in_time(context, limit_s):
+    ended_s = {
+        fields['job']: time_s
+        for time_s, _, kind, fields in context.world.log
+        if kind == 'job_ended'
+    }
+    took_s = sorted(
+        ended_s.get(job_id, float('inf')) - begun_s
+        for job_id, begun_s in context.handed_in_s.items()
+    )
+    ninth = took_s[len(took_s) * 9 // 10 - 1]
+    assert ninth <= limit_s, took_s
+
+
+@when('all daemons are killed, and begin anew after {seconds:g} seconds')
+def restart_all(context, seconds):
+    world = context.world
+
+    async def restart():
+        for daemon in world.daemons:
+            await daemon.kill()
+        await asyncio.sleep(seconds)
+        for daemon in world.daemons:
+            await daemon.restart()
+
+    context.runner.run(restart())
+    context.begun_s = world.now_s()
+
+
+@then('each of them is ready within {limit_s:g} seconds')
+def check_ready(context, limit_s):
+    daemons = context.world.daemons
+    is_met = context.world.wait_for(
+        lambda: all(d.interface.is_ready for d in daemons), limit_s
+    )
+    assert context.runner.run(is_met), context.world.story()[-2000:]
+
+
+@then('an owner is at work within {limit_s:g} seconds')
+def check_owner_soon(context, limit_s):
+    world = context.world
+    left_s = context.begun_s + limit_s - world.now_s()
+    is_met = world.wait_for(lambda: world.owner is not None, left_s)
+    assert context.runner.run(is_met), world.story()[-2000:]
+
+
+@then('hosts have moved since the jobs began to arrive')
+def check_moves_since(context):
+    begun_s = min(context.handed_in_s.values())
+    moved = [
+        entry
+        for entry in context.world.log
+        if entry[0] > begun_s
+        and entry[2] == 'host_moved'
+        and entry[3]['outcome'] == 'done'
+    ]
+    assert moved, context.world.story()[-3000:]
+
+
+@when('a reading of the store takes {read_s:g} seconds longer')
+def slow_reads(context, read_s):
+    context.world.store.read_s = read_s
+
+
+@then('every daemon is ready at least 9 of 10 times in 5 seconds')
+def check_mostly_ready(context):
+    world = context.world
+    counts = collections.Counter()
+
+    async def watch():
+        for _ in range(50):
+            await asyncio.sleep(0.1)
+            counts.update(
+                d.name for d in world.daemons if d.interface.is_ready
+            )
+
+    context.runner.run(watch())
+    assert all(counts[d.name] >= 45 for d in world.daemons), counts
+
+
+@then('there was one owner all the time')
+def check_one_owner(context):
+    claimed = [o for o in context.world.log if o[2] == 'owner_claimed']
+    assert len(claimed) == 1, claimed
+
+
+@when('entries of ended lives are stored again')
+def store_late(context):
+    world = context.world
+    ended = [e for e in world.executors.values() if e.is_gone]
+    assert ended, 'no life has ended'
+    for executor in ended:
+        world.enter(executor.entry)
+    context.runner.run(asyncio.sleep(0.5))
+
+
+@then('no task began more than once')
+def check_no_task_twice(context):
+    counts = context.world.starts
+    twice = {str(t): count for t, count in counts.items() if count > 1}
+    assert counts and not twice, twice
