--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
@@ -20,7 +20,7 @@
 GAP_DECAY = 0.9
 # Claimants spread over this time, so that one of them is first.
 CLAIM_SPREAD_S = 0.3
-# Age of the last reading up to which the store counts as readable.
+# Age of the last answer to a reading up to which the store is readable.
 FRESH_READ_S = 0.7
 # An owner renews the leases of executors while the store confirmed it this
 # recently: longer than the store is usually away.
