Say 'not run' of an append only when every copy was turned away

Cause: an append whose answer is out is sent again; the store turned the copy away (429), and what holds for that copy was told of the whole append, whose first copy was carried out. Change: a copy that is turned away counts only where no other copy is out or unknown; the answer is checked for each copy.

--- a/features/jobs_decisions.feature
+++ b/features/jobs_decisions.feature
@@ -94,6 +94,9 @@
       | it is refused             | refused in 0.01               | refused  | 1    | 0.01 |
       | the connection breaks off | broken in 0.01, answered in 0 | answered | 2    | 0.25 |
       | nothing is heard          | lost, lost, lost              | unknown  | 3    | 1.0  |
+      | a copy is turned away     | lost, away in 0.01, lost      | unknown  | 3    | 1.0  |
+      | one after a broken one    | broken in 0.01, away in 0.01  | unknown  | 2    | 0.26 |
+      | the only one              | away in 0.01                  | away     | 1    | 0.01 |
 
   Scenario Outline: An owner is succeeded when <case>: <verdict>
     Given a store read <read_ago> seconds ago, readable for <readable> seconds
--- a/features/steps/jobs_decisions.py
+++ b/features/steps/jobs_decisions.py
@@ -447,6 +447,8 @@
         await asyncio.sleep(float(after_s[0]) if after_s else 1e6)
         if how == 'refused':
             raise _Refused('no')
+        if how == 'away':
+            raise errors.PlatformUnavailable('not now')
         if how == 'broken':
             raise errors.OutcomeUnknown('broken off')
 
@@ -457,6 +459,8 @@
             await hedging.call(send, hedging.LatencyEstimate(), 1.0, now_s)
         except _Refused:
             outcome = 'refused'
+        except errors.PlatformUnavailable:
+            outcome = 'away'
         except errors.OutcomeUnknown:
             outcome = 'unknown'
         else:
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
@@ -66,10 +66,12 @@
     :param limit_s: time to give up after
     :param now_s: returns the steady time
     :raises errors.OutcomeUnknown: no answer came in time
+    :raises errors.PlatformUnavailable: every copy was turned away
     """
     ends_s = now_s() + limit_s
     delay_s = latency.delay_s
     copies = set()
+    is_unknown = False
     try:
         while True:
             copies.add(asyncio.create_task(_send_timed(send, latency, now_s)))
@@ -82,8 +84,17 @@
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 answered = _pick_answered(done)
-                if answered is not None:
+                is_unknown = is_unknown or any(map(_is_unknown, done))
+                # What is said of a copy that was turned away holds for that
+                # copy only: others may have arrived.
+                if answered is not None and not (
+                    _is_turned_away(answered) and (copies or is_unknown)
+                ):
                     return answered.result()
+                if answered is not None and not copies:
+                    raise errors.OutcomeUnknown(
+                        f'one copy may have arrived: {answered.exception()}'
+                    )
             if now_s() >= ends_s:
                 latency.note_silence()
                 raise errors.OutcomeUnknown(f'no answer in {limit_s} s')
@@ -121,14 +132,17 @@
     return page
 
 
+def _is_unknown(copy):
+    return isinstance(copy.exception(), errors.OutcomeUnknown)
+
+
+def _is_turned_away(copy):
+    return isinstance(copy.exception(), errors.PlatformUnavailable)
+
+
 def _pick_answered(done):
     """Return the copy that tells what became of the call, or None."""
-    unknown = [
-        copy
-        for copy in done
-        if isinstance(copy.exception(), errors.OutcomeUnknown)
-    ]
-    answered = [copy for copy in done if copy not in unknown]
+    answered = [copy for copy in done if not _is_unknown(copy)]
     # A success counts before a refusal that came at the same time.
     answered.sort(key=lambda copy: copy.exception() is not None)
     return answered[0] if answered else None
