--- a/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
@@ -1,4 +1,4 @@
-"""Send a call again while its answer is out; answers lost and slow ones.
+"""Hedge calls: send again while the answer is out, for lost and slow ones.
 
 Where answers get lost, it pays to repeat soon. Where the callee has more to
 do than it can, repeats make that worse. So the first call stays under way,
@@ -65,45 +65,85 @@
     :param latency: of the callee
     :param limit_s: time to give up after
     :param now_s: returns the steady time
-    :raises errors.OutcomeUnknown: no answer came in time
-    :raises errors.PlatformUnavailable: every copy was turned away
+    :raises errors.OutcomeUnknown: one copy at least may have arrived
+    :raises errors.PlatformUnavailable: no copy was taken
     """
+    hedged = _HedgedCall(send, latency, now_s)
     ends_s = now_s() + limit_s
     delay_s = latency.delay_s
-    copies = set()
-    is_unknown = False
     try:
-        while True:
-            copies.add(asyncio.create_task(_send_timed(send, latency, now_s)))
-            next_s = min(ends_s, now_s() + delay_s)
+        while now_s() < ends_s:
+            hedged.send_copy()
+            answered = await hedged.wait(min(ends_s, now_s() + delay_s))
+            if answered is not None:
+                return answered.result()
             delay_s *= DELAY_GROWTH
-            while copies and now_s() < next_s:
-                done, copies = await asyncio.wait(
-                    copies,
-                    timeout=next_s - now_s(),
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                answered = _pick_answered(done)
-                is_unknown = is_unknown or any(map(_is_unknown, done))
-                # What is said of a copy that was turned away holds for that
-                # copy only: others may have arrived.
-                if answered is not None and not (
-                    _is_turned_away(answered) and (copies or is_unknown)
-                ):
-                    return answered.result()
-                if answered is not None and not copies:
-                    raise errors.OutcomeUnknown(
-                        f'one copy may have arrived: {answered.exception()}'
-                    )
-            if now_s() >= ends_s:
-                latency.note_silence()
-                raise errors.OutcomeUnknown(f'no answer in {limit_s} s')
-            if not copies:
-                await asyncio.sleep(max(0.0, next_s - now_s()))
     finally:
-        for copy in copies:
+        hedged.abandon()
+    latency.note_silence()
+    raise errors.OutcomeUnknown(f'no answer in {limit_s} s')
+
+
+class _HedgedCall:
+    """Hold the copies of one call that are under way."""
+
+    def __init__(self, send, latency, now_s):
+        self._send = send
+        self._latency = latency
+        self._now_s = now_s
+        self._copies = set()
+        # Whether a copy broke off that may have arrived.
+        self._is_unknown = False
+
+    def send_copy(self):
+        """Send the call once more."""
+        self._copies.add(asyncio.create_task(self._send_timed()))
+
+    async def _send_timed(self):
+        sent_s = self._now_s()
+        answer = await self._send()
+        self._latency.note_answer(self._now_s() - sent_s)
+        return answer
+
+    async def wait(self, until_s):
+        """Return the copy that tells what became of the call, or None.
+
+        :raises errors.OutcomeUnknown: it won't be told
+        """
+        while self._copies and self._now_s() < until_s:
+            done, self._copies = await asyncio.wait(
+                self._copies,
+                timeout=until_s - self._now_s(),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            answered = self._pick(done)
+            if answered is not None:
+                return answered
+        await asyncio.sleep(max(0.0, until_s - self._now_s()))
+        return None
+
+    def _pick(self, done):
+        known = [copy for copy in done if not _is_unknown(copy)]
+        self._is_unknown |= len(known) < len(done)
+        # A success counts before a refusal that came at the same time.
+        known.sort(key=lambda copy: copy.exception() is not None)
+        if not known or not _is_unavailable(known[0]):
+            return known[0] if known else None
+        # What is told of a copy that was not taken holds for that copy only:
+        # others may have arrived.
+        if self._copies:
+            return None
+        if self._is_unknown:
+            raise errors.OutcomeUnknown(
+                f'one copy may have arrived: {known[0].exception()}'
+            )
+        return known[0]
+
+    def abandon(self):
+        """Wait for no copy any more."""
+        for copy in self._copies:
             copy.cancel()
-            copy.add_done_callback(_forget)
+            copy.add_done_callback(_retrieve_error)
 
 
 async def read(send, latency, wait_s, now_s=time.monotonic):
@@ -136,26 +176,11 @@
     return isinstance(copy.exception(), errors.OutcomeUnknown)
 
 
-def _is_turned_away(copy):
+def _is_unavailable(copy):
     return isinstance(copy.exception(), errors.PlatformUnavailable)
 
 
-def _pick_answered(done):
-    """Return the copy that tells what became of the call, or None."""
-    answered = [copy for copy in done if not _is_unknown(copy)]
-    # A success counts before a refusal that came at the same time.
-    answered.sort(key=lambda copy: copy.exception() is not None)
-    return answered[0] if answered else None
-
-
-def _forget(copy):
-    """Take note of a copy's error, which nobody waits for any more."""
+def _retrieve_error(copy):
+    # Else the loop would report an error that nobody has asked for.
     if not copy.cancelled():
         copy.exception()
-
-
-async def _send_timed(send, latency, now_s):
-    sent_s = now_s()
-    answer = await send()
-    latency.note_answer(now_s() - sent_s)
-    return answer
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_book.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
@@ -15,7 +15,7 @@
 _State = host_orders.HostState
 
 
-class HostBook:
+class HostInventory:
     """Keep what lists and orders tell of hosts.
 
     Times are seconds of the daemon's steady clock.
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_keeper.py
@@ -7,7 +7,7 @@
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import capacity
 
-from . import host_book
+from . import host_inventory
 from . import host_ordering
 from . import wave_keeper
 
@@ -29,12 +29,12 @@
     def __init__(self, parts, owner, intents):
         self._parts = parts
         self._owner = owner
-        self._book = host_book.HostBook(parts, owner)
+        self._inventory = host_inventory.HostInventory(parts, owner)
         self._ordering = host_ordering.HostOrdering(
-            parts, owner, self._book, intents
+            parts, owner, self._inventory, intents
         )
         self._waves = wave_keeper.WaveKeeper(
-            parts, owner, self._book, self._ordering
+            parts, owner, self._inventory, self._ordering
         )
         self._loads_due_s = 0.0
 
@@ -50,7 +50,7 @@
                 self._owner.events.write(
                     'host_service_failed', why=str(error)[:160]
                 )
-                await asyncio.sleep(host_book.LIST_SOON_S)
+                await asyncio.sleep(host_inventory.LIST_SOON_S)
             await asyncio.sleep(TURN_S)
 
     async def finish(self):
@@ -66,8 +66,8 @@
         self._ordering.note_stored()
 
     async def _turn(self):
-        await self._book.refresh()
-        if not self._book.is_known:
+        await self._inventory.refresh()
+        if not self._inventory.is_known:
             return
         for wave in list(self._parts.configuration_reader.waves.values()):
             await self._waves.keep(wave)
@@ -84,7 +84,7 @@
         ]
         idle = [
             capacity.IdleHost(host, entry.pool, idle_s)
-            for host, entry in self._book.entries.items()
+            for host, entry in self._inventory.entries.items()
             if entry.pool in configuration.pools
             for idle_s in self._idle_s(host, entry, now_s)
         ]
@@ -95,7 +95,7 @@
         if now_s < self._loads_due_s:
             return
         self._loads_due_s = now_s + LOADS_PERIOD_S
-        entries = self._book.entries.values()
+        entries = self._inventory.entries.values()
         for load in loads:
             hosts = sum(entry.pool == load.pool for entry in entries)
             self._owner.events.write(
@@ -103,23 +103,25 @@
             )
 
     def _load(self, pool, now_s):
-        arriving = self._book.arriving(pool.name, now_s)
+        arriving = self._inventory.arriving(pool.name, now_s)
         ahead_s = self._parts.settings.host_move_s + MOVE_MARGIN_S
         load = self._owner.scheduler.load_of(pool, arriving, ahead_s, now_s)
-        emptying = len(self._book.emptying)
+        emptying = len(self._inventory.emptying)
         blocked = min(self._waves.blocked[pool.name], emptying)
         return attrs.evolve(load, starved_hosts=load.starved_hosts + blocked)
 
     def _idle_s(self, host, entry, now_s):
         """Return how long a host was idle; nothing where it must stay."""
-        if host in self._book.emptying or not self._book.is_steady(host):
+        if host in self._inventory.emptying or not self._inventory.is_steady(
+            host
+        ):
             return []
         if self._ordering.must_wait(host):
             return []
         pools = self._parts.configuration_reader.configuration.pools
         if pools[entry.pool].is_standby:
             return [capacity.MIN_IDLE_S]
-        executor = self._book.executor_on(host)
+        executor = self._inventory.executor_on(host)
         if executor is None or executor.runs or executor.is_reserved:
             return []
         return [now_s - executor.idle_since_s]
@@ -136,7 +138,7 @@
                 'to_pool': move.to_pool,
                 **_load_fields(move.load),
             },
-            lambda: self._book.note_moving(move.host, move.to_pool),
+            lambda: self._inventory.note_moving(move.host, move.to_pool),
         )
 
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_ordering.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_ordering.py
@@ -17,14 +17,14 @@
 
     :param parts: what an owner works with
     :param owner: whose tenure allows the orders
-    :param book: keeps what is known of hosts
+    :param inventory: keeps what is known of hosts
     :param intents: tells which hosts may be ordered about
     """
 
-    def __init__(self, parts, owner, book, intents):
+    def __init__(self, parts, owner, inventory, intents):
         self._parts = parts
         self._owner = owner
-        self._book = book
+        self._inventory = inventory
         self._intents = intents
         self._stored = asyncio.Event()
         self._is_ordering = False
@@ -33,8 +33,8 @@
         """Have nothing start where an earlier owner's order may arrive."""
         outstanding = self._intents.outstanding(self._parts.clock.boot_s())
         for host, left_s in outstanding.items():
-            self._book.note_unsure(host, self._owner.now_s() + left_s)
-            self._book.reserve(host)
+            self._inventory.note_unsure(host, self._owner.now_s() + left_s)
+            self._inventory.reserve(host)
 
     def must_wait(self, host):
         """Tell whether an earlier owner's order is too recent."""
@@ -65,7 +65,7 @@
             return
         self._intents.begin(hosts, self._parts.clock.boot_s())
         for host in hosts:
-            self._book.reserve(host)
+            self._inventory.reserve(host)
         self._owner.wake()
         try:
             async with asyncio.timeout(ANNOUNCE_LIMIT_S):
@@ -85,19 +85,19 @@
         :param note_done: called once it was carried out
         """
         owner = self._owner
-        executor = self._book.executor_on(host)
+        executor = self._inventory.executor_on(host)
         is_busy = executor is not None and executor.runs
         may_order = owner.may_order_hosts() and self._intents.may_order(host)
         if is_busy or not may_order:
             self._end_intent(host)
-            self._book.unreserve(host)
+            self._inventory.unreserve(host)
             return
         outcome = await self._send(host, call)
         if outcome == 'done':
             note_done()
             if executor is not None:
                 owner.end_executor(executor, event)
-            self._book.list_soon()
+            self._inventory.list_soon()
         self._parts.metrics.note_host_order(event)
         owner.events.write(
             event, host=host, epoch=owner.epoch, outcome=outcome, **fields
@@ -111,12 +111,12 @@
         try:
             await call(holder)
         except errors.OutcomeUnknown as error:
-            self._book.note_unsure(host, owner.now_s())
-            self._book.list_soon()
+            self._inventory.note_unsure(host, owner.now_s())
+            self._inventory.list_soon()
             return f'unknown: {error}'
         except errors.PlatformError as error:
-            self._book.retry_s[host] = owner.now_s() + ORDER_RETRY_S
-            self._book.unreserve(host)
+            self._inventory.retry_s[host] = owner.now_s() + ORDER_RETRY_S
+            self._inventory.unreserve(host)
             return f'refused: {error}'
         finally:
             self._is_ordering = False
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_keeper.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_keeper.py
@@ -14,15 +14,15 @@
 
     :param parts: what an owner works with
     :param owner: knows what runs where
-    :param book: keeps what is known of hosts
+    :param inventory: keeps what is known of hosts
     :param ordering: gives the orders
     :ivar blocked: lasting tasks, by pool, that could go on nowhere else
     """
 
-    def __init__(self, parts, owner, book, ordering):
+    def __init__(self, parts, owner, inventory, ordering):
         self._parts = parts
         self._owner = owner
-        self._book = book
+        self._inventory = inventory
         self._ordering = ordering
         self.blocked = collections.Counter()
         self._changed_waves = set()
@@ -46,7 +46,7 @@
             await self._tell(wave.number, False)
         if progress.is_completed:
             return
-        gone = set(wave.hosts) - set(self._book.entries)
+        gone = set(wave.hosts) - set(self._inventory.entries)
         if wave_planning.is_completed(wave, progress.begun, gone):
             await self._complete(wave)
             return
@@ -55,7 +55,8 @@
             [
                 self._due_host(host)
                 for host in wave.hosts
-                if host not in progress.begun and host in self._book.entries
+                if host not in progress.begun
+                and host in self._inventory.entries
             ],
         )
         for host in plan.empty:
@@ -67,12 +68,12 @@
 
     def _wave_progress(self, wave, progress):
         down = sum(
-            self._book.entries[host].state
+            self._inventory.entries[host].state
             is host_orders.HostState.IN_MAINTENANCE
             # An earlier owner may just have taken it down.
             or (host not in progress.begun and self._ordering.must_wait(host))
             for host in wave.hosts
-            if host in self._book.entries
+            if host in self._inventory.entries
         )
         elapsed_s = self._parts.clock.now_s() - progress.seen_s
         return wave_planning.WaveProgress(
@@ -81,26 +82,26 @@
         )  # fmt: skip
 
     def _due_host(self, host):
-        executor = self._book.executor_on(host)
+        executor = self._inventory.executor_on(host)
         runs = len(executor.runs) if executor is not None else 0
-        is_up = self._book.is_steady(host)
+        is_up = self._inventory.is_steady(host)
         return wave_planning.DueHost(
             host,
             runs,
-            host in self._book.emptying,
+            host in self._inventory.emptying,
             is_up and not self._ordering.must_wait(host),
         )
 
     def _begin_emptying(self, host, number):
-        self._book.emptying.add(host)
-        self._book.reserve(host)
+        self._inventory.emptying.add(host)
+        self._inventory.reserve(host)
         self._owner.events.write('host_emptying', host=host, wave=number)
 
     def _empty_hosts(self):
         """Have lasting tasks leave hosts that are to go down."""
         self.blocked.clear()
-        for host in sorted(self._book.emptying):
-            executor = self._book.executor_on(host)
+        for host in sorted(self._inventory.emptying):
+            executor = self._inventory.executor_on(host)
             if executor is None:
                 continue
             executor.is_reserved = True
@@ -141,7 +142,7 @@
             progress = attrs.evolve(progress, begun=[*progress.begun, host])
             self._wave_records[wave.number] = progress
             self._changed_waves.add(wave.number)
-            self._book.note_maintained(host)
+            self._inventory.note_maintained(host)
 
         await self._ordering.give(
             host,
