Count no lasting task as at work that may just have been stopped

What its predecessor has told to stop looks at work until it has ended, up to 0.4 s later. Change: the others count only on executors that have seen the new owner's epoch for a second, by when such a stop is over and seen. Before: the new scenario failed (counted at once).

--- a/features/jobs_scheduler.feature
+++ b/features/jobs_scheduler.feature
@@ -36,3 +36,11 @@
       | 1    |
       | 2    |
       | 3    |
+
+  @invariant_budget
+  Scenario: What an earlier owner may just have stopped does not count as at work
+    Given 3 lasting tasks that a new owner finds at work
+    When one of them is to leave its executor
+    Then 0 of the others count as at work
+    When 1.1 seconds pass by
+    Then 2 of the others count as at work
--- a/features/stage/scheduler_harness.py
+++ b/features/stage/scheduler_harness.py
@@ -64,6 +64,15 @@
         self.scheduler.add_job(job, self.now_s, self.now_s)
         return job
 
+    def order_before(self, job_id, executor_id):
+        """Have an earlier owner have ordered every task of a job."""
+        for step in self.replica.jobs[job_id].occurrences[0].tasks:
+            for task in step:
+                task.state = jobs.TaskState.ORDERED
+                task.run = 1
+                task.executor = executor_id
+        self.scheduler.inherit(self.now_s, self.now_s)
+
     def look(self, name, running=(), ended=()):
         """Have an executor answer a look sent a moment ago."""
         sent_s = self.now_s
--- a/features/steps/jobs_scheduler.py
+++ b/features/steps/jobs_scheduler.py
@@ -125,3 +125,35 @@
 def check_lives(context, names=''):
     found = [executor.executor_id for executor in context.ended]
     assert found == names.split(), found
+
+
+@given('{count:d} lasting tasks that a new owner finds at work')
+def find_lasting(context, count):
+    harness = context.harness = scheduler_harness.Harness()
+    harness.enter('a')
+    spec = scheduler_harness.steps(count, is_lasting=True, max_unavailable=1)
+    harness.add_job('j', spec)
+    rows = [
+        executors.ReportedRun(jobs.TaskId('j', 0, 0, index), 1, '', 100)
+        for index in range(count)
+    ]
+    harness.order_before('j', 'a')
+    harness.look('a', running=rows)
+
+
+@when('one of them is to leave its executor')
+def choose_leaving(context):
+    runs = context.harness.scheduler.executors['a'].runs
+    context.run = next(iter(runs.values()))
+
+
+@when('{seconds:g} seconds pass by')
+def pass_by(context, seconds):
+    context.harness.now_s += seconds
+
+
+@then('{count:d} of the others count as at work')
+def check_at_work(context, count):
+    harness = context.harness
+    found = harness.scheduler.at_work_beside(context.run, harness.now_s)
+    assert found == count, found
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -10,6 +10,8 @@
 
 # An executor's steady clock may run this much slower than ours.
 CLOCK_DRIFT = 0.02
+# Time in which a run that was told to stop has ended, and was seen to.
+STOP_LIMIT_S = 1.0
 # Time for an executor to kill what has lost its lease.
 LAPSE_MARGIN_S = 0.3
 
@@ -169,6 +171,7 @@
     :ivar runs: by task and number; all that takes or may take its room
     :ivar free: capacity that no run takes
     :ivar is_fenced: whether it has seen this owner's epoch
+    :ivar fenced_since_s: since when it surely has
     :ivar last_recorded_end: the last end that is in the store
     :ivar last_processed_end: the last end that was taken in
     :ivar lease_ends_s: when every lease given has surely run out, on this
@@ -182,6 +185,7 @@
     runs: dict = attrs.Factory(dict)
     step_counts: collections.Counter = attrs.Factory(collections.Counter)
     is_fenced: bool = False
+    fenced_since_s: float = 0.0
     last_recorded_end: int = 0
     last_processed_end: int = 0
     clock_s: float | None = None
@@ -199,6 +203,16 @@
         """Return the identity of this life."""
         return self.entry.executor_id
 
+    def note_fenced(self, now_s):
+        """Note that it has seen this owner's epoch."""
+        if not self.is_fenced:
+            self.fenced_since_s = now_s
+        self.is_fenced = True
+
+    def has_settled(self, now_s):
+        """Tell whether what an earlier owner has stopped here has ended."""
+        return self.is_fenced and now_s - self.fenced_since_s > STOP_LIMIT_S
+
     def add(self, run):
         """Take room for a run."""
         self.runs[run.key] = run
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
@@ -93,7 +93,7 @@
 
     :param find_occurrence: returns the occurrence of a task, or None
     """
-    executor.is_fenced = True
+    executor.note_fenced(look.received_s)
     executor.reached_s = look.received_s
     executor.read_clock(look.clock_s, look.received_s)
     over = _read_ends(executor, look, find_occurrence)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -464,6 +464,22 @@
             for executor in self.executors_of(pool)
         )
 
+    def at_work_beside(self, run, now_s):
+        """Return how many other tasks of a lasting run's step are at work.
+
+        Where an earlier owner may just have stopped one, that isn't sure.
+        """
+        return sum(
+            other.percent >= 100
+            and not other.is_stop_wanted
+            and other is not run
+            and other.occurrence is run.occurrence
+            and other.task_id.step == run.task_id.step
+            for executor in self.executors.values()
+            if executor.has_settled(now_s)
+            for other in executor.runs.values()
+        )
+
     def release(self, run, now_s):
         """Take back a planned run that was not sent."""
         executor = self.executors.get(run.executor_id)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_keeper.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_keeper.py
@@ -115,15 +115,7 @@
             self.blocked[scheduler.steps.pool_of(run.occurrence.job)] += 1
             return
         tasks = run.occurrence.tasks[run.task_id.step]
-        at_work = sum(
-            other.percent >= 100
-            and not other.is_stop_wanted
-            and other.task_id.step == run.task_id.step
-            and other.occurrence is run.occurrence
-            and other is not run
-            for executor in scheduler.executors.values()
-            for other in executor.runs.values()
-        )
+        at_work = scheduler.at_work_beside(run, self._owner.now_s())
         if wave_planning.may_end_lasting(
             at_work, len(tasks) - 1, run.step.max_unavailable
         ):
