Show what followers read, what the owner has in flight and how long it plans

Two events (load_failed, cycle_slow) and six metrics tell it. The age of a reading is null, or infinite in the metrics, for a daemon that has never read to the end; it was told as 22,236 s.

--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -305,6 +305,9 @@
     recorded.note_start('accepted')
     recorded.note_end('done')
     recorded.note_host_order('host_moved')
+    recorded.note_page('jobs', [], 0)
+    recorded.note_cycle_part('plan', 0.01)
+    recorded.note_unanswered_call('poll')
 
 
 @when("they are parsed by the library's own parser")
@@ -378,6 +381,9 @@
         And the store goes down
         And job "b" of 2 and 2 tasks is submitted to daemon 0
         And 1 seconds pass
+        And the owner is killed
+        And all daemons are killed and restarted after 0.1 seconds
+        And 1 seconds pass
         And the store comes back
         And the host of a task of "l" crashes for 5 seconds
         And 6 seconds pass
@@ -416,6 +422,8 @@
         'stray_run_stop',
         'run_not_started',
         'executor_reached',
+        # Planning takes no virtual time.
+        'cycle_slow',
     }
 )
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -243,7 +243,10 @@
 
 
 def _log_refusal(request, failure, parts):
-    view = parts.jobs_reader.owner_view
+    read_s = parts.jobs_reader.owner_view.last_read_s
+    age_s = None
+    if read_s is not None:
+        age_s = round(parts.clock.monotonic_s() - read_s, 3)
     parts.events.write(
         'request_refused',
         method=request.method,
@@ -251,9 +254,7 @@
         reason=failure.reason,
         detail=str(failure.detail)[:160],
         retry_after_s=failure.retry_after_s,
-        read_age_s=round(
-            parts.clock.monotonic_s() - (view.last_read_s or 0.0), 3
-        ),
+        read_age_s=age_s,
     )
 
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
@@ -69,6 +69,7 @@
                 return
             except errors.PlatformError as error:
                 self._failures += 1
+                self._owner.note_unanswered_poll()
                 if self._failures < UNREACHABLE_FAILURES:
                     continue
                 self._note_unreachable(error)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
@@ -34,12 +34,20 @@
     :param reader: processes the records
     :param clock: clocks of the daemon
     :param events: the decision log
+    :param metrics: counts the pages
     :param wait_s: how long a read waits for new records
     :ivar read_pause_s: pause after a read that returned records
     """
 
     def __init__(
-        self, log, partition, reader, clock, events, wait_s=READ_WAIT_S
+        self,
+        log,
+        partition,
+        reader,
+        clock,
+        events,
+        metrics,
+        wait_s=READ_WAIT_S,
     ):
         self.name = f'follower of {partition.topic}'
         self.partition = partition
@@ -50,6 +58,7 @@
         self._reader = reader
         self._clock = clock
         self._events = events
+        self._metrics = metrics
         self._wait_s = wait_s
         self._is_unavailable = False
         self._is_at_end = False
@@ -66,6 +75,7 @@
             except errors.OffsetExpired:
                 self.is_loaded = False
             except errors.PlatformError as error:
+                self._metrics.note_failed_read(self.partition.topic)
                 self._note_unavailable(error)
                 # The answer may be lost: the next read returns at once.
                 self._is_at_end = False
@@ -84,6 +94,7 @@
         wait_s = self._wait_s if self._is_at_end else 0.0
         page = await self._log.read(self.partition, self.next_offset, wait_s)
         self._note_available()
+        self._note_page(page.records, page.end - page.next_offset)
         for record in page.records:
             self._deliver(record)
         self.next_offset = max(self.next_offset, page.next_offset)
@@ -107,11 +118,17 @@
 
     async def _load(self):
         self._is_at_end = False
+        begun_s = self._clock.monotonic_s()
         keys, next_key, first_end = set(), '', None
         while True:
-            page = await self._log.newest(self.partition, next_key)
+            try:
+                page = await self._log.newest(self.partition, next_key)
+            except errors.PlatformError as error:
+                self._log_failed_load(keys, begun_s, error)
+                raise
             if first_end is None:
                 first_end = page.end
+            self._note_page(page.records, page.end - first_end)
             for record in page.records:
                 keys.add(record.key)
                 self._deliver(record)
@@ -122,6 +139,18 @@
         self.is_loaded = True
         self._reader.note_loaded(keys)
 
+    def _note_page(self, records, behind):
+        self._metrics.note_page(self.partition.topic, records, max(0, behind))
+
+    def _log_failed_load(self, keys, begun_s, error):
+        self._events.write(
+            'load_failed',
+            topic=self.partition.topic,
+            keys=len(keys),
+            took_s=round(self._clock.monotonic_s() - begun_s, 3),
+            why=str(error)[:200],
+        )
+
     def _deliver(self, record):
         try:
             self._reader.handle_record(record)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/metrics.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/metrics.py
@@ -49,6 +49,37 @@
             ['kind'],
             registry=self._registry,
         )
+        self._store_reads = prometheus_client.Counter(
+            'hawthorndeal_store_reads',
+            'Pages read from the store, by topic and outcome.',
+            ['topic', 'outcome'],
+            registry=self._registry,
+        )
+        self._store_read_bytes = prometheus_client.Counter(
+            'hawthorndeal_store_read_bytes',
+            'Keys and values of the records read, by topic.',
+            ['topic'],
+            registry=self._registry,
+        )
+        self._records_behind = prometheus_client.Gauge(
+            'hawthorndeal_store_records_behind',
+            'Records that the last page left to be read, by topic.',
+            ['topic'],
+            registry=self._registry,
+        )
+        self._cycle_seconds = prometheus_client.Histogram(
+            'hawthorndeal_cycle_duration_seconds',
+            'Time of the parts of a scheduling cycle.',
+            ['part'],
+            buckets=_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._unanswered_calls = prometheus_client.Counter(
+            'hawthorndeal_executor_calls_unanswered',
+            'Calls to executors that failed or timed out, by kind.',
+            ['call'],
+            registry=self._registry,
+        )
         self._gauges = {
             name: prometheus_client.Gauge(
                 f'hawthorndeal_{name}', text, registry=self._registry
@@ -69,6 +100,28 @@
         """Count one run that has ended."""
         self._ends.labels(cause).inc()
 
+    def note_page(self, topic, records, behind):
+        """Count one page read from the store.
+
+        :param behind: number of records still to be read
+        """
+        self._store_reads.labels(topic, 'page').inc()
+        size_bytes = sum(len(r.key) + len(r.value) for r in records)
+        self._store_read_bytes.labels(topic).inc(size_bytes)
+        self._records_behind.labels(topic).set(behind)
+
+    def note_failed_read(self, topic):
+        """Count one page that could not be read."""
+        self._store_reads.labels(topic, 'failed').inc()
+
+    def note_cycle_part(self, part, took_s):
+        """Record the time of one part of a scheduling cycle."""
+        self._cycle_seconds.labels(part).observe(took_s)
+
+    def note_unanswered_call(self, call):
+        """Count one call to an executor that failed or timed out."""
+        self._unanswered_calls.labels(call).inc()
+
     def note_host_order(self, kind):
         """Count one order to a host."""
         self._host_orders.labels(kind).inc()
@@ -89,5 +142,6 @@
     'store_read_age_seconds': 'Age of the last reading up to the end.',
     'executors': 'Executors known to the owner.',
     'runs_active': 'Runs that take room on executors.',
+    'starts_in_flight': 'Orders to start a run without an answer so far.',
     'log_lines_dropped': 'Lines that standard output did not take.',
 }
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -19,6 +19,8 @@
 # Delay before a cycle, so that decisions made close together share an append.
 CYCLE_BATCH_DELAY_S = 0.004
 IDLE_CYCLE_S = 0.1
+# Cycles whose planning takes longer are logged.
+SLOW_CYCLE_S = 0.1
 RELEASE_TIMEOUT_S = 1.5
 LEASE_MARGIN_S = 0.5
 EXPIRY_PERIOD_S = 1.0
@@ -77,6 +79,11 @@
         """Return the fencing epoch of this owner's orders."""
         return self.term.epoch
 
+    @property
+    def starts_in_flight(self):
+        """Return the number of start orders without an answer so far."""
+        return self._orders.starts_in_flight
+
     def now_s(self):
         """Return the monotonic time in seconds."""
         return self._parts.clock.monotonic_s()
@@ -204,6 +211,7 @@
         now_s = self.now_s()
         self._check_executors_without_agent()
         turn = self.scheduler.plan(now_s, parts.clock.now_s())
+        self._note_planned(self.now_s() - now_s)
         for run in turn.stops:
             self._orders.send_stop(run)
         for order in turn.paces:
@@ -216,6 +224,20 @@
         for run in turn.starts:
             self._orders.send_start(run)
 
+    def _note_planned(self, took_s):
+        self._parts.metrics.note_cycle_part('plan', took_s)
+        if took_s < SLOW_CYCLE_S:
+            return
+        known = self.scheduler.executors.values()
+        self.events.write(
+            'cycle_slow',
+            planning_s=round(took_s, 3),
+            executors=len(known),
+            runs=sum(len(executor.runs) for executor in known),
+            waiting_steps=len(self.scheduler.steps.pending()),
+            starts_in_flight=self.starts_in_flight,
+        )
+
     def _collect_records(self, now_s):
         changed = self.scheduler.pop_changed()
         records = [
@@ -258,7 +280,9 @@
         return journal.Ownership(self.epoch, self._parts.settings.daemon)
 
     async def _store(self, records):
+        begun_s = self.now_s()
         await self._writer.append(records)
+        self._parts.metrics.note_cycle_part('store', self.now_s() - begun_s)
         self.hosts.note_stored()
         for job, state, has_started in self._states_to_publish.values():
             self._publish_state(job, state, has_started)
@@ -356,6 +380,10 @@
             self.wake()
         return ended_runs
 
+    def note_unanswered_poll(self):
+        """Count a poll that failed or timed out."""
+        self._parts.metrics.note_unanswered_call('poll')
+
     def poll_soon(self, executor):
         """Request an early poll of an executor."""
         if executor.executor_id in self._agents:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
@@ -20,12 +20,14 @@
     :param owner: its epoch fences the orders
     :param client: an :class:`executor_orders.Executors`
     :param metrics: counts the answers
+    :ivar starts_in_flight: number of start orders without an answer so far
     """
 
     def __init__(self, owner, client, metrics):
         self._owner = owner
         self._client = client
         self._metrics = metrics
+        self.starts_in_flight = 0
 
     # Starts
 
@@ -57,7 +59,15 @@
             run.task.checkpoint,
             run.ticket,
         )
-        answer, clock_s = await self._client.start(target_of(executor), order)
+        self.starts_in_flight += 1
+        try:
+            answer, clock_s = await self._client.start(
+                target_of(executor), order
+            )
+        finally:
+            self.starts_in_flight -= 1
+        if answer is _Answer.UNKNOWN:
+            self._metrics.note_unanswered_call('start')
         if clock_s is not None:
             executor.update_clock(clock_s, owner.now_s())
         self._log_start(run, executor, answer)
@@ -178,5 +188,6 @@
             return False
         except errors.PlatformError:
             # The stop is repeated until it is answered or the run has ended.
+            self._metrics.note_unanswered_call('stop')
             return False
         return True
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import pathlib
 import random
 import signal
@@ -104,7 +105,13 @@
         self, log_partition, reader, wait_s=log_follower.READ_WAIT_S
     ):
         return log_follower.Follower(
-            self.log, log_partition, reader, self.clock, self.events, wait_s
+            self.log,
+            log_partition,
+            reader,
+            self.clock,
+            self.events,
+            self.metrics,
+            wait_s,
         )
 
     def attach(self, owner):
@@ -147,7 +154,7 @@
                 not job.is_start_reported for job in replica.jobs.values()
             ),
             'store_read_age_seconds': self.clock.monotonic_s()
-            - (last_s or 0.0),
+            - (-math.inf if last_s is None else last_s),
             'owner_epoch': self._owner.epoch if self._owner else 0,
             'log_lines_dropped': self.events.dropped_lines,
         }
@@ -155,6 +162,7 @@
             known = self._owner.scheduler.executors.values()
             gauges['executors'] = len(known)
             gauges['runs_active'] = sum(len(e.runs) for e in known)
+            gauges['starts_in_flight'] = self._owner.starts_in_flight
         for name, value in gauges.items():
             self.metrics.set_gauge(name, value)
 
