--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -9,6 +9,13 @@
 from hawthorndeal_platform import keyed_log
 
 APPEND_LATENCY_S = 0.003
+# Limits of one page of newest records.
+NEWEST_PAGE_RECORDS = 500
+NEWEST_PAGE_BYTES = 1_000_000
+# Size of a record's framing.
+RECORD_OVERHEAD_BYTES = 5
+# Base64 adds a third.
+NEWEST_ENCODING_FACTOR = 4 / 3
 
 
 class _Partition:
@@ -93,22 +100,30 @@
         if self.is_down:
             raise keyed_log.Overloaded('the store is down')
 
-    def read(self, partition, offset):
-        """Return the records from an offset on."""
+    def read(self, partition, offset, limit_bytes=keyed_log.READ_PAGE_BYTES):
+        """Return a page of the records from an offset on."""
         self._check_available()
         state = self._partitions[partition]
         if offset < state.first_offset:
             raise errors.OffsetExpired(offset, state.first_offset)
-        records = tuple(state.records[offset:])
+        records = tuple(_first_bytes(state.records[offset:], limit_bytes))
         end = len(state.records)
-        return keyed_log.RecordPage(records, end, end)
+        return keyed_log.RecordPage(records, offset + len(records), end)
 
-    def newest(self, partition):
-        """Return the newest record of each key."""
+    def newest(self, partition, after_key=''):
+        """Return a page of the newest records of the keys after a key."""
         self._check_available()
         state = self._partitions[partition]
-        stored = [r for _, r in sorted(state.newest.items()) if r.value]
-        return keyed_log.NewestPage(tuple(stored), len(state.records))
+        stored = [
+            record
+            for key, record in sorted(state.newest.items())
+            if record.value and key > after_key
+        ]
+        page = tuple(
+            _first_bytes(stored[:NEWEST_PAGE_RECORDS], NEWEST_PAGE_BYTES)
+        )
+        next_key = page[-1].key if len(page) < len(stored) else ''
+        return keyed_log.NewestPage(page, len(state.records), next_key)
 
     def find(self, partition, key):
         """Return the newest record of a key, or None."""
@@ -130,6 +145,23 @@
         state.first_offset = len(state.records)
 
 
+def size_bytes(records):
+    """Return the size of records on the wire."""
+    return links.REQUEST_BYTES + sum(
+        len(r.key) + len(r.value) + RECORD_OVERHEAD_BYTES for r in records
+    )
+
+
+def _first_bytes(records, limit_bytes):
+    """Yield records up to a total size, and at least one."""
+    total_bytes = 0
+    for number, record in enumerate(records):
+        total_bytes += len(record.key) + len(record.value)
+        if number and total_bytes > limit_bytes:
+            return
+        yield record
+
+
 class StoreClient:
     """Client of the store for one daemon; see :class:`keyed_log.KeyedLog`.
 
@@ -144,12 +176,23 @@
         self.is_cut = False
 
     async def _call(
-        self, operation, wait=None, timeout_s=links.CALL_TIMEOUT_S
+        self,
+        operation,
+        wait=None,
+        timeout_s=links.CALL_TIMEOUT_S,
+        sent_bytes=links.REQUEST_BYTES,
+        response_bytes=None,
     ):
         if self.is_cut:
             await asyncio.sleep(timeout_s)
             raise errors.OutcomeUnknown('the store is unreachable')
-        return await self._link.call(operation, wait, timeout_s)
+        return await self._link.call(
+            operation,
+            wait,
+            timeout_s,
+            sent_bytes,
+            response_bytes,
+        )
 
     async def append(self, partition, records, fence=None, end=None):
         """Append records atomically and return the offset of the first."""
@@ -158,6 +201,7 @@
                 lambda: self._store.append(partition, records, fence, end),
                 self._store.wait_until_appended,
                 keyed_log.APPEND_TIMEOUT_S,
+                size_bytes(records),
             ),
             self._append_latency,
             keyed_log.APPEND_TIMEOUT_S,
@@ -172,6 +216,7 @@
                 lambda: self._store.read(partition, offset),
                 lambda: self._store.wait_for_read(partition, offset, wait_s),
                 timeout_s,
+                response_bytes=lambda page: size_bytes(page.records),
             )
 
         now_s = asyncio.get_running_loop().time
@@ -179,4 +224,9 @@
 
     async def newest(self, partition, after_key=''):
         """Return the newest record of each key."""
-        return await self._call(lambda: self._store.newest(partition))
+        return await self._call(
+            lambda: self._store.newest(partition, after_key),
+            response_bytes=lambda page: (
+                size_bytes(page.records) * NEWEST_ENCODING_FACTOR
+            ),
+        )
--- a/features/fakes/links.py
+++ b/features/fakes/links.py
@@ -9,6 +9,35 @@
 DEFAULT_LATENCY_S = 0.001
 CALL_TIMEOUT_S = 1.0
 LATE_DELAY_RANGE_S = (2.0, 6.0)
+# Concurrent transfers over a narrow link alternate after this many bytes.
+CHUNK_BYTES = 16384
+# Size of a request or response without records.
+REQUEST_BYTES = 200
+
+
+@attrs.define(eq=False)
+class Direction:
+    """One direction of a link with a limited rate.
+
+    :ivar bytes_per_s: bytes that it carries, in each second
+    """
+
+    bytes_per_s: float
+    _busy_until_s: float = 0.0
+
+    async def transfer(self, size_bytes, note_progress):
+        """Carry a message, one chunk after another.
+
+        :param note_progress: called after each chunk
+        """
+        now_s = asyncio.get_running_loop().time
+        while size_bytes > 0:
+            chunk_bytes = min(CHUNK_BYTES, size_bytes)
+            begin_s = max(now_s(), self._busy_until_s)
+            self._busy_until_s = begin_s + chunk_bytes / self.bytes_per_s
+            await asyncio.sleep(self._busy_until_s - now_s())
+            size_bytes -= chunk_bytes
+            note_progress()
 
 
 @attrs.define(eq=False)
@@ -29,9 +58,22 @@
     late_share: float = 0.0
     latency_s: float = DEFAULT_LATENCY_S
     unreachable: set = attrs.Factory(set)
+    _upstream: Direction | None = None
+    _downstream: Direction | None = None
+
+    def narrow(self, bytes_per_s):
+        """Limit what the link carries in each direction."""
+        self._upstream = Direction(bytes_per_s)
+        self._downstream = Direction(bytes_per_s)
 
     async def call(
-        self, operation, wait_remote=None, timeout_s=CALL_TIMEOUT_S
+        self,
+        operation,
+        wait_remote=None,
+        timeout_s=CALL_TIMEOUT_S,
+        sent_bytes=0,
+        response_bytes=None,
+        is_idle_timeout=False,
     ):
         """Run an operation at the remote end and return its result.
 
@@ -39,8 +81,20 @@
         :param wait_remote: coroutine function, awaited at the remote end
             before the operation
         :param timeout_s: how long the daemon waits for the response
+        :param sent_bytes: size of the request
+        :param response_bytes: callable that returns the size of the response
+        :param is_idle_timeout: whether the timeout begins again with each
+            part of the response
         :raises errors.OutcomeUnknown: on a timeout
         """
+        if self._upstream is None:
+            return await self._call(operation, wait_remote, timeout_s)
+        call = _NarrowCall(
+            self, operation, wait_remote, timeout_s, sent_bytes, response_bytes
+        )
+        return await call.run(is_idle_timeout)
+
+    async def _call(self, operation, wait_remote, timeout_s):
         await asyncio.sleep(self.latency_s)
         if self.is_cut:
             await self._time_out(timeout_s)
@@ -80,6 +134,71 @@
         await asyncio.sleep(timeout_s)
         raise errors.OutcomeUnknown('timed out')
 
+    async def send(self, size_bytes, note_progress):
+        """Carry a request, if the link is narrow."""
+        await self._upstream.transfer(size_bytes, note_progress)
+
+    async def receive(self, size_bytes, note_progress):
+        """Carry a response, if the link is narrow."""
+        await self._downstream.transfer(size_bytes, note_progress)
+
+
+class _NarrowCall:
+    """One call over a narrow link.
+
+    A call that timed out is closed at once: the rest of its request or
+    response isn't carried.
+    """
+
+    def __init__(
+        self,
+        link,
+        operation,
+        wait_remote,
+        timeout_s,
+        sent_bytes,
+        response_bytes,
+    ):
+        self._link = link
+        self._operation = operation
+        self._wait_remote = wait_remote
+        self._timeout_s = timeout_s
+        self._sent_bytes = sent_bytes
+        self._response_bytes = response_bytes
+        self._now_s = asyncio.get_running_loop().time
+        self._last_progress_s = self._now_s()
+
+    async def run(self, is_idle_timeout):
+        """Return the result of the call.
+
+        :raises errors.OutcomeUnknown: on a timeout
+        """
+        begun_s = self._now_s()
+        exchange = asyncio.create_task(self._exchange())
+        try:
+            while not exchange.done():
+                since_s = self._last_progress_s if is_idle_timeout else begun_s
+                left_s = since_s + self._timeout_s - self._now_s()
+                if left_s <= 0:
+                    raise errors.OutcomeUnknown('timed out')
+                await asyncio.wait([exchange], timeout=left_s)
+        finally:
+            exchange.cancel()
+        return exchange.result()
+
+    def _note_progress(self):
+        self._last_progress_s = self._now_s()
+
+    async def _exchange(self):
+        await self._link.send(self._sent_bytes, self._note_progress)
+        result = await self._link._call(
+            self._operation, self._wait_remote, self._timeout_s
+        )
+        if self._response_bytes is not None:
+            size_bytes = self._response_bytes(result)
+            await self._link.receive(size_bytes, self._note_progress)
+        return result
+
 
 def _run_ignoring_errors(operation):
     try:
--- a/features/fakes/task_executors.py
+++ b/features/fakes/task_executors.py
@@ -11,6 +11,9 @@
 from hawthorndeal_platform import executor_orders
 
 STOP_DURATION_S = 0.1
+# Sizes of messages: without rows or payload, and of a row of a poll.
+MESSAGE_BYTES = 300
+ROW_BYTES = 60
 
 _Answer = run_tracking.StartAnswer
 _Cause = executors_module.EndCause
@@ -204,7 +207,15 @@
             return None
         return executor
 
-    async def _call(self, target, operation, wait=None, wait_s=0.0):
+    async def _call(
+        self,
+        target,
+        operation,
+        wait=None,
+        wait_s=0.0,
+        sent_bytes=MESSAGE_BYTES,
+        response_bytes=lambda result: MESSAGE_BYTES,
+    ):
         executor = self._find_reachable(target)
         timeout_s = executor_orders.CALL_TIMEOUT_S + wait_s
         if executor is None:
@@ -216,13 +227,21 @@
                 await wait(executor)
 
         return await self._link.call(
-            lambda: operation(executor), wait_remotely, timeout_s
+            lambda: operation(executor),
+            wait_remotely,
+            timeout_s,
+            sent_bytes,
+            response_bytes,
         )
 
     async def start(self, target, order):
         """Send an order to start a run."""
         try:
-            return await self._call(target, lambda e: e.start(order))
+            return await self._call(
+                target,
+                lambda e: e.start(order),
+                sent_bytes=MESSAGE_BYTES + len(order.payload),
+            )
         except errors.OutcomeUnknown:
             return _Answer.UNKNOWN, None
 
@@ -241,6 +260,9 @@
             ),
             lambda e: e.wait(last_recorded_end, wait_s),
             wait_s,
+            response_bytes=lambda result: (
+                MESSAGE_BYTES + ROW_BYTES * (len(result[0]) + len(result[1]))
+            ),
         )
         return executors_module.ExecutorPoll(
             sent_s, self._world.now_s(), clock_s, running, ended
--- /dev/null
+++ b/features/jobs_narrow_links.feature
@@ -0,0 +1,33 @@
+@jobs
+Feature: Daemons behind narrow links load, follow and own a busy partition
+
+  Links carry a limited number of bytes in each second, as those of small
+  entry hosts do. Everything runs in virtual time.
+
+  Scenario: A daemon behind a narrow link loads a long history
+    Given a partition of 2000 keys of 3000 bytes
+    When it is followed over a link of 600000 bytes a second
+    Then it has been loaded within 20 seconds
+
+  Scenario: A daemon behind a narrow link catches up after an outage
+    Given a partition of 10 keys of 3000 bytes
+    When it is followed over a link of 600000 bytes a second
+    And 2 seconds of following pass
+    And 2000 records of 3000 bytes are appended at once
+    Then the end has been read within 12 seconds
+
+  Scenario: Callers of a daemon behind a narrow link soon see that jobs ended
+    Given simulated daemons with seed 510
+    And a daemon without ownership behind a link of 60000 bytes a second
+    When 100 jobs of 8 and 4 tasks with 2400 bytes of payload arrive in 5 seconds
+    And 15 seconds pass
+    Then 95 of 100 were reported there within 1 second after the owner did
+
+  Scenario: An owner behind a narrow link gets answers to its starts
+    Given simulated daemons with seed 511
+    And every daemon behind a link of 200000 bytes a second
+    When 60 jobs of 16 tasks with 4000 bytes of payload arrive in 5 seconds
+    And 25 seconds pass
+    Then 9 of 10 starts were answered
+    And 600 tasks have ended
+    And no invariant was violated
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -473,7 +473,7 @@
     return specs.JobSpec('payload', (step,))
 
 
-def chain(*counts, estimate_s=0.4, cores=1.0, **options):
+def chain(*counts, estimate_s=0.4, cores=1.0, payload='payload', **options):
     """Return a job of consecutive steps with these numbers of tasks."""
     request = specs.Resources(int(cores * 1000), 1024)
     steps = tuple(
@@ -486,4 +486,4 @@
         )
         for number, count in enumerate(counts)
     )
-    return specs.JobSpec('payload', steps)
+    return specs.JobSpec(payload, steps)
--- /dev/null
+++ b/features/steps/jobs_narrow_links.py
@@ -0,0 +1,244 @@
+"""Steps for daemons behind links that carry few bytes in each second."""
+
+import asyncio
+import contextlib
+import itertools
+
+from behave import given
+from behave import then
+from behave import when
+
+from fakes import keyed_store
+from fakes import links
+from fakes import store_http
+from hawthorndeal_jobs import journal
+from hawthorndeal_platform import keyed_log
+from hawthorndeal_scheduler import log_follower
+from hawthorndeal_scheduler import metrics
+from hawthorndeal_site import store as store_adapter
+from stage import job_world
+from stage import virtual_time
+
+PARTITION = keyed_log.Partition('history')
+POLL_S = 0.05
+
+
+class _Reader:
+    """Reader that counts what it is given."""
+
+    def __init__(self):
+        self.keys = set()
+        self.read_to_end_s = None
+        self._now_s = asyncio.get_running_loop().time
+
+    def handle_record(self, record):
+        self.keys.add(record.key)
+
+    def note_loaded(self, keys):
+        """Do nothing."""
+
+    def note_read(self, sent_s):
+        self.read_to_end_s = sent_s
+
+
+class _Events:
+    """Discards events."""
+
+    def write(self, kind, **fields):
+        """Do nothing."""
+
+
+@given('a partition of {count:d} keys of {size:d} bytes')
+def fill_partition(context, count, size):
+    context.store = keyed_store.KeyedStore()
+    context.numbers = itertools.count()
+    _append(context, count, size)
+    context.runner = asyncio.Runner(loop_factory=virtual_time.VirtualLoop)
+    context.add_cleanup(context.runner.close)
+
+
+def _append(context, count, size):
+    keys = (f'{number:06}' for number in context.numbers)
+    context.store.append(
+        PARTITION,
+        [
+            journal.Record(key, b'x' * size)
+            for key in itertools.islice(keys, count)
+        ],
+    )
+
+
+@when('it is followed over a link of {rate:d} bytes a second')
+def follow(context, rate):
+    async def start():
+        loop = asyncio.get_running_loop()
+        link = links.Link(rng=None)
+        link.narrow(rate)
+        client = store_http.StoreHttp(context.store, link)
+        context.reader = _Reader()
+        context.follower = log_follower.Follower(
+            store_adapter.Store(client, 'store:1'),
+            PARTITION,
+            context.reader,
+            virtual_time.VirtualClock(loop),
+            _Events(),
+            metrics.Metrics(),
+        )
+        context.following = asyncio.create_task(context.follower.run())
+        context.begun_s = loop.time()
+
+    context.runner.run(start())
+    context.add_cleanup(_stop_following, context)
+
+
+def _stop_following(context):
+    async def stop():
+        context.following.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await context.following
+
+    context.runner.run(stop())
+
+
+@when('{seconds:d} seconds of following pass')
+def pass_time(context, seconds):
+    context.runner.run(asyncio.sleep(seconds))
+
+
+@when('{count:d} records of {size:d} bytes are appended at once')
+def append_more(context, count, size):
+    _append(context, count, size)
+    context.begun_s = context.runner.get_loop().time()
+
+
+def _wait_for(context, is_met, limit_s):
+    """Return how long it took until a condition was met, or None."""
+
+    async def wait():
+        now_s = asyncio.get_running_loop().time
+        while not is_met():
+            if now_s() - context.begun_s > limit_s:
+                return None
+            await asyncio.sleep(POLL_S)
+        return now_s() - context.begun_s
+
+    return context.runner.run(wait())
+
+
+@then('it has been loaded within {limit_s:g} seconds')
+def check_loaded(context, limit_s):
+    took_s = _wait_for(context, lambda: context.follower.is_loaded, limit_s)
+    assert took_s is not None, len(context.reader.keys)
+    assert len(context.reader.keys) == 2000, len(context.reader.keys)
+
+
+@then('the end has been read within {limit_s:g} seconds')
+def check_at_end(context, limit_s):
+    took_s = _wait_for(
+        context,
+        lambda: (context.reader.read_to_end_s or 0.0) > context.begun_s,
+        limit_s,
+    )
+    assert took_s is not None, len(context.reader.keys)
+    assert len(context.reader.keys) == 2010, len(context.reader.keys)
+
+
+@given('a daemon without ownership behind a link of {rate:d} bytes a second')
+def narrow_follower(context, rate):
+    world = context.world
+    context.narrow = next(d for d in world.daemons if d is not world.owner)
+    context.narrow.link.narrow(rate)
+
+
+@given('every daemon behind a link of {rate:d} bytes a second')
+def narrow_all(context, rate):
+    for daemon in context.world.daemons:
+        daemon.link.narrow(rate)
+
+
+@when(
+    '{count:d} jobs of {first:d} and {second:d} tasks with {size:d} bytes of '
+    'payload arrive in {seconds:g} seconds'
+)
+def submit_chains(context, count, first, second, size, seconds):
+    _submit(context, count, (first, second), size, seconds)
+
+
+@when(
+    '{count:d} jobs of {tasks:d} tasks with {size:d} bytes of payload arrive '
+    'in {seconds:g} seconds'
+)
+def submit_wide(context, count, tasks, size, seconds):
+    _submit(context, count, (tasks,), size, seconds)
+
+
+def _submit(context, count, counts, size, seconds):
+    world = context.world
+    context.ends = {}
+
+    async def submit():
+        entry = next(
+            daemon
+            for daemon in world.daemons
+            if daemon is not world.owner
+            and daemon is not getattr(context, 'narrow', None)
+        )
+        for number in range(count):
+            job_id = f'n{number}'
+            pool = ('web', 'ci')[number % 2]
+            spec = job_world.chain(*counts, payload='x' * size)
+            assert await world.submit(entry, pool, job_id, spec) is None
+            for daemon in (world.owner, getattr(context, 'narrow', None)):
+                if daemon is not None:
+                    done = _note_end(context, daemon, pool, job_id)
+                    context.watches.append(asyncio.create_task(done))
+            await asyncio.sleep(seconds / count)
+
+    context.watches = []
+    context.runner.run(submit())
+
+
+async def _note_end(context, daemon, pool, job_id):
+    world = context.world
+    while await world.state(daemon, pool, job_id) != 'completed':
+        await asyncio.sleep(POLL_S)
+    context.ends[daemon.name, job_id] = world.now_s()
+
+
+@then(
+    '{wanted:d} of {count:d} were reported there within {limit_s:g} second '
+    'after the owner did'
+)
+def check_reported(context, wanted, count, limit_s):
+    owner, narrow = context.world.owner, context.narrow
+    delays_s = [
+        context.ends.get((narrow.name, f'n{number}'), float('inf'))
+        - context.ends.get((owner.name, f'n{number}'), 0.0)
+        for number in range(count)
+    ]
+    soon = sum(delay_s <= limit_s for delay_s in delays_s)
+    assert soon >= wanted, (soon, sorted(delays_s)[-10:])
+
+
+@then('{wanted:d} of {count:d} starts were answered')
+def check_answered(context, wanted, count):
+    kinds = [
+        (kind, fields.get('answer'))
+        for _, _, kind, fields in context.world.log
+        if kind in ('run_started', 'run_not_started')
+    ]
+    unknown = sum(answer == 'unknown' for _, answer in kinds)
+    answered = len(kinds) - unknown
+    assert kinds and answered * count >= wanted * len(kinds), (
+        answered,
+        unknown,
+    )
+
+
+@then('{wanted:d} tasks have ended')
+def check_ended(context, wanted):
+    ended = sum(
+        kind == 'run_over' and fields['cause'] == 'done'
+        for _, _, kind, fields in context.world.log
+    )
+    assert ended >= wanted, ended
