--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -29,12 +29,14 @@
         self.sequence = 0
         self.append_results = collections.OrderedDict()
         self.appended = asyncio.Event()
+        self.busy_until_s = 0.0
 
 
 class KeyedStore:
     """Server side of the keyed log, shared by all daemons.
 
-    :ivar append_s: time to process an append; appends are serialized
+    :ivar append_s: time to process an append; those of a partition are
+        serialized
     :ivar read_s: latency of a read, besides the wait for records
     """
 
@@ -44,19 +46,19 @@
         self.appends = 0
         self.append_s = 0.0
         self.read_s = 0.0
-        self._busy_until_s = 0.0
 
     async def wait_for_read(self, partition, offset, wait_s):
         """Wait for a record at an offset, then for the read latency."""
         await self.wait(partition, offset, wait_s)
         await asyncio.sleep(self.read_s)
 
-    async def wait_until_appended(self):
+    async def wait_until_appended(self, partition):
         """Wait until an append that arrives now has been processed."""
+        state = self._partitions[partition]
         now_s = asyncio.get_running_loop().time()
-        begin_s = max(now_s, self._busy_until_s)
-        self._busy_until_s = begin_s + self.append_s
-        await asyncio.sleep(self._busy_until_s - now_s + APPEND_LATENCY_S)
+        begin_s = max(now_s, state.busy_until_s)
+        state.busy_until_s = begin_s + self.append_s
+        await asyncio.sleep(state.busy_until_s - now_s + APPEND_LATENCY_S)
 
     def append(self, partition, records, fence=None, end=None):
         """Append records atomically and return the offset of the first.
@@ -110,6 +112,11 @@
         end = len(state.records)
         return keyed_log.RecordPage(records, offset + len(records), end)
 
+    def end(self, partition):
+        """Return the end offset of a partition."""
+        self._check_available()
+        return len(self._partitions[partition].records)
+
     def newest(self, partition, after_key=''):
         """Return a page of the newest records of the keys after a key."""
         self._check_available()
@@ -199,7 +206,7 @@
         return await hedging.call(
             lambda: self._call(
                 lambda: self._store.append(partition, records, fence, end),
-                self._store.wait_until_appended,
+                lambda: self._store.wait_until_appended(partition),
                 keyed_log.APPEND_TIMEOUT_S,
                 size_bytes(records),
             ),
@@ -222,6 +229,10 @@
         now_s = asyncio.get_running_loop().time
         return await hedging.read(send, self._read_latency, wait_s, now_s)
 
+    async def end(self, partition, offset):
+        """Return the end offset of a partition."""
+        return await self._call(lambda: self._store.end(partition))
+
     async def newest(self, partition, after_key=''):
         """Return the newest record of each key."""
         return await self._call(
--- a/features/jobs_world.feature
+++ b/features/jobs_world.feature
@@ -193,11 +193,11 @@
 
   Scenario: Malformed and unknown records are skipped, with one log line each
     Given simulated daemons with seed 16
-    When malformed records are written to the partition of the jobs
+    When malformed records are written to both partitions
     And 3 jobs of 2 and 2 tasks are submitted
     And 6 seconds pass
     Then every job is reported as completed
-    And each malformed record was logged once by each daemon
+    And each malformed record was logged once by each daemon that reads it
 
   Scenario: Tasks on an executor that hangs are rerun elsewhere
     Given simulated daemons with seed 19
--- a/features/stage/fault_search.py
+++ b/features/stage/fault_search.py
@@ -178,8 +178,12 @@
         )
 
     async def _do_compact_log(self, duration_s):
-        owner = self.world.daemons[0].parts
-        for follower in (owner.jobs_follower, owner.entries_follower):
+        parts = self.world.daemons[0].parts
+        for follower in (
+            parts.status_follower,
+            parts.jobs_follower,
+            parts.entries_follower,
+        ):
             self.world.store.compact(follower.partition)
 
     async def _do_step_clock(self, duration_s):
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -29,13 +29,16 @@
 
 OPERATORS = keyed_log.Partition('operators')
 ENTRIES = keyed_log.Partition('entries')
-JOBS = keyed_log.Partition(service.JOBS_TOPIC)
+JOBS = service.JOBS
+STATUSES = service.STATUSES
 HEARTBEAT_INTERVAL_S = 1.5
 RACK_HOSTS = 4
 ZONES = ('cz-a', 'cz-b', 'cz-c')
 HOST_LEASE_S = 3.0
 # Events that docs/OPERATIONS.md need not list.
-UNDOCUMENTED_EVENTS = frozenset({'jobs_loaded', 'advice_taken'})
+UNDOCUMENTED_EVENTS = frozenset(
+    {'jobs_loaded', 'statuses_loaded', 'advice_taken'}
+)
 
 
 class WorldFormats:
@@ -118,9 +121,11 @@
         self.parts.clock = virtual_time.VirtualClock(world.loop)
         self.parts.events = world.events_for(self.name)
         for part in (
+            self.parts.status_reader,
             self.parts.jobs_reader,
             self.parts.configuration_reader,
             self.parts.entries_reader,
+            self.parts.status_follower,
             self.parts.jobs_follower,
             self.parts.operators_follower,
             self.parts.entries_follower,
@@ -138,7 +143,7 @@
             asyncio.create_task(part.run())
             for part in (
                 parts.operators_follower,
-                parts.jobs_follower,
+                parts.status_follower,
                 parts.submitter,
                 self.candidate,
             )
@@ -334,6 +339,13 @@
         """Return the newest stored job record with a key, or None."""
         return self.store.find(JOBS, key)
 
+    def stored_status(self, job_id):
+        """Return the stored status of a job, or None."""
+        record = self.store.find(STATUSES, f'{journal.STATUS}/{job_id}')
+        if record is None or not record.value:
+            return None
+        return journal.decode(record.value, journal.JobStatus)
+
     def check_host_order(self, entry, wave, holder):
         """Check a host order against running tasks, leases and wave limits."""
         executor = self.executors.get(entry.executor_id)
@@ -402,10 +414,10 @@
         """Return the state of a job that a daemon reports."""
         queue = daemon.parts.configuration_reader.configuration.queues[pool]
         try:
-            job = await daemon.interface.find(queue, job_id)
+            status = await daemon.interface.find(queue, job_id)
         except errors.RequestFailed as failure:
             return failure.reason
-        return job.reported_state.value if job is not None else 'unknown'
+        return status.state.value if status is not None else 'unknown'
 
     async def cancel(self, daemon, pool, job_id):
         """Cancel a job; return whether the cancellation was acknowledged."""
--- a/features/stage/run_checker.py
+++ b/features/stage/run_checker.py
@@ -47,6 +47,10 @@
         """Return the newest stored job record with a key, or None."""
         raise NotImplementedError
 
+    def stored_status(self, job_id):
+        """Return the stored status of a job, or None."""
+        raise NotImplementedError
+
     # Task properties
 
     def _spec(self, task_id):
@@ -136,9 +140,14 @@
                 self._check_recorded(task_id)
 
     def _check_recorded(self, task_id):
+        # The records of a job are dropped once its final state is stored.
+        status = self.stored_status(task_id.job_id)
+        if status is not None and status.state.is_final:
+            return
         key = f'{journal.PROGRESS}/{task_id.job_id}/{task_id.occurrence}'
         record = self.find_record(key)
-        tasks = json.loads(record.value)['t'] if record else []
+        is_stored = record is not None and record.value
+        tasks = json.loads(record.value)['t'] if is_stored else []
         row = tasks[task_id.step][task_id.index] if tasks else []
         if not row or row[0] != jobs.TaskState.DONE:
             self.record_violation(
--- a/features/stage/scheduler_model.py
+++ b/features/stage/scheduler_model.py
@@ -91,6 +91,10 @@
         """Return the newest stored record with a key, or None."""
         return self._records.get(key)
 
+    def stored_status(self, job_id):
+        """Return None: the model stores no statuses."""
+        return None
+
     # Store and takeover
 
     def _store(self, records):
@@ -105,7 +109,7 @@
         replica = replica_module.Replica()
         for offset, record in enumerate(self._records.values()):
             replica.apply(record.key, record.value, offset)
-        replica.own_epoch = self._epoch
+        replica.is_owned = True
         self._replica = replica
         self._scheduler = scheduler_module.Scheduler(
             replica, scheduler_harness.CONFIGURATION
--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -374,7 +374,7 @@
         When job "l" of 3 long-running tasks, 1 unavailable at most, starts
         And a wave over its pool is requested, 2 at once, within 10 seconds
         And 30 jobs of 16 and 16 tasks are submitted in the background
-        And malformed records are written to the partition of the jobs
+        And malformed records are written to both partitions
         And job "a" of 2 and 2 tasks is submitted to daemon 0
         And job "a" is cancelled at daemon 1
         And 4 seconds pass
--- a/features/steps/jobs_world.py
+++ b/features/steps/jobs_world.py
@@ -1,6 +1,7 @@
 """Steps for daemons in virtual time on fakes that check invariants."""
 
 import asyncio
+import collections
 
 from behave import given
 from behave import step
@@ -175,7 +176,11 @@
 
 @when('the store compacts its history')
 def compact_store(context):
-    for partition in (job_world.JOBS, job_world.ENTRIES):
+    for partition in (
+        job_world.JOBS,
+        job_world.STATUSES,
+        job_world.ENTRIES,
+    ):
         context.world.store.compact(partition)
 
 
@@ -410,31 +415,39 @@
     assert moved, 'no host was moved'
 
 
-@when('malformed records are written to the partition of the jobs')
+@when('malformed records are written to both partitions')
 def write_malformed(context):
-    world = context.world
-    context.malformed_count = 0
+    keys = {
+        job_world.JOBS: ('job/{}x', 'strange/{}'),
+        job_world.STATUSES: ('status/{}x', 'strange/{}', 'owner'),
+    }
+    context.malformed_counts = collections.Counter()
     for number, value in enumerate(MALFORMED_VALUES[1:]):
-        for key in (f'job/{number}x', f'strange/{number}', 'owner'):
-            record = journal.Record(key, value)
-            world.store.append(job_world.JOBS, [record])
-            context.malformed_count += 1
+        for partition in keys:
+            for key in keys[partition]:
+                record = journal.Record(key.format(number), value)
+                context.world.store.append(partition, [record])
+                context.malformed_counts[partition] += 1
 
 
-@then('each malformed record was logged once by each daemon')
+@then('each malformed record was logged once by each daemon that reads it')
 def check_skips_logged(context):
     world = context.world
     for daemon in world.daemons:
-        offsets = [
-            fields['offset']
-            for _, name, kind, fields in world.log
-            if kind == 'record_skipped'
-            and name == daemon.name
-            and fields['topic'] == job_world.JOBS.topic
-        ]
-        assert len(offsets) == len(set(offsets)) == context.malformed_count, (
-            offsets
-        )
+        _check_skips(context, daemon, job_world.STATUSES)
+    _check_skips(context, world.owner, job_world.JOBS)
+
+
+def _check_skips(context, daemon, partition):
+    offsets = [
+        fields['offset']
+        for _, name, kind, fields in context.world.log
+        if kind == 'record_skipped'
+        and name == daemon.name
+        and fields['partition'] == partition.name
+    ]
+    wanted = context.malformed_counts[partition]
+    assert len(offsets) == len(set(offsets)) == wanted, offsets
 
 
 @when('a newer configuration is written, then the older one, then a deletion')
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
@@ -114,9 +114,6 @@
 
     :ivar accepted_s: when it was accepted, since the epoch
     :ivar pool: pool of its queue when it was accepted
-    :ivar reported_state: state reported to clients; covers only what is stored
-    :ivar is_start_reported: whether the start of a task is stored
-    :ivar final_since_s: since when the reported state is final
     """
 
     job_id: str
@@ -127,9 +124,6 @@
     occurrences: dict[int, Occurrence] = attrs.Factory(dict)
     is_cancelled: bool = False
     is_failed: bool = False
-    reported_state: JobState = JobState.QUEUED
-    is_start_reported: bool = False
-    final_since_s: float | None = None
 
     def occurrence(self, number):
         """Return an occurrence; it is created if missing."""
@@ -137,6 +131,16 @@
             self.occurrences[number] = Occurrence.new(self, number)
         return self.occurrences[number]
 
+    @property
+    def has_assigned_tasks(self):
+        """Whether a run of any task may still be executing."""
+        return any(
+            task.state is TaskState.ASSIGNED
+            for occurrence in self.occurrences.values()
+            for step in occurrence.tasks
+            for task in step
+        )
+
     @property
     def is_terminal(self):
         """Whether no more tasks of the job may start."""
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -1,4 +1,7 @@
-"""The records that persist a partition; each key has one current record.
+"""The records that persist jobs; each key has one current record.
+
+The partition of the jobs holds what the owner needs to run them. Only owners
+read it, and a job is dropped from it soon after its end.
 
 ====================  =======================================  ==============
 key                   value                                    written by
@@ -6,7 +9,16 @@
 ``job/ID``            the submission                           any daemon
 ``cancel/ID``         the cancellation of the job              any daemon
 ``progress/ID/K``     the tasks of one occurrence              the owner
-``owner``             the owner of the partition               a claimant
+``owner``             the owner, which fences its predecessor  the owner
+====================  =======================================  ==============
+
+The partition of the statuses is small, and every daemon follows it.
+
+====================  =======================================  ==============
+key                   value                                    written by
+====================  =======================================  ==============
+``status/ID``         the job's state, as callers are told     the owner
+``owner``             the owner of both partitions             a claimant
 ``wave/N``            progress of a maintenance wave           the owner
 ``hosts``             completed or intended host operations    the owner
 ====================  =======================================  ==============
@@ -14,6 +26,7 @@
 An empty value deletes a key.
 """
 
+import hashlib
 import json
 
 import attrs
@@ -27,10 +40,13 @@
 JOB = 'job'
 CANCEL = 'cancel'
 PROGRESS = 'progress'
+STATUS = 'status'
 OWNER = 'owner'
 WAVE = 'wave'
 HOSTS = 'hosts'
 
+DIGEST_BYTES = 6
+
 _converter = cattrs.Converter(omit_if_default=True)
 
 
@@ -59,11 +75,31 @@
     :ivar epoch: increases with each claim; fences appends and requests
     :ivar daemon: the owner
     :ivar is_released: whether the owner has released the partition
+    :ivar covered_offset: the statuses stored before this record cover the
+        records of the partition of the jobs up to this offset
     """
 
     epoch: int
     daemon: str
     is_released: bool = False
+    covered_offset: int = 0
+
+
+@attrs.frozen
+class JobStatus:
+    """What callers are told about a job.
+
+    :ivar digest: digest of the declared job; see :func:`spec_digest`
+    """
+
+    queue: str
+    digest: str
+    state: jobs.JobState = jobs.JobState.QUEUED
+
+    @property
+    def is_waiting(self):
+        """Whether no task of the job has started."""
+        return self.state is jobs.JobState.QUEUED
 
 
 @attrs.frozen
@@ -105,6 +141,26 @@
     return Record(key, json.dumps(value, separators=(',', ':')).encode())
 
 
+def status_record(job_id, status):
+    """Return the record of a job's status."""
+    return Record(f'{STATUS}/{job_id}', _encode(status))
+
+
+def status_deletion_record(job_id):
+    """Return the record that deletes the status of a job."""
+    return Record(f'{STATUS}/{job_id}')
+
+
+def cancel_deletion_record(job_id):
+    """Return the record that deletes the cancellation of a job."""
+    return Record(f'{CANCEL}/{job_id}')
+
+
+def spec_digest(spec):
+    """Return a digest that tells different declared jobs apart."""
+    return hashlib.blake2b(_encode(spec), digest_size=DIGEST_BYTES).hexdigest()
+
+
 def ownership_record(ownership):
     """Return the record of a claim, a renewal or a release."""
     return Record(OWNER, _encode(ownership))
@@ -121,7 +177,7 @@
 
 
 def deletion_records(job):
-    """Return the records that delete all keys of a job."""
+    """Return the records that drop a job from the partition of the jobs."""
     keys = [f'{PROGRESS}/{job.job_id}/{k}' for k in job.occurrences]
     keys += [f'{CANCEL}/{job.job_id}', f'{JOB}/{job.job_id}']
     return [Record(key) for key in keys]
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
@@ -44,6 +44,10 @@
     :ivar intents_read_s: when the owner's host intents were last read
     :ivar last_read_s: when the last read that reached the end was sent
     :ivar last_read_done_s: when that read completed
+    :ivar covered_offset: offset in the partition of the jobs up to which the
+        statuses read so far cover it
+    :ivar covered_s: when the owner's last record with such an offset was read;
+        None before the first one
     :ivar readable_since_s: since when reads have succeeded without a gap; None
         before the first one
     """
@@ -56,6 +60,8 @@
     intents_read_s: float = 0.0
     last_read_s: float | None = None
     last_read_done_s: float | None = None
+    covered_offset: int = 0
+    covered_s: float | None = None
     readable_since_s: float | None = None
 
     def note_read(self, sent_s, now_s):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -78,6 +78,10 @@
             if run.task_id.job_id == job.job_id:
                 run.is_stop_requested = True
 
+    def has_runs(self, job_id):
+        """Return whether a run of a job may be executing."""
+        return any(run.task_id.job_id == job_id for run in self._all_runs())
+
     def _all_runs(self):
         return itertools.chain.from_iterable(
             executor.runs.values() for executor in self.executors.values()
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
@@ -0,0 +1,156 @@
+"""What a daemon tells callers about jobs, and who owns the partitions.
+
+Every daemon applies the records of the partition of the statuses to a board.
+"""
+
+import collections
+
+import attrs
+
+from hawthorndeal_fleet import errors
+
+from . import host_intents
+from . import jobs
+from . import journal
+
+
+@attrs.frozen
+class StatusChange:
+    """The result of applying a record to the board.
+
+    :ivar job_id: the job that the record refers to, if any
+    """
+
+    kind: str
+    job_id: str = ''
+
+
+class StatusBoard:
+    """Statuses of jobs, the owner, its waves and its host intents.
+
+    Records are applied idempotently: one that is read again after a newer one
+    of its key is ignored.
+
+    :ivar stored: statuses read from the store, by job
+    :ivar ownership: the newest owner, or None
+    :ivar wave_records: progress of maintenance waves, by number
+    :ivar host_intents: the newest intents of an owner
+    """
+
+    def __init__(self):
+        self.stored = {}
+        self.ownership = None
+        self.wave_records = {}
+        self.host_intents = []
+        # What this daemon has appended itself and not read back so far.
+        self._local = {}
+        self._waiting = collections.Counter()
+        self._offsets = {}
+
+    def apply(self, key, value, offset):
+        """Apply one record, and return its effect; None if it has none.
+
+        :raises errors.InvalidRecord: if it cannot be decoded; the board is
+            unchanged
+        """
+        if offset <= self._offsets.get(key, -1):
+            return None
+        kind, _, rest = key.partition('/')
+        handler = self._HANDLERS.get(kind)
+        if handler is None:
+            raise errors.InvalidRecord(f'unknown record key {key!r:.80}')
+        change = handler(self, rest, value)
+        self._offsets[key] = offset
+        return change
+
+    def _apply_status(self, job_id, value):
+        change = StatusChange(journal.STATUS, job_id)
+        self._count(job_id, -1)
+        try:
+            if value:
+                self._store(job_id, journal.decode(value, journal.JobStatus))
+            else:
+                self.stored.pop(job_id, None)
+                self._local.pop(job_id, None)
+        finally:
+            self._count(job_id, 1)
+        return change
+
+    def _store(self, job_id, status):
+        self.stored[job_id] = status
+        local = self._local.get(job_id)
+        # A cancellation takes effect here before the owner has read it.
+        if local is not None and (
+            status.state.is_final or not local.state.is_final
+        ):
+            del self._local[job_id]
+
+    def _apply_owner(self, _, value):
+        ownership = journal.decode(value, journal.Ownership)
+        if self.ownership and ownership.epoch < self.ownership.epoch:
+            raise errors.InvalidRecord(
+                f'epoch {ownership.epoch} is lower than the current epoch'
+            )
+        self.ownership = ownership
+        return StatusChange(journal.OWNER)
+
+    def _apply_wave(self, number, value):
+        if not number.isdecimal():
+            raise errors.InvalidRecord(f'invalid wave number {number!r:.80}')
+        progress = journal.decode(value, journal.WaveRecord)
+        self.wave_records[int(number)] = progress
+        return StatusChange(journal.WAVE)
+
+    def _apply_hosts(self, _, value):
+        intents = journal.decode(value, list[host_intents.HostIntent])
+        self.host_intents = intents
+        return StatusChange(journal.HOSTS)
+
+    # What callers are told
+
+    def find(self, job_id):
+        """Return the status of a job, or None if it is not known."""
+        return self._local.get(job_id) or self.stored.get(job_id)
+
+    def is_stored_final(self, job_id):
+        """Return whether the final state of a job is stored."""
+        status = self.stored.get(job_id)
+        return status is not None and status.state.is_final
+
+    def note_accepted(self, job_id, status):
+        """Add a job whose submission this daemon has stored."""
+        if self.find(job_id) is None:
+            self._set_local(job_id, status)
+
+    def note_cancelled(self, job_id):
+        """Record that this daemon has stored a job's cancellation."""
+        status = self.find(job_id)
+        if status is not None and not status.state.is_final:
+            cancelled = attrs.evolve(status, state=jobs.JobState.CANCELLED)
+            self._set_local(job_id, cancelled)
+
+    def _set_local(self, job_id, status):
+        self._count(job_id, -1)
+        self._local[job_id] = status
+        self._count(job_id, 1)
+
+    def _count(self, job_id, change):
+        status = self.find(job_id)
+        if status is not None and status.is_waiting:
+            self._waiting[status.queue] += change
+
+    def waiting(self, queue):
+        """Return how many accepted jobs of a queue have not started."""
+        return self._waiting[queue]
+
+    @property
+    def total_waiting(self):
+        """Number of accepted jobs that have not started."""
+        return self._waiting.total()
+
+    _HANDLERS = {
+        journal.STATUS: _apply_status,
+        journal.OWNER: _apply_owner,
+        journal.WAVE: _apply_wave,
+        journal.HOSTS: _apply_hosts,
+    }
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/keyed_log.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/keyed_log.py
@@ -47,6 +47,11 @@
     topic: str
     number: int = 0
 
+    @property
+    def name(self):
+        """Return a name for logs and metrics."""
+        return f'{self.topic}/{self.number}' if self.number else self.topic
+
 
 @attrs.frozen
 class KeyedRecord:
@@ -125,5 +130,12 @@
         :raises errors.PlatformError: the log can't be read at present
         """
 
+    async def end(self, partition, offset):
+        """Return the end offset of a partition.
+
+        :param offset: an offset that is not beyond the end
+        :raises errors.PlatformError: the log can't be read at present
+        """
+
     async def newest(self, partition, after_key=''):
         """Return a page of the newest record of each key after a key."""
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -14,16 +14,17 @@
 APPEND_TIMEOUT_S = 2.0
 # No append is started with less time left before shutdown.
 MIN_APPEND_TIMEOUT_S = 0.05
-CATCH_UP_TIMEOUT_S = 0.4
-# Maximum age of the last read for a missing job to be reported as unknown.
-MAX_READ_AGE_S = 1.5
+# Time for the statuses to cover what was stored when a caller asked.
+CATCH_UP_TIMEOUT_S = 1.0
+# Jobs are not counted if the owner has published nothing for this long.
+MAX_WAITING_AGE_S = 3.0
 # The store counts as unavailable when no read was answered for this long.
 MAX_ANSWER_AGE_S = 1.2
 RETRY_AFTER_S = 1
 
 
 class CallersInterface:
-    """Answers callers from the replica, and appends their submissions.
+    """Answers callers from the board, and appends their submissions.
 
     :param parts: shared components of the daemon
     :param formats: decodes request bodies
@@ -57,20 +58,15 @@
         return (
             not self.is_draining
             and parts.configuration_reader.configuration is not None
-            and parts.jobs_follower.is_loaded
+            and parts.status_follower.is_loaded
             and not self._is_store_unavailable()
         )
 
     def _is_store_unavailable(self):
-        last_s = self._parts.jobs_reader.owner_view.last_read_done_s
+        last_s = self._parts.owner_view.last_read_done_s
         now_s = self._parts.clock.monotonic_s()
         return last_s is None or now_s - last_s > MAX_ANSWER_AGE_S
 
-    def _is_fresh(self):
-        last_s = self._parts.jobs_reader.owner_view.last_read_s
-        now_s = self._parts.clock.monotonic_s()
-        return last_s is not None and now_s - last_s <= MAX_READ_AGE_S
-
     def find_queue(self, host_name, path):
         """Return the queue of a request, and the rest of its path.
 
@@ -97,18 +93,20 @@
         except ValueError as error:
             raise errors.BadRequest(str(error)[:200]) from error
         parts = self._parts
+        status = journal.JobStatus(queue.name, journal.spec_digest(spec))
         known = self._find(queue, job_id)
         if known is not None:
-            if known.spec != spec:
+            if known.digest != status.digest:
                 raise JobConflict(f'job {job_id} was submitted differently')
             return
-        if self._is_store_unavailable() or not parts.jobs_follower.is_loaded:
+        if self._is_store_unavailable() or not parts.status_follower.is_loaded:
             raise errors.NotReady('the store is away', RETRY_AFTER_S)
         submission = journal.Submission(
             queue.name, queue.pool, parts.clock.now_s(), spec
         )
         record = journal.submission_record(job_id, submission)
         await self._append(record)
+        parts.board.note_accepted(job_id, status)
 
     async def _append(self, record):
         timeout_s = self._cap_timeout(APPEND_TIMEOUT_S)
@@ -125,39 +123,72 @@
             raise errors.AnswerLost(str(error)[:200]) from error
 
     def _find(self, queue, job_id):
-        job = self._parts.jobs_reader.replica.jobs.get(job_id)
-        return job if job is not None and job.queue == queue.name else None
+        status = self._parts.board.find(job_id)
+        is_of_queue = status is not None and status.queue == queue.name
+        return status if is_of_queue else None
 
     async def find(self, queue, job_id):
-        """Return a job, or None if it doesn't exist.
+        """Return the status of a job, or None if the job doesn't exist.
+
+        :raises errors.NotReady: if that can't be told now
+        """
+        status = self._find(queue, job_id)
+        if status is None:
+            await self._wait_until_covered()
+            status = self._find(queue, job_id)
+        return status
+
+    async def _wait_until_covered(self):
+        """Wait until the board covers all submissions stored before the call.
 
-        :raises errors.NotReady: if the replica may be stale
+        :raises errors.NotReady: if it doesn't in time
         """
-        job = self._find(queue, job_id)
-        if job is not None:
-            return job
-        follower = self._parts.jobs_follower
-        await follower.wait_for_read(
-            max(0.0, self._cap_timeout(CATCH_UP_TIMEOUT_S))
+        parts = self._parts
+        timeout_s = max(0.0, self._cap_timeout(CATCH_UP_TIMEOUT_S))
+        deadline_s = parts.clock.monotonic_s() + timeout_s
+        try:
+            async with asyncio.timeout(timeout_s):
+                end = await parts.log.end(
+                    parts.jobs_follower.partition,
+                    parts.owner_view.covered_offset,
+                )
+        except (errors.PlatformError, asyncio.TimeoutError) as error:
+            raise self._unreadable_jobs() from error
+        while not self._covers(end):
+            left_s = deadline_s - parts.clock.monotonic_s()
+            if left_s <= 0:
+                raise self._unreadable_jobs()
+            await parts.status_follower.wait_for_read(left_s)
+
+    def _covers(self, end):
+        return (
+            self._parts.status_follower.is_loaded
+            and self._parts.owner_view.covered_offset >= end
         )
-        job = self._find(queue, job_id)
-        if job is None and not (follower.is_loaded and self._is_fresh()):
-            raise errors.NotReady('jobs can not be read now', RETRY_AFTER_S)
-        return job
+
+    def _unreadable_jobs(self):
+        return errors.NotReady('jobs can not be read now', RETRY_AFTER_S)
 
     async def cancel(self, queue, job_id):
         """Cancel a job; return whether it exists."""
-        job = await self.find(queue, job_id)
-        if job is None:
+        status = await self.find(queue, job_id)
+        if status is None:
             return False
-        if not (job.is_cancelled or job.reported_state.is_final):
+        if not status.state.is_final:
             await self._append(journal.cancel_record(job_id))
-            self._parts.note_cancelled(job)
+            self._parts.note_cancelled(job_id)
         return True
 
     def waiting(self, queue):
-        """Return the number of jobs of a queue that have not begun."""
-        return self._parts.jobs_reader.replica.waiting(queue.name)
+        """Return the number of jobs of a queue that have not begun.
+
+        :raises errors.NotReady: if the board may be stale
+        """
+        covered_s = self._parts.owner_view.covered_s
+        now_s = self._parts.clock.monotonic_s()
+        if covered_s is None or now_s - covered_s > MAX_WAITING_AGE_S:
+            raise self._unreadable_jobs()
+        return self._parts.board.waiting(queue.name)
 
 
 class JobConflict(errors.NotRun):
@@ -221,15 +252,15 @@
             queue=queue.name,
             status=answer.status,
             version=parts.configuration_reader.configuration.version,
-            waiting=interface.waiting(queue),
+            waiting=parts.board.waiting(queue.name),
         )
     return answer
 
 
-def _state_answer(job):
-    if job is None:
+def _state_answer(status):
+    if status is None:
         return response.json({}, 410)
-    return response.json({'state': job.reported_state.value})
+    return response.json({'state': status.state.value})
 
 
 def _log_aborted_request(request, took_s, parts):
@@ -243,7 +274,7 @@
 
 
 def _log_refusal(request, failure, parts):
-    read_s = parts.jobs_reader.owner_view.last_read_s
+    read_s = parts.owner_view.last_read_s
     age_s = None
     if read_s is not None:
         age_s = round(parts.clock.monotonic_s() - read_s, 3)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
@@ -35,7 +35,8 @@
         self._parts = parts
         self._is_stopping = False
         self._owner = None
-        parts.jobs_follower.read_pause_s = FOLLOWER_READ_PAUSE_S
+        parts.status_follower.read_pause_s = FOLLOWER_READ_PAUSE_S
+        parts.jobs_follower.read_pause_s = OWNER_READ_PAUSE_S
 
     @property
     def owner(self):
@@ -56,11 +57,9 @@
     async def _wait_for_silence(self, delay_s):
         parts = self._parts
         while self._is_stopping or not (
-            parts.jobs_follower.is_loaded
+            parts.status_follower.is_loaded
             and parts.configuration_reader.configuration is not None
-            and parts.jobs_reader.owner_view.may_claim(
-                parts.clock.monotonic_s(), delay_s
-            )
+            and parts.owner_view.may_claim(parts.clock.monotonic_s(), delay_s)
         ):
             await asyncio.sleep(CHECK_PERIOD_S)
 
@@ -68,17 +67,17 @@
         """Claim the partition; return the owner to run, or None on failure.
 
         A claim conditional on the end of the partition has one winner, but
-        may fail repeatedly while callers keep appending. The second attempt
-        is therefore unconditional, and the highest epoch wins.
+        may fail repeatedly while a slow owner keeps appending. The second
+        attempt is therefore unconditional, and the highest epoch wins.
         """
         parts = self._parts
-        follower = parts.jobs_follower
+        follower = parts.status_follower
         follower.read_pause_s = 0.0
         owner = None
         for is_conditional in (True, False):
             await follower.wait_for_read(CATCH_UP_TIMEOUT_S)
             now_s = parts.clock.monotonic_s()
-            if not parts.jobs_reader.owner_view.may_claim(now_s, delay_s):
+            if not parts.owner_view.may_claim(now_s, delay_s):
                 break
             end = follower.next_offset if is_conditional else None
             try:
@@ -96,7 +95,7 @@
 
         Its random part keeps it distinct from the epochs of concurrent claims.
         """
-        last = self._parts.jobs_reader.replica.ownership
+        last = self._parts.board.ownership
         number = last.epoch // EPOCHS_PER_ROUND + 1 if last else 1
         return number * EPOCHS_PER_ROUND + self._parts.rng.randrange(
             EPOCHS_PER_ROUND
@@ -111,11 +110,11 @@
         parts = self._parts
         epoch = self._next_epoch()
         claim = journal.Ownership(epoch, parts.settings.daemon)
-        parts.jobs_reader.claimed_epochs.add(epoch)
+        parts.status_reader.claimed_epochs.add(epoch)
         sent_s = parts.clock.boot_s()
         try:
             offset = await parts.log.append(
-                parts.jobs_follower.partition,
+                parts.status_follower.partition,
                 [journal.ownership_record(claim)],
                 keyed_log.AppendFence(epoch, 0),
                 end,
@@ -127,12 +126,12 @@
             if isinstance(error, keyed_log.EndMoved):
                 raise
             return None
-        if not await parts.jobs_follower.wait_for_offset(
+        if not await parts.status_follower.wait_for_offset(
             offset, READ_CLAIM_TIMEOUT_S
         ):
             return None
-        # All records stored by previous owners have been read at this point.
-        if parts.jobs_reader.replica.ownership != claim:
+        # All statuses stored by previous owners have been read at this point.
+        if parts.board.ownership != claim:
             return None
         intents = self._inherit_intents()
         parts.events.write('owner_claimed', epoch=epoch)
@@ -141,7 +140,7 @@
 
     def _inherit_intents(self):
         parts = self._parts
-        view = parts.jobs_reader.owner_view
+        view = parts.owner_view
         intents = host_intents.HostIntents(
             parts.settings.daemon, parts.settings.host_order_lease_ms / 1000
         )
@@ -149,7 +148,7 @@
         # lengthen the waits.
         clock_offset_s = parts.clock.boot_s() - parts.clock.monotonic_s()
         intents.inherit(
-            parts.jobs_reader.replica.host_intents,
+            parts.board.host_intents,
             view.intents_read_s + clock_offset_s,
             view.last_record_s + clock_offset_s,
         )
@@ -158,8 +157,7 @@
     async def _run_owner(self, owner):
         parts = self._parts
         epoch = owner.epoch
-        parts.jobs_reader.replica.own_epoch = epoch
-        parts.jobs_follower.read_pause_s = OWNER_READ_PAUSE_S
+        parts.status_follower.read_pause_s = OWNER_READ_PAUSE_S
         self._owner = owner
         try:
             await owner.run()
@@ -167,10 +165,7 @@
             parts.events.write('owner_lost', epoch=epoch, why=str(error)[:160])
         finally:
             self._owner = None
-            parts.jobs_reader.replica.own_epoch = None
-            parts.jobs_follower.read_pause_s = FOLLOWER_READ_PAUSE_S
-            # Discards decisions that were not stored.
-            parts.reload_jobs()
+            parts.status_follower.read_pause_s = FOLLOWER_READ_PAUSE_S
 
     async def stop(self):
         """Release the partition to another daemon."""
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/journal_writer.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/journal_writer.py
@@ -45,6 +45,8 @@
         )
         retry_s = RETRY_S
         while True:
+            if self._term.is_lost:
+                raise keyed_log.Fenced('the ownership was lost')
             sent_s = self._clock.boot_s()
             try:
                 await self._log.append(self._partition, batch, self._fence)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
@@ -49,7 +49,7 @@
         metrics,
         wait_s=READ_WAIT_S,
     ):
-        self.name = f'follower of {partition.topic}'
+        self.name = f'follower of {partition.name}'
         self.partition = partition
         self.next_offset = 0
         self.is_loaded = False
@@ -75,7 +75,7 @@
             except errors.OffsetExpired:
                 self.is_loaded = False
             except errors.PlatformError as error:
-                self._metrics.note_failed_read(self.partition.topic)
+                self._metrics.note_failed_read(self.partition.name)
                 self._note_unavailable(error)
                 # The answer may be lost: the next read returns at once.
                 self._is_at_end = False
@@ -140,12 +140,12 @@
         self._reader.note_loaded(keys)
 
     def _note_page(self, records, behind):
-        self._metrics.note_page(self.partition.topic, records, max(0, behind))
+        self._metrics.note_page(self.partition.name, records, max(0, behind))
 
     def _log_failed_load(self, keys, begun_s, error):
         self._events.write(
             'load_failed',
-            topic=self.partition.topic,
+            partition=self.partition.name,
             keys=len(keys),
             took_s=round(self._clock.monotonic_s() - begun_s, 3),
             why=str(error)[:200],
@@ -157,7 +157,7 @@
         except errors.InvalidRecord as error:
             self._events.write(
                 'record_skipped',
-                topic=self.partition.topic,
+                partition=self.partition.name,
                 offset=record.offset,
                 key=record.key[:80],
                 why=str(error)[:200],
@@ -167,7 +167,7 @@
         if not self._is_unavailable:
             self._events.write(
                 'dependency_lost',
-                dependency=self.partition.topic,
+                dependency=self.partition.name,
                 why=str(error)[:200],
             )
         self._is_unavailable = True
@@ -175,7 +175,7 @@
     def _note_available(self):
         if self._is_unavailable:
             self._events.write(
-                'dependency_regained', dependency=self.partition.topic
+                'dependency_regained', dependency=self.partition.name
             )
         self._is_unavailable = False
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
@@ -1,15 +1,18 @@
-"""Readers of the followed partitions: jobs, configuration, executors."""
+"""Readers of the followed partitions.
+
+Every daemon reads the statuses and the configuration; an owner also reads the
+jobs and the executors' entries.
+"""
 
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import journal
 from hawthorndeal_jobs import ownership
 from hawthorndeal_jobs import replica as replica_module
-
-_OWNER_KINDS = (journal.OWNER, journal.PROGRESS, journal.WAVE, journal.HOSTS)
+from hawthorndeal_jobs import status_board
 
 
-class JobsReader:
-    """Maintains a replica of the jobs and a view of the partition's owner.
+class StatusReader:
+    """Maintains the board of statuses and a view of the owner.
 
     :param daemon: name of this entry host
     :param clock: clocks of the daemon
@@ -21,41 +24,52 @@
         self.claimed_epochs = set()
         self._daemon = daemon
         self._last_logged_owner = None
-        self.replica = replica_module.Replica()
+        self.board = status_board.StatusBoard()
         self.owner_view = ownership.OwnerView()
-        self.on_folded = None
+        # When the final state of each job was first read.
+        self.final_since_s = {}
+        self.on_owner_changed = None
         self._clock = clock
         self._events = events
 
-    def reset(self):
-        """Discard the replica before a reload."""
-        self.replica = replica_module.Replica()
-
     def handle_record(self, record):
-        """Fold one record into the replica."""
-        folded = self.replica.apply(record.key, record.value, record.offset)
-        if folded is None:
+        """Apply one record to the board."""
+        change = self.board.apply(record.key, record.value, record.offset)
+        if change is None:
             return
-        if folded.kind == journal.HOSTS:
-            self.owner_view.intents_read_s = self._clock.monotonic_s()
-        if folded.kind in _OWNER_KINDS:
-            self._note_owner(folded)
-        if self.on_folded is not None:
-            self.on_folded(folded)
-
-    def _note_owner(self, folded):
-        current = self.replica.ownership
+        now_s = self._clock.monotonic_s()
+        if change.kind == journal.STATUS:
+            self._note_status(change.job_id, now_s)
+        if change.kind == journal.HOSTS:
+            self.owner_view.intents_read_s = now_s
+        self._note_owner(now_s)
+        if change.kind == journal.OWNER:
+            self._note_ownership(now_s)
+
+    def _note_status(self, job_id, now_s):
+        if self.board.is_stored_final(job_id):
+            self.final_since_s.setdefault(job_id, now_s)
+        else:
+            self.final_since_s.pop(job_id, None)
+
+    def _note_owner(self, now_s):
+        # Only owners write to this partition.
+        current = self.board.ownership
         if current is None:
             return
         self.owner_view.note_owner(
-            self._clock.monotonic_s(),
+            now_s,
             current.epoch,
             current.is_released,
             current.daemon == self._daemon
             and current.epoch not in self.claimed_epochs,
         )
-        if folded.kind != journal.OWNER:
-            return
+
+    def _note_ownership(self, now_s):
+        current = self.board.ownership
+        if current.covered_offset:
+            self.owner_view.covered_offset = current.covered_offset
+            self.owner_view.covered_s = now_s
         seen = current.daemon, current.epoch, current.is_released
         if seen != self._last_logged_owner:
             self._last_logged_owner = seen
@@ -65,11 +79,13 @@
                 epoch=current.epoch,
                 is_released=current.is_released,
             )
+        if self.on_owner_changed is not None:
+            self.on_owner_changed(current)
 
     def note_loaded(self, keys):
         """Log that the partition has been loaded."""
         self._events.write(
-            'jobs_loaded', keys=len(keys), jobs=len(self.replica.jobs)
+            'statuses_loaded', keys=len(keys), jobs=len(self.board.stored)
         )
 
     def note_read(self, sent_s):
@@ -77,6 +93,44 @@
         self.owner_view.note_read(sent_s, self._clock.monotonic_s())
 
 
+class JobsReader:
+    """Maintains the owner's replica of the jobs.
+
+    :param clock: clocks of the daemon
+    :param events: the decision log
+    :ivar last_read_s: when the last read that reached the end was sent, or
+        None before the first one
+    """
+
+    def __init__(self, clock, events):
+        self.replica = replica_module.Replica()
+        self.last_read_s = None
+        self.on_applied = None
+        self._clock = clock
+        self._events = events
+
+    def reset(self):
+        """Discard the replica, so that the partition is read anew."""
+        self.replica = replica_module.Replica()
+        self.last_read_s = None
+
+    def handle_record(self, record):
+        """Apply one record to the replica."""
+        applied = self.replica.apply(record.key, record.value, record.offset)
+        if applied is not None and self.on_applied is not None:
+            self.on_applied(applied)
+
+    def note_loaded(self, keys):
+        """Log that the partition has been loaded."""
+        self._events.write(
+            'jobs_loaded', keys=len(keys), jobs=len(self.replica.jobs)
+        )
+
+    def note_read(self, sent_s):
+        """Record that a read sent at this time reached the end."""
+        self.last_read_s = sent_s
+
+
 class ConfigurationReader:
     """Holds the newest configuration and the waves requested by operators.
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -1,6 +1,7 @@
 """Owner of a partition: plans in cycles, stores the plan, then acts on it."""
 
 import asyncio
+import itertools
 
 import attrs
 
@@ -14,6 +15,7 @@
 from . import host_controller
 from . import journal_writer
 from . import run_orders
+from . import status_publisher
 
 CHECK_PERIOD_S = 0.05
 # Delay before a cycle, so that decisions made close together share an append.
@@ -52,13 +54,11 @@
             parts.jobs_reader.replica,
             parts.configuration_reader.configuration,
         )
-        self._writer = journal_writer.JournalWriter(
-            parts.log,
-            parts.jobs_follower.partition,
-            term,
-            parts.clock,
-            parts.rng,
+        self._jobs_writer = self._make_writer(parts.jobs_follower)
+        self._publisher = status_publisher.StatusPublisher(
+            parts, self, self._make_writer(parts.status_follower)
         )
+        self.is_at_work = False
         self.hosts = host_controller.HostController(parts, self, intents)
         self._orders = run_orders.RunOrders(
             self, parts.executors, parts.metrics
@@ -71,9 +71,18 @@
         self._released = asyncio.Event()
         self._lost_reason = ''
         self._states_to_publish = {}
+        self._cancelled = {}
+        self._finished = {}
+        self._stray_cancellations = []
         self._ends_being_stored = {}
         self._expiry_due_s = 0.0
 
+    def _make_writer(self, follower):
+        parts = self._parts
+        return journal_writer.JournalWriter(
+            parts.log, follower.partition, self.term, parts.clock, parts.rng
+        )
+
     @property
     def epoch(self):
         """Return the fencing epoch of this owner's orders."""
@@ -122,8 +131,12 @@
         :raises LostOwnership: if another daemon owns the partition
         """
         parts = self._parts
-        entries = asyncio.create_task(parts.entries_follower.run())
+        parts.status_reader.on_owner_changed = self.handle_owner_changed
+        self.spawn(self._run_guarded(self._publisher))
+        followers = [asyncio.create_task(parts.entries_follower.run())]
         try:
+            await self._fence_predecessors()
+            followers.append(asyncio.create_task(parts.jobs_follower.run()))
             await self._take_over()
             self.spawn(self._run_guarded(self.hosts))
             requester = advice_requester.AdviceRequester(parts, self)
@@ -133,40 +146,58 @@
             # Also ends the loops of tasks that swallow their cancellation.
             self.term.is_lost = True
             parts.detach()
-            entries.cancel()
             for task in [
+                *followers,
                 *self._background_tasks,
                 *(t for t, _ in self._agents.values()),
             ]:
                 task.cancel()
             self._released.set()
 
+    async def _fence_predecessors(self):
+        """Keep earlier owners from storing the progress of jobs."""
+        record = journal.ownership_record(self.ownership())
+        await self._jobs_writer.append([record])
+
     async def _take_over(self):
         parts = self._parts
-        follower = parts.entries_follower
-        while not follower.is_loaded:
+        while not (
+            parts.entries_follower.is_loaded
+            and parts.jobs_reader.last_read_s is not None
+        ):
             await asyncio.sleep(CHECK_PERIOD_S / 5)
             self._raise_if_lost()
-        now_s, wall_s = self.now_s(), parts.clock.now_s()
-        reader = parts.entries_reader
-        for entry in reader.entries.values():
+        now_s = self.now_s()
+        for entry in parts.entries_reader.entries.values():
             self._register_entry(entry, now_s)
         longest_s = parts.settings.longest_lease_ms / 1000 + LEASE_MARGIN_S
         self.scheduler.inherit(
             now_s, ownership.inherited_lease_expiry_s(now_s, longest_s)
         )
-        for job in list(parts.jobs_reader.replica.jobs.values()):
-            self.scheduler.add_job(job, now_s, wall_s)
+        replica = parts.jobs_reader.replica
+        replica.is_owned = True
+        for job in list(replica.jobs.values()):
+            self._add_job(job, None)
         for executor in list(self.scheduler.executors.values()):
             self._ensure_agent(executor)
         parts.attach(self)
+        self.is_at_work = True
         self.events.write(
             'owner_at_work',
             epoch=self.epoch,
-            jobs=len(parts.jobs_reader.replica.jobs),
+            jobs=len(replica.jobs),
             executors=len(self.scheduler.executors),
         )
 
+    def _add_job(self, job, age_s):
+        """Schedule a job, unless it is a late copy of one that has ended."""
+        if self._parts.board.is_stored_final(job.job_id):
+            self._finished[job.job_id] = job
+            return
+        self._publish_state(job, job.state())
+        wall_s = self._parts.clock.now_s()
+        self.scheduler.add_job(job, self.now_s(), wall_s, age_s=age_s)
+
     async def _run_cycles(self):
         while not self._is_releasing:
             await self._wait_for_wake()
@@ -197,9 +228,11 @@
     async def _write_release(self):
         if self._background_tasks:
             await self.hosts.wait_for_order()
-        released = attrs.evolve(self._ownership(), is_released=True)
+        released = attrs.evolve(self.ownership(), is_released=True)
         records = self.hosts.take_records()
-        await self._store([*records, journal.ownership_record(released)])
+        await self._publisher.store(
+            [*records, journal.ownership_record(released)]
+        )
         self.term.is_lost = True
         self.events.write('owner_released', epoch=self.epoch)
 
@@ -219,8 +252,12 @@
         for stray in turn.orphans:
             self._orders.send_stray_stop(stray)
         records = self._collect_records(now_s)
-        if records:
-            await self._store(records)
+        host_records = self.hosts.take_records()
+        await asyncio.gather(
+            self._store(records), self._publisher.store(host_records)
+        )
+        if host_records:
+            self.hosts.note_stored()
         for run in turn.starts:
             self._orders.send_start(run)
 
@@ -239,53 +276,70 @@
         )
 
     def _collect_records(self, now_s):
-        changed = self.scheduler.pop_changed()
+        known = self._parts.jobs_reader.replica.jobs
+        changed = [
+            occurrence
+            for occurrence in self.scheduler.pop_changed()
+            if known.get(occurrence.job.job_id) is occurrence.job
+        ]
         records = [
             journal.progress_record(occurrence) for occurrence in changed
         ]
-        records += self.hosts.take_records()
-        records += self._expired_records(now_s)
+        cancelled, self._cancelled = self._cancelled, {}
+        changed_jobs = {o.job.job_id: o.job for o in changed}
         self._states_to_publish = {
-            occurrence.job.job_id: (
-                occurrence.job,
-                occurrence.job.state(),
-                occurrence.job.has_started,
-            )
-            for occurrence in changed
+            job_id: (job, job.state())
+            for job_id, job in {**cancelled, **changed_jobs}.items()
         }
         self._ends_being_stored = self.scheduler.unrecorded_ends()
-        confirmed_s = self.term.confirmed_s
-        unconfirmed_s = self._parts.clock.boot_s() - confirmed_s
-        if not records and unconfirmed_s > ownership.RENEW_PERIOD_S:
-            records.append(journal.ownership_record(self._ownership()))
-        return records
-
-    def _expired_records(self, now_s):
-        """Return the records that delete jobs past their retention time."""
-        if now_s < self._expiry_due_s:
-            return []
-        self._expiry_due_s = now_s + EXPIRY_PERIOD_S
-        retention_s = self._parts.settings.job_retention_s + RETENTION_MARGIN_S
-        records = []
-        for job in self._parts.jobs_reader.replica.jobs.values():
-            if not job.reported_state.is_final:
-                continue
-            if job.final_since_s is None:
-                job.final_since_s = now_s
-            if now_s - job.final_since_s > retention_s:
-                records += journal.deletion_records(job)
-        return records
-
-    def _ownership(self):
-        return journal.Ownership(self.epoch, self._parts.settings.daemon)
+        if now_s >= self._expiry_due_s:
+            self._expiry_due_s = now_s + EXPIRY_PERIOD_S
+            retention_s = self._parts.settings.job_retention_s
+            self._publisher.expire(now_s, retention_s + RETENTION_MARGIN_S)
+        return records + self._drop_finished_jobs()
+
+    def _drop_finished_jobs(self):
+        """Return the records that drop jobs whose final state is stored.
+
+        A job stays while a run of it may be executing, so that a successor
+        knows what occupies the executors.
+        """
+        dropped = [
+            job
+            for job_id, job in self._finished.items()
+            if self._parts.board.is_stored_final(job_id)
+            and not job.has_assigned_tasks
+            and not self.scheduler.has_runs(job_id)
+        ]
+        strays, self._stray_cancellations = self._stray_cancellations, []
+        for job in dropped:
+            del self._finished[job.job_id]
+            self._parts.jobs_reader.replica.drop(job)
+            self._publisher.forget(job.job_id)
+        return [
+            *itertools.chain.from_iterable(
+                map(journal.deletion_records, dropped)
+            ),
+            *map(journal.cancel_deletion_record, strays),
+        ]
+
+    def ownership(self):
+        """Return the record of this ownership."""
+        covered = self._parts.jobs_follower.next_offset
+        return journal.Ownership(
+            self.epoch,
+            self._parts.settings.daemon,
+            covered_offset=covered if self.is_at_work else 0,
+        )
 
     async def _store(self, records):
-        begun_s = self.now_s()
-        await self._writer.append(records)
-        self._parts.metrics.note_cycle_part('store', self.now_s() - begun_s)
-        self.hosts.note_stored()
-        for job, state, has_started in self._states_to_publish.values():
-            self._publish_state(job, state, has_started)
+        if records:
+            begun_s = self.now_s()
+            await self._jobs_writer.append(records)
+            took_s = self.now_s() - begun_s
+            self._parts.metrics.note_cycle_part('store', took_s)
+        for job, state in self._states_to_publish.values():
+            self._publish_state(job, state)
         self._states_to_publish = {}
         self.scheduler.mark_ends_recorded(self._ends_being_stored)
         for executor_id in self._ends_being_stored:
@@ -293,36 +347,39 @@
                 self._agents[executor_id][1].note_ends_stored()
         self._ends_being_stored = {}
 
-    def _publish_state(self, job, state, has_started):
-        if state.is_final and not job.reported_state.is_final:
+    def _publish_state(self, job, state):
+        if state.is_final and job.job_id not in self._finished:
+            self._finished[job.job_id] = job
             self.events.write('job_ended', job=job.job_id, state=state)
-            job.final_since_s = self.now_s()
-        job.reported_state = state
-        job.is_start_reported = has_started
+        self._publisher.publish(job, state)
 
     # Changes in the followed partitions
 
-    def handle_folded(self, folded):
-        """Apply the effect of a record that the replica has folded."""
-        if folded.kind == journal.JOB and folded.job is not None:
-            self.scheduler.add_job(
-                folded.job,
-                self.now_s(),
-                self._parts.clock.now_s(),
-                age_s=0.0,
+    def handle_applied(self, applied):
+        """Act on a record that the replica of the jobs has applied."""
+        if applied.kind == journal.JOB and applied.job is not None:
+            if applied.job_id in self._parts.jobs_reader.replica.jobs:
+                self._add_job(applied.job, 0.0)
+                self.wake()
+        elif applied.kind == journal.CANCEL:
+            self.cancel_job(applied.job_id)
+
+    def handle_owner_changed(self, current):
+        """Give up the ownership if another daemon has claimed it."""
+        if current.epoch > self.epoch:
+            self.lose_ownership(
+                f'{current.daemon} claimed epoch {current.epoch}'
             )
-            self.wake()
-        elif folded.kind == journal.CANCEL and folded.job is not None:
-            self.cancel_job(folded.job)
-        elif folded.kind == journal.OWNER:
-            current = self._parts.jobs_reader.replica.ownership
-            if current.epoch > self.epoch:
-                self.lose_ownership(
-                    f'{current.daemon} claimed epoch {current.epoch}'
-                )
-
-    def cancel_job(self, job):
-        """Stop all runs of a cancelled job."""
+
+    def cancel_job(self, job_id):
+        """Stop all runs of a job whose cancellation is stored."""
+        job = self._parts.jobs_reader.replica.jobs.get(job_id)
+        if job is None:
+            if self._parts.board.is_stored_final(job_id):
+                self._stray_cancellations.append(job_id)
+            return
+        job.is_cancelled = True
+        self._cancelled[job_id] = job
         self.scheduler.cancel_job(job)
         self.wake()
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -25,7 +25,8 @@
 from . import settings as settings_module
 from . import submitter as submitter_module
 
-JOBS_TOPIC = 'hawthorndeal'
+JOBS = keyed_log.Partition('hawthorndeal')
+STATUSES = keyed_log.Partition('hawthorndeal', 1)
 OPERATORS_READ_WAIT_S = 1.0
 SETTINGS_PERIOD_S = 1.0
 GAUGES_PERIOD_S = 1.0
@@ -79,17 +80,20 @@
         self.hosts = adapter.hosts
         self.advice = adapter.advice
         self.wave_reports = adapter.wave_reports
-        self.jobs_reader = log_readers.JobsReader(
+        self.status_reader = log_readers.StatusReader(
             settings.daemon, self.clock, self.events
         )
+        self.jobs_reader = log_readers.JobsReader(self.clock, self.events)
         self.configuration_reader = log_readers.ConfigurationReader(
             adapter.formats, self.events
         )
         self.entries_reader = log_readers.EntriesReader(
             adapter.formats, self.clock, self.events
         )
-        jobs = keyed_log.Partition(JOBS_TOPIC)
-        self.jobs_follower = self._make_follower(jobs, self.jobs_reader)
+        self.status_follower = self._make_follower(
+            STATUSES, self.status_reader
+        )
+        self.jobs_follower = self._make_follower(JOBS, self.jobs_reader)
         self.operators_follower = self._make_follower(
             keyed_log.Partition(adapter.operators_topic),
             self.configuration_reader,
@@ -98,7 +102,7 @@
         self.entries_follower = self._make_follower(
             keyed_log.Partition(adapter.entries_topic), self.entries_reader
         )
-        self.submitter = submitter_module.Submitter(self.log, jobs)
+        self.submitter = submitter_module.Submitter(self.log, JOBS)
         self._owner = None
 
     def _make_follower(
@@ -114,45 +118,51 @@
             wait_s,
         )
 
+    @property
+    def board(self):
+        """The statuses of jobs, and the owner."""
+        return self.status_reader.board
+
+    @property
+    def owner_view(self):
+        """This daemon's view of the owner."""
+        return self.status_reader.owner_view
+
     def attach(self, owner):
-        """Connect an owner to the callbacks of the readers."""
+        """Connect an owner that has taken over to the readers."""
         self._owner = owner
-        self.jobs_reader.on_folded = owner.handle_folded
+        self.jobs_reader.on_applied = owner.handle_applied
         self.configuration_reader.on_changed = owner.handle_configuration
         self.entries_reader.on_entry = owner.update_executor
         self.entries_reader.on_missing = owner.mark_executor_missing
 
     def detach(self):
-        """Disconnect the owner, and discard the executors' entries."""
+        """Disconnect the owner, and discard what only an owner reads."""
         self._owner = None
-        self.jobs_reader.on_folded = None
+        self.status_reader.on_owner_changed = None
+        self.jobs_reader.on_applied = None
         self.configuration_reader.on_changed = None
         self.entries_reader.on_entry = None
         self.entries_reader.on_missing = None
         self.entries_reader.entries.clear()
         self.entries_reader.offsets.clear()
         self.entries_follower.is_loaded = False
-
-    def reload_jobs(self):
-        """Discard the replica and load the jobs again."""
+        # Also discards decisions that were not stored.
         self.jobs_reader.reset()
         self.jobs_follower.is_loaded = False
 
-    def note_cancelled(self, job):
-        """Record that the cancellation of a job has been stored."""
-        self.jobs_reader.replica.cancel(job)
+    def note_cancelled(self, job_id):
+        """Record that this daemon has stored the cancellation of a job."""
+        self.board.note_cancelled(job_id)
         if self._owner is not None:
-            self._owner.cancel_job(job)
+            self._owner.cancel_job(job_id)
 
     def set_gauges(self):
         """Update all gauges."""
-        replica = self.jobs_reader.replica
-        last_s = self.jobs_reader.owner_view.last_read_s
+        last_s = self.owner_view.last_read_s
         gauges = {
-            'jobs': len(replica.jobs),
-            'jobs_waiting': sum(
-                not job.is_start_reported for job in replica.jobs.values()
-            ),
+            'jobs': len(self.board.stored),
+            'jobs_waiting': self.board.total_waiting,
             'store_read_age_seconds': self.clock.monotonic_s()
             - (-math.inf if last_s is None else last_s),
             'owner_epoch': self._owner.epoch if self._owner else 0,
@@ -238,7 +248,7 @@
             'daemon',
             [
                 parts.operators_follower,
-                parts.jobs_follower,
+                parts.status_follower,
                 parts.submitter,
                 web.WebServer(
                     'readiness',
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
@@ -27,7 +27,8 @@
         self._order_sender = order_sender
         self.blocked = collections.Counter()
         self._changed_waves = set()
-        self._wave_records = parts.jobs_reader.replica.wave_records
+        # Newer than what the board has read back from the store.
+        self._wave_records = dict(parts.board.wave_records)
 
     def take_records(self):
         """Return the records of waves that changed since the last call."""
