Let bulk reads take as long as bytes arrive

Daemons behind narrow links never loaded the partition and never caught up: a page of the newest records had to arrive whole within 1 s, a page of the log within its wait and 0.25 s, and a megabyte takes 1.7 s over 610 KB/s.

The timeout of both calls now begins again with each part of the response, so that a silent connection is found as before and a slow one goes on, for two minutes at most. The time until a connection is open has the same limit.

Failed before: "A daemon behind a narrow link loads a long history" (0 of 2,000 keys in 20 s), "... loads long records" (0 of 10 keys in 8 s), "... catches up after an outage" (358 of 2,010 keys in 12 s). They pass now. The client has scenarios over real sockets: a response that goes on, one that stops in the middle, one that never comes, and one with a total timeout.

--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -182,6 +182,7 @@
         timeout_s=links.CALL_TIMEOUT_S,
         sent_bytes=links.REQUEST_BYTES,
         response_bytes=None,
+        is_idle_timeout=False,
     ):
         if self.is_cut:
             await asyncio.sleep(timeout_s)
@@ -192,6 +193,7 @@
             timeout_s,
             sent_bytes,
             response_bytes,
+            is_idle_timeout,
         )
 
     async def append(self, partition, records, fence=None, end=None):
@@ -217,6 +219,7 @@
                 lambda: self._store.wait_for_read(partition, offset, wait_s),
                 timeout_s,
                 response_bytes=lambda page: size_bytes(page.records),
+                is_idle_timeout=True,
             )
 
         now_s = asyncio.get_running_loop().time
@@ -229,4 +232,5 @@
             response_bytes=lambda page: (
                 size_bytes(page.records) * NEWEST_ENCODING_FACTOR
             ),
+            is_idle_timeout=True,
         )
--- a/features/jobs_narrow_links.feature
+++ b/features/jobs_narrow_links.feature
@@ -9,6 +9,11 @@
     When it is followed over a link of 600000 bytes a second
     Then it has been loaded within 20 seconds
 
+  Scenario: A daemon behind a narrow link loads long records
+    Given a partition of 10 keys of 250000 bytes
+    When it is followed over a link of 600000 bytes a second
+    Then it has been loaded within 8 seconds
+
   Scenario: A daemon behind a narrow link catches up after an outage
     Given a partition of 10 keys of 3000 bytes
     When it is followed over a link of 600000 bytes a second
--- /dev/null
+++ b/features/jobs_transport.feature
@@ -0,0 +1,17 @@
+@jobs
+Feature: A long response may take longer than the timeout of its call
+
+  Each server writes 6 parts of a response over a socket of loopback.
+
+  Scenario Outline: A response whose parts come <gap> s apart: <case>
+    Given a server that writes <parts> of 6 parts <gap> s apart, then <then>
+    When it is called with <kind> timeout of 0.5 s
+    Then the call has <outcome> after <least> to <most> seconds
+
+    Examples:
+      | case                   | kind     | parts | gap | then  | outcome   | least | most |
+      | it goes on             | an idle  | 6     | 0.2 | ends  | succeeded | 1.0   | 2.0  |
+      | it stops in the middle | an idle  | 3     | 0.2 | stops | failed    | 0.9   | 1.4  |
+      | nothing comes          | an idle  | 0     | 0.2 | stops | failed    | 0.5   | 1.0  |
+      | its time is up         | a total  | 6     | 0.2 | ends  | failed    | 0.5   | 1.0  |
+      | it breaks              | an idle  | 3     | 0.2 | ends  | failed    | 0.4   | 1.0  |
--- a/features/steps/jobs_narrow_links.py
+++ b/features/steps/jobs_narrow_links.py
@@ -52,12 +52,14 @@
 def fill_partition(context, count, size):
     context.store = keyed_store.KeyedStore()
     context.numbers = itertools.count()
+    context.count = 0
     _append(context, count, size)
     context.runner = asyncio.Runner(loop_factory=virtual_time.VirtualLoop)
     context.add_cleanup(context.runner.close)
 
 
 def _append(context, count, size):
+    context.count += count
     keys = (f'{number:06}' for number in context.numbers)
     context.store.append(
         PARTITION,
@@ -129,7 +131,7 @@
 def check_loaded(context, limit_s):
     took_s = _wait_for(context, lambda: context.follower.is_loaded, limit_s)
     assert took_s is not None, len(context.reader.keys)
-    assert len(context.reader.keys) == 2000, len(context.reader.keys)
+    assert len(context.reader.keys) == context.count
 
 
 @then('the end has been read within {limit_s:g} seconds')
@@ -140,7 +142,7 @@
         limit_s,
     )
     assert took_s is not None, len(context.reader.keys)
-    assert len(context.reader.keys) == 2010, len(context.reader.keys)
+    assert len(context.reader.keys) == context.count
 
 
 @given('a daemon without ownership behind a link of {rate:d} bytes a second')
--- /dev/null
+++ b/features/steps/jobs_transport.py
@@ -0,0 +1,90 @@
+"""Steps for the HTTP client of the adapters, over real sockets."""
+
+import asyncio
+import contextlib
+import time
+
+import attrs
+from behave import given
+from behave import then
+from behave import when
+
+from hawthorndeal_fleet import errors
+from hawthorndeal_platform import transport
+
+PARTS = 6
+PART = b'x' * 1000
+HEAD = f'HTTP/1.1 200 OK\r\nContent-Length: {PARTS * len(PART)}\r\n\r\n'
+
+
+@attrs.frozen
+class _Server:
+    """Writes parts of one response, then closes or falls silent."""
+
+    parts: int
+    gap_s: float
+    is_stopping: bool
+    served: asyncio.Event = attrs.Factory(asyncio.Event)
+
+    async def serve(self, reader, writer):
+        """Serve one connection until the client closes it."""
+        with contextlib.suppress(ConnectionError):
+            await self._write(reader, writer)
+        writer.close()
+        self.served.set()
+
+    async def _write(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        if self.parts:
+            writer.write(HEAD.encode())
+        for number in range(self.parts):
+            if number:
+                await asyncio.sleep(self.gap_s)
+            writer.write(PART)
+            await writer.drain()
+        if self.is_stopping:
+            await reader.read()
+
+
+@given(
+    'a server that writes {parts:d} of 6 parts {gap_s:g} s apart, '
+    'then {then:w}'
+)
+def make_server(context, parts, gap_s, then):
+    context.server = _Server(parts, gap_s, then == 'stops')
+
+
+@when('it is called with {kind} timeout of {timeout_s:g} s')
+def call_server(context, kind, timeout_s):
+    context.response = asyncio.run(
+        _call(context, kind == 'an idle', timeout_s)
+    )
+
+
+async def _call(context, is_idle_timeout, timeout_s):
+    listening = await asyncio.start_server(context.server.serve, '127.0.0.1')
+    host, port = listening.sockets[0].getsockname()
+    client = transport.HttpClient()
+    begun_s = time.monotonic()
+    try:
+        return await client.send(
+            'GET',
+            f'http://{host}:{port}/',
+            timeout_s,
+            is_idle_timeout=is_idle_timeout,
+        )
+    except errors.OutcomeUnknown:
+        return None
+    finally:
+        context.took_s = time.monotonic() - begun_s
+        await client.close()
+        await context.server.served.wait()
+        listening.close()
+
+
+@then('the call has {outcome:w} after {least_s:g} to {most_s:g} seconds')
+def check_call_outcome(context, outcome, least_s, most_s):
+    response = context.response
+    assert (response is not None) is (outcome == 'succeeded'), response
+    assert response is None or response.body == PARTS * PART
+    assert least_s <= context.took_s <= most_s, context.took_s
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
@@ -152,7 +152,7 @@
 async def read(send, latency, wait_s, now_s=time.monotonic):
     """Return a page of records from a long poll.
 
-    :param send: sends the call, given the time to wait for the answer
+    :param send: sends the call, given the longest silence of the callee
     :param latency: latency estimate of the callee's reads
     :param wait_s: how long the callee may wait for records
     :param now_s: returns the monotonic time
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/transport.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/transport.py
@@ -17,6 +17,8 @@
 # A connection without TCP acknowledgements for this long is closed.
 USER_TIMEOUT_MS = 2000
 MAX_CONNECTIONS_PER_HOST = 8
+# Longest time of a call whose timeout begins again with each part.
+MAX_TRANSFER_S = 120.0
 # SO_LINGER with timeout 0: close() sends RST and discards unsent data, so that
 # a call that was given up can't arrive later.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -51,11 +53,20 @@
         self._session = None
 
     async def send(
-        self, method, url, timeout_s, body=None, params=None, headers=None
+        self,
+        method,
+        url,
+        timeout_s,
+        body=None,
+        params=None,
+        headers=None,
+        is_idle_timeout=False,
     ):
         """Return the response to one request.
 
         :param body: bytes, or plain data to send as JSON
+        :param is_idle_timeout: whether the timeout begins again with each
+            part of the response, so that a long one may take longer
         :raises errors.PlatformUnavailable: nothing was sent
         :raises errors.OutcomeUnknown: the call may have taken effect
         """
@@ -68,7 +79,7 @@
                 json=None if is_bytes else body,
                 params=params,
                 headers=headers,
-                timeout=aiohttp.ClientTimeout(total=timeout_s),
+                timeout=_client_timeout(timeout_s, is_idle_timeout),
             ) as response:
                 return HttpResponse(response.status, await response.read())
         except aiohttp.ClientConnectorError as error:
@@ -96,6 +107,14 @@
             await self._session.close()
 
 
+def _client_timeout(timeout_s, is_idle):
+    if not is_idle:
+        return aiohttp.ClientTimeout(total=timeout_s)
+    return aiohttp.ClientTimeout(
+        total=MAX_TRANSFER_S, connect=timeout_s, sock_read=timeout_s
+    )
+
+
 def _create_socket(address_info):
     family, kind, protocol, *_ = address_info
     sock = socket.socket(family, kind, protocol)
