Let a load go on after an error with the first key that it lacks

A load of the newest records began again at the first key after each error. A store that rejects or an unreachable one, for 1.5 of every 5 seconds, kept a daemon behind a narrow link from ever loading 6 MB.

A load is now an object that outlives errors: its keys, the key after which the next page begins, and the end of the partition at the first page, from which the log is read afterwards, so that what was appended or deleted meanwhile is not missed. Each page is a step of the follower's loop, so that its pause after errors begins small again after each page. Where the log has dropped what was appended meanwhile, the load begins again and writes load_failed; it did so without any line before.

reload() replaces the assignments to is_loaded: a reload during a load lost the pages read before, since the load went on into the emptied replica (found by reading). A page under way at that time is discarded.

The stand-in of the link counts no progress while the link is down.

--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -116,8 +116,8 @@
         state = self._partitions[partition]
         stored = [
             record
-            for key, record in sorted(state.newest.items())
-            if record.value and key > after_key
+            for record in self.all_newest(partition)
+            if record.key > after_key
         ]
         page = tuple(
             _first_bytes(stored[:NEWEST_PAGE_RECORDS], NEWEST_PAGE_BYTES)
@@ -125,6 +125,11 @@
         next_key = page[-1].key if len(page) < len(stored) else ''
         return keyed_log.NewestPage(page, len(state.records), next_key)
 
+    def all_newest(self, partition):
+        """Return the newest records of all keys, sorted by key."""
+        newest = self._partitions[partition].newest
+        return [record for _, record in sorted(newest.items()) if record.value]
+
     def find(self, partition, key):
         """Return the newest record of a key, or None."""
         return self._partitions[partition].newest.get(key)
--- a/features/fakes/links.py
+++ b/features/fakes/links.py
@@ -187,7 +187,8 @@
         return exchange.result()
 
     def _note_progress(self):
-        self._last_progress_s = self._now_s()
+        if not self._link.is_cut:
+            self._last_progress_s = self._now_s()
 
     async def _exchange(self):
         await self._link.send(self._sent_bytes, self._note_progress)
--- a/features/jobs_narrow_links.feature
+++ b/features/jobs_narrow_links.feature
@@ -14,6 +14,47 @@
     When it is followed over a link of 600000 bytes a second
     Then it has been loaded within 8 seconds
 
+  Scenario Outline: A load goes on where it was when <trouble> again and again
+    Given a partition of 2000 keys of 3000 bytes
+    When it is followed over a link of 600000 bytes a second
+    And <trouble> for 1.5 of every 5 seconds
+    And 3 seconds of following pass
+    And 50 records of 3000 bytes are appended at once
+    And the first 50 and the last 50 keys are deleted
+    Then the end has been read within 35 seconds
+    And the reader holds the newest record of each key
+
+    Examples:
+      | trouble                |
+      | the link is down       |
+      | the store is down      |
+
+  Scenario: A load that is asked for during another begins at the first key
+    Given a partition of 2000 keys of 3000 bytes
+    When it is followed over a link of 600000 bytes a second
+    And 5 seconds of following pass
+    And what was read is discarded for a reload
+    Then the end has been read within 20 seconds
+    And the reader holds the newest record of each key
+
+  Scenario: A load that is asked for during a read that fails is carried out
+    Given a partition of 2000 keys of 3000 bytes
+    When it is followed over a link of 600000 bytes a second
+    And 20 seconds of following pass
+    And the link is down for 1.5 of every 5 seconds
+    And 4 seconds of following pass
+    And what was read is discarded for a reload
+    Then the end has been read within 40 seconds
+    And the reader holds the newest record of each key
+
+  Scenario: Loads that are slower than the log's retention are logged
+    Given a partition of 2000 keys of 3000 bytes
+    When it is followed over a link of 600000 bytes a second
+    And the log drops what is older than 8 seconds, for 60 seconds
+    Then 3 loads were logged as failed, since records had been dropped
+    And the end has been read within 30 seconds
+    And the reader holds the newest record of each key
+
   Scenario: A daemon behind a narrow link catches up after an outage
     Given a partition of 10 keys of 3000 bytes
     When it is followed over a link of 600000 bytes a second
--- a/features/steps/jobs_narrow_links.py
+++ b/features/steps/jobs_narrow_links.py
@@ -24,28 +24,41 @@
 
 
 class _Reader:
-    """Reader that counts what it is given."""
+    """Reader that holds the newest record of each key.
+
+    :ivar read_to_end_s: when the last read that reached the end was sent
+    """
 
     def __init__(self):
-        self.keys = set()
+        self.offsets = {}
         self.read_to_end_s = None
         self._now_s = asyncio.get_running_loop().time
 
     def handle_record(self, record):
-        self.keys.add(record.key)
+        """Process one record; an empty value removes it."""
+        if record.value:
+            self.offsets[record.key] = record.offset
+        else:
+            self.offsets.pop(record.key, None)
 
     def note_loaded(self, keys):
-        """Do nothing."""
+        """Remove the records whose keys no longer exist."""
+        for key in set(self.offsets) - keys:
+            del self.offsets[key]
 
     def note_read(self, sent_s):
         self.read_to_end_s = sent_s
 
 
 class _Events:
-    """Discards events."""
+    """Holds the events that were written."""
+
+    def __init__(self):
+        self.written = []
 
     def write(self, kind, **fields):
-        """Do nothing."""
+        """Record one event."""
+        self.written.append((kind, fields))
 
 
 @given('a partition of {count:d} keys of {size:d} bytes')
@@ -74,16 +87,17 @@
 def follow(context, rate):
     async def start():
         loop = asyncio.get_running_loop()
-        link = links.Link(rng=None)
-        link.narrow(rate)
-        client = store_http.StoreHttp(context.store, link)
+        context.link = links.Link(rng=None)
+        context.link.narrow(rate)
+        client = store_http.StoreHttp(context.store, context.link)
         context.reader = _Reader()
+        context.events = _Events()
         context.follower = log_follower.Follower(
             store_adapter.Store(client, 'store:1'),
             PARTITION,
             context.reader,
             virtual_time.VirtualClock(loop),
-            _Events(),
+            context.events,
             metrics.Metrics(),
         )
         context.following = asyncio.create_task(context.follower.run())
@@ -113,6 +127,74 @@
     context.begun_s = context.runner.get_loop().time()
 
 
+@when('{what} is down for {down_s:g} of every {period_s:g} seconds')
+def repeat_trouble(context, what, down_s, period_s):
+    if what == 'the link':
+        target, field = context.link, 'is_cut'
+    else:
+        target, field = context.store, 'is_down'
+
+    async def repeat():
+        while True:
+            await asyncio.sleep(period_s - down_s)
+            setattr(target, field, True)
+            await asyncio.sleep(down_s)
+            setattr(target, field, False)
+
+    context.trouble = context.runner.get_loop().create_task(repeat())
+
+
+@when('the first {first:d} and the last {last:d} keys are deleted')
+def delete_keys(context, first, last):
+    page = [f'{number:06}' for number in range(context.count)]
+    deleted = [*page[:first], *page[len(page) - last :]]
+    context.store.append(
+        PARTITION, [journal.Record(key, b'') for key in deleted]
+    )
+    context.count -= len(deleted)
+
+
+@when('what was read is discarded for a reload')
+def discard(context):
+    context.reader.offsets.clear()
+    context.follower.reload()
+    context.begun_s = context.runner.get_loop().time()
+
+
+@when(
+    'the log drops what is older than {age_s:g} seconds, for {seconds:g} '
+    'seconds'
+)
+def drop_old_records(context, age_s, seconds):
+    async def drop():
+        for _ in range(int(seconds / age_s)):
+            await asyncio.sleep(age_s)
+            _append(context, 1, 3000)
+            context.store.compact(PARTITION)
+
+    context.runner.run(drop())
+    context.begun_s = context.runner.get_loop().time()
+
+
+@then('{least:d} loads were logged as failed, since records had been dropped')
+def check_loads_failed(context, least):
+    failed = [
+        fields
+        for kind, fields in context.events.written
+        if kind == 'load_failed'
+    ]
+    assert len(failed) >= least, failed
+    assert all(f['keys'] and 'offset' in f['why'] for f in failed), failed
+
+
+@then('the reader holds the newest record of each key')
+def check_held(context):
+    newest = context.store.all_newest(PARTITION)
+    expected = {record.key: record.offset for record in newest}
+    held = context.reader.offsets
+    assert held == expected, len(held.items() ^ expected.items())
+
+
 def _wait_for(context, is_met, limit_s):
     """Return how long it took until a condition was met, or None."""
 
@@ -130,8 +212,9 @@
 @then('it has been loaded within {limit_s:g} seconds')
 def check_loaded(context, limit_s):
     took_s = _wait_for(context, lambda: context.follower.is_loaded, limit_s)
-    assert took_s is not None, len(context.reader.keys)
-    assert len(context.reader.keys) == context.count
+    assert took_s is not None, len(context.reader.offsets)
+    held = len(context.reader.offsets)
+    assert held == context.count, (held, context.count)
 
 
 @then('the end has been read within {limit_s:g} seconds')
@@ -141,8 +224,9 @@
         lambda: (context.reader.read_to_end_s or 0.0) > context.begun_s,
         limit_s,
     )
-    assert took_s is not None, len(context.reader.keys)
-    assert len(context.reader.keys) == context.count
+    assert took_s is not None, len(context.reader.offsets)
+    held = len(context.reader.offsets)
+    assert held == context.count, (held, context.count)
 
 
 @given('a daemon without ownership behind a link of {rate:d} bytes a second')
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing
 
+import attrs
+
 from hawthorndeal_fleet import errors
 
 READ_WAIT_S = 0.3
@@ -26,9 +28,30 @@
         """Record that a read sent at this time reached the end."""
 
 
+@attrs.define(eq=False)
+class _Load:
+    """Progress of a load of the newest records.
+
+    :ivar begun_s: when the first page was asked for
+    :ivar keys: keys of the records that were read
+    :ivar next_key: key after which the next page begins
+    :ivar first_end: end offset of the partition at the first page
+    :ivar is_complete: whether the last page has been read
+    """
+
+    begun_s: float | None = None
+    keys: set = attrs.Factory(set)
+    next_key: str = ''
+    first_end: int | None = None
+    is_complete: bool = False
+
+
 class Follower:
     """Task that loads the newest record of each key, then reads new records.
 
+    After an error a load goes on with the first key that it has not read.
+    What was appended during a load is read from the log after it.
+
     :param log: a :class:`keyed_log.KeyedLog`
     :param partition: partition to follow
     :param reader: processes the records
@@ -52,7 +75,6 @@
         self.name = f'follower of {partition.topic}'
         self.partition = partition
         self.next_offset = 0
-        self.is_loaded = False
         self.read_pause_s = 0.0
         self._log = log
         self._reader = reader
@@ -60,11 +82,23 @@
         self._events = events
         self._metrics = metrics
         self._wait_s = wait_s
+        # None once a read after the load has reached the end.
+        self._load = _Load()
         self._is_unavailable = False
         self._is_at_end = False
         self._read_requested = asyncio.Event()
         self._read_finished = asyncio.Event()
 
+    @property
+    def is_loaded(self):
+        """Return whether the newest record of each key has been read."""
+        return self._load is None or self._load.is_complete
+
+    def reload(self):
+        """Load again from the first key; a page under way is discarded."""
+        self._load = _Load()
+        self._is_at_end = False
+
     async def run(self):
         """Follow until cancelled."""
         retry_s = 0.0
@@ -72,27 +106,58 @@
             try:
                 await self._read_page()
                 retry_s = 0.0
-            except errors.OffsetExpired:
-                self.is_loaded = False
+            except errors.OffsetExpired as error:
+                self._log_failed_load(error)
+                self.reload()
             except errors.PlatformError as error:
-                self._metrics.note_failed_read(self.partition.topic)
-                self._note_unavailable(error)
-                # The answer may be lost: the next read returns at once.
-                self._is_at_end = False
+                self._note_error(error)
                 await asyncio.sleep(retry_s)
                 retry_s = min(MAX_RETRY_S, max(RETRY_S, retry_s * 2))
 
+    def _note_error(self, error):
+        self._metrics.note_failed_read(self.partition.topic)
+        self._note_unavailable(error)
+        if not self.is_loaded:
+            self._log_failed_load(error)
+        # The answer may be lost: the next read returns at once.
+        self._is_at_end = False
+
     async def stop(self):
         """Do nothing; a read may be cancelled at any point."""
 
     async def _read_page(self):
         if not self.is_loaded:
-            await self._load()
+            await self._read_newest(self._load)
+        else:
+            await self._read_log(self._load)
+
+    async def _read_newest(self, load):
+        if load.begun_s is None:
+            load.begun_s = self._clock.monotonic_s()
+        page = await self._log.newest(self.partition, load.next_key)
+        if load is not self._load:
+            return
+        self._note_available()
+        if load.first_end is None:
+            load.first_end = page.end
+        self._note_page(page.records, page.end - load.first_end)
+        for record in page.records:
+            load.keys.add(record.key)
+            self._deliver(record)
+        load.next_key = page.next_key
+        if not page.next_key:
+            self.next_offset = load.first_end
+            load.is_complete = True
+            self._reader.note_loaded(load.keys)
+
+    async def _read_log(self, load):
         sent_s = self._clock.monotonic_s()
         # The age of the data is unknown until a read has reached the end, so
         # reads don't wait until then.
         wait_s = self._wait_s if self._is_at_end else 0.0
         page = await self._log.read(self.partition, self.next_offset, wait_s)
+        if load is not self._load:
+            return
         self._note_available()
         self._note_page(page.records, page.end - page.next_offset)
         for record in page.records:
@@ -100,6 +165,7 @@
         self.next_offset = max(self.next_offset, page.next_offset)
         if page.next_offset >= page.end:
             self._is_at_end = True
+            self._load = None
             self._reader.note_read(sent_s)
         self._read_finished.set()
         self._read_finished = asyncio.Event()
@@ -116,38 +182,18 @@
         except asyncio.TimeoutError:
             return
 
-    async def _load(self):
-        self._is_at_end = False
-        begun_s = self._clock.monotonic_s()
-        keys, next_key, first_end = set(), '', None
-        while True:
-            try:
-                page = await self._log.newest(self.partition, next_key)
-            except errors.PlatformError as error:
-                self._log_failed_load(keys, begun_s, error)
-                raise
-            if first_end is None:
-                first_end = page.end
-            self._note_page(page.records, page.end - first_end)
-            for record in page.records:
-                keys.add(record.key)
-                self._deliver(record)
-            next_key = page.next_key
-            if not next_key:
-                break
-        self.next_offset = first_end
-        self.is_loaded = True
-        self._reader.note_loaded(keys)
-
     def _note_page(self, records, behind):
         self._metrics.note_page(self.partition.topic, records, max(0, behind))
 
-    def _log_failed_load(self, keys, begun_s, error):
+    def _log_failed_load(self, error):
+        now_s = self._clock.monotonic_s()
+        load = self._load or _Load()
+        begun_s = now_s if load.begun_s is None else load.begun_s
         self._events.write(
             'load_failed',
             topic=self.partition.topic,
-            keys=len(keys),
-            took_s=round(self._clock.monotonic_s() - begun_s, 3),
+            keys=len(load.keys),
+            took_s=round(now_s - begun_s, 3),
             why=str(error)[:200],
         )
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -131,12 +131,12 @@
         self.entries_reader.on_missing = None
         self.entries_reader.entries.clear()
         self.entries_reader.offsets.clear()
-        self.entries_follower.is_loaded = False
+        self.entries_follower.reload()
 
     def reload_jobs(self):
         """Discard the replica and load the jobs again."""
         self.jobs_reader.reset()
-        self.jobs_follower.is_loaded = False
+        self.jobs_follower.reload()
 
     def note_cancelled(self, job):
         """Record that the cancellation of a job has been stored."""
