Estimate the latency of reads without the transfer of the page

A long page without a wait was recorded as latency: after one that took 1.7 s the next silence was noticed after 2.3 s instead of 0.55 s, on each later load or catch-up.

The client now tells when the first part of the body arrived and how long the rest took, and the estimate takes the former. Timeouts were already those of silence since bulk reads have idle timeouts.

Failed before: "The latency of reads is estimated without the transfer: a long page without wait" (2.0 s instead of 0.25 s; run with the step adapted to the former signature). "Silence after long pages is noticed as soon as before them" couldn't fail before, since the adapter took real time there; with the transfer added to the latency it fails.

--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -219,16 +219,19 @@
         """Return the records from an offset on; wait for the first one."""
 
         async def send(timeout_s):
-            return await self._call(
-                lambda: self._store.read(partition, offset),
+            timed = links.TimedOperation(
+                lambda: self._store.read(partition, offset)
+            )
+            page = await self._call(
+                timed,
                 lambda: self._store.wait_for_read(partition, offset, wait_s),
                 timeout_s,
                 response_bytes=lambda page: size_bytes(page.records),
                 is_idle_timeout=True,
             )
+            return page, timed.times_s()[0]
 
-        now_s = asyncio.get_running_loop().time
-        return await hedging.read(send, self._read_latency, wait_s, now_s)
+        return await hedging.read(send, self._read_latency, wait_s)
 
     async def newest(self, partition, after_key=''):
         """Return the newest record of each key."""
--- a/features/fakes/links.py
+++ b/features/fakes/links.py
@@ -143,6 +143,29 @@
         await self._downstream.transfer(size_bytes, note_progress)
 
 
+class TimedOperation:
+    """Operation that tells when its response began and how long it took.
+
+    :param operation: run at the remote end, without arguments
+    :param latency_s: time until its response begins to arrive
+    """
+
+    def __init__(self, operation, latency_s=DEFAULT_LATENCY_S):
+        self._operation = operation
+        self._latency_s = latency_s
+        self._now_s = asyncio.get_running_loop().time
+        self._sent_s = self._began_s = self._now_s()
+
+    def __call__(self):
+        """Run the operation."""
+        self._began_s = self._now_s() + self._latency_s
+        return self._operation()
+
+    def times_s(self):
+        """Return the time until the response began, and from then on."""
+        return self._began_s - self._sent_s, self._now_s() - self._began_s
+
+
 class _NarrowCall:
     """One call over a narrow link.
 
--- a/features/fakes/store_http.py
+++ b/features/fakes/store_http.py
@@ -7,6 +7,8 @@
 import json
 import struct
 
+import attrs
+
 from fakes import links
 from hawthorndeal_fleet import errors
 from hawthorndeal_platform import keyed_log
@@ -55,14 +57,19 @@
             def answer():
                 return _newest(self._store, partition, params.get('after', ''))
 
-        return await self._link.call(
-            answer,
+        timed = links.TimedOperation(answer)
+        response = await self._link.call(
+            timed,
             wait,
             timeout_s,
             links.REQUEST_BYTES,
             lambda response: len(response.body),
             is_idle_timeout,
         )
+        latency_s, transfer_s = timed.times_s()
+        return attrs.evolve(
+            response, latency_s=latency_s, transfer_s=transfer_s
+        )
 
 
 def _partition(params):
--- a/features/jobs_decisions.feature
+++ b/features/jobs_decisions.feature
@@ -81,6 +81,18 @@
       | latency has risen   | 0.005 | 0.3   | 1.8   |
       | the delay is capped | 0.005 | 0.9   | 2.0   |
 
+  Scenario Outline: The latency of reads is estimated without the transfer: <case>
+    When a read that may wait <wait> s returns <count> records, begun after <began> s and over <took> s
+    Then the next call is hedged after <delay> seconds
+
+    Examples:
+      | case                          | wait | count | began | took | delay |
+      | no records, low latency       | 0.3  | 0     | 0.305 | 0    | 0.25  |
+      | no records, high latency      | 0.3  | 0     | 0.6   | 0    | 1.8   |
+      | records without wait          | 0    | 3     | 0.3   | 0    | 1.8   |
+      | a long page without wait      | 0    | 3     | 0.005 | 1.7  | 0.25  |
+      | records after an unknown wait | 0.3  | 3     | 0.3   | 1.7  | 0.25  |
+
   Scenario Outline: The first answer to a hedged call counts: <case>
     Given a call whose copies are <copies>
     When it is made with a timeout of 1 second
--- a/features/jobs_narrow_links.feature
+++ b/features/jobs_narrow_links.feature
@@ -62,6 +62,15 @@
     And 2000 records of 3000 bytes are appended at once
     Then the end has been read within 12 seconds
 
+  Scenario: Silence after long pages is noticed as soon as before them
+    Given a partition of 1000 keys of 3000 bytes
+    When it is followed over a link of 600000 bytes a second
+    And 2 seconds of following pass
+    And 1000 records of 3000 bytes are appended at once
+    Then the end has been read within 20 seconds
+    When the link goes down
+    Then the store is reported as lost within 0.7 seconds
+
   Scenario: Callers of a daemon behind a narrow link soon see that jobs ended
     Given simulated daemons with seed 510
     And a daemon without ownership behind a link of 60000 bytes a second
--- a/features/jobs_transport.feature
+++ b/features/jobs_transport.feature
@@ -15,3 +15,8 @@
       | nothing comes          | an idle  | 0     | 0.2 | stops | failed    | 0.5   | 1.0  |
       | its time is up         | a total  | 6     | 0.2 | ends  | failed    | 0.5   | 1.0  |
       | it breaks              | an idle  | 3     | 0.2 | ends  | failed    | 0.4   | 1.0  |
+
+  Scenario: The time of a transfer is told apart from the latency
+    Given a server that writes 6 of 6 parts 0.2 s apart, then ends
+    When it is called with an idle timeout of 0.5 s
+    Then the response began within 0.5 s, and took 0.9 to 1.9 s from then on
--- a/features/steps/jobs_decisions.py
+++ b/features/steps/jobs_decisions.py
@@ -22,6 +22,7 @@
 from hawthorndeal_jobs import specs
 from hawthorndeal_jobs import wave_planning
 from hawthorndeal_platform import hedging
+from hawthorndeal_platform import keyed_log
 from hawthorndeal_scheduler import run_orders
 from stage import job_world
 from stage import virtual_time
@@ -437,6 +438,23 @@
     )
 
 
+@when(
+    'a read that may wait {wait_s:g} s returns {count:d} records, begun after '
+    '{began_s:g} s and over {took_s:g} s'
+)
+def read_once(context, wait_s, count, began_s, took_s):
+    context.latency = hedging.LatencyEstimate()
+    page = keyed_log.RecordPage((None,) * count, count, count)
+
+    async def send(timeout_s):
+        await asyncio.sleep(began_s + took_s)
+        return page, began_s
+
+    read = hedging.read(send, context.latency, wait_s)
+    with asyncio.Runner(loop_factory=virtual_time.VirtualLoop) as runner:
+        assert runner.run(read) is page
+
+
 class _Refused(errors.PlatformError):
     """A response that refuses the call."""
 
--- a/features/steps/jobs_narrow_links.py
+++ b/features/steps/jobs_narrow_links.py
@@ -144,6 +144,22 @@
     context.trouble = context.runner.get_loop().create_task(repeat())
 
 
+@when('the link goes down')
+def cut_link(context):
+    context.link.is_cut = True
+    context.begun_s = context.runner.get_loop().time()
+
+
+@then('the store is reported as lost within {limit_s:g} seconds')
+def check_lost(context, limit_s):
+    took_s = _wait_for(
+        context,
+        lambda: 'dependency_lost' in [k for k, _ in context.events.written],
+        limit_s,
+    )
+    assert took_s is not None, context.events.written
+
+
 @when('the first {first:d} and the last {last:d} keys are deleted')
 def delete_keys(context, first, last):
     page = [f'{number:06}' for number in range(context.count)]
--- a/features/steps/jobs_transport.py
+++ b/features/steps/jobs_transport.py
@@ -88,3 +88,13 @@
     assert (response is not None) is (outcome == 'succeeded'), response
     assert response is None or response.body == PARTS * PART
     assert least_s <= context.took_s <= most_s, context.took_s
+
+
+@then(
+    'the response began within {most_s:g} s, and took {least_s:g} to '
+    '{longest_s:g} s from then on'
+)
+def check_times(context, most_s, least_s, longest_s):
+    response = context.response
+    assert 0 < response.latency_s <= most_s, response.latency_s
+    assert least_s <= response.transfer_s <= longest_s, response.transfer_s
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
@@ -149,26 +149,24 @@
             attempt.add_done_callback(_retrieve_error)
 
 
-async def read(send, latency, wait_s, now_s=time.monotonic):
+async def read(send, latency, wait_s):
     """Return a page of records from a long poll.
 
-    :param send: sends the call, given the longest silence of the callee
+    :param send: sends the call, given the longest silence of the callee;
+        returns the page and the time until the answer began
     :param latency: latency estimate of the callee's reads
     :param wait_s: how long the callee may wait for records
-    :param now_s: returns the monotonic time
     :raises errors.OutcomeUnknown: no answer arrived in time
     """
-    sent_s = now_s()
     try:
-        page = await send(wait_s + latency.delay_s)
+        page, began_after_s = await send(wait_s + latency.delay_s)
     except errors.OutcomeUnknown:
         latency.record_timeout()
         raise
-    took_s = now_s() - sent_s
     if not page.records:
-        latency.record_latency(max(0.0, took_s - wait_s))
+        latency.record_latency(max(0.0, began_after_s - wait_s))
     elif not wait_s:
-        latency.record_latency(took_s)
+        latency.record_latency(began_after_s)
     else:
         # The callee answered as soon as a record existed, so the elapsed
         # time includes an unknown wait.
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/transport.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/transport.py
@@ -4,6 +4,7 @@
 import json
 import socket
 import struct
+import time
 
 import aiohttp
 import attrs
@@ -26,10 +27,16 @@
 
 @attrs.frozen
 class HttpResponse:
-    """Status and body of one HTTP response."""
+    """Status and body of one HTTP response.
+
+    :ivar latency_s: time until the first part of the body arrived
+    :ivar transfer_s: time from then until the last part arrived
+    """
 
     status: int
     body: bytes
+    latency_s: float = 0.0
+    transfer_s: float = 0.0
 
     def json(self, path):
         """Return the decoded JSON body.
@@ -71,6 +78,7 @@
         :raises errors.OutcomeUnknown: the call may have taken effect
         """
         is_bytes = isinstance(body, bytes)
+        sent_s = time.monotonic()
         try:
             async with self._get_session().request(
                 method,
@@ -81,7 +89,7 @@
                 headers=headers,
                 timeout=_client_timeout(timeout_s, is_idle_timeout),
             ) as response:
-                return HttpResponse(response.status, await response.read())
+                return await _read_response(response, sent_s)
         except aiohttp.ClientConnectorError as error:
             raise errors.PlatformUnavailable(f'{url}: {error}') from error
         except (aiohttp.ClientError, OSError) as error:
@@ -107,6 +115,15 @@
             await self._session.close()
 
 
+async def _read_response(response, sent_s):
+    first_part = await response.content.readany()
+    begun_s = time.monotonic()
+    body = first_part + await response.read()
+    return HttpResponse(
+        response.status, body, begun_s - sent_s, time.monotonic() - begun_s
+    )
+
+
 def _client_timeout(timeout_s, is_idle):
     if not is_idle:
         return aiohttp.ClientTimeout(total=timeout_s)
