Read pages that a link carries in a fraction of a second

A reader learns nothing while a page is under way: over 600 KB/s records came up to 1.9 s apart, longer than the 1.2 s after which the store counts as away.

The size of the page that a read asks for now follows the transfers: 128 KB at first, down to 16 KB where one takes longer than 0.4 s, up to 1 MB where a full one takes less than 0.1 s. A fixed page of 128 KB would have done for 5 Mbit/s, but takes six to eight times as many calls as now over a fast link when all daemons catch up together (47 for 6 MB), and the store limits calls; over 100 Mbit/s 6 MB take 10 reads. A reader that has not reached the end doesn't pause between its pages any more.

Failed before: "Records arrive all the time while a daemon catches up" (1.9 s apart; with a fixed page of 128 KB and the pauses 1,429 of 2,010 keys after 12 s). It passes now. The stand-in of the link tells the arrival of the first part as the client does; it took the transfer to begin when the callee had answered, which left out the queue of the link.

--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -7,6 +7,7 @@
 from hawthorndeal_fleet import errors
 from hawthorndeal_platform import hedging
 from hawthorndeal_platform import keyed_log
+from hawthorndeal_platform import paging
 
 APPEND_LATENCY_S = 0.003
 # Limits of one page of newest records.
@@ -100,7 +101,7 @@
         if self.is_down:
             raise keyed_log.Overloaded('the store is down')
 
-    def read(self, partition, offset, limit_bytes=keyed_log.READ_PAGE_BYTES):
+    def read(self, partition, offset, limit_bytes=paging.MAX_PAGE_BYTES):
         """Return a page of the records from an offset on."""
         self._check_available()
         state = self._partitions[partition]
@@ -178,6 +179,7 @@
         self._link = link
         self._append_latency = hedging.LatencyEstimate()
         self._read_latency = hedging.LatencyEstimate()
+        self._page_size = paging.PageSize()
         self.is_cut = False
 
     async def _call(
@@ -188,6 +190,7 @@
         sent_bytes=links.REQUEST_BYTES,
         response_bytes=None,
         is_idle_timeout=False,
+        timing=None,
     ):
         if self.is_cut:
             await asyncio.sleep(timeout_s)
@@ -199,6 +202,7 @@
             sent_bytes,
             response_bytes,
             is_idle_timeout,
+            timing,
         )
 
     async def append(self, partition, records, fence=None, end=None):
@@ -219,17 +223,20 @@
         """Return the records from an offset on; wait for the first one."""
 
         async def send(timeout_s):
-            timed = links.TimedOperation(
-                lambda: self._store.read(partition, offset)
-            )
+            limit_bytes = self._page_size.size_bytes
+            timing = links.Timing()
             page = await self._call(
-                timed,
+                lambda: self._store.read(partition, offset, limit_bytes),
                 lambda: self._store.wait_for_read(partition, offset, wait_s),
                 timeout_s,
                 response_bytes=lambda page: size_bytes(page.records),
                 is_idle_timeout=True,
+                timing=timing,
             )
-            return page, timed.times_s()[0]
+            latency_s, transfer_s = timing.times_s()
+            page_bytes = size_bytes(page.records)
+            self._page_size.note_transfer(page_bytes, transfer_s)
+            return page, latency_s
 
         return await hedging.read(send, self._read_latency, wait_s)
 
--- a/features/fakes/links.py
+++ b/features/fakes/links.py
@@ -15,6 +15,24 @@
 REQUEST_BYTES = 200
 
 
+class Timing:
+    """When the parts of a response arrived."""
+
+    def __init__(self):
+        self._now_s = asyncio.get_running_loop().time
+        self._sent_s = self._now_s()
+        self._began_s = None
+
+    def note_part(self):
+        """Record the arrival of a part."""
+        if self._began_s is None:
+            self._began_s = self._now_s()
+
+    def times_s(self):
+        """Return the time until the response began, and from then on."""
+        return self._began_s - self._sent_s, self._now_s() - self._began_s
+
+
 @attrs.define(eq=False)
 class Direction:
     """One direction of a link with a limited rate.
@@ -74,6 +92,7 @@
         sent_bytes=0,
         response_bytes=None,
         is_idle_timeout=False,
+        timing=None,
     ):
         """Run an operation at the remote end and return its result.
 
@@ -85,12 +104,22 @@
         :param response_bytes: callable that returns the size of the response
         :param is_idle_timeout: whether the timeout begins again with each
             part of the response
+        :param timing: records when the parts of the response arrive
         :raises errors.OutcomeUnknown: on a timeout
         """
+        timing = timing or Timing()
         if self._upstream is None:
-            return await self._call(operation, wait_remote, timeout_s)
+            result = await self._call(operation, wait_remote, timeout_s)
+            timing.note_part()
+            return result
         call = _NarrowCall(
-            self, operation, wait_remote, timeout_s, sent_bytes, response_bytes
+            self,
+            operation,
+            wait_remote,
+            timeout_s,
+            sent_bytes,
+            response_bytes,
+            timing,
         )
         return await call.run(is_idle_timeout)
 
@@ -143,29 +172,6 @@
         await self._downstream.transfer(size_bytes, note_progress)
 
 
-class TimedOperation:
-    """Operation that tells when its response began and how long it took.
-
-    :param operation: run at the remote end, without arguments
-    :param latency_s: time until its response begins to arrive
-    """
-
-    def __init__(self, operation, latency_s=DEFAULT_LATENCY_S):
-        self._operation = operation
-        self._latency_s = latency_s
-        self._now_s = asyncio.get_running_loop().time
-        self._sent_s = self._began_s = self._now_s()
-
-    def __call__(self):
-        """Run the operation."""
-        self._began_s = self._now_s() + self._latency_s
-        return self._operation()
-
-    def times_s(self):
-        """Return the time until the response began, and from then on."""
-        return self._began_s - self._sent_s, self._now_s() - self._began_s
-
-
 class _NarrowCall:
     """One call over a narrow link.
 
@@ -181,6 +187,7 @@
         timeout_s,
         sent_bytes,
         response_bytes,
+        timing,
     ):
         self._link = link
         self._operation = operation
@@ -188,6 +195,7 @@
         self._timeout_s = timeout_s
         self._sent_bytes = sent_bytes
         self._response_bytes = response_bytes
+        self._timing = timing
         self._now_s = asyncio.get_running_loop().time
         self._last_progress_s = self._now_s()
 
@@ -220,9 +228,13 @@
         )
         if self._response_bytes is not None:
             size_bytes = self._response_bytes(result)
-            await self._link.receive(size_bytes, self._note_progress)
+            await self._link.receive(size_bytes, self._note_part)
         return result
 
+    def _note_part(self):
+        self._timing.note_part()
+        self._note_progress()
+
 
 def _run_ignoring_errors(operation):
     try:
--- a/features/fakes/store_http.py
+++ b/features/fakes/store_http.py
@@ -57,16 +57,17 @@
             def answer():
                 return _newest(self._store, partition, params.get('after', ''))
 
-        timed = links.TimedOperation(answer)
+        timing = links.Timing()
         response = await self._link.call(
-            timed,
+            answer,
             wait,
             timeout_s,
             links.REQUEST_BYTES,
             lambda response: len(response.body),
             is_idle_timeout,
+            timing,
         )
-        latency_s, transfer_s = timed.times_s()
+        latency_s, transfer_s = timing.times_s()
         return attrs.evolve(
             response, latency_s=latency_s, transfer_s=transfer_s
         )
--- a/features/jobs_decisions.feature
+++ b/features/jobs_decisions.feature
@@ -93,6 +93,24 @@
       | a long page without wait      | 0    | 3     | 0.005 | 1.7  | 0.25  |
       | records after an unknown wait | 0.3  | 3     | 0.3   | 1.7  | 0.25  |
 
+  Scenario Outline: Pages follow what the link carries: <rate> bytes a second
+    When 6000000 bytes are read over a link of <rate> bytes a second
+    Then that took at most <reads> reads
+    And no page after the first <first> took longer than 0.4 seconds
+
+    Examples:
+      | rate     | reads | first |
+      | 12500000 | 10    | 0     |
+      | 600000   | 47    | 0     |
+      | 60000    | 380   | 3     |
+
+  Scenario: A link that becomes narrow and wide again gets its long pages back
+    When 6000000 bytes are read over a link of 12500000 bytes a second
+    And 6000000 bytes are read over a link of 300000 bytes a second
+    Then no page after the first 4 took longer than 0.4 seconds
+    When 6000000 bytes are read over a link of 12500000 bytes a second
+    Then that took at most 10 reads
+
   Scenario Outline: The first answer to a hedged call counts: <case>
     Given a call whose copies are <copies>
     When it is made with a timeout of 1 second
--- a/features/jobs_narrow_links.feature
+++ b/features/jobs_narrow_links.feature
@@ -62,6 +62,15 @@
     And 2000 records of 3000 bytes are appended at once
     Then the end has been read within 12 seconds
 
+  Scenario: Records arrive all the time while a daemon catches up
+    Given a partition of 10 keys of 3000 bytes
+    When it is followed over a link of 600000 bytes a second
+    And reads that return records are followed by a pause of 0.15 seconds
+    And 2 seconds of following pass
+    And 2000 records of 3000 bytes are appended at once
+    Then the end has been read within 12 seconds
+    And records have arrived at most 0.6 seconds apart
+
   Scenario: Silence after long pages is noticed as soon as before them
     Given a partition of 1000 keys of 3000 bytes
     When it is followed over a link of 600000 bytes a second
--- a/features/steps/jobs_decisions.py
+++ b/features/steps/jobs_decisions.py
@@ -23,6 +23,7 @@
 from hawthorndeal_jobs import wave_planning
 from hawthorndeal_platform import hedging
 from hawthorndeal_platform import keyed_log
+from hawthorndeal_platform import paging
 from hawthorndeal_scheduler import run_orders
 from stage import job_world
 from stage import virtual_time
@@ -455,6 +456,29 @@
         assert runner.run(read) is page
 
 
+@when('{total:d} bytes are read over a link of {rate:d} bytes a second')
+def read_pages(context, total, rate):
+    if not hasattr(context, 'page_size'):
+        context.page_size = paging.PageSize()
+    context.transfers_s = []
+    while total > 0:
+        page_bytes = min(total, context.page_size.size_bytes)
+        context.transfers_s.append(page_bytes / rate)
+        context.page_size.note_transfer(page_bytes, page_bytes / rate)
+        total -= page_bytes
+
+
+@then('that took at most {most:d} reads')
+def check_reads(context, most):
+    assert len(context.transfers_s) <= most, len(context.transfers_s)
+
+
+@then('no page after the first {first:d} took longer than {most_s:g} seconds')
+def check_transfers(context, first, most_s):
+    longest_s = max(context.transfers_s[first:])
+    assert longest_s <= most_s, longest_s
+
+
 class _Refused(errors.PlatformError):
     """A response that refuses the call."""
 
--- a/features/steps/jobs_narrow_links.py
+++ b/features/steps/jobs_narrow_links.py
@@ -27,15 +27,18 @@
     """Reader that holds the newest record of each key.
 
     :ivar read_to_end_s: when the last read that reached the end was sent
+    :ivar handled_s: when each record was processed
     """
 
     def __init__(self):
         self.offsets = {}
+        self.handled_s = []
         self.read_to_end_s = None
         self._now_s = asyncio.get_running_loop().time
 
     def handle_record(self, record):
         """Process one record; an empty value removes it."""
+        self.handled_s.append(self._now_s())
         if record.value:
             self.offsets[record.key] = record.offset
         else:
@@ -116,6 +119,13 @@
     context.runner.run(stop())
 
 
+@when(
+    'reads that return records are followed by a pause of {pause_s:g} seconds'
+)
+def set_read_pause(context, pause_s):
+    context.follower.read_pause_s = pause_s
+
+
 @when('{seconds:d} seconds of following pass')
 def pass_time(context, seconds):
     context.runner.run(asyncio.sleep(seconds))
@@ -144,6 +154,14 @@
     context.trouble = context.runner.get_loop().create_task(repeat())
 
 
+@then('records have arrived at most {longest_s:g} seconds apart')
+def check_gaps(context, longest_s):
+    since_s = [s for s in context.reader.handled_s if s > context.begun_s]
+    times_s = [context.begun_s, *since_s]
+    gap_s = max(b - a for a, b in itertools.pairwise(times_s))
+    assert gap_s <= longest_s, gap_s
+
+
 @when('the link goes down')
 def cut_link(context):
     context.link.is_cut = True
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/keyed_log.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/keyed_log.py
@@ -17,10 +17,6 @@
 APPEND_TIMEOUT_S = 2.0
 
 
-# Longest page of records that one read asks for.
-READ_PAGE_BYTES = 1024 * 1024
-
-
 class EndMoved(errors.PlatformError):
     """Raised when a conditional append finds more records than expected.
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
@@ -59,7 +59,7 @@
     :param events: the decision log
     :param metrics: counts the pages
     :param wait_s: how long a read waits for new records
-    :ivar read_pause_s: pause after a read that returned records
+    :ivar read_pause_s: pause after a read that returned the last records
     """
 
     def __init__(
@@ -163,13 +163,13 @@
         for record in page.records:
             self._deliver(record)
         self.next_offset = max(self.next_offset, page.next_offset)
-        if page.next_offset >= page.end:
-            self._is_at_end = True
+        self._is_at_end = page.next_offset >= page.end
+        if self._is_at_end:
             self._load = None
             self._reader.note_read(sent_s)
         self._read_finished.set()
         self._read_finished = asyncio.Event()
-        if page.records and self.read_pause_s:
+        if page.records and self._is_at_end and self.read_pause_s:
             await self._pause_between_reads()
 
     async def _pause_between_reads(self):
