Show that a page that takes long lets a daemon claim on old data

A claim asks only when the last read that reached the end was completed. A page whose transfer takes long holds nothing newer than its request, so that a daemon behind a narrow link may take the owner for silent for 1.6 s of which it knows 0.3 s. Reads had to be over within their wait and 0.25 s until their timeouts became idle ones.

--- a/features/jobs_decisions.feature
+++ b/features/jobs_decisions.feature
@@ -140,6 +140,12 @@
       | the store is unreadable      | 3.0      | 60       | 5.0        | denied  |
       | the store has just recovered | 0.1      | 0.5      | 9.0        | denied  |
 
+  Scenario: A page that took long doesn't prove that the owner is silent
+    Given a store read 0.3 seconds ago, readable for 60 seconds
+    And its page had taken 1 seconds to arrive
+    And the owner's last record was 1.6 seconds ago
+    Then a claim is denied
+
   Scenario Outline: The owner timeout grows with a slow store: <case>
     Given an owner whose records were <gap> seconds apart
     When <event>
--- a/features/steps/jobs_decisions.py
+++ b/features/steps/jobs_decisions.py
@@ -248,6 +248,11 @@
     )
 
 
+@given('its page had taken {took_s:g} seconds to arrive')
+def set_page_time(context, took_s):
+    context.view.last_read_s -= took_s
+
+
 @given("the owner's last record was {ago:g} seconds ago")
 def set_last_record(context, ago):
     context.view.last_record_s = NOW_S - ago
