Tell when the last page arrived, and show who ignores it

A daemon that catches up refuses submissions as if the store were away: it asks when a read last reached the end, not when one was answered. The follower now tells when its last page arrived.

--- a/features/jobs_narrow_links.feature
+++ b/features/jobs_narrow_links.feature
@@ -87,6 +87,12 @@
     And 15 seconds pass
     Then 95 of 100 were reported there within 1 second after the owner did
 
+  Scenario: A daemon that catches up over a narrow link accepts jobs
+    Given simulated daemons with seed 513
+    And a daemon without ownership behind a link of 60000 bytes a second
+    When 100 jobs of 8 and 4 tasks with 2400 bytes of payload arrive in 5 seconds
+    Then it accepts 10 jobs within 3 seconds though it is 1.2 seconds behind
+
   Scenario: An owner behind a narrow link gets answers to its starts
     Given simulated daemons with seed 511
     And every daemon behind a link of 200000 bytes a second
--- a/features/steps/jobs_narrow_links.py
+++ b/features/steps/jobs_narrow_links.py
@@ -362,3 +362,26 @@
         for _, _, kind, fields in context.world.log
     )
     assert ended >= wanted, ended
+
+
+@then(
+    'it accepts {count:d} jobs within {seconds:g} seconds though it is '
+    '{behind_s:g} seconds behind'
+)
+def check_accepts(context, count, seconds, behind_s):
+    world, daemon = context.world, context.narrow
+    view = daemon.parts.jobs_reader.owner_view
+
+    async def submit():
+        ages_s = []
+        for number in range(count):
+            now_s = asyncio.get_running_loop().time()
+            ages_s.append(now_s - view.last_read_done_s)
+            spec = job_world.chain(1)
+            refused = await world.submit(daemon, 'web', f'late{number}', spec)
+            assert refused is None, (number, refused, ages_s)
+            await asyncio.sleep(seconds / count)
+        return ages_s
+
+    ages_s = context.runner.run(submit())
+    assert max(ages_s) > behind_s, ages_s
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
@@ -59,6 +59,7 @@
     :param events: the decision log
     :param metrics: counts the pages
     :param wait_s: how long a read waits for new records
+    :ivar last_answer_s: when the last page arrived; None before the first
     :ivar read_pause_s: pause after a read that returned the last records
     """
 
@@ -75,6 +76,7 @@
         self.name = f'follower of {partition.topic}'
         self.partition = partition
         self.next_offset = 0
+        self.last_answer_s = None
         self.read_pause_s = 0.0
         self._log = log
         self._reader = reader
@@ -183,6 +185,7 @@
             return
 
     def _note_page(self, records, behind):
+        self.last_answer_s = self._clock.monotonic_s()
         self._metrics.note_page(self.partition.topic, records, max(0, behind))
 
     def _log_failed_load(self, error):
