--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -7,6 +7,7 @@
 from hawthorndeal_fleet import errors
 from hawthorndeal_platform import hedging
 from hawthorndeal_platform import keyed_log
+from hawthorndeal_platform import paging
 
 APPEND_LATENCY_S = 0.003
 # Limits of one page of newest records.
@@ -102,7 +103,7 @@
         if self.is_down:
             raise keyed_log.Overloaded('the store is down')
 
-    def read(self, partition, offset, limit_bytes=keyed_log.READ_PAGE_BYTES):
+    def read(self, partition, offset, limit_bytes=paging.MAX_PAGE_BYTES):
         """Return a page of the records from an offset on."""
         self._check_available()
         state = self._partitions[partition]
@@ -123,8 +124,8 @@
         state = self._partitions[partition]
         stored = [
             record
-            for key, record in sorted(state.newest.items())
-            if record.value and key > after_key
+            for record in self.all_newest(partition)
+            if record.key > after_key
         ]
         page = tuple(
             _first_bytes(stored[:NEWEST_PAGE_RECORDS], NEWEST_PAGE_BYTES)
@@ -132,6 +133,11 @@
         next_key = page[-1].key if len(page) < len(stored) else ''
         return keyed_log.NewestPage(page, len(state.records), next_key)
 
+    def all_newest(self, partition):
+        """Return the newest records of all keys, sorted by key."""
+        newest = self._partitions[partition].newest
+        return [record for _, record in sorted(newest.items()) if record.value]
+
     def find(self, partition, key):
         """Return the newest record of a key, or None."""
         return self._partitions[partition].newest.get(key)
@@ -180,6 +186,7 @@
         self._link = link
         self._append_latency = hedging.LatencyEstimate()
         self._read_latency = hedging.LatencyEstimate()
+        self._page_size = paging.PageSize()
         self.is_cut = False
 
     async def _call(
@@ -189,6 +196,8 @@
         timeout_s=links.CALL_TIMEOUT_S,
         sent_bytes=links.REQUEST_BYTES,
         response_bytes=None,
+        is_idle_timeout=False,
+        timing=None,
     ):
         if self.is_cut:
             await asyncio.sleep(timeout_s)
@@ -199,6 +208,8 @@
             timeout_s,
             sent_bytes,
             response_bytes,
+            is_idle_timeout,
+            timing,
         )
 
     async def append(self, partition, records, fence=None, end=None):
@@ -219,15 +230,22 @@
         """Return the records from an offset on; wait for the first one."""
 
         async def send(timeout_s):
-            return await self._call(
-                lambda: self._store.read(partition, offset),
+            limit_bytes = self._page_size.size_bytes
+            timing = links.Timing()
+            page = await self._call(
+                lambda: self._store.read(partition, offset, limit_bytes),
                 lambda: self._store.wait_for_read(partition, offset, wait_s),
                 timeout_s,
                 response_bytes=lambda page: size_bytes(page.records),
+                is_idle_timeout=True,
+                timing=timing,
             )
+            latency_s, transfer_s = timing.times_s()
+            page_bytes = size_bytes(page.records)
+            self._page_size.note_transfer(page_bytes, transfer_s)
+            return page, latency_s
 
-        now_s = asyncio.get_running_loop().time
-        return await hedging.read(send, self._read_latency, wait_s, now_s)
+        return await hedging.read(send, self._read_latency, wait_s)
 
     async def end(self, partition, offset):
         """Return the end offset of a partition."""
@@ -240,4 +258,5 @@
             response_bytes=lambda page: (
                 size_bytes(page.records) * NEWEST_ENCODING_FACTOR
             ),
+            is_idle_timeout=True,
         )
--- a/features/fakes/store_http.py
+++ b/features/fakes/store_http.py
@@ -7,6 +7,8 @@
 import json
 import struct
 
+import attrs
+
 from fakes import links
 from hawthorndeal_fleet import errors
 from hawthorndeal_platform import keyed_log
@@ -55,13 +57,19 @@
             def answer():
                 return _newest(self._store, partition, params.get('after', ''))
 
-        return await self._link.call(
+        timing = links.Timing()
+        response = await self._link.call(
             answer,
             wait,
             timeout_s,
             links.REQUEST_BYTES,
             lambda response: len(response.body),
             is_idle_timeout,
+            timing,
+        )
+        latency_s, transfer_s = timing.times_s()
+        return attrs.evolve(
+            response, latency_s=latency_s, transfer_s=transfer_s
         )
 
 
--- a/features/jobs_decisions.feature
+++ b/features/jobs_decisions.feature
@@ -81,6 +81,36 @@
       | latency has risen   | 0.005 | 0.3   | 1.8   |
       | the delay is capped | 0.005 | 0.9   | 2.0   |
 
+  Scenario Outline: The latency of reads is estimated without the transfer: <case>
+    When a read that may wait <wait> s returns <count> records, begun after <began> s and over <took> s
+    Then the next call is hedged after <delay> seconds
+
+    Examples:
+      | case                          | wait | count | began | took | delay |
+      | no records, low latency       | 0.3  | 0     | 0.305 | 0    | 0.25  |
+      | no records, high latency      | 0.3  | 0     | 0.6   | 0    | 1.8   |
+      | records without wait          | 0    | 3     | 0.3   | 0    | 1.8   |
+      | a long page without wait      | 0    | 3     | 0.005 | 1.7  | 0.25  |
+      | records after an unknown wait | 0.3  | 3     | 0.3   | 1.7  | 0.25  |
+
+  Scenario Outline: Pages follow what the link carries: <rate> bytes a second
+    When 6000000 bytes are read over a link of <rate> bytes a second
+    Then that took at most <reads> reads
+    And no page after the first <first> took longer than 0.4 seconds
+
+    Examples:
+      | rate     | reads | first |
+      | 12500000 | 10    | 0     |
+      | 600000   | 47    | 0     |
+      | 60000    | 380   | 3     |
+
+  Scenario: A link that becomes narrow and wide again gets its long pages back
+    When 6000000 bytes are read over a link of 12500000 bytes a second
+    And 6000000 bytes are read over a link of 300000 bytes a second
+    Then no page after the first 4 took longer than 0.4 seconds
+    When 6000000 bytes are read over a link of 12500000 bytes a second
+    Then that took at most 10 reads
+
   Scenario Outline: The first answer to a hedged call counts: <case>
     Given a call whose copies are <copies>
     When it is made with a timeout of 1 second
@@ -110,6 +140,12 @@
       | the store is unreadable      | 3.0      | 60       | 5.0        | denied  |
       | the store has just recovered | 0.1      | 0.5      | 9.0        | denied  |
 
+  Scenario: A page that took long doesn't prove that the owner is silent
+    Given a store read 0.3 seconds ago, readable for 60 seconds
+    And its page had taken 1 seconds to arrive
+    And the owner's last record was 1.6 seconds ago
+    Then a claim is denied
+
   Scenario Outline: The owner timeout grows with a slow store: <case>
     Given an owner whose records were <gap> seconds apart
     When <event>
--- a/features/jobs_narrow_links.feature
+++ b/features/jobs_narrow_links.feature
@@ -9,6 +9,52 @@
     When it is followed over a link of 600000 bytes a second
     Then it has been loaded within 20 seconds
 
+  Scenario: A daemon behind a narrow link loads long records
+    Given a partition of 10 keys of 250000 bytes
+    When it is followed over a link of 600000 bytes a second
+    Then it has been loaded within 8 seconds
+
+  Scenario Outline: A load goes on where it was when <trouble> again and again
+    Given a partition of 2000 keys of 3000 bytes
+    When it is followed over a link of 600000 bytes a second
+    And <trouble> for 1.5 of every 5 seconds
+    And 3 seconds of following pass
+    And 50 records of 3000 bytes are appended at once
+    And the first 50 and the last 50 keys are deleted
+    Then the end has been read within 35 seconds
+    And the reader holds the newest record of each key
+
+    Examples:
+      | trouble                |
+      | the link is down       |
+      | the store is down      |
+
+  Scenario: A load that is asked for during another begins at the first key
+    Given a partition of 2000 keys of 3000 bytes
+    When it is followed over a link of 600000 bytes a second
+    And 5 seconds of following pass
+    And what was read is discarded for a reload
+    Then the end has been read within 20 seconds
+    And the reader holds the newest record of each key
+
+  Scenario: A load that is asked for during a read that fails is carried out
+    Given a partition of 2000 keys of 3000 bytes
+    When it is followed over a link of 600000 bytes a second
+    And 20 seconds of following pass
+    And the link is down for 1.5 of every 5 seconds
+    And 4 seconds of following pass
+    And what was read is discarded for a reload
+    Then the end has been read within 40 seconds
+    And the reader holds the newest record of each key
+
+  Scenario: Loads that are slower than the log's retention are logged
+    Given a partition of 2000 keys of 3000 bytes
+    When it is followed over a link of 600000 bytes a second
+    And the log drops what is older than 8 seconds, for 60 seconds
+    Then 3 loads were logged as failed, since records had been dropped
+    And the end has been read within 30 seconds
+    And the reader holds the newest record of each key
+
   Scenario: A daemon behind a narrow link catches up after an outage
     Given a partition of 10 keys of 3000 bytes
     When it is followed over a link of 600000 bytes a second
@@ -16,6 +62,24 @@
     And 2000 records of 3000 bytes are appended at once
     Then the end has been read within 12 seconds
 
+  Scenario: Records arrive all the time while a daemon catches up
+    Given a partition of 10 keys of 3000 bytes
+    When it is followed over a link of 600000 bytes a second
+    And reads that return records are followed by a pause of 0.15 seconds
+    And 2 seconds of following pass
+    And 2000 records of 3000 bytes are appended at once
+    Then the end has been read within 12 seconds
+    And records have arrived at most 0.6 seconds apart
+
+  Scenario: Silence after long pages is noticed as soon as before them
+    Given a partition of 1000 keys of 3000 bytes
+    When it is followed over a link of 600000 bytes a second
+    And 2 seconds of following pass
+    And 1000 records of 3000 bytes are appended at once
+    Then the end has been read within 20 seconds
+    When the link goes down
+    Then the store is reported as lost within 0.7 seconds
+
   Scenario: Callers of a daemon behind a narrow link soon see that jobs ended
     Given simulated daemons with seed 510
     And a daemon without ownership behind a link of 60000 bytes a second
@@ -23,6 +87,12 @@
     And 15 seconds pass
     Then 95 of 100 were reported there within 1 second after the owner did
 
+  Scenario: A daemon that catches up over a narrow link accepts jobs
+    Given simulated daemons with seed 513
+    And a daemon without ownership behind a link of 600000 bytes a second
+    When statuses of 2000 jobs with 3000 bytes each are stored in 3 seconds
+    Then it accepts 10 jobs within 3 seconds though it is 1.2 seconds behind
+
   Scenario: An owner behind a narrow link gets answers to its starts
     Given simulated daemons with seed 511
     And every daemon behind a link of 200000 bytes a second
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/transport.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/transport.py
@@ -4,6 +4,7 @@
 import json
 import socket
 import struct
+import time
 
 import aiohttp
 import attrs
@@ -17,6 +18,8 @@
 # A connection without TCP acknowledgements for this long is closed.
 USER_TIMEOUT_MS = 2000
 MAX_CONNECTIONS_PER_HOST = 8
+# Longest time of a call whose timeout begins again with each part.
+MAX_TRANSFER_S = 120.0
 # SO_LINGER with timeout 0: close() sends RST and discards unsent data, so that
 # a call that was given up can't arrive later.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -24,10 +27,16 @@
 
 @attrs.frozen
 class HttpResponse:
-    """Status and body of one HTTP response."""
+    """Status and body of one HTTP response.
+
+    :ivar latency_s: time until the first part of the body arrived
+    :ivar transfer_s: time from then until the last part arrived
+    """
 
     status: int
     body: bytes
+    latency_s: float = 0.0
+    transfer_s: float = 0.0
 
     def json(self, path):
         """Return the decoded JSON body.
@@ -51,15 +60,25 @@
         self._session = None
 
     async def send(
-        self, method, url, timeout_s, body=None, params=None, headers=None
+        self,
+        method,
+        url,
+        timeout_s,
+        body=None,
+        params=None,
+        headers=None,
+        is_idle_timeout=False,
     ):
         """Return the response to one request.
 
         :param body: bytes, or plain data to send as JSON
+        :param is_idle_timeout: whether the timeout begins again with each
+            part of the response, so that a long one may take longer
         :raises errors.PlatformUnavailable: nothing was sent
         :raises errors.OutcomeUnknown: the call may have taken effect
         """
         is_bytes = isinstance(body, bytes)
+        sent_s = time.monotonic()
         try:
             async with self._get_session().request(
                 method,
@@ -68,9 +87,9 @@
                 json=None if is_bytes else body,
                 params=params,
                 headers=headers,
-                timeout=aiohttp.ClientTimeout(total=timeout_s),
+                timeout=_client_timeout(timeout_s, is_idle_timeout),
             ) as response:
-                return HttpResponse(response.status, await response.read())
+                return await _read_response(response, sent_s)
         except aiohttp.ClientConnectorError as error:
             raise errors.PlatformUnavailable(f'{url}: {error}') from error
         except (aiohttp.ClientError, OSError) as error:
@@ -96,6 +115,23 @@
             await self._session.close()
 
 
+async def _read_response(response, sent_s):
+    first_part = await response.content.readany()
+    begun_s = time.monotonic()
+    body = first_part + await response.read()
+    return HttpResponse(
+        response.status, body, begun_s - sent_s, time.monotonic() - begun_s
+    )
+
+
+def _client_timeout(timeout_s, is_idle):
+    if not is_idle:
+        return aiohttp.ClientTimeout(total=timeout_s)
+    return aiohttp.ClientTimeout(
+        total=MAX_TRANSFER_S, connect=timeout_s, sock_read=timeout_s
+    )
+
+
 def _create_socket(address_info):
     family, kind, protocol, *_ = address_info
     sock = socket.socket(family, kind, protocol)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -18,7 +18,8 @@
 CATCH_UP_TIMEOUT_S = 1.0
 # Jobs are not counted if the owner has published nothing for this long.
 MAX_WAITING_AGE_S = 3.0
-# The store counts as unavailable when no read was answered for this long.
+# The store counts as unavailable when no read was answered for this long, and
+# a daemon as behind when none has reached the end.
 MAX_ANSWER_AGE_S = 1.2
 RETRY_AFTER_S = 1
 
@@ -59,13 +60,18 @@
             not self.is_draining
             and parts.configuration_reader.configuration is not None
             and parts.status_follower.is_loaded
-            and not self._is_store_unavailable()
+            and not self._is_behind()
         )
 
     def _is_store_unavailable(self):
-        last_s = self._parts.owner_view.last_read_done_s
+        return self._is_old(self._parts.status_follower.last_answer_s)
+
+    def _is_behind(self):
+        return self._is_old(self._parts.owner_view.last_read_done_s)
+
+    def _is_old(self, time_s):
         now_s = self._parts.clock.monotonic_s()
-        return last_s is None or now_s - last_s > MAX_ANSWER_AGE_S
+        return time_s is None or now_s - time_s > MAX_ANSWER_AGE_S
 
     def find_queue(self, host_name, path):
         """Return the queue of a request, and the rest of its path.
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -146,10 +146,10 @@
         self.entries_reader.on_missing = None
         self.entries_reader.entries.clear()
         self.entries_reader.offsets.clear()
-        self.entries_follower.is_loaded = False
+        self.entries_follower.reload()
         # Also discards decisions that were not stored.
         self.jobs_reader.reset()
-        self.jobs_follower.is_loaded = False
+        self.jobs_follower.reload()
 
     def note_cancelled(self, job_id):
         """Record that this daemon has stored the cancellation of a job."""
