--- a/features/stage/scheduler_harness.py
+++ b/features/stage/scheduler_harness.py
@@ -82,10 +82,10 @@
         )
         return self.scheduler.handle_poll(name, answer, self.now_s)
 
-    def plan(self):
+    def plan(self, max_starts=None, is_idle=True):
         """Return the decisions of one scheduling cycle."""
         self.now_s += 0.01
-        return self.scheduler.plan(self.now_s, self.now_s)
+        return self.scheduler.plan(self.now_s, self.now_s, max_starts, is_idle)
 
     def start_all(self):
         """Run one scheduling cycle and report each start as accepted."""
--- a/features/stage/scheduler_model.py
+++ b/features/stage/scheduler_model.py
@@ -177,10 +177,16 @@
     def turn(self, choice=0):
         """Run one cycle of planning, storing and sending.
 
-        Some choices end the epoch before or after the records are stored.
+        Some choices end the epoch before or after the records are stored, or
+        limit the starts.
         """
         self._remove_unlisted()
-        turn = self._scheduler.plan(self._now_s, self._now_s)
+        turn = self._scheduler.plan(
+            self._now_s,
+            self._now_s,
+            START_LIMITS[choice // 16],
+            is_idle=choice % 2 == 0,
+        )
         for run in turn.stops:
             run.is_stop_in_flight = True
             self._send_stop(run)
@@ -428,6 +434,7 @@
     'answer',
     'wait',
 )
+START_LIMITS = (None, 0, 1, 2)
 FAULTS = (
     'lose_answer',
     'delay',
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -14,6 +14,7 @@
 from . import ready_steps as ready_steps_module
 from . import run_tracking
 from . import specs
+from . import start_shares
 from . import tickets as tickets_module
 
 _Phase = executors_module.RunPhase
@@ -45,15 +46,18 @@
 
     :param replica: the jobs of the partition
     :param configuration: current queues and pools
+    :ivar is_limited: whether the last plan had no starts left for more runs
     """
 
     def __init__(self, replica, configuration):
         self.executors = {}
+        self.is_limited = False
         self.steps = ready_steps_module.ReadySteps(configuration)
         self.tickets = tickets_module.TicketCache()
         self._replica = replica
         self._changed = {}
         self._orphans = {}
+        self._held_gang = None
 
     # Jobs
 
@@ -338,16 +342,20 @@
 
     # Scheduling
 
-    def plan(self, now_s, wall_s):
-        """Return the runs to start, to stop and to pace now."""
+    def plan(self, now_s, wall_s, max_starts=None, is_idle=True):
+        """Return the runs to start, to stop and to pace now.
+
+        :param max_starts: number of runs to start, or None for no limit; what
+            it leaves out is planned in a later cycle
+        :param is_idle: whether no start is in flight, so that a gang may
+            exceed the limit
+        """
         self.steps.activate_due(now_s, wall_s)
-        starts = []
-        stale, self.steps.pools_to_schedule = (
-            self.steps.pools_to_schedule,
-            set(),
-        )
-        for pool in sorted(stale):
-            starts += self._schedule_pool(pool, now_s)
+        shares = start_shares.StartShares(is_idle=is_idle)
+        if max_starts is not None:
+            shares.left = max_starts
+        starts = self._schedule_pools(now_s, shares) if shares.left else []
+        self.is_limited = not shares.left
         stops = [
             run
             for executor in self.executors.values()
@@ -363,25 +371,55 @@
         ]
         return SchedulingPlan(starts, stops, orphans, paces)
 
-    def _schedule_pool(self, pool, now_s):
-        executors = self.executors_in(pool)
-        if not any(placement.is_usable(e, now_s) for e in executors):
-            return []
-        waiting = self.steps.pending_in(pool)
-        waiting.sort(key=lambda ready_step: ordering.rank(ready_step, now_s))
-        starts = []
-        for ready_step in waiting:
-            starts += self._schedule_step(ready_step, executors, now_s)
+    def _schedule_pools(self, now_s, shares):
+        stale, self.steps.pools_to_schedule = (
+            self.steps.pools_to_schedule,
+            set(),
+        )
+        waiting = [
+            (ready_step, executors)
+            for pool in sorted(stale)
+            for executors in [self.executors_in(pool)]
+            if any(placement.is_usable(e, now_s) for e in executors)
+            for ready_step in self.steps.pending_in(pool)
+        ]
+        waiting.sort(
+            key=lambda pair: (
+                pair[0].key != self._held_gang,
+                ordering.rank(pair[0], now_s),
+            )
+        )
+        starts, wide = self._schedule_steps(waiting, now_s, shares)
+        # Wide steps also get what the others have left.
+        shares.is_sharing = False
+        starts += self._schedule_steps(wide, now_s, shares)[0]
+        if not shares.left:
+            self.steps.pools_to_schedule |= stale
+        self._held_gang = shares.held_gang
         return starts
 
-    def _schedule_step(self, ready_step, executors, now_s):
+    def _schedule_steps(self, waiting, now_s, shares):
+        """Return planned runs, and the steps that could start more."""
+        starts, limited = [], []
+        for ready_step, executors in waiting:
+            if not shares.left:
+                break
+            found = self._schedule_step(ready_step, executors, now_s, shares)
+            starts += found
+            shares.take(len(found))
+            if ready_step.pending and ready_step.unplaced_since_s is None:
+                limited.append((ready_step, executors))
+        return starts, limited
+
+    def _schedule_step(self, ready_step, executors, now_s, shares):
         if ready_step.spec.is_gang:
-            return self._schedule_gang(ready_step, executors, now_s)
+            return self._schedule_gang(ready_step, executors, now_s, shares)
+        limit = shares.limit(ready_step)
         starts = []
         if ready_step.unplaced_since_s is None:
             ready_step.unplaced_since_s = now_s
         step_tickets = self._valid_tickets(ready_step, now_s)
-        while ready_step.pending:
+        while ready_step.pending and len(starts) < limit:
             index = ready_step.pending[0]
             task_id = _task_id(ready_step, index)
             task = ready_step.occurrence.task(task_id)
@@ -398,9 +436,12 @@
             run.second_choice = second.executor_id if second else ''
             run.ticket = (step_tickets or {}).get(executor.executor_id, '')
             starts.append(run)
+        if len(starts) == limit:
+            # The rest waits for other starts, not for room.
+            ready_step.unplaced_since_s = None
         return starts
 
-    def _schedule_gang(self, ready_step, executors, now_s):
+    def _schedule_gang(self, ready_step, executors, now_s, shares):
         if ready_step.unplaced_since_s is None:
             ready_step.unplaced_since_s = now_s
         tasks = ready_step.occurrence.tasks[ready_step.step]
@@ -411,7 +452,7 @@
         chosen = placement.choose_gang(
             executors, ready_step.spec, ids, tasks[0], now_s, step_tickets
         )
-        if chosen is None:
+        if chosen is None or not shares.admits_gang(ready_step):
             return []
         ready_step.pending.clear()
         ready_step.unplaced_since_s = None
