Let polls wait longer the longer the start of a run is unknown

Cause: while a start was unknown, its executor was polled with a wait of 0.05 s, about four times as often as otherwise, just when the link was full.

Change: the wait grows with the time for which the start has been unknown, to the 0.25 s of other polls after 0.5 s.

Tests: "Polls while a start is unknown become rarer" is new; the function that it calls didn't exist.

--- a/features/jobs_call_window.feature
+++ b/features/jobs_call_window.feature
@@ -95,3 +95,13 @@
     Given steps "a*20" and executors with room for 32 tasks
     When a cycle of 4 starts is planned with others in flight
     Then step "a" isn't counted as unplaced
+
+  Scenario Outline: Polls while a start is unknown become rarer: <case>
+    When the start of a run has been unknown for <age> s
+    Then a poll waits for <wait> s
+
+    Examples:
+      | case                     | age | wait |
+      | it has just become so    | 0.0 | 0.05 |
+      | it has been for a while  | 0.3 | 0.15 |
+      | it has been for long     | 2.0 | 0.25 |
--- a/features/steps/jobs_call_window.py
+++ b/features/steps/jobs_call_window.py
@@ -8,7 +8,9 @@
 from behave import when
 
 from hawthorndeal_jobs import call_window
+from hawthorndeal_jobs import executors
 from hawthorndeal_platform import executor_orders
+from hawthorndeal_scheduler import executor_agent
 from stage import scheduler_harness
 
 NAMES = 'abcd'
@@ -231,3 +233,21 @@
         if step.occurrence.job.job_id == name
     )
     assert ready_step.unplaced_since_s is None, ready_step.unplaced_since_s
+
+
+@when('the start of a run has been unknown for {age:g} s')
+def make_unknown_run(context, age):
+    harness = scheduler_harness.Harness()
+    harness.add_executor('a')
+    harness.add_job('j', scheduler_harness.steps(2))
+    run, other = harness.start_all()
+    run.phase = executors.RunPhase.UNKNOWN
+    run.phase_changed_s = harness.now_s
+    context.wait_s = executor_agent.poll_wait_s(
+        [run, other], harness.now_s + age
+    )
+
+
+@then('a poll waits for {wait:g} s')
+def check_poll_wait(context, wait):
+    assert math.isclose(context.wait_s, wait, abs_tol=1e-9), context.wait_s
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
@@ -15,8 +15,10 @@
 # Applies while tasks run that end by themselves: a lost answer delays the
 # detection of all ends until the wait is over.
 BUSY_POLL_WAIT_S = 0.25
-# Applies while it is unknown whether a run has started.
+# Applies when it has just become unknown whether a run has started. Grows with
+# that time, since a full link makes many starts unknown at once.
 UNKNOWN_RUN_POLL_WAIT_S = 0.05
+UNKNOWN_RUN_POLL_WAIT_SHARE = 0.5
 # Consecutive failed polls after which an executor counts as unreachable.
 UNREACHABLE_FAILURES = 2
 # Runs tend to end in groups, which one poll then reports together.
@@ -111,12 +113,7 @@
         executor = self._executor
         if self._failures or not executor.is_fenced:
             return 0.0
-        runs = executor.runs.values()
-        if any(run.phase is _Phase.UNKNOWN for run in runs):
-            return UNKNOWN_RUN_POLL_WAIT_S
-        if all(run.step.is_lasting for run in runs):
-            return POLL_WAIT_S
-        return BUSY_POLL_WAIT_S
+        return poll_wait_s(executor.runs.values(), self._owner.now_s())
 
     async def _wait_for_ends_stored(self):
         await asyncio.sleep(POLL_PAUSE_S)
@@ -146,3 +143,18 @@
             )
         self._failures = 0
         self._is_unreachable = False
+
+
+def poll_wait_s(runs, now_s):
+    """Return how long a poll of an executor with these runs may wait."""
+    unknown_s = [
+        now_s - run.phase_changed_s
+        for run in runs
+        if run.phase is _Phase.UNKNOWN
+    ]
+    if unknown_s:
+        wait_s = UNKNOWN_RUN_POLL_WAIT_SHARE * max(unknown_s)
+        return min(BUSY_POLL_WAIT_S, max(UNKNOWN_RUN_POLL_WAIT_S, wait_s))
+    if all(run.step.is_lasting for run in runs):
+        return POLL_WAIT_S
+    return BUSY_POLL_WAIT_S
