Bound the starts and stops that an owner has in flight

Cause: an owner sent all starts and stops of a cycle at once.

Change: starts and stops have a CallWindow each. A cycle plans as many starts as are free; answers wake the owner when a group of them has come and runs were left out. Stops beyond the bound are left to the next cycle; executors take turns, so that a silent one leaves room for others. Time spent on planning is taken off the answer times. New gauge hawthorndeal_start_window.

--- a/features/jobs_narrow_links.feature
+++ b/features/jobs_narrow_links.feature
@@ -31,3 +31,55 @@
     Then 9 of 10 starts were answered
     And 600 tasks have ended
     And no invariant was violated
+
+  Scenario: An owner behind a narrow link doesn't lose sight of executors
+    Given simulated daemons with seed 512
+    And every daemon behind a link of 200000 bytes a second
+    When 60 jobs of 16 tasks with 4000 bytes of payload arrive in 5 seconds
+    And 25 seconds pass
+    Then no executor was taken for unreachable
+    And no run has lapsed
+    And half of the starts were answered within half of the timeout
+
+  Scenario: An owner behind a narrow link gets answers to its stops
+    Given simulated daemons with seed 513
+    When 8 long jobs of 16 tasks run in all pools
+    And every daemon gets a link of 80000 bytes a second
+    And these jobs are cancelled at once
+    And 5 seconds pass
+    Then 9 of 10 stops were answered
+    And 128 runs were stopped
+
+  # The bound is half of the constant part of a job's objective.
+  Scenario: A silent executor doesn't delay starts on others
+    Given simulated daemons with seed 514
+    When job "a" of 4 long-running tasks, 4 unavailable at most, starts
+    And 1 long job of 1 task runs in pool ci
+    And the first executor in pool ci that has runs becomes silent
+    And 1 long job of 40 tasks arrives in pool ci
+    And 20 long jobs of 1 task arrive in pool web
+    And 2 seconds pass
+    Then each task in pool web was started within 0.3 seconds
+
+  Scenario: A silent executor doesn't delay stops on others
+    Given simulated daemons with seed 515
+    When 1 long job of 64 tasks runs in pool web
+    And 1 long job of 64 tasks runs in pool ci
+    And the first executor in pool ci that has runs becomes silent
+    And these jobs are cancelled at once
+    And 2 seconds pass
+    Then 112 runs were stopped within 0.3 seconds
+
+  Scenario: An owner behind a wide link starts as fast as without a limit
+    Given the time that an owner without a limit takes for 1000 starts
+    When an owner with a limit gets answers to 1000 starts
+    Then it takes at most 0.2 seconds longer
+
+  Scenario: An owner uses all that a link carries when it is wide again
+    Given simulated daemons with seed 516
+    And links that take 0.02 seconds each way
+    And every daemon behind a link of 200000 bytes a second
+    When 60 jobs of 16 tasks with 4000 bytes of payload arrive in 5 seconds
+    And every daemon gets a link of 12500000 bytes a second
+    And 5 seconds pass
+    Then 960 tasks have ended
--- a/features/steps/jobs_narrow_links.py
+++ b/features/steps/jobs_narrow_links.py
@@ -12,6 +12,7 @@
 from fakes import links
 from fakes import store_http
 from hawthorndeal_jobs import journal
+from hawthorndeal_platform import executor_orders
 from hawthorndeal_platform import keyed_log
 from hawthorndeal_scheduler import log_follower
 from hawthorndeal_scheduler import metrics
@@ -19,6 +20,9 @@
 from stage import job_world
 from stage import virtual_time
 
+LONG_RUN_S = 60.0
+SETTLING_S = 2.0
+FIRST_POLLS_S = 0.5
 PARTITION = keyed_log.Partition('history')
 POLL_S = 0.05
 
@@ -150,7 +154,14 @@
     context.narrow.link.narrow(rate)
 
 
+@given('links that take {latency:g} seconds each way')
+def set_latency(context, latency):
+    for daemon in context.world.daemons:
+        daemon.link.latency_s = latency
+
+
 @given('every daemon behind a link of {rate:d} bytes a second')
+@when('every daemon gets a link of {rate:d} bytes a second')
 def narrow_all(context, rate):
     for daemon in context.world.daemons:
         daemon.link.narrow(rate)
@@ -220,25 +231,206 @@
     assert soon >= wanted, (soon, sorted(delays_s)[-10:])
 
 
+def _fields(context, *kinds):
+    """Return time and fields of the events of some kinds."""
+    return [
+        (time_s, fields)
+        for time_s, _, kind, fields in context.world.log
+        if kind in kinds
+    ]
+
+
+def _check_share(answered, wanted, count):
+    share = sum(answered), len(answered)
+    assert answered and share[0] * count >= wanted * share[1], share
+
+
 @then('{wanted:d} of {count:d} starts were answered')
 def check_answered(context, wanted, count):
-    kinds = [
-        (kind, fields.get('answer'))
-        for _, _, kind, fields in context.world.log
-        if kind in ('run_started', 'run_not_started')
-    ]
-    unknown = sum(answer == 'unknown' for _, answer in kinds)
-    answered = len(kinds) - unknown
-    assert kinds and answered * count >= wanted * len(kinds), (
-        answered,
-        unknown,
+    starts = _fields(context, 'run_started', 'run_not_started')
+    answered = [fields['answer'] != 'unknown' for _, fields in starts]
+    _check_share(answered, wanted, count)
+
+
+@then('half of the starts were answered within half of the timeout')
+def check_answer_times(context):
+    took_s = sorted(
+        fields['planned_s']
+        for _, fields in _fields(context, 'run_started', 'run_not_started')
     )
+    limit_s = executor_orders.CALL_TIMEOUT_S / 2
+    assert took_s and took_s[len(took_s) // 2] <= limit_s, took_s
+
+
+@then('{wanted:d} of {count:d} stops were answered')
+def check_stops_answered(context, wanted, count):
+    stops = _fields(context, 'run_stop')
+    _check_share([f['is_answered'] for _, f in stops], wanted, count)
 
 
 @then('{wanted:d} tasks have ended')
 def check_ended(context, wanted):
-    ended = sum(
-        kind == 'run_over' and fields['cause'] == 'done'
-        for _, _, kind, fields in context.world.log
-    )
+    ends = _fields(context, 'run_over')
+    ended = sum(fields['cause'] == 'done' for _, fields in ends)
     assert ended >= wanted, ended
+
+
+@then('{wanted:d} runs were stopped')
+def check_stopped(context, wanted):
+    ends = _fields(context, 'run_over')
+    stopped = sum(fields['cause'] == 'stopped' for _, fields in ends)
+    assert stopped == wanted, stopped
+
+
+@then('no executor was taken for unreachable')
+def check_reached(context):
+    unreachable = _fields(context, 'executor_unreachable')
+    assert not unreachable, unreachable
+
+
+@then('no run has lapsed')
+def check_not_lapsed(context):
+    ends = _fields(context, 'run_over')
+    lapsed = [fields for _, fields in ends if fields['cause'] == 'lapsed']
+    assert ends and not lapsed, lapsed
+
+
+def _submit_long(context, count, tasks, pools):
+    world = context.world
+    spec = job_world.chain(tasks, estimate_s=LONG_RUN_S)
+
+    async def submit():
+        jobs = context.long_jobs
+        for pool in itertools.islice(itertools.cycle(pools), count):
+            job_id = f'long{len(jobs)}'
+            jobs[job_id] = pool, world.now_s()
+            assert await world.submit(world.owner, pool, job_id, spec) is None
+
+    if not hasattr(context, 'long_jobs'):
+        context.long_jobs = {}
+    context.runner.run(submit())
+
+
+@when('{count:d} long jobs of {tasks:d} tasks run in all pools')
+def run_long_everywhere(context, count, tasks):
+    _submit_long(context, count, tasks, ('web', 'ci'))
+    _check_running(context, count * tasks)
+
+
+@when('1 long job of {tasks:d} task runs in pool {pool}')
+@when('1 long job of {tasks:d} tasks runs in pool {pool}')
+def run_long(context, tasks, pool):
+    _submit_long(context, 1, tasks, (pool,))
+    _check_running(context, tasks, list(context.long_jobs)[-1:])
+
+
+def _check_running(context, count, job_ids=None):
+    context.runner.run(asyncio.sleep(SETTLING_S))
+    running = [
+        context.world.running(job_id)
+        for job_id in job_ids or context.long_jobs
+    ]
+    assert sum(map(len, running)) == count, running
+
+
+@when('{count:d} long job of {tasks:d} tasks arrives in pool {pool}')
+@when('{count:d} long jobs of {tasks:d} task arrive in pool {pool}')
+def submit_long(context, count, tasks, pool):
+    _submit_long(context, count, tasks, (pool,))
+
+
+@when('the first executor in pool {pool} that has runs becomes silent')
+def silence_first(context, pool):
+    executor = next(
+        executor
+        for executor in context.world.executors.values()
+        if executor.entry.pool == pool and executor.runs
+    )
+    executor.is_cut = True
+
+
+@when('these jobs are cancelled at once')
+def cancel_long(context):
+    world = context.world
+
+    async def cancel():
+        context.cancelled_s = world.now_s()
+        await asyncio.gather(
+            *(
+                world.cancel(world.owner, pool, job_id)
+                for job_id, (pool, _) in context.long_jobs.items()
+            )
+        )
+
+    context.runner.run(cancel())
+
+
+@then('each task in pool {pool} was started within {limit_s:g} seconds')
+def check_started_soon(context, pool, limit_s):
+    submitted_s = {
+        job_id: at_s
+        for job_id, (job_pool, at_s) in context.long_jobs.items()
+        if job_pool == pool
+    }
+    started_s = {
+        fields['task'].split('.')[0]: time_s
+        for time_s, fields in _fields(context, 'run_started')
+    }
+    took_s = [
+        started_s.get(job_id, float('inf')) - at_s
+        for job_id, at_s in submitted_s.items()
+    ]
+    assert took_s and max(took_s) <= limit_s, took_s
+
+
+@then('{wanted:d} runs were stopped within {limit_s:g} seconds')
+def check_stopped_soon(context, wanted, limit_s):
+    took_s = [
+        time_s - context.cancelled_s
+        for time_s, fields in _fields(context, 'run_stop')
+        if fields['is_answered']
+    ]
+    soon = sum(took <= limit_s for took in took_s)
+    assert soon == wanted, (soon, sorted(took_s)[-10:])
+
+
+async def _time_starts(count, make_limit):
+    """Return how long an owner takes until executors accepted all starts."""
+    world = job_world.World(517, hosts_per_pool=16)
+    await world.start()
+    # Long enough for the first polls, too short to move idle hosts away.
+    await asyncio.sleep(FIRST_POLLS_S)
+    make_limit(world.owner.candidate.owner)
+    begun_s = world.now_s()
+    spec = job_world.one_step(count, estimate_s=LONG_RUN_S, cores=0.25)
+    assert await world.submit(world.owner, 'web', 'wide', spec) is None
+
+    def have_started():
+        kinds = [kind for _, _, kind, _ in world.log]
+        return kinds.count('run_started') >= count
+
+    assert await world.wait_for(have_started, 10.0)
+    took_s = world.now_s() - begun_s
+    await world.stop()
+    return took_s
+
+
+@given('the time that an owner without a limit takes for {count:d} starts')
+def time_without_limit(context, count):
+    def lift_limit(owner):
+        owner._orders.starts.size = float(count)
+
+    context.unlimited_s = virtual_time.run(_time_starts, count, lift_limit)
+
+
+@when('an owner with a limit gets answers to {count:d} starts')
+def time_with_limit(context, count):
+    context.limited_s = virtual_time.run(
+        _time_starts, count, lambda owner: None
+    )
+
+
+@then('it takes at most {limit_s:g} seconds longer')
+def check_not_longer(context, limit_s):
+    longer_s = context.limited_s - context.unlimited_s
+    assert longer_s <= limit_s, (context.limited_s, context.unlimited_s)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/metrics.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/metrics.py
@@ -143,5 +143,6 @@
     'executors': 'Executors known to the owner.',
     'runs_active': 'Runs that take room on executors.',
     'starts_in_flight': 'Orders to start a run without an answer so far.',
+    'start_window': 'Orders to start a run that may be without an answer.',
     'log_lines_dropped': 'Lines that standard output did not take.',
 }
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -82,7 +82,12 @@
     @property
     def starts_in_flight(self):
         """Return the number of start orders without an answer so far."""
-        return self._orders.starts_in_flight
+        return self._orders.starts.in_flight
+
+    @property
+    def start_window(self):
+        """Return the number of start orders that may be in flight."""
+        return self._orders.starts.size
 
     def now_s(self):
         """Return the monotonic time in seconds."""
@@ -210,10 +215,15 @@
         parts = self._parts
         now_s = self.now_s()
         self._check_executors_without_agent()
-        turn = self.scheduler.plan(now_s, parts.clock.now_s())
+        window = self._orders.starts
+        turn = self.scheduler.plan(
+            now_s,
+            parts.clock.now_s(),
+            window.free_calls(now_s),
+            window.is_idle(now_s),
+        )
         self._note_planned(self.now_s() - now_s)
-        for run in turn.stops:
-            self._orders.send_stop(run)
+        self._orders.send_stops(turn.stops)
         for order in turn.paces:
             self._orders.send_pace(order)
         for stray in turn.orphans:
@@ -226,6 +236,7 @@
 
     def _note_planned(self, took_s):
         self._parts.metrics.note_cycle_part('plan', took_s)
+        self._orders.note_pause(took_s)
         if took_s < SLOW_CYCLE_S:
             return
         known = self.scheduler.executors.values()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
@@ -1,6 +1,10 @@
 """Orders to executors on behalf of the owner, and their answers."""
 
+import collections
+import itertools
+
 from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import call_window
 from hawthorndeal_jobs import executors as executors_module
 from hawthorndeal_jobs import run_tracking
 from hawthorndeal_platform import executor_orders
@@ -20,14 +24,22 @@
     :param owner: its epoch fences the orders
     :param client: an :class:`executor_orders.Executors`
     :param metrics: counts the answers
-    :ivar starts_in_flight: number of start orders without an answer so far
+    :ivar starts: determines how many starts may be in flight
+    :ivar stops: determines how many stops may be in flight
     """
 
     def __init__(self, owner, client, metrics):
         self._owner = owner
         self._client = client
         self._metrics = metrics
-        self.starts_in_flight = 0
+        self.starts = call_window.CallWindow()
+        self.stops = call_window.CallWindow()
+        self._are_stops_left = False
+
+    def note_pause(self, took_s):
+        """Record that the owner was busy and read no answers meanwhile."""
+        self.starts.note_pause(took_s)
+        self.stops.note_pause(took_s)
 
     # Starts
 
@@ -46,9 +58,10 @@
         # Grants the lease before the call: a run in phase SENT without a lease
         # counts as lapsed.
         deadline_s = executor.grant_lease(owner.lease_s, owner.now_s())
-        owner.spawn(self._send_start_call(run, executor, deadline_s))
+        sent = self.starts.note_sent(run.executor_id, owner.now_s())
+        owner.spawn(self._send_start_call(run, executor, deadline_s, sent))
 
-    async def _send_start_call(self, run, executor, deadline_s):
+    async def _send_start_call(self, run, executor, deadline_s, sent):
         owner = self._owner
         order = executor_orders.StartOrder(
             run.task_id,
@@ -59,13 +72,14 @@
             run.task.checkpoint,
             run.ticket,
         )
-        self.starts_in_flight += 1
+        answer, clock_s = _Answer.UNKNOWN, None
         try:
             answer, clock_s = await self._client.start(
                 target_of(executor), order
             )
         finally:
-            self.starts_in_flight -= 1
+            is_answered = answer is not _Answer.UNKNOWN
+            self.starts.note_end(sent, is_answered, owner.now_s())
         if answer is _Answer.UNKNOWN:
             self._metrics.note_unanswered_call('start')
         if clock_s is not None:
@@ -100,13 +114,26 @@
         else:
             owner.scheduler.handle_start_answer(run, answer, owner.now_s())
             owner.poll_soon(executor)
-            if answer is not _Answer.ACCEPTED:
+            if answer is not _Answer.ACCEPTED or self._may_start_others():
                 owner.wake()
 
+    def _may_start_others(self):
+        return self._owner.scheduler.is_limited and self.starts.has_room()
+
     # Stops
 
-    def send_stop(self, run):
-        """Stop a run."""
+    def send_stops(self, runs):
+        """Stop as many of the runs as may be stopped now.
+
+        The others are left to a later cycle. Executors take turns, so that
+        one that doesn't answer leaves room for stops on others.
+        """
+        free = self.stops.free_calls(self._owner.now_s())
+        self._are_stops_left = len(runs) > free
+        for run in itertools.islice(_take_turns(runs), free):
+            self._send_stop(run)
+
+    def _send_stop(self, run):
         run.is_stop_in_flight = True
         self._owner.spawn(self._send_stop_call(run))
 
@@ -117,6 +144,8 @@
         )
         owner.scheduler.handle_stop_answer(run, is_answered, owner.now_s())
         self._log_stop('run_stop', run, is_answered)
+        if self._are_stops_left and self.stops.has_room():
+            owner.wake()
 
     def send_stray_stop(self, stray):
         """Stop a run that belongs to no known task."""
@@ -177,6 +206,8 @@
         executor = owner.scheduler.executors.get(executor_id)
         if executor is None or not executor.entry.address:
             return False
+        sent = self.stops.note_sent(executor_id, owner.now_s())
+        is_answered = True
         try:
             await self._client.stop(
                 target_of(executor), task_id, number, owner.epoch
@@ -189,5 +220,16 @@
         except errors.PlatformError:
             # The stop is repeated until it is answered or the run has ended.
             self._metrics.note_unanswered_call('stop')
-            return False
-        return True
+            is_answered = False
+        finally:
+            self.stops.note_end(sent, is_answered, owner.now_s())
+        return is_answered
+
+
+def _take_turns(runs):
+    """Yield runs of one executor after the other, again and again."""
+    by_executor = collections.defaultdict(list)
+    for run in runs:
+        by_executor[run.executor_id].append(run)
+    turns = itertools.zip_longest(*by_executor.values())
+    return (run for turn in turns for run in turn if run is not None)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -163,6 +163,7 @@
             gauges['executors'] = len(known)
             gauges['runs_active'] = sum(len(e.runs) for e in known)
             gauges['starts_in_flight'] = self._owner.starts_in_flight
+            gauges['start_window'] = self._owner.start_window
         for name, value in gauges.items():
             self.metrics.set_gauge(name, value)
 
