Silence the executor that the owner stops first

The scenario on stops beside a silent executor passed without the turns of executors as well: the silent one came late in the owner's order, and its 16 stops fitted into the window. It now has 64 runs and comes first.

--- a/features/jobs_narrow_links.feature
+++ b/features/jobs_narrow_links.feature
@@ -55,7 +55,7 @@
     Given simulated daemons with seed 514
     When job "a" of 4 long-running tasks, 4 unavailable at most, starts
     And 1 long job of 1 task runs in pool ci
-    And the first executor in pool ci that has runs becomes silent
+    And the first executor in pool ci with runs becomes silent
     And 1 long job of 40 tasks arrives in pool ci
     And 20 long jobs of 1 task arrive in pool web
     And 2 seconds pass
@@ -63,12 +63,11 @@
 
   Scenario: A silent executor doesn't delay stops on others
     Given simulated daemons with seed 515
-    When 1 long job of 64 tasks runs in pool web
-    And 1 long job of 64 tasks runs in pool ci
-    And the first executor in pool ci that has runs becomes silent
+    When 1 long job of 256 small tasks runs in pool web
+    And the first executor in pool web with runs becomes silent
     And these jobs are cancelled at once
     And 2 seconds pass
-    Then 112 runs were stopped within 0.3 seconds
+    Then 192 runs were stopped within 0.3 seconds
 
   Scenario: An owner behind a wide link starts as fast as without a limit
     Given the time that an owner without a limit takes for 1000 starts
--- a/features/steps/jobs_narrow_links.py
+++ b/features/steps/jobs_narrow_links.py
@@ -295,9 +295,9 @@
     assert ends and not lapsed, lapsed
 
 
-def _submit_long(context, count, tasks, pools):
+def _submit_long(context, count, tasks, pools, cores=1.0):
     world = context.world
-    spec = job_world.chain(tasks, estimate_s=LONG_RUN_S)
+    spec = job_world.chain(tasks, estimate_s=LONG_RUN_S, cores=cores)
 
     async def submit():
         jobs = context.long_jobs
@@ -324,6 +324,12 @@
     _check_running(context, tasks, list(context.long_jobs)[-1:])
 
 
+@when('1 long job of {tasks:d} small tasks runs in pool {pool}')
+def run_small(context, tasks, pool):
+    _submit_long(context, 1, tasks, (pool,), cores=0.25)
+    _check_running(context, tasks)
+
+
 def _check_running(context, count, job_ids=None):
     context.runner.run(asyncio.sleep(SETTLING_S))
     running = [
@@ -339,14 +345,15 @@
     _submit_long(context, count, tasks, (pool,))
 
 
-@when('the first executor in pool {pool} that has runs becomes silent')
+@when('the first executor in pool {pool} with runs becomes silent')
 def silence_first(context, pool):
-    executor = next(
-        executor
-        for executor in context.world.executors.values()
+    known = context.world.owner.candidate.owner.scheduler.executors.values()
+    executor_id = next(
+        executor.executor_id
+        for executor in known
         if executor.entry.pool == pool and executor.runs
     )
-    executor.is_cut = True
+    context.world.executors[executor_id].is_cut = True
 
 
 @when('these jobs are cancelled at once')
