Decide how strong a host is, and which daemon an owner hands over to

Pure decisions, not wired yet: the strength of a host is the lesser of processor and link relative to an owner's need, 1 at most, so that none of two strong hosts is much stronger. The records of the owner carry it; records without it are read as full strength, so nothing is offered to an owner that runs an older version. An offer names the epoch of the owner that it is made to, which makes stale ones harmless without a clock.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -7,6 +7,7 @@
 ``cancel/ID``         the cancellation of the job              any daemon
 ``progress/ID/K``     the tasks of one occurrence              the owner
 ``owner``             the owner of the partition               a claimant
+``offer``             the newest offer to take over            any daemon
 ``wave/N``            progress of a maintenance wave           the owner
 ``hosts``             completed or intended host operations    the owner
 ====================  =======================================  ==============
@@ -28,6 +29,7 @@
 CANCEL = 'cancel'
 PROGRESS = 'progress'
 OWNER = 'owner'
+OFFER = 'offer'
 WAVE = 'wave'
 HOSTS = 'hosts'
 
@@ -59,11 +61,30 @@
     :ivar epoch: increases with each claim; fences appends and requests
     :ivar daemon: the owner
     :ivar is_released: whether the owner has released the partition
+    :ivar strength: strength of the owner's host; see :mod:`hand_over`
+    :ivar successor: the daemon that the partition was released to; empty for
+        any
     """
 
     epoch: int
     daemon: str
     is_released: bool = False
+    strength: float = 1.0
+    successor: str = ''
+
+
+@attrs.frozen
+class Offer:
+    """An offer to take over the partition from its owner.
+
+    :ivar epoch: epoch of the owner that the offer is made to
+    :ivar daemon: the daemon that offers
+    :ivar strength: strength of its host
+    """
+
+    epoch: int
+    daemon: str
+    strength: float
 
 
 @attrs.frozen
@@ -110,6 +131,11 @@
     return Record(OWNER, _encode(ownership))
 
 
+def offer_record(offer):
+    """Return the record of an offer to take over."""
+    return Record(OFFER, _encode(offer))
+
+
 def wave_record(number, progress):
     """Return the record of a wave's progress."""
     return Record(f'{WAVE}/{number}', _encode(progress))
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from . import hand_over
 from . import host_intents
 
 # Longest interval between two appends of an owner.
@@ -22,6 +23,9 @@
 GAP_DECAY = 0.9
 # Claims are delayed randomly within this time, so that one daemon is first.
 CLAIM_SPREAD_S = 0.3
+# A daemon much weaker than an owner that it has seen claims this much later,
+# after all of CLAIM_SPREAD_S.
+WEAK_CLAIM_DELAY_S = 0.4
 # The store counts as readable up to this time after a completed read.
 MAX_READ_AGE_S = 0.7
 # An owner renews executor leases until this long after its last confirmed
@@ -38,6 +42,8 @@
     :ivar is_claimable: whether the partition has no owner
     :ivar is_previous_incarnation: whether the owner is an earlier incarnation
         of this daemon
+    :ivar is_named: whether the owner released the partition to this daemon
+    :ivar strongest_seen: greatest strength of an owner that was seen
     :ivar last_record_s: when a record of the owner was last read
     :ivar epoch: epoch of the last known owner
     :ivar longest_gap_s: longest recent gap between two of its records
@@ -50,6 +56,8 @@
 
     is_claimable: bool = True
     is_previous_incarnation: bool = False
+    is_named: bool = False
+    strongest_seen: float = 0.0
     last_record_s: float = 0.0
     epoch: int | None = None
     longest_gap_s: float = 0.0
@@ -66,6 +74,24 @@
             self.readable_since_s = sent_s
         self.last_read_s = sent_s
 
+    def note_ownership(self, now_s, current, daemon, claimed_epochs):
+        """Process a record written by the owner.
+
+        :param current: the newest :class:`journal.Ownership`
+        :param daemon: name of this daemon
+        :param claimed_epochs: epochs that this process has claimed
+        """
+        self.strongest_seen = max(self.strongest_seen, current.strength)
+        self.is_named = current.is_released and current.successor == daemon
+        self.note_owner(
+            now_s,
+            current.epoch,
+            current.is_released and not current.successor,
+            current.daemon == daemon
+            and current.epoch not in claimed_epochs
+            and not current.successor,
+        )
+
     def note_owner(self, now_s, epoch, is_released, is_previous_incarnation):
         """Process a record written by the owner."""
         gap_s = now_s - max(self.last_record_s, self.readable_since_s or now_s)
@@ -79,18 +105,26 @@
         self.is_claimable = is_released
         self.is_previous_incarnation = is_previous_incarnation
 
-    def may_claim(self, now_s, delay_s):
+    def may_claim(self, now_s, delay_s, strength=hand_over.FULL_STRENGTH):
         """Return True if this daemon should claim the partition now.
 
         :param delay_s: this daemon's random share of CLAIM_SPREAD_S
+        :param strength: strength of this daemon's host
         """
         if self.last_read_done_s is None:
             return False
         if now_s - self.last_read_done_s > MAX_READ_AGE_S + RENEW_PERIOD_S:
             return False
-        if self.is_claimable or self.is_previous_incarnation:
+        if self.is_named or self.is_previous_incarnation:
+            return True
+        is_weak = hand_over.is_much_stronger(self.strongest_seen, strength)
+        if self.is_claimable and not is_weak:
             return True
         since_record_s = now_s - max(self.last_record_s, self.readable_since_s)
+        if is_weak:
+            since_record_s -= WEAK_CLAIM_DELAY_S
+        if self.is_claimable:
+            return since_record_s > 0.0
         return since_record_s > self.owner_timeout_s + delay_s
 
     @property
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
@@ -32,6 +32,7 @@
         self.jobs = {}
         self.wave_records = {}
         self.ownership = None
+        self.offer = None
         self.host_intents = []
         self.own_epoch = None
         self._offsets = {}
@@ -105,6 +106,10 @@
         self.ownership = ownership
         return AppliedRecord(journal.OWNER)
 
+    def _apply_offer(self, _, value):
+        self.offer = journal.decode(value, journal.Offer)
+        return AppliedRecord(journal.OFFER)
+
     def _apply_wave(self, number, value):
         if not number.isdecimal():
             raise errors.InvalidRecord(f'invalid wave number {number!r:.80}')
@@ -151,6 +156,7 @@
         journal.CANCEL: _apply_cancel,
         journal.PROGRESS: _apply_progress,
         journal.OWNER: _apply_owner,
+        journal.OFFER: _apply_offer,
         journal.WAVE: _apply_wave,
         journal.HOSTS: _apply_hosts,
     }
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
@@ -37,6 +37,10 @@
     :ivar away_notice_ms: how long a lasting task may be missing before it
         counts as unavailable
     :ivar host_move_s: time that a host takes to change its pool
+    :ivar processor_share: share of a core that this entry host may use, before
+        processor_count
+    :ivar processor_count: how many cores' speed that share has
+    :ivar link_mbps: speed of this entry host's link
     """
 
     daemon: str
@@ -54,6 +58,9 @@
     job_retention_s: float = _positive(120.0)
     away_notice_ms: float = _positive(4500.0)
     host_move_s: float = _positive(1.5)
+    processor_share: float = _positive(1.0)
+    processor_count: float = _positive(1.0)
+    link_mbps: float = _positive(100.0)
     max_body_bytes: int = _positive(262144)
     max_callers: int = _positive(1500)
 
