Claim later on weak hosts, and hand over to much stronger ones

A task on each ready daemon writes offers; the owner that reads one releases as on SIGTERM and names the successor, which alone may claim at once. Weak hosts wait after silence and releases, named ones and earlier incarnations don't.

--- a/features/jobs_adapter.feature
+++ b/features/jobs_adapter.feature
@@ -79,6 +79,34 @@
     Then it is sorted by time across both daemons
     And it notes a run without an end, and 3 unreadable lines
 
+  Scenario Outline: Settings of a scheduling daemon with <field>: <value> are refused
+    Given settings of a scheduling daemon with <field>: <value>
+    Then they are refused, and the message names "<field>"
+
+    Examples:
+      | field           | value  |
+      | processor_share | 0      |
+      | processor_share | -0.5   |
+      | processor_share | .nan   |
+      | processor_share | "much" |
+      | processor_count | 0      |
+      | processor_count | true   |
+      | link_mbps       | 0      |
+      | link_mbps       | [5]    |
+      | link_speed      | 5      |
+
+  Scenario Outline: The strength of a host follows from its settings: <case>
+    Given settings of a scheduling daemon with <fields>
+    Then the strength of its host is <strength>
+
+    Examples:
+      | case               | fields                                                      | strength |
+      | no limits          | lease_s: 4                                                  | 1.0      |
+      | a small host       | processor_share: 0.26, processor_count: 2, link_mbps: 5     | 0.167    |
+      | a large host       | processor_share: 0.537, processor_count: 4, link_mbps: 100  | 1.0      |
+      | processor only     | processor_share: 0.2, processor_count: 2                    | 0.4      |
+      | link only          | link_mbps: 15                                               | 0.5      |
+
   Scenario: Every kind of decision is logged
     Given simulated daemons with seed 22
     When every kind of decision has been made
--- a/features/stage/fault_search.py
+++ b/features/stage/fault_search.py
@@ -36,8 +36,10 @@
 class _FaultRun:
     """One run of a simulation with faults of some kinds."""
 
-    def __init__(self, seed, kinds):
-        self.world = job_world.World(seed, daemons=3, hosts_per_pool=3)
+    def __init__(self, seed, kinds, limits):
+        self.world = job_world.World(
+            seed, daemons=3, hosts_per_pool=3, limits=limits
+        )
         self._rng = self.world.rng
         self._kinds = kinds
         self.faults = []
@@ -239,14 +241,15 @@
 )
 
 
-def run_with_faults(seed, kinds=ALL_KINDS):
+def run_with_faults(seed, kinds=ALL_KINDS, limits=None):
     """Run one simulation with random faults and return the result.
 
     :param kinds: kinds of faults to choose from
+    :param limits: limits of each daemon's host; see :class:`job_world.World`
     """
 
     async def run():
-        fault_run = _FaultRun(seed, kinds)
+        fault_run = _FaultRun(seed, kinds, limits)
         violations, unfinished = await fault_run.run()
         return FaultRunResult(
             seed,
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -34,6 +34,13 @@
 RACK_HOSTS = 4
 ZONES = ('cz-a', 'cz-b', 'cz-c')
 HOST_LEASE_S = 3.0
+# Limits of entry hosts, as fields of the settings.
+WEAK_HOST = {'processor_share': 0.26, 'processor_count': 2, 'link_mbps': 5.0}
+STRONG_HOST = {
+    'processor_share': 0.537,
+    'processor_count': 4,
+    'link_mbps': 100.0,
+}
 # Events that docs/OPERATIONS.md need not list.
 UNDOCUMENTED_EVENTS = frozenset({'jobs_loaded', 'advice_taken'})
 
@@ -81,10 +88,12 @@
     """One daemon without sockets.
 
     :param world: simulation that the daemon belongs to
+    :param limits: limits of its host, as fields of the settings
     """
 
-    def __init__(self, world, name):
+    def __init__(self, world, name, limits):
         self.name = name
+        self._limits = limits
         self.link = links.Link(world.rng)
         # Host orders may be lost or go unanswered, but never arrive late.
         self.hosts_link = links.Link(world.rng)
@@ -112,6 +121,7 @@
                 'cz-a',
                 *([address] * 4),
                 hosts_address=address,
+                **self._limits,
             ),
             adapter,
         )
@@ -130,6 +140,7 @@
         self.parts.rng = random.Random(world.rng.random())
         self.interface = callers.CallersInterface(self.parts, world.formats)
         self.candidate = service.candidate_module.Candidate(self.parts)
+        self.offerer = service.offerer.Offerer(self.parts, self.interface)
 
     def start(self):
         """Start the tasks of the daemon."""
@@ -141,6 +152,7 @@
                 parts.jobs_follower,
                 parts.submitter,
                 self.candidate,
+                self.offerer,
             )
         ]
 
@@ -179,9 +191,17 @@
     """Simulated daemons, store, hosts and executors.
 
     :param seed: seed of all random choices
+    :param limits: limits of each daemon's host, as fields of the settings
     """
 
-    def __init__(self, seed, daemons=3, hosts_per_pool=4, pools=('web', 'ci')):
+    def __init__(
+        self,
+        seed,
+        daemons=3,
+        hosts_per_pool=4,
+        pools=('web', 'ci'),
+        limits=None,
+    ):
         super().__init__(random.Random(seed))
         self.loop = asyncio.get_running_loop()
         self.log = []
@@ -199,7 +219,10 @@
             for number in range(hosts_per_pool):
                 self._add_host(pool, number)
         self.configure()
-        self.daemons = [Daemon(self, f'entry-{n}') for n in range(daemons)]
+        self.daemons = [
+            Daemon(self, f'entry-{n}', host_limits)
+            for n, host_limits in enumerate(limits or [{}] * daemons)
+        ]
         self._max_hosts_down = {}
 
     # Platform
--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -21,6 +21,8 @@
 from hawthorndeal_platform import transport
 from hawthorndeal_scheduler import decision_log
 from hawthorndeal_scheduler import metrics
+from hawthorndeal_scheduler import offerer
+from hawthorndeal_scheduler import settings as settings_module
 from hawthorndeal_site import configuration
 from hawthorndeal_site import executors
 from hawthorndeal_site import formats
@@ -394,6 +396,8 @@
         And 4 seconds pass
         And partitions are healed
         And 14 seconds pass
+        And the owner's host becomes weak
+        And 4 seconds pass
     """)
 
 
@@ -462,3 +466,28 @@
     assert logged['logger'] == 'some.library', logged
     assert logged['error'].startswith('ValueError('), logged
     assert len(line) < 1000, len(line)
+
+
+@given('settings of a scheduling daemon with {fields}')
+def set_settings(context, fields):
+    addresses = ('callers', 'readiness', 'metrics', 'store')
+    lines = ['daemon: entry-1', 'zone: cz-a']
+    lines += [f'{name}_address: 127.0.0.1:1' for name in addresses]
+    lines += re.split(r', (?=\w+: )', fields)
+    context.settings_text = '\n'.join(lines).encode()
+
+
+@then('they are refused, and the message names "{named}"')
+def check_settings_refused(context, named):
+    try:
+        settings_module.parse(context.settings_text, 'settings.yaml')
+    except errors.InvalidFile as error:
+        assert named in str(error), error
+    else:
+        raise AssertionError('they were accepted')
+
+
+@then('the strength of its host is {strength:g}')
+def check_settings_strength(context, strength):
+    settings = settings_module.parse(context.settings_text, 'settings.yaml')
+    assert offerer.strength(settings) == strength
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
@@ -8,6 +8,7 @@
 from hawthorndeal_jobs import ownership
 from hawthorndeal_platform import keyed_log
 
+from . import offerer
 from . import owner as owner_module
 
 CHECK_PERIOD_S = 0.05
@@ -59,7 +60,9 @@
             parts.jobs_follower.is_loaded
             and parts.configuration_reader.configuration is not None
             and parts.jobs_reader.owner_view.may_claim(
-                parts.clock.monotonic_s(), delay_s
+                parts.clock.monotonic_s(),
+                delay_s,
+                offerer.strength(parts.settings),
             )
         ):
             await asyncio.sleep(CHECK_PERIOD_S)
@@ -78,7 +81,9 @@
         for is_conditional in (True, False):
             await follower.wait_for_read(CATCH_UP_TIMEOUT_S)
             now_s = parts.clock.monotonic_s()
-            if not parts.jobs_reader.owner_view.may_claim(now_s, delay_s):
+            strength = offerer.strength(parts.settings)
+            view = parts.jobs_reader.owner_view
+            if not view.may_claim(now_s, delay_s, strength):
                 break
             end = follower.next_offset if is_conditional else None
             try:
@@ -110,7 +115,11 @@
         """
         parts = self._parts
         epoch = self._next_epoch()
-        claim = journal.Ownership(epoch, parts.settings.daemon)
+        claim = journal.Ownership(
+            epoch,
+            parts.settings.daemon,
+            strength=offerer.strength(parts.settings),
+        )
         parts.jobs_reader.claimed_epochs.add(epoch)
         sent_s = parts.clock.boot_s()
         try:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
@@ -47,12 +47,11 @@
         current = self.replica.ownership
         if current is None:
             return
-        self.owner_view.note_owner(
+        self.owner_view.note_ownership(
             self._clock.monotonic_s(),
-            current.epoch,
-            current.is_released,
-            current.daemon == self._daemon
-            and current.epoch not in self.claimed_epochs,
+            current,
+            self._daemon,
+            self.claimed_epochs,
         )
         if folded.kind != journal.OWNER:
             return
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -5,6 +5,7 @@
 import attrs
 
 from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import hand_over
 from hawthorndeal_jobs import journal
 from hawthorndeal_jobs import ownership
 from hawthorndeal_jobs import scheduler as scheduler_module
@@ -13,6 +14,7 @@
 from . import executor_agent
 from . import host_controller
 from . import journal_writer
+from . import offerer
 from . import run_orders
 
 CHECK_PERIOD_S = 0.05
@@ -68,6 +70,8 @@
         self._background_tasks = set()
         self._wake = asyncio.Event()
         self._is_releasing = False
+        self._claimed_s = self.now_s()
+        self._accepted_offer = None
         self._released = asyncio.Event()
         self._lost_reason = ''
         self._states_to_publish = {}
@@ -197,11 +201,18 @@
     async def _write_release(self):
         if self._background_tasks:
             await self.hosts.wait_for_order()
-        released = attrs.evolve(self._ownership(), is_released=True)
         records = self.hosts.take_records()
+        offer = self._accepted_offer
+        released = attrs.evolve(
+            self._ownership(),
+            is_released=True,
+            successor=offer.daemon if offer else '',
+        )
         await self._store([*records, journal.ownership_record(released)])
         self.term.is_lost = True
-        self.events.write('owner_released', epoch=self.epoch)
+        self.events.write(
+            'owner_released', epoch=self.epoch, successor=released.successor
+        )
 
     # Scheduling cycles
 
@@ -277,7 +288,10 @@
         return records
 
     def _ownership(self):
-        return journal.Ownership(self.epoch, self._parts.settings.daemon)
+        settings = self._parts.settings
+        return journal.Ownership(
+            self.epoch, settings.daemon, strength=offerer.strength(settings)
+        )
 
     async def _store(self, records):
         begun_s = self.now_s()
@@ -314,6 +328,8 @@
             self.wake()
         elif folded.kind == journal.CANCEL and folded.job is not None:
             self.cancel_job(folded.job)
+        elif folded.kind == journal.OFFER:
+            self._consider_offer()
         elif folded.kind == journal.OWNER:
             current = self._parts.jobs_reader.replica.ownership
             if current.epoch > self.epoch:
@@ -321,6 +337,20 @@
                     f'{current.daemon} claimed epoch {current.epoch}'
                 )
 
+    def _consider_offer(self):
+        """Release the partition if a much stronger daemon has offered."""
+        if self._is_releasing and self._accepted_offer is None:
+            return
+        self._accepted_offer = hand_over.accepted_offer(
+            self._accepted_offer,
+            self._parts.jobs_reader.replica.offer,
+            self._ownership(),
+            self.now_s() - self._claimed_s,
+        )
+        if self._accepted_offer is not None:
+            self._is_releasing = True
+            self.wake()
+
     def cancel_job(self, job):
         """Stop all runs of a cancelled job."""
         self.scheduler.cancel_job(job)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -22,6 +22,7 @@
 from . import log_follower
 from . import log_readers
 from . import metrics as metrics_module
+from . import offerer
 from . import settings as settings_module
 from . import submitter as submitter_module
 
@@ -258,6 +259,7 @@
                 ),
                 self._settings_watcher,
                 self._candidate,
+                offerer.Offerer(parts, self._interface),
             ],
             parts.clock,
         )
