--- a/features/jobs_ownership.feature
+++ b/features/jobs_ownership.feature
@@ -188,6 +188,14 @@
     And the owner is stopped gracefully
     Then the partition was released to nobody in particular
 
+  Scenario: An offer that is read while the owner is stopped changes nothing
+    Given 3 weak and 0 strong daemons with seed 272, weak first
+    When 5 seconds pass
+    And the store takes 0.4 s for each append
+    And 2 seconds pass
+    And an offer is stored while the owner stops
+    Then the partition was released to nobody in particular
+
   Scenario: An owner whose host becomes weak hands over
     Given 0 weak and 3 strong daemons with seed 291, strong first
     When 5 seconds pass
--- a/features/steps/jobs_ownership.py
+++ b/features/steps/jobs_ownership.py
@@ -150,9 +150,7 @@
         (time_s, offer)
         for time_s, current, newest in _events(context, event)
         for offer in [
-            plan.next_offer(
-                NOW_S + time_s, context.own, current, newest, rng.random()
-            )
+            plan.next_offer(NOW_S + time_s, context.own, current, newest, rng)
         ]
         if offer is not None
     ]
@@ -335,6 +333,20 @@
     _store_offer(context, epoch - 1, 'entry-gone')
 
 
+@when('an offer is stored while the owner stops')
+def stop_beside_offer(context):
+    owner = context.world.owner
+
+    async def stop():
+        stopping = asyncio.create_task(owner.candidate.stop())
+        # The owner goes on reading while its last records are stored.
+        await asyncio.sleep(0)
+        _store_offer(context, owner.candidate.owner.epoch, 'entry-gone')
+        await stopping
+
+    context.runner.run(stop())
+
+
 @then('no daemon has released the partition')
 def check_none_released(context):
     released = _logged(context, 'owner_released')
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/hand_over.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/hand_over.py
@@ -72,13 +72,13 @@
     _due_s: float = 0.0
     _last_read: journal.Offer | None = None
 
-    def next_offer(self, now_s, strength, current, newest, jitter_share):
+    def next_offer(self, now_s, strength, current, newest, rng):
         """Return an offer to be written now, or None.
 
         :param strength: strength of this daemon's host
         :param current: the newest :class:`journal.Ownership`, or None
         :param newest: the newest offer that was read, or None
-        :param jitter_share: random number from 0 to 1
+        :param rng: source of the jitter
         """
         if (
             current is None
@@ -87,18 +87,21 @@
             or not is_much_stronger(strength, current.strength)
         ):
             return None
-        jitter_s = OFFER_JITTER_S * jitter_share
         if current.epoch != self._epoch:
             self._epoch = current.epoch
-            self._due_s = max(self._due_s, now_s + jitter_s)
+            self._put_off(now_s, 0.0, rng)
         if self._is_answered_by(newest, strength):
-            self._due_s = max(self._due_s, now_s + OFFER_PERIOD_S + jitter_s)
+            self._put_off(now_s, OFFER_PERIOD_S, rng)
         self._last_read = newest
         if now_s < self._due_s:
             return None
-        self._due_s = now_s + OFFER_PERIOD_S + jitter_s
+        self._put_off(now_s, OFFER_PERIOD_S, rng)
         return journal.Offer(current.epoch, self.daemon, strength)
 
+    def _put_off(self, now_s, delay_s, rng):
+        delay_s += rng.uniform(0.0, OFFER_JITTER_S)
+        self._due_s = max(self._due_s, now_s + delay_s)
+
     def _is_answered_by(self, newest, strength):
         """Return whether another daemon, as strong, has just offered."""
         return (
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/offerer.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/offerer.py
@@ -41,7 +41,7 @@
                 strength(self._parts.settings),
                 replica.ownership,
                 replica.offer,
-                self._parts.rng.random(),
+                self._parts.rng,
             )
             if offer is not None:
                 await self._write(offer)
