Merge the strength of owners, and the silence that a reader knows of

Ownership, offers and releases stand in the partition of the statuses. An offer is no sign of life of the owner. A renewal in the same append as a release undid it; records of a batch now end with what was asked to be stored.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -19,6 +19,7 @@
 ====================  =======================================  ==============
 ``status/ID``         the job's state, as callers are told     the owner
 ``owner``             the owner of both partitions             a claimant
+``offer``             the newest offer to take over            any daemon
 ``wave/N``            progress of a maintenance wave           the owner
 ``hosts``             completed or intended host operations    the owner
 ====================  =======================================  ==============
@@ -42,6 +43,7 @@
 PROGRESS = 'progress'
 STATUS = 'status'
 OWNER = 'owner'
+OFFER = 'offer'
 WAVE = 'wave'
 HOSTS = 'hosts'
 
@@ -77,12 +79,17 @@
     :ivar is_released: whether the owner has released the partition
     :ivar covered_offset: the statuses stored before this record cover the
         records of the partition of the jobs up to this offset
+    :ivar strength: strength of the owner's host; see :mod:`hand_over`
+    :ivar successor: the daemon that the partition was released to; empty for
+        any
     """
 
     epoch: int
     daemon: str
     is_released: bool = False
     covered_offset: int = 0
+    strength: float = 1.0
+    successor: str = ''
 
 
 @attrs.frozen
@@ -102,6 +109,20 @@
         return self.state is jobs.JobState.QUEUED
 
 
+@attrs.frozen
+class Offer:
+    """An offer to take over the partition from its owner.
+
+    :ivar epoch: epoch of the owner that the offer is made to
+    :ivar daemon: the daemon that offers
+    :ivar strength: strength of its host
+    """
+
+    epoch: int
+    daemon: str
+    strength: float
+
+
 @attrs.frozen
 class WaveRecord:
     """Progress of a maintenance wave.
@@ -166,6 +187,11 @@
     return Record(OWNER, _encode(ownership))
 
 
+def offer_record(offer):
+    """Return the record of an offer to take over."""
+    return Record(OFFER, _encode(offer))
+
+
 def wave_record(number, progress):
     """Return the record of a wave's progress."""
     return Record(f'{WAVE}/{number}', _encode(progress))
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
@@ -33,6 +33,7 @@
 
     :ivar stored: statuses read from the store, by job
     :ivar ownership: the newest owner, or None
+    :ivar offer: the newest offer to take over from an owner, or None
     :ivar wave_records: progress of maintenance waves, by number
     :ivar host_intents: the newest intents of an owner
     """
@@ -40,6 +41,7 @@
     def __init__(self):
         self.stored = {}
         self.ownership = None
+        self.offer = None
         self.wave_records = {}
         self.host_intents = []
         # What this daemon has appended itself and not read back so far.
@@ -94,6 +96,10 @@
         self.ownership = ownership
         return StatusChange(journal.OWNER)
 
+    def _apply_offer(self, _, value):
+        self.offer = journal.decode(value, journal.Offer)
+        return StatusChange(journal.OFFER)
+
     def _apply_wave(self, number, value):
         if not number.isdecimal():
             raise errors.InvalidRecord(f'invalid wave number {number!r:.80}')
@@ -151,6 +157,7 @@
     _HANDLERS = {
         journal.STATUS: _apply_status,
         journal.OWNER: _apply_owner,
+        journal.OFFER: _apply_offer,
         journal.WAVE: _apply_wave,
         journal.HOSTS: _apply_hosts,
     }
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
@@ -28,7 +28,7 @@
         self.owner_view = ownership.OwnerView()
         # When the final state of each job was first read.
         self.final_since_s = {}
-        self.on_owner_changed = None
+        self.on_changed = None
         self._clock = clock
         self._events = events
 
@@ -42,9 +42,13 @@
             self._note_status(change.job_id, now_s)
         if change.kind == journal.HOSTS:
             self.owner_view.intents_read_s = now_s
-        self._note_owner(now_s)
+        # Any daemon may write an offer; all else is written by owners.
+        if change.kind != journal.OFFER:
+            self._note_owner(now_s)
         if change.kind == journal.OWNER:
             self._note_ownership(now_s)
+        if self.on_changed is not None:
+            self.on_changed(change)
 
     def _note_status(self, job_id, now_s):
         if self.board.is_stored_final(job_id):
@@ -53,16 +57,14 @@
             self.final_since_s.pop(job_id, None)
 
     def _note_owner(self, now_s):
-        # Only owners write to this partition.
         current = self.board.ownership
         if current is None:
             return
-        self.owner_view.note_owner(
+        self.owner_view.note_ownership(
             now_s,
-            current.epoch,
-            current.is_released,
-            current.daemon == self._daemon
-            and current.epoch not in self.claimed_epochs,
+            current,
+            self._daemon,
+            self.claimed_epochs,
         )
 
     def _note_ownership(self, now_s):
@@ -79,8 +81,6 @@
                 epoch=current.epoch,
                 is_released=current.is_released,
             )
-        if self.on_owner_changed is not None:
-            self.on_owner_changed(current)
 
     def note_loaded(self, keys):
         """Log that the partition has been loaded."""
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -6,6 +6,7 @@
 import attrs
 
 from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import hand_over
 from hawthorndeal_jobs import journal
 from hawthorndeal_jobs import ownership
 from hawthorndeal_jobs import scheduler as scheduler_module
@@ -15,6 +16,7 @@
 from . import executor_agent
 from . import host_controller
 from . import journal_writer
+from . import offerer
 from . import run_orders
 from . import status_publisher
 
@@ -69,6 +71,8 @@
         self._background_tasks = set()
         self._wake = asyncio.Event()
         self._is_releasing = False
+        self._claimed_s = self.now_s()
+        self._accepted_offer = None
         self._released = asyncio.Event()
         self._lost_reason = ''
         self._states_to_publish = {}
@@ -138,7 +142,7 @@
         :raises LostOwnership: if another daemon owns the partition
         """
         parts = self._parts
-        parts.status_reader.on_owner_changed = self.handle_owner_changed
+        parts.status_reader.on_changed = self.handle_status_change
         self.spawn(self._run_guarded(self._publisher))
         followers = [asyncio.create_task(parts.entries_follower.run())]
         try:
@@ -235,13 +239,20 @@
     async def _write_release(self):
         if self._background_tasks:
             await self.hosts.wait_for_order()
-        released = attrs.evolve(self.ownership(), is_released=True)
         records = self.hosts.take_records()
+        offer = self._accepted_offer
+        released = attrs.evolve(
+            self.ownership(),
+            is_released=True,
+            successor=offer.daemon if offer else '',
+        )
         await self._publisher.store(
             [*records, journal.ownership_record(released)]
         )
         self.term.is_lost = True
-        self.events.write('owner_released', epoch=self.epoch)
+        self.events.write(
+            'owner_released', epoch=self.epoch, successor=released.successor
+        )
 
     # Scheduling cycles
 
@@ -353,10 +364,12 @@
 
     def ownership(self):
         """Return the record of this ownership."""
+        settings = self._parts.settings
         covered = self._parts.jobs_follower.next_offset
         return journal.Ownership(
             self.epoch,
-            self._parts.settings.daemon,
+            settings.daemon,
+            strength=offerer.strength(settings),
             covered_offset=covered if self.is_at_work else 0,
         )
 
@@ -392,12 +405,30 @@
         elif applied.kind == journal.CANCEL:
             self.cancel_job(applied.job_id)
 
-    def handle_owner_changed(self, current):
-        """Give up the ownership if another daemon has claimed it."""
-        if current.epoch > self.epoch:
-            self.lose_ownership(
-                f'{current.daemon} claimed epoch {current.epoch}'
-            )
+    def handle_status_change(self, change):
+        """Act on a record that the board has applied."""
+        if change.kind == journal.OFFER:
+            self._consider_offer()
+        elif change.kind == journal.OWNER:
+            current = self._parts.board.ownership
+            if current.epoch > self.epoch:
+                self.lose_ownership(
+                    f'{current.daemon} claimed epoch {current.epoch}'
+                )
+
+    def _consider_offer(self):
+        """Release the partitions if a much stronger daemon has offered."""
+        if self._is_releasing and self._accepted_offer is None:
+            return
+        self._accepted_offer = hand_over.accepted_offer(
+            self._accepted_offer,
+            self._parts.board.offer,
+            self.ownership(),
+            self.now_s() - self._claimed_s,
+        )
+        if self._accepted_offer is not None:
+            self._is_releasing = True
+            self.wake()
 
     def cancel_job(self, job_id):
         """Stop all runs of a job whose cancellation is stored."""
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -22,6 +22,7 @@
 from . import log_follower
 from . import log_readers
 from . import metrics as metrics_module
+from . import offerer
 from . import settings as settings_module
 from . import submitter as submitter_module
 
@@ -139,7 +140,7 @@
     def detach(self):
         """Disconnect the owner, and discard what only an owner reads."""
         self._owner = None
-        self.status_reader.on_owner_changed = None
+        self.status_reader.on_changed = None
         self.jobs_reader.on_applied = None
         self.configuration_reader.on_changed = None
         self.entries_reader.on_entry = None
@@ -269,6 +270,7 @@
                 ),
                 self._settings_watcher,
                 self._candidate,
+                offerer.Offerer(parts, self._interface),
             ],
             parts.clock,
         )
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
@@ -112,12 +112,13 @@
             journal.status_record(job_id, status)
             for job_id, status in statuses.items()
         ]
-        records += others
-        # Comes last: the offset in it covers the statuses before it.
+        # The offset in a renewal covers the statuses before it. A release is
+        # among the other records, and nothing may follow it.
         if is_renewal_due:
             now_s = self._owner.now_s()
             self._renewal_due_s = now_s + ownership.RENEW_PERIOD_S
             records.append(journal.ownership_record(self._owner.ownership()))
+        records += others
         try:
             await self._writer.append(records)
         except keyed_log.Fenced:
