Drop statuses and keep entries by what was read last

A daemon that could not read while statuses were deleted kept them for good after the next load, and a deletion of an executor's entry that was read late removed a newer entry. Both scenarios failed before.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
@@ -112,6 +112,22 @@
         self.host_intents = intents
         return StatusChange(journal.HOSTS)
 
+    def retain(self, keys):
+        """Drop the statuses whose keys are not among those of a whole load.
+
+        :returns: the ids of their jobs
+        """
+        dropped = [
+            job_id
+            for job_id in self.stored
+            if f'{journal.STATUS}/{job_id}' not in keys
+        ]
+        for job_id in dropped:
+            self._count(job_id, -1)
+            del self.stored[job_id]
+            self._count(job_id, 1)
+        return dropped
+
     # What callers are told
 
     def find(self, job_id):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
@@ -83,7 +83,9 @@
             )
 
     def note_loaded(self, keys):
-        """Log that the partition has been loaded."""
+        """Drop the statuses whose keys no longer exist, and log the load."""
+        for job_id in self.board.retain(keys):
+            self.final_since_s.pop(job_id, None)
         self._events.write(
             'statuses_loaded', keys=len(keys), jobs=len(self.board.stored)
         )
@@ -209,12 +211,12 @@
 
     def handle_record(self, record):
         """Process the entry of an executor; an empty value removes it."""
+        if record.offset < self.offsets.get(record.key, 0):
+            return
         if not record.value:
             if self.entries.pop(record.key, None) is not None:
                 self._report_missing(record.key)
             return
-        if record.offset < self.offsets.get(record.key, 0):
-            return
         try:
             entry = self._formats.decode_entry(record.key, record.value)
         except ValueError as error:
