--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
@@ -173,7 +173,8 @@
         try:
             await owner.run()
         except (owner_module.LostOwnership, keyed_log.Fenced) as error:
-            parts.events.write('owner_lost', epoch=epoch, why=str(error)[:160])
+            why = owner.lost_reason or str(error)
+            parts.events.write('owner_lost', epoch=epoch, why=why[:160])
         finally:
             self._owner = None
             parts.status_follower.read_pause_s = FOLLOWER_READ_PAUSE_S
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -45,6 +45,8 @@
     :param parts: shared components of the daemon
     :param term: determines how long the owner may act
     :param intents: determines which hosts may be given orders
+    :ivar lost_reason: why the term has ended; empty while it has not, and
+        where the store fenced the owner
     """
 
     def __init__(self, parts, term, intents):
@@ -74,7 +76,7 @@
         self._claimed_s = self.now_s()
         self._accepted_offer = None
         self._released = asyncio.Event()
-        self._lost_reason = ''
+        self.lost_reason = ''
         self._states_to_publish = {}
         self._cancelled = {}
         self._finished = {}
@@ -131,7 +133,7 @@
     def lose_ownership(self, why):
         """End the ownership term because another daemon owns the partition."""
         self.term.is_lost = True
-        self._lost_reason = why
+        self.lost_reason = why
         self.wake()
 
     # Lifecycle
@@ -218,7 +220,7 @@
 
     def _raise_if_lost(self):
         if self.term.is_lost:
-            raise LostOwnership(self._lost_reason or 'fenced by the store')
+            raise LostOwnership(self.lost_reason or 'fenced by the store')
 
     async def _wait_for_wake(self):
         try:
