--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/call_window.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/call_window.py
@@ -86,6 +86,14 @@
         """Record that the owner was busy and read no answers meanwhile."""
         self._paused_s += took_s
 
+    def note_planned(self, count):
+        """Record calls that will be sent once their records are stored.
+
+        They use the window as well, or it would never seem to be full where
+        storing takes as long as an answer.
+        """
+        self._peak = max(self._peak, len(self._calls) + count)
+
     def note_sent(self, executor_id, now_s):
         """Record that a call is sent, and return it for :meth:`note_end`."""
         call = SentCall(executor_id, now_s, self._paused_s)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
@@ -51,7 +51,10 @@
         if handler is None:
             raise errors.InvalidRecord(f'unknown record key {key!r:.80}')
         applied = handler(self, rest, value)
-        self._offsets[key] = offset
+        if value:
+            self._offsets[key] = offset
+        else:
+            self._offsets.pop(key, None)
         return applied
 
     def _apply_job(self, job_id, value):
@@ -77,7 +80,7 @@
         job = self.jobs.get(job_id)
         if not value:
             self._deferred.pop(job_id, None)
-            return AppliedRecord(journal.CANCEL, job_id)
+            return None
         if job is None:
             self._defer(job_id, Replica._apply_cancel, (job_id, value))
             return AppliedRecord(journal.CANCEL, job_id)
@@ -105,6 +108,11 @@
         if self.jobs.get(job.job_id) is job:
             del self.jobs[job.job_id]
 
+    @property
+    def unknown_job_ids(self):
+        """Ids of jobs of which there are records, but no submission."""
+        return list(self._deferred)
+
     def _defer(self, job_id, handler, arguments):
         self._deferred.setdefault(job_id, []).append((handler, arguments))
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
@@ -62,7 +62,10 @@
         if handler is None:
             raise errors.InvalidRecord(f'unknown record key {key!r:.80}')
         change = handler(self, rest, value)
-        self._offsets[key] = offset
+        if value:
+            self._offsets[key] = offset
+        else:
+            self._offsets.pop(key, None)
         return change
 
     def _apply_status(self, job_id, value):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -16,6 +16,8 @@
 MIN_APPEND_TIMEOUT_S = 0.05
 # Time for the statuses to cover what was stored when a caller asked.
 CATCH_UP_TIMEOUT_S = 1.0
+# Shorter waits are not worth while.
+MIN_WAIT_S = 0.001
 # Jobs are not counted if the owner has published nothing for this long.
 MAX_WAITING_AGE_S = 3.0
 # The store counts as unavailable when no read was answered for this long, and
@@ -150,19 +152,20 @@
         :raises errors.NotReady: if it doesn't in time
         """
         parts = self._parts
+        if not parts.status_follower.is_loaded:
+            raise self._unreadable_jobs()
         timeout_s = max(0.0, self._cap_timeout(CATCH_UP_TIMEOUT_S))
         deadline_s = parts.clock.monotonic_s() + timeout_s
         try:
             async with asyncio.timeout(timeout_s):
-                end = await parts.log.end(
-                    parts.jobs_follower.partition,
-                    parts.owner_view.covered_offset,
+                end = await parts.jobs_end.read(
+                    parts.owner_view.covered_offset
                 )
         except (errors.PlatformError, asyncio.TimeoutError) as error:
             raise self._unreadable_jobs() from error
         while not self._covers(end):
             left_s = deadline_s - parts.clock.monotonic_s()
-            if left_s <= 0:
+            if left_s < MIN_WAIT_S:
                 raise self._unreadable_jobs()
             await parts.status_follower.wait_for_read(left_s)
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
@@ -19,9 +19,9 @@
 # Size of the epoch range of one round of claims, from which each daemon picks
 # at random.
 EPOCHS_PER_ROUND = 1 << 20
-# Pauses of the followers between reads; the owner reads almost continuously.
-FOLLOWER_READ_PAUSE_S = 0.15
-OWNER_READ_PAUSE_S = 0.015
+# Pauses between reads; an owner reads the jobs almost continuously.
+STATUS_READ_PAUSE_S = 0.15
+JOBS_READ_PAUSE_S = 0.015
 
 
 class Candidate:
@@ -36,8 +36,8 @@
         self._parts = parts
         self._is_stopping = False
         self._owner = None
-        parts.status_follower.read_pause_s = FOLLOWER_READ_PAUSE_S
-        parts.jobs_follower.read_pause_s = OWNER_READ_PAUSE_S
+        parts.status_follower.read_pause_s = STATUS_READ_PAUSE_S
+        parts.jobs_follower.read_pause_s = JOBS_READ_PAUSE_S
 
     @property
     def owner(self):
@@ -92,8 +92,8 @@
                 break
             except keyed_log.EndMoved:
                 continue
+        follower.read_pause_s = STATUS_READ_PAUSE_S
         if owner is None:
-            follower.read_pause_s = FOLLOWER_READ_PAUSE_S
             await asyncio.sleep(parts.rng.uniform(*CLAIM_RETRY_PAUSE_S))
         return owner
 
@@ -168,7 +168,6 @@
     async def _run_owner(self, owner):
         parts = self._parts
         epoch = owner.epoch
-        parts.status_follower.read_pause_s = OWNER_READ_PAUSE_S
         self._owner = owner
         try:
             await owner.run()
@@ -177,7 +176,6 @@
             parts.events.write('owner_lost', epoch=epoch, why=why[:160])
         finally:
             self._owner = None
-            parts.status_follower.read_pause_s = FOLLOWER_READ_PAUSE_S
 
     async def stop(self):
         """Release the partition to another daemon."""
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/journal_writer.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/journal_writer.py
@@ -9,7 +9,8 @@
 
 RETRY_S = 0.05
 MAX_RETRY_S = 0.5
-MAX_BATCH_BYTES = 1_000_000
+# A batch crosses a link of 5 Mbit/s in a fraction of the append's timeout.
+MAX_BATCH_BYTES = 65536
 
 
 class JournalWriter:
@@ -21,14 +22,16 @@
         fences it
     :param clock: clocks of the daemon
     :param rng: source of the jitter between retries
+    :param confirms_term: whether its appends confirm the ownership
     """
 
-    def __init__(self, log, partition, term, clock, rng):
+    def __init__(self, log, partition, term, clock, rng, confirms_term=False):
         self._log = log
         self._partition = partition
         self._term = term
         self._clock = clock
         self._rng = rng
+        self._confirms_term = confirms_term
         self._fence = keyed_log.AppendFence(term.epoch, 0)
 
     async def append(self, records):
@@ -58,7 +61,8 @@
                 await asyncio.sleep(retry_s * self._rng.uniform(0.5, 1.0))
                 retry_s = min(MAX_RETRY_S, retry_s * 2)
             else:
-                self._term.confirmed_s = sent_s
+                if self._confirms_term:
+                    self._term.confirmed_s = sent_s
                 return
 
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
@@ -100,7 +100,7 @@
 
     :param clock: clocks of the daemon
     :param events: the decision log
-    :ivar last_read_s: when the last read that reached the end was sent, or
+    :ivar last_read_s: when the last read that reached the end completed, or
         None before the first one
     """
 
@@ -130,7 +130,7 @@
 
     def note_read(self, sent_s):
         """Record that a read sent at this time reached the end."""
-        self.last_read_s = sent_s
+        self.last_read_s = self._clock.monotonic_s()
 
 
 class ConfigurationReader:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -27,6 +27,12 @@
 # Cycles whose planning takes longer are logged.
 SLOW_CYCLE_S = 0.1
 RELEASE_TIMEOUT_S = 1.5
+# No task is started if the jobs were last read to their end longer ago: some
+# may have been cancelled.
+MAX_JOBS_AGE_S = 1.5
+# An owner whose ownership is confirmed, but who can't read the jobs for this
+# long, gives it up.
+GIVE_UP_JOBS_AGE_S = 4.0
 LEASE_MARGIN_S = 0.5
 EXPIRY_PERIOD_S = 1.0
 # Other daemons see the end of a job slightly later than the owner.
@@ -60,8 +66,10 @@
             parts.configuration_reader.configuration,
         )
         self._jobs_writer = self._make_writer(parts.jobs_follower)
+        # Claims are stored among the statuses, so only these appends show
+        # that there is no newer one.
         self._publisher = status_publisher.StatusPublisher(
-            parts, self, self._make_writer(parts.status_follower)
+            parts, self, self._make_writer(parts.status_follower, True)
         )
         self.is_at_work = False
         self.hosts = host_controller.HostController(parts, self, intents)
@@ -85,10 +93,15 @@
         self._ends_being_stored = {}
         self._expiry_due_s = 0.0
 
-    def _make_writer(self, follower):
+    def _make_writer(self, follower, confirms_term=False):
         parts = self._parts
         return journal_writer.JournalWriter(
-            parts.log, follower.partition, self.term, parts.clock, parts.rng
+            parts.log,
+            follower.partition,
+            self.term,
+            parts.clock,
+            parts.rng,
+            confirms_term,
         )
 
     @property
@@ -151,6 +164,9 @@
             await self._fence_predecessors()
             followers.append(asyncio.create_task(parts.jobs_follower.run()))
             await self._take_over()
+            if not self.is_at_work:
+                await self._write_release()
+                return
             self.spawn(self._run_guarded(self.hosts))
             requester = advice_requester.AdviceRequester(parts, self)
             self.spawn(self._run_guarded(requester))
@@ -173,6 +189,10 @@
         await self._jobs_writer.append([record])
 
     async def _take_over(self):
+        """Load the jobs, and go on where the predecessors ended.
+
+        Returns early, not at work, if the ownership is to be released.
+        """
         parts = self._parts
         while not (
             parts.entries_follower.is_loaded
@@ -180,6 +200,8 @@
         ):
             await asyncio.sleep(CHECK_PERIOD_S / 5)
             self._raise_if_lost()
+            if self._is_releasing:
+                return
         now_s = self.now_s()
         for entry in parts.entries_reader.entries.values():
             self._register_entry(entry, now_s)
@@ -191,6 +213,8 @@
         replica.is_owned = True
         for job in list(replica.jobs.values()):
             self._add_job(job, None)
+        for job_id in replica.unknown_job_ids:
+            self.cancel_job(job_id)
         for executor in list(self.scheduler.executors.values()):
             self._ensure_agent(executor)
         parts.attach(self)
@@ -264,13 +288,15 @@
         now_s = self.now_s()
         self._check_executors_without_agent()
         window = self._orders.starts
+        may_start = self._knows_cancellations(now_s)
         turn = self.scheduler.plan(
             now_s,
             parts.clock.now_s(),
-            window.free_calls(now_s),
-            window.is_idle(now_s),
+            window.free_calls(now_s) if may_start else 0,
+            may_start and window.is_idle(now_s),
         )
         self._note_planned(self.now_s() - now_s)
+        window.note_planned(len(turn.starts))
         self._orders.send_stops(turn.stops)
         for order in turn.paces:
             self._orders.send_pace(order)
@@ -283,6 +309,14 @@
         for run in turn.starts:
             self._orders.send_start(run)
 
+    def _knows_cancellations(self, now_s):
+        """Return whether the jobs have been read recently enough to start."""
+        age_s = now_s - self._parts.jobs_reader.last_read_s
+        confirmed_s = self._parts.clock.boot_s() - self.term.confirmed_s
+        if age_s > GIVE_UP_JOBS_AGE_S > confirmed_s:
+            self.lose_ownership('the jobs could not be read')
+        return age_s <= MAX_JOBS_AGE_S
+
     def _begin_storing_host_records(self):
         # Starts don't wait for these records.
         records = self.hosts.take_records()
@@ -336,7 +370,9 @@
         if now_s >= self._expiry_due_s:
             self._expiry_due_s = now_s + EXPIRY_PERIOD_S
             retention_s = self._parts.settings.job_retention_s
-            self._publisher.expire(now_s, retention_s + RETENTION_MARGIN_S)
+            self._publisher.expire(
+                now_s, retention_s + RETENTION_MARGIN_S, self._finished
+            )
         return records + self._drop_finished_jobs()
 
     def _drop_finished_jobs(self):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -19,6 +19,7 @@
 from . import candidate as candidate_module
 from . import clock as clock_module
 from . import decision_log
+from . import end_reader
 from . import log_follower
 from . import log_readers
 from . import metrics as metrics_module
@@ -103,6 +104,7 @@
         self.entries_follower = self._make_follower(
             keyed_log.Partition(adapter.entries_topic), self.entries_reader
         )
+        self.jobs_end = end_reader.EndReader(self.log, JOBS)
         self.submitter = submitter_module.Submitter(self.log, JOBS)
         self._owner = None
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
@@ -7,7 +7,7 @@
 from hawthorndeal_platform import keyed_log
 
 # Statuses that change within this time share an append.
-BATCH_DELAY_S = 0.01
+BATCH_DELAY_S = 0.03
 
 
 class StatusPublisher:
@@ -52,14 +52,19 @@
         """Forget a job whose final status was read back from the store."""
         self._last_published.pop(job_id, None)
 
-    def expire(self, now_s, retention_s):
-        """Delete the statuses of jobs that ended long ago."""
+    def expire(self, now_s, retention_s, kept):
+        """Delete the statuses of jobs that ended long ago.
+
+        :param kept: jobs that have not been dropped yet, by id
+        """
         since_s = self._parts.status_reader.final_since_s
         self._expiring &= set(since_s)
         expired = [
             job_id
             for job_id, final_s in since_s.items()
-            if now_s - final_s > retention_s and job_id not in self._expiring
+            if now_s - final_s > retention_s
+            and job_id not in self._expiring
+            and job_id not in kept
         ]
         self._expiring.update(expired)
         self._records += map(journal.status_deletion_record, expired)
@@ -71,6 +76,8 @@
         """
         if not records:
             return
+        if self._owner.term.is_lost:
+            raise keyed_log.Fenced('the ownership was lost')
         stored = asyncio.get_running_loop().create_future()
         self._records += records
         self._waiting_futures.append(stored)
@@ -98,7 +105,8 @@
             await asyncio.wait_for(self._wake.wait(), max(0.0, left_s))
         except asyncio.TimeoutError:
             return True
-        await asyncio.sleep(BATCH_DELAY_S)
+        if not self._waiting_futures:
+            await asyncio.sleep(BATCH_DELAY_S)
         # A renewal that is due soon needs no append of its own.
         left_s = self._renewal_due_s - self._owner.now_s()
         return left_s < ownership.RENEW_PERIOD_S / 2
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/submitter.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/submitter.py
@@ -5,6 +5,8 @@
 from hawthorndeal_fleet import errors
 
 MAX_BATCH_RECORDS = 100
+# A batch crosses a link of 5 Mbit/s in a fraction of the append's timeout.
+MAX_BATCH_BYTES = 65536
 
 
 class Submitter:
@@ -39,8 +41,14 @@
         """Append queued records until cancelled."""
         while True:
             batch = [await self._queue.get()]
-            while len(batch) < MAX_BATCH_RECORDS and not self._queue.empty():
+            size_bytes = len(batch[0][0].value)
+            while (
+                len(batch) < MAX_BATCH_RECORDS
+                and size_bytes < MAX_BATCH_BYTES
+                and not self._queue.empty()
+            ):
                 batch.append(self._queue.get_nowait())
+                size_bytes += len(batch[-1][0].value)
             batch = [entry for entry in batch if not entry[1].done()]
             if batch:
                 await self._append(batch)
