Find runs and executors by index rather than by scanning all of them

Cause: each ended task, cancelled or failed job scanned all runs; each cycle scanned them twice more for stops and paces; each poll scanned all executors for the host, each cycle all of them for a pool and for ends. Runs are now indexed by job, task and possible stop, executors by pool and host, and ends that aren't stored are kept apart. The order of stops, paces and ends to record is kept, since orders are sent in it.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -2,10 +2,12 @@
 
 import collections
 import enum
+import itertools
 
 import attrs
 
 from . import jobs
+from . import run_index as run_index_module
 from . import specs
 
 # Upper bound on how much slower an executor's monotonic clock runs than ours.
@@ -60,7 +62,6 @@
     :ivar phase_changed_s: when the phase changed, on the local monotonic clock
     :ivar start_blocked_since_s: since when the run cannot start any more, if
         it had not started before; None while it may start
-    :ivar is_stop_requested: whether the run has to end
     :ivar is_stop_in_flight: whether a stop request is in flight
     :ivar stop_retry_s: earliest time for the next stop request
     :ivar percent: last reported progress
@@ -71,6 +72,8 @@
     :ivar ticket: permission from the advice service, if its queue needs one
     :ivar planned_s: when the run was planned
     :ivar second_choice: executor ranked second at placement, if any
+    :ivar place: sorts the runs of a partition by executor and age there
+    :ivar index: the index that the run is in, if any
     """
 
     task_id: jobs.TaskId
@@ -78,10 +81,10 @@
     occurrence: jobs.Occurrence
     executor_id: str
     reserved: specs.Resources
-    phase: RunPhase
+    _phase: RunPhase
     phase_changed_s: float
     start_blocked_since_s: float | None = None
-    is_stop_requested: bool = False
+    _is_stop_requested: bool = False
     is_stop_in_flight: bool = False
     stop_retry_s: float = 0.0
     percent: int = 0
@@ -94,6 +97,37 @@
     pace_changed_s: float = 0.0
     ticket: str = ''
     checkpoint: str = ''
+    place: tuple[int, int] = (0, 0)
+    index: run_index_module.RunIndex | None = None
+
+    @property
+    def phase(self):
+        """State of the run, as far as it is known."""
+        return self._phase
+
+    @phase.setter
+    def phase(self, phase):
+        self._phase = phase
+        self._update_index()
+
+    @property
+    def is_stop_requested(self):
+        """Whether the run has to end."""
+        return self._is_stop_requested
+
+    @is_stop_requested.setter
+    def is_stop_requested(self, is_requested):
+        self._is_stop_requested = is_requested
+        self._update_index()
+
+    def _update_index(self):
+        if self.index is not None:
+            self.index.update(self)
+
+    @property
+    def may_need_stop(self):
+        """Whether a stop request may have to be sent."""
+        return self._is_stop_requested or self._phase is RunPhase.UNKNOWN
 
     @property
     def step(self):
@@ -170,6 +204,8 @@
     """One executor, with the runs that occupy or may occupy its capacity.
 
     :ivar discovered_s: when it was first seen
+    :ivar number: increases with each executor of the partition
+    :ivar run_index: the runs of all executors of the partition
     :ivar runs: runs by task and number
     :ivar free: capacity not reserved by any run
     :ivar is_fenced: whether it has seen this owner's epoch
@@ -184,6 +220,11 @@
     entry: ExecutorEntry
     free: specs.Resources
     discovered_s: float = 0.0
+    number: int = 0
+    run_index: run_index_module.RunIndex = attrs.Factory(
+        run_index_module.RunIndex
+    )
+    _run_numbers: itertools.count = attrs.Factory(itertools.count)
     runs: dict = attrs.Factory(dict)
     step_counts: collections.Counter = attrs.Factory(collections.Counter)
     is_fenced: bool = False
@@ -217,14 +258,23 @@
 
     def add(self, run):
         """Add a run and reserve its capacity."""
+        replaced = self.runs.get(run.key)
+        if replaced is None:
+            run.place = (self.number, next(self._run_numbers))
+        else:
+            run.place = replaced.place
+            self.run_index.remove(replaced)
         self.runs[run.key] = run
+        self.run_index.add(run)
         self.free = self.free - run.reserved
         self.step_counts[_step_key(run.task_id)] += 1
 
     def remove(self, run, now_s):
         """Remove a run and free its capacity."""
-        if self.runs.pop(run.key, None) is None:
+        removed = self.runs.pop(run.key, None)
+        if removed is None:
             return
+        self.run_index.remove(removed)
         self.free = self.free + run.reserved
         self.step_counts[_step_key(run.task_id)] -= 1
         if not self.runs:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_loads.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_loads.py
@@ -9,24 +9,23 @@
 STARVATION_S = 1.0
 
 
-def measure(pool, executors, ready_steps, arriving, ahead_s, now_s):
+def measure(pool, executors, capacity, ready_steps, arriving, ahead_s, now_s):
     """Return the load of a pool.
 
-    :param executors: all known executors, by id
+    :param executors: the known executors of the pool
+    :param capacity: the capacity of a host of the pool
     :param ready_steps: the steps whose tasks may start
     :param arriving: number of hosts that are being moved to the pool
     :param ahead_s: forecast horizon
     """
-    known = [e for e in executors.values() if e.entry.pool == pool.name]
-    capacity = host_capacity(pool.name, executors)
     waiting = ready_steps.pending_in(pool.name)
     meter = ready_steps.demand_meters[pool.name]
     return capacity_module.PoolLoad(
         pool.name,
         pool.is_standby,
-        sum(placement.is_usable(e, now_s) for e in known),
+        sum(placement.is_usable(e, now_s) for e in executors),
         arriving,
-        _lasting_hosts(known, waiting, capacity),
+        _lasting_hosts(executors, waiting, capacity),
         meter.rate(now_s),
         meter.growth(now_s, ahead_s),
         sum(ready_steps.backlog_host_s(step, capacity) for step in waiting),
@@ -34,12 +33,15 @@
     )
 
 
-def host_capacity(pool, executors):
-    """Return the largest host capacity in a pool, or of all if it is empty."""
-    known = list(executors.values())
-    in_pool = [e for e in known if e.entry.pool == pool] or known
+def host_capacity(executors, all_executors):
+    """Return the largest host capacity in a pool, or of all if it is empty.
+
+    :param executors: the known executors of the pool
+    :param all_executors: all known executors, by id
+    """
+    known = executors or all_executors.values()
     return max(
-        (e.entry.capacity for e in in_pool),
+        (executor.entry.capacity for executor in known),
         key=lambda capacity: capacity.cpu_millicores,
         default=specs.Resources(),
     )
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -1,10 +1,9 @@
 """Scheduler of one partition: decides which runs to start and to stop."""
 
-import itertools
-
 import attrs
 
 from . import executor_health
+from . import executor_index
 from . import executors as executors_module
 from . import jobs
 from . import ordering
@@ -12,6 +11,7 @@
 from . import placement
 from . import pool_loads
 from . import ready_steps as ready_steps_module
+from . import run_index
 from . import run_tracking
 from . import specs
 from . import tickets as tickets_module
@@ -52,6 +52,9 @@
         self.steps = ready_steps_module.ReadySteps(configuration)
         self.tickets = tickets_module.TicketCache()
         self._replica = replica
+        self._index = executor_index.ExecutorIndex()
+        self._run_index = run_index.RunIndex()
+        self._unrecorded = {}
         self._changed = {}
         self._orphans = {}
 
@@ -63,7 +66,7 @@
         :param age_s: time since the job was accepted, or None if unknown
         """
         capacity = pool_loads.host_capacity(
-            self.steps.pool_of(job), self.executors
+            self.executors_in(self.steps.pool_of(job)), self.executors
         )
         self.steps.add_job(job, now_s, wall_s, age_s, capacity)
 
@@ -74,14 +77,8 @@
     def _stop_job(self, job):
         self.steps.remove_job(job)
         self.tickets.discard_job(job.job_id)
-        for run in self._all_runs():
-            if run.task_id.job_id == job.job_id:
-                run.is_stop_requested = True
-
-    def _all_runs(self):
-        return itertools.chain.from_iterable(
-            executor.runs.values() for executor in self.executors.values()
-        )
+        for run in self._run_index.runs_of_job(job.job_id):
+            run.is_stop_requested = True
 
     def set_configuration(self, configuration):
         """Apply a newer configuration."""
@@ -89,8 +86,10 @@
 
     def load_of(self, pool, arriving, ahead_s, now_s):
         """Return the load of a pool; see :func:`pool_loads.measure`."""
+        known = self.executors_in(pool.name)
+        capacity = pool_loads.host_capacity(known, self.executors)
         return pool_loads.measure(
-            pool, self.executors, self.steps, arriving, ahead_s, now_s
+            pool, known, capacity, self.steps, arriving, ahead_s, now_s
         )
 
     @property
@@ -104,14 +103,8 @@
         """Add or update an executor from the entry that it advertises."""
         executor = self.executors.get(entry.executor_id)
         if executor is None:
-            executor = executors_module.Executor(
-                entry,
-                entry.capacity,
-                discovered_s=now_s,
-                idle_since_s=now_s,
-                last_contact_s=now_s,
-            )
-            self.executors[entry.executor_id] = executor
+            executor = self._add_executor(entry)
+            executor.discovered_s = executor.idle_since_s = now_s
         else:
             self._update_entry(executor, entry)
         executor.missing_since_s = None
@@ -121,10 +114,18 @@
         self.steps.pools_to_schedule.add(entry.pool)
         return executor
 
+    def _add_executor(self, entry):
+        executor = executors_module.Executor(
+            entry, entry.capacity, run_index=self._run_index
+        )
+        self.executors[entry.executor_id] = executor
+        self._index.add(executor)
+        return executor
+
     def _update_entry(self, executor, entry):
         added_capacity = entry.capacity - executor.entry.capacity
         executor.free = executor.free + added_capacity
-        executor.entry = entry
+        self._index.replace_entry(executor, entry)
 
     def mark_executor_missing(self, executor_id, now_s):
         """Record that an executor is no longer listed."""
@@ -143,19 +144,21 @@
         host = executor.entry.host if executor is not None else ''
         return [
             other
-            for other in self.executors.values()
-            if host
-            and other.entry.host == host
-            and other.executor_id != executor_id
-            and other.discovered_s < poll.sent_s
+            for other in self.executors_on(host)
+            if other is not executor and other.discovered_s < poll.sent_s
         ]
 
+    def executors_on(self, host):
+        """Return the known incarnations of the executor of a host."""
+        return self._index.on_host(host) if host else []
+
     def remove_executor(self, executor_id, now_s):
         """Remove an executor whose incarnation has ended, with its runs."""
         if executor_id not in self.executors:
             return []
         finished_runs = self.expire_executor(executor_id, now_s)
-        del self.executors[executor_id]
+        self._index.remove(self.executors.pop(executor_id))
+        self._unrecorded.pop(executor_id, None)
         return finished_runs
 
     def expire_executor(self, executor_id, now_s):
@@ -191,9 +194,8 @@
             entry = executors_module.ExecutorEntry(
                 executor_id, '', '', '', specs.Resources()
             )
-            executor = executors_module.Executor(entry, entry.capacity)
+            executor = self._add_executor(entry)
             executor.missing_since_s = now_s
-            self.executors[executor_id] = executor
         return executor
 
     def handle_poll(self, executor_id, poll, now_s):
@@ -204,6 +206,8 @@
         outcome = run_tracking.process_poll(
             executor, poll, self._find_occurrence
         )
+        if executor.last_processed_end > executor.last_recorded_end:
+            self._unrecorded[executor_id] = executor
         self._orphans.update(
             {(s.executor_id, s.task_id, s.number): s for s in outcome.orphans}
         )
@@ -314,9 +318,8 @@
     def _stop_other_runs(self, ended_run):
         if ended_run.step.is_gang:
             return
-        for run in self._all_runs():
-            if run.task_id == ended_run.task_id:
-                run.is_stop_requested = True
+        for run in self._run_index.runs_of_task(ended_run.task_id):
+            run.is_stop_requested = True
 
     def _mark_failed(self, run):
         occurrence, step = run.occurrence, run.task_id.step
@@ -350,19 +353,25 @@
             starts += self._schedule_pool(pool, now_s)
         stops = [
             run
-            for executor in self.executors.values()
-            for run in executor.runs.values()
+            for run in self._run_index.stop_candidates()
             if run_tracking.needs_stop(run, now_s)
         ]
         orphans = list(self._orphans.values())
         self._orphans.clear()
         paces = [
             change
-            for executor in self.executors.values()
+            for executor in self._executors_with_fillers()
             for change in pacing.plan(executor.runs.values(), now_s)
         ]
         return SchedulingPlan(starts, stops, orphans, paces)
 
+    def _executors_with_fillers(self):
+        ids = self._run_index.filler_executor_ids()
+        return sorted(
+            (self.executors[executor_id] for executor_id in ids),
+            key=lambda executor: executor.number,
+        )
+
     def _schedule_pool(self, pool, now_s):
         executors = self.executors_in(pool)
         if not any(placement.is_usable(e, now_s) for e in executors):
@@ -460,7 +469,7 @@
 
     def executors_in(self, pool):
         """Return the executors of a pool."""
-        return [e for e in self.executors.values() if e.entry.pool == pool]
+        return self._index.in_pool(pool)
 
     def can_run_elsewhere(self, run, now_s):
         """Return True if another executor in the pool could run the task."""
@@ -484,11 +493,13 @@
             and other is not run
             and other.occurrence is run.occurrence
             and other.task_id.step == run.task_id.step
-            for executor in self.executors.values()
-            if executor.has_ended_inherited_runs(now_s)
-            for other in executor.runs.values()
+            and self._has_ended_inherited_runs(other.executor_id, now_s)
+            for other in self._run_index.runs_of_job(run.task_id.job_id)
         )
 
+    def _has_ended_inherited_runs(self, executor_id, now_s):
+        return self.executors[executor_id].has_ended_inherited_runs(now_s)
+
     def withdraw_run(self, run, now_s):
         """Remove a planned run whose start request was not sent."""
         executor = self.executors.get(run.executor_id)
@@ -504,11 +515,8 @@
 
     def unrecorded_ends(self):
         """Return each executor's last processed end that isn't stored yet."""
-        return {
-            executor.executor_id: executor.last_processed_end
-            for executor in self.executors.values()
-            if executor.last_processed_end > executor.last_recorded_end
-        }
+        in_order = sorted(self._unrecorded.values(), key=lambda e: e.number)
+        return {e.executor_id: e.last_processed_end for e in in_order}
 
     def mark_ends_recorded(self, ends):
         """Record that ends are stored, so that executors may discard them."""
@@ -516,6 +524,8 @@
             executor = self.executors.get(executor_id)
             if executor is not None:
                 executor.last_recorded_end = sequence
+                if executor.last_processed_end <= sequence:
+                    self._unrecorded.pop(executor_id, None)
 
 
 def step_key(task_id):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/tickets.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/tickets.py
@@ -18,10 +18,10 @@
 
 
 class TicketCache:
-    """Tickets by step and executor."""
+    """Tickets by job, step and executor."""
 
     def __init__(self):
-        self._by_step = {}
+        self._by_job = {}
 
     def note(self, step_key, good, validity_s, asked_s):
         """Store the advice service's response for a step.
@@ -29,14 +29,15 @@
         :param good: ticket texts by executor
         """
         expires_s = asked_s + validity_s - EXPIRY_MARGIN_S
-        held = self._by_step.setdefault(step_key, {})
+        job_tickets = self._by_job.setdefault(step_key[0], {})
+        held = job_tickets.setdefault(step_key, {})
         held.update(
             {name: Ticket(text, expires_s) for name, text in good.items()}
         )
 
     def valid(self, step_key, now_s):
         """Return the valid tickets of a step, by executor."""
-        held = self._by_step.get(step_key, {})
+        held = self._held(step_key)
         return {
             name: ticket.text
             for name, ticket in held.items()
@@ -45,9 +46,11 @@
 
     def discard(self, step_key, executor_id):
         """Remove a ticket that was refused."""
-        self._by_step.get(step_key, {}).pop(executor_id, None)
+        self._held(step_key).pop(executor_id, None)
+
+    def _held(self, step_key):
+        return self._by_job.get(step_key[0], {}).get(step_key, {})
 
     def discard_job(self, job_id):
         """Remove all tickets of a job."""
-        for key in [key for key in self._by_step if key[0] == job_id]:
-            del self._by_step[key]
+        self._by_job.pop(job_id, None)
