Keep the pending steps by queue

Cause: each cycle went through all steps, running ones too, once for each pool with a change, and the advice requester 50 times a second. Steps carry a number, so that their order is the one of before.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
@@ -18,6 +18,7 @@
     :ivar cutoff_s: when the job has lost its value
     :ivar remaining_path_s: declared run time of the critical path from here
     :ivar unplaced_since_s: since when no task of the step could be placed
+    :ivar number: increases with each step of the partition
     """
 
     occurrence: jobs.Occurrence
@@ -28,6 +29,7 @@
     priority: int
     remaining_path_s: float
     unplaced_since_s: float | None = None
+    number: int = 0
 
     @property
     def key(self):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -1,6 +1,7 @@
 """Track the steps whose tasks may start, and occurrences not yet due."""
 
 import collections
+import itertools
 
 from . import demand
 from . import estimates
@@ -27,7 +28,10 @@
         self.pools_to_schedule = set()
         self.estimates = estimates.EstimateCorrector()
         self.demand_meters = collections.defaultdict(demand.DemandMeter)
+        self._numbers = itertools.count()
         self._steps = {}
+        # Steps by queue and number; some may not be pending any more.
+        self._pending = collections.defaultdict(dict)
         self._not_due = {}
         self._queues = dict(configuration.queues)
 
@@ -50,15 +54,42 @@
 
     def pending(self):
         """Return the steps with tasks that wait for placement."""
-        return [step for step in self._steps.values() if step.pending]
+        return self._pending_where(lambda queue: True)
 
     def pending_in(self, pool):
         """Return the steps of a pool with tasks that wait for placement."""
-        return [
-            step
-            for step in self.pending()
-            if self.pool_of(step.occurrence.job) == pool
-        ]
+        return self._pending_where(lambda queue: queue.pool == pool)
+
+    def pending_advised(self):
+        """Return the pending steps of queues that need advice."""
+        return self._pending_where(lambda queue: queue.advice)
+
+    def _pending_where(self, is_wanted):
+        steps = itertools.chain.from_iterable(
+            self._pending_of(name)
+            for name in list(self._pending)
+            if is_wanted(self._queues[name])
+        )
+        return sorted(steps, key=_number_of)
+
+    def _pending_of(self, queue_name):
+        steps = self._pending[queue_name]
+        for number in [n for n, step in steps.items() if not step.pending]:
+            del steps[number]
+        if not steps:
+            del self._pending[queue_name]
+        return steps.values()
+
+    def _note_pending(self, ready_step):
+        queue = self.queue_of(ready_step.occurrence.job)
+        self._pending[queue.name][ready_step.number] = ready_step
+
+    def _remove_step(self, key):
+        ready_step = self._steps.pop(key, None)
+        if ready_step is not None:
+            queue = self.queue_of(ready_step.occurrence.job)
+            self._pending.get(queue.name, {}).pop(ready_step.number, None)
+        return ready_step
 
     def add_job(self, job, now_s, wall_s, age_s, capacity):
         """Add an accepted job.
@@ -124,13 +155,15 @@
             accepted_s + ordering.CUTOFF_FACTOR * objective_s,
             queue.priority,
             ordering.remaining_path_s(job.spec, step),
+            number=next(self._numbers),
         )
+        self._note_pending(self._steps[key])
         self.pools_to_schedule.add(queue.pool)
 
     def complete_step(self, occurrence, step):
         """Remove a step that is done, and add its successors."""
         key = occurrence.job.job_id, occurrence.number, step
-        done_step = self._steps.pop(key, None)
+        done_step = self._remove_step(key)
         if done_step is None or occurrence.job.is_terminal:
             return
         job = occurrence.job
@@ -142,7 +175,7 @@
         self._not_due.pop(job.job_id, None)
         for occurrence in job.occurrences.values():
             for step in range(len(occurrence.tasks)):
-                self._steps.pop((job.job_id, occurrence.number, step), None)
+                self._remove_step((job.job_id, occurrence.number, step))
 
     def requeue(self, task_id, job):
         """Make a task that needs another run pending again."""
@@ -150,6 +183,7 @@
         ready_step = self._steps.get(key)
         if ready_step is not None:
             ready_step.pending.append(task_id.index)
+            self._note_pending(ready_step)
             self.pools_to_schedule.add(self.pool_of(job))
 
     def drop_done_tasks(self, occurrence, step):
@@ -173,3 +207,7 @@
         declared_s = spec.estimate_s * len(ready_step.pending)
         factor = self.estimates.factor(ready_step.occurrence.job.queue)
         return declared_s * factor * spec.reserved.dominant_share(capacity)
+
+
+def _number_of(ready_step):
+    return ready_step.number
