Keep the ranks of executors from one cycle to the next

An executor counts its changes (runs, entry), and is ranked again for a kind of step only after one, or when it has become usable or ceased to be. All ranks are dropped after 1,000 changes or 200 kinds, which bounds what is kept.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executor_index.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executor_index.py
@@ -32,7 +32,7 @@
     def replace_entry(self, executor, entry):
         """Replace the entry of an executor."""
         self.remove(executor)
-        executor.entry = entry
+        executor.replace_entry(entry)
         self._insert(executor)
 
     def _insert(self, executor):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -205,6 +205,8 @@
 
     :ivar discovered_s: when it was first seen
     :ivar number: increases with each executor of the partition
+    :ivar version: increases when runs are added or removed, and with each
+        entry
     :ivar run_index: the runs of all executors of the partition
     :ivar runs: runs by task and number
     :ivar free: capacity not reserved by any run
@@ -221,6 +223,7 @@
     free: specs.Resources
     discovered_s: float = 0.0
     number: int = 0
+    version: int = 0
     run_index: run_index_module.RunIndex = attrs.Factory(
         run_index_module.RunIndex
     )
@@ -246,6 +249,12 @@
         """Identity of this incarnation."""
         return self.entry.executor_id
 
+    def replace_entry(self, entry):
+        """Replace the entry by a newer one."""
+        self.free = self.free + (entry.capacity - self.entry.capacity)
+        self.entry = entry
+        self.version += 1
+
     def mark_fenced(self, now_s):
         """Record that the executor has seen this owner's epoch."""
         if not self.is_fenced:
@@ -268,6 +277,7 @@
         self.run_index.add(run)
         self.free = self.free - run.reserved
         self.step_counts[_step_key(run.task_id)] += 1
+        self.version += 1
 
     def remove(self, run, now_s):
         """Remove a run and free its capacity."""
@@ -277,6 +287,7 @@
         self.run_index.remove(removed)
         self.free = self.free + run.reserved
         self.step_counts[_step_key(run.task_id)] -= 1
+        self.version += 1
         if not self.runs:
             self.idle_since_s = now_s
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
@@ -1,38 +1,54 @@
-"""Choose the executors of one pool in one scheduling cycle.
+"""Choose the executors of one pool.
 
-Executors with room are ranked once for all steps of the same kind. During a
-cycle, only the executors on which a task was placed are ranked again.
+Executors with room are ranked for each kind of step, and are ranked again
+only when they have changed.
 """
 
 import heapq
 
 from . import placement
 
+# Changes and kinds of step that are remembered before all ranks are dropped.
+MAX_CHANGES = 1000
+MAX_KINDS = 200
 
-class PoolPlacement:
-    """Chooses executors for the tasks of one pool in one cycle.
 
-    :param executors: the executors of the pool
-    """
+class PoolPlacement:
+    """Chooses executors for the tasks of one pool."""
 
-    def __init__(self, executors, now_s):
-        self._usable = [
-            executor
-            for executor in executors
-            if placement.is_usable(executor, now_s)
-        ]
-        self._positions = {
-            executor.executor_id: position
-            for position, executor in enumerate(self._usable)
-        }
+    def __init__(self):
+        self._usable = {}
+        self._versions = {}
         self._rankings = {}
-        self._placed_at = []
+        # Numbers of the executors that have changed, in order of time.
+        self._changed = []
 
     @property
     def has_usable(self):
         """Whether new runs may be placed anywhere in the pool."""
         return bool(self._usable)
 
+    def update(self, executors, now_s):
+        """Note what has changed since the last cycle.
+
+        :param executors: the executors of the pool
+        """
+        if len(self._changed) > MAX_CHANGES or len(self._rankings) > MAX_KINDS:
+            self._rankings.clear()
+            self._changed.clear()
+        before = self._versions
+        self._usable = {
+            executor.number: executor
+            for executor in executors
+            if placement.is_usable(executor, now_s)
+        }
+        self._versions = {
+            number: executor.version
+            for number, executor in self._usable.items()
+        }
+        differences = before.items() ^ self._versions.items()
+        self._changed += {number for number, _ in differences}
+
     def choose(self, step, task_id, task, allowed_ids=None):
         """Return the best and the second-best executor for a task.
 
@@ -55,50 +71,51 @@
         """Return an executor for each task of a gang, or None."""
         if not self._ranking(step).has_room:
             return None
-        executors = self._usable
+        executors = list(self._usable.values())
         if allowed_ids is not None:
             executors = self._usable_of(allowed_ids)
         return placement.choose_gang(executors, step, task_ids)
 
-    def note_placed(self, run):
-        """Record that a run was added to its executor."""
-        self._placed_at.append(self._positions[run.executor_id])
+    def note_placed(self, executor):
+        """Record that a run was added to an executor in this cycle."""
+        self._versions[executor.number] = executor.version
+        self._changed.append(executor.number)
 
     def _usable_of(self, executor_ids):
-        positions = sorted(
-            self._positions[executor_id]
-            for executor_id in executor_ids
-            if executor_id in self._positions
-        )
-        return [self._usable[position] for position in positions]
+        if not executor_ids:
+            return []
+        return [
+            executor
+            for executor in self._usable.values()
+            if executor.executor_id in executor_ids
+        ]
 
     def _ranking(self, step):
         ranking = self._rankings.get(step.placement_kind)
         if ranking is None:
-            ranking = _Ranking(self._usable, step, self._placed_at)
+            ranking = _Ranking(step, self._usable, len(self._changed))
             self._rankings[step.placement_kind] = ranking
-        ranking.refresh()
+        ranking.update(self._usable, self._changed)
         return ranking
 
 
 class _Ranking:
     """The executors with room for one kind of step, lowest cost first.
 
-    :param placed_at: positions of the executors on which runs were placed;
-        grows during the cycle
+    :param usable: the usable executors of the pool, by number
+    :param change_count: number of changes that these executors include
     """
 
-    def __init__(self, executors, step, placed_at):
-        self._executors = executors
+    def __init__(self, step, usable, change_count):
         self._step = step
-        self._placed_at = placed_at
-        self._placed_count = len(placed_at)
-        # The valid entry of each position; the heap may have others too.
-        self._entries = {}
-        for position, executor in enumerate(executors):
-            if placement.has_room(executor, step):
-                cost = placement.cost(executor, step)
-                self._entries[position] = (cost, position)
+        self._usable = usable
+        self._change_count = change_count
+        # The valid entry of each executor; the heap may have others too.
+        self._entries = {
+            number: (placement.cost(executor, step), number)
+            for number, executor in usable.items()
+            if placement.has_room(executor, step)
+        }
         self._heap = list(self._entries.values())
         heapq.heapify(self._heap)
 
@@ -107,22 +124,25 @@
         """Whether any executor has room."""
         return bool(self._entries)
 
-    def refresh(self):
-        """Rank the executors again on which runs were placed."""
-        if self._placed_count == len(self._placed_at):
+    def update(self, usable, changed):
+        """Rank the executors again that have changed.
+
+        :param changed: numbers of executors; grows with each change
+        """
+        self._usable = usable
+        if self._change_count == len(changed):
             return
-        changed = set(self._placed_at[self._placed_count :])
-        self._placed_count = len(self._placed_at)
-        for position in changed & self._entries.keys():
-            self._rank_again(position)
-
-    def _rank_again(self, position):
-        executor = self._executors[position]
-        if not placement.has_room(executor, self._step):
-            del self._entries[position]
+        for number in set(changed[self._change_count :]):
+            self._rank_again(number)
+        self._change_count = len(changed)
+
+    def _rank_again(self, number):
+        executor = self._usable.get(number)
+        if executor is None or not placement.has_room(executor, self._step):
+            self._entries.pop(number, None)
             return
-        entry = (placement.cost(executor, self._step), position)
-        self._entries[position] = entry
+        entry = (placement.cost(executor, self._step), number)
+        self._entries[number] = entry
         heapq.heappush(self._heap, entry)
 
     def best_two(self, step, task_id, avoided_id=''):
@@ -133,11 +153,11 @@
         found, seen = [], []
         while self._heap and len(found) < 2:
             entry = heapq.heappop(self._heap)
-            position = entry[1]
-            if self._entries.get(position) is not entry:
+            number = entry[1]
+            if self._entries.get(number) is not entry:
                 continue
             seen.append(entry)
-            executor = self._executors[position]
+            executor = self._usable[number]
             if executor.executor_id != avoided_id and placement.is_below_limit(
                 executor, step, task_id
             ):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -106,7 +106,7 @@
             executor = self._add_executor(entry)
             executor.discovered_s = executor.idle_since_s = now_s
         else:
-            self._update_entry(executor, entry)
+            self._index.replace_entry(executor, entry)
         executor.missing_since_s = None
         executor.last_contact_s = max(executor.last_contact_s, now_s)
         if entry.clock_s is not None:
@@ -122,11 +122,6 @@
         self._index.add(executor)
         return executor
 
-    def _update_entry(self, executor, entry):
-        added_capacity = entry.capacity - executor.entry.capacity
-        executor.free = executor.free + added_capacity
-        self._index.replace_entry(executor, entry)
-
     def mark_executor_missing(self, executor_id, now_s):
         """Record that an executor is no longer listed."""
         executor = self.executors.get(executor_id)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -1,5 +1,7 @@
 """Plan which tasks of a pool start where."""
 
+import collections
+
 from . import executors as executors_module
 from . import jobs
 from . import ordering
@@ -16,13 +18,15 @@
     def __init__(self, steps, tickets):
         self._steps = steps
         self._tickets = tickets
+        self._pools = collections.defaultdict(pool_placement.PoolPlacement)
 
     def plan_pool(self, pool, executors, now_s):
         """Return the runs to start in a pool; they are on their executors.
 
         :param executors: the executors of the pool
         """
-        pool_executors = pool_placement.PoolPlacement(executors, now_s)
+        pool_executors = self._pools[pool]
+        pool_executors.update(executors, now_s)
         if not pool_executors.has_usable:
             return []
         waiting = self._steps.pending_in(pool)
@@ -51,7 +55,7 @@
             ready_step.pending.pop(0)
             ready_step.unplaced_since_s = now_s if ready_step.pending else None
             run = _plan_run(ready_step, task_id, executor, task.run + 1, now_s)
-            pool_executors.note_placed(run)
+            pool_executors.note_placed(executor)
             run.second_choice = second.executor_id if second else ''
             run.ticket = (step_tickets or {}).get(executor.executor_id, '')
             starts.append(run)
@@ -76,8 +80,8 @@
             _plan_run(ready_step, task_id, executor, number, now_s)
             for task_id, executor in zip(ids, chosen)
         ]
-        for run in runs:
-            pool_executors.note_placed(run)
+        for run, executor in zip(runs, chosen):
+            pool_executors.note_placed(executor)
             run.ticket = (step_tickets or {}).get(run.executor_id, '')
         return runs
 
