Find a run by a tuple of plain values, and its step only once

Cause: two hashes and a comparison of TaskId in Python for each run that a poll lists, and five attributes for each use of a run's step.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+import functools
 import itertools
 
 import attrs
@@ -129,7 +130,7 @@
         """Whether a stop request may have to be sent."""
         return self._is_stop_requested or self._phase is RunPhase.UNKNOWN
 
-    @property
+    @functools.cached_property
     def step(self):
         """The declared step of the task."""
         return self.occurrence.job.spec.steps[self.task_id.step]
@@ -139,10 +140,10 @@
         """The persistent state of the task."""
         return self.occurrence.task(self.task_id)
 
-    @property
+    @functools.cached_property
     def key(self):
         """Key that identifies the run on its executor."""
-        return self.task_id, self.number
+        return run_key(self.task_id, self.number)
 
 
 @attrs.frozen
@@ -208,7 +209,7 @@
     :ivar version: increases when runs are added or removed, and with each
         entry
     :ivar run_index: the runs of all executors of the partition
-    :ivar runs: runs by task and number
+    :ivar runs: runs by :func:`run_key`
     :ivar free: capacity not reserved by any run
     :ivar is_fenced: whether it has seen this owner's epoch
     :ivar fenced_since_s: time by which it had seen the epoch
@@ -320,5 +321,19 @@
         return now_s > self.lease_expires_s + LEASE_EXPIRY_MARGIN_S
 
 
+def run_key(task_id, number):
+    """Return the key that identifies a run of a task on an executor.
+
+    A tuple of plain values is hashed and compared faster than a task id.
+    """
+    return (
+        task_id.job_id,
+        task_id.occurrence,
+        task_id.step,
+        task_id.index,
+        number,
+    )
+
+
 def _step_key(task_id):
     return task_id.job_id, task_id.occurrence, task_id.step
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
@@ -103,7 +103,7 @@
     found, orphans = [], []
     listed = set()
     for row in poll.running:
-        key = row.task_id, row.number
+        key = executors.run_key(row.task_id, row.number)
         listed.add(key)
         run = executor.runs.get(key)
         if run is None:
@@ -125,7 +125,7 @@
         if end.sequence <= executor.last_processed_end:
             continue
         executor.last_processed_end = end.sequence
-        run = executor.runs.get((end.task_id, end.number))
+        run = executor.runs.get(executors.run_key(end.task_id, end.number))
         if run is None and end.cause is _Cause.DONE:
             # The run finished before its lease expired and was written off;
             # its result is still valid.
@@ -191,7 +191,7 @@
 
 
 def _missing_runs(executor, poll, listed):
-    ended = {(end.task_id, end.number) for end in poll.ended}
+    ended = {executors.run_key(end.task_id, end.number) for end in poll.ended}
     return [
         FinishedRun(run, _cause_of_missing_run(run), run.checkpoint)
         for key, run in executor.runs.items()
