--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
@@ -1,5 +1,7 @@
 """Order the steps that wait for executors in a pool."""
 
+import functools
+
 import attrs
 
 from . import jobs
@@ -36,7 +38,7 @@
         """Key that identifies the step."""
         return self.occurrence.job.job_id, self.occurrence.number, self.step
 
-    @property
+    @functools.cached_property
     def spec(self):
         """The declared step."""
         return self.occurrence.job.spec.steps[self.step]
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
@@ -49,6 +49,10 @@
         differences = before.items() ^ self._versions.items()
         self._changed += {number for number, _ in differences}
 
+    def has_room(self, step):
+        """Whether any executor has room for a task of a step now."""
+        return self._ranking(step).has_room
+
     def choose(self, step, task_id, task, allowed_ids=None):
         """Return the best and the second-best executor for a task.
 
@@ -69,8 +73,6 @@
 
     def choose_gang(self, step, task_ids, allowed_ids=None):
         """Return an executor for each task of a gang, or None."""
-        if not self._ranking(step).has_room:
-            return None
         executors = list(self._usable.values())
         if allowed_ids is not None:
             executors = self._usable_of(allowed_ids)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -29,16 +29,22 @@
         pool_executors.update(executors, now_s)
         if not pool_executors.has_usable:
             return []
-        waiting = self._steps.pending_in(pool)
+        waiting = []
+        for ready_step in self._steps.pending_in(pool):
+            if ready_step.unplaced_since_s is None:
+                ready_step.unplaced_since_s = now_s
+            if pool_executors.has_room(ready_step.spec):
+                waiting.append(ready_step)
         waiting.sort(key=lambda ready_step: ordering.rank(ready_step, now_s))
         starts = []
         for ready_step in waiting:
+            # Steps that were placed before may have taken the room.
+            if not pool_executors.has_room(ready_step.spec):
+                continue
             starts += self._plan_step(ready_step, pool_executors, now_s)
         return starts
 
     def _plan_step(self, ready_step, pool_executors, now_s):
-        if ready_step.unplaced_since_s is None:
-            ready_step.unplaced_since_s = now_s
         if ready_step.spec.is_gang:
             return self._plan_gang(ready_step, pool_executors, now_s)
         starts = []
