Find the jobs that are due without going through all others

Cause: each cycle went through every job with an occurrence that is not due yet. They are now sorted by due time; jobs that become due together are still activated in the order in which they were added.

--- a/features/stage/loaded_partition.py
+++ b/features/stage/loaded_partition.py
@@ -3,6 +3,8 @@
 import itertools
 import sys
 
+import attrs
+
 from hawthorndeal_jobs import executors
 from hawthorndeal_jobs import jobs
 from hawthorndeal_jobs import queues
@@ -17,8 +19,10 @@
 CAPACITY = specs.Resources(16000, 65536)
 ROOM = specs.Resources(1000, 1024)
 TASKS_PER_JOB = 5
-# Runs in other pools for each step there that fits on no executor.
+# Runs in other pools for each step there that fits on no executor, and for
+# each job there that is not due yet.
 RUNS_PER_WAITING_STEP = 10
+NOT_DUE_S = 1e6
 
 
 def _configuration():
@@ -74,20 +78,39 @@
             self.add_executor(OWN_POOL)
 
     def add_other_work(self, run_count, executor_count):
-        """Add executors of other pools, with runs and waiting steps."""
+        """Add executors of other pools, with runs and waiting steps.
+
+        A third of the runs each end by themselves, serve and fill.
+        """
         pools = itertools.cycle(OTHER_POOLS)
         for pool in itertools.islice(pools, executor_count):
             self.add_executor(pool)
-        for pool in itertools.islice(pools, run_count // TASKS_PER_JOB):
-            self.add_job(job_spec(TASKS_PER_JOB), pool)
+        run_specs = itertools.cycle(
+            [
+                job_spec(TASKS_PER_JOB),
+                job_spec(TASKS_PER_JOB, is_lasting=True, tail_target_ms=100),
+                job_spec(TASKS_PER_JOB, is_lasting=True, is_filler=True),
+            ]
+        )
+        job_count = run_count // TASKS_PER_JOB
+        for pool, spec in itertools.islice(zip(pools, run_specs), job_count):
+            self.add_job(spec, pool)
         waiting = job_spec(1, required_label='absent')
         for pool in itertools.islice(
             pools, run_count // RUNS_PER_WAITING_STEP
         ):
             self.add_job(waiting, pool)
+            self.add_job(self._not_due(), pool)
         assert len(self.start_all()) == run_count
         for executor_id in self.scheduler.executors:
             self.poll(executor_id)
+        self.start_all()
+
+    def _not_due(self):
+        due_s = self.now_s + NOT_DUE_S
+        return attrs.evolve(
+            job_spec(1), repetitions=2, first_due_s=due_s, interval_s=1.0
+        )
 
     def add_executor(self, pool):
         """Add an executor that has answered a poll."""
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -1,8 +1,11 @@
 """Track the steps whose tasks may start, and occurrences not yet due."""
 
 import collections
+import heapq
 import itertools
 
+import attrs
+
 from . import demand
 from . import estimates
 from . import jobs
@@ -14,6 +17,20 @@
 MAX_RECOVERED_AGE_S = 120.0
 
 
+@attrs.define
+class _ScheduledJob:
+    """A job with occurrences that are not due yet.
+
+    :ivar number: increases with each such job
+    :ivar next_occurrence: number of the first occurrence that is not due
+    """
+
+    number: int
+    job: jobs.Job
+    next_occurrence: int
+    accepted_s: float
+
+
 class ReadySteps:
     """The steps whose tasks may start.
 
@@ -33,6 +50,9 @@
         # Steps by queue and number; some may not be pending any more.
         self._pending = collections.defaultdict(dict)
         self._not_due = {}
+        # Due time, number and id of each job that is not due yet; jobs that
+        # were removed may still be listed.
+        self._due_times = []
         self._queues = dict(configuration.queues)
 
     def set_configuration(self, configuration):
@@ -109,7 +129,16 @@
             self._add_ready_steps(job.occurrences[number], accepted_s)
         next_number = len(job.occurrences)
         if next_number < job.spec.occurrences:
-            self._not_due[job.job_id] = (job, next_number, accepted_s)
+            scheduled = _ScheduledJob(
+                next(self._numbers), job, next_number, accepted_s
+            )
+            self._not_due[job.job_id] = scheduled
+            self._add_due_time(scheduled)
+
+    def _add_due_time(self, scheduled):
+        job = scheduled.job
+        due_s = job.spec.due_s(scheduled.next_occurrence)
+        heapq.heappush(self._due_times, (due_s, scheduled.number, job.job_id))
 
     def _record_demand(self, job, capacity, now_s):
         work = demand.declared_work(job.spec, capacity)
@@ -118,17 +147,26 @@
 
     def activate_due(self, now_s, wall_s):
         """Add the steps of occurrences that have become due."""
-        for job_id, (job, number, accepted_s) in list(self._not_due.items()):
-            due_since_s = now_s if job.spec.repetitions else accepted_s
-            while number < job.spec.occurrences:
-                if job.spec.due_s(number) > wall_s:
-                    break
-                self._add_ready_steps(job.occurrence(number), due_since_s)
-                number += 1
-            if number < job.spec.occurrences:
-                self._not_due[job_id] = (job, number, accepted_s)
-            else:
-                del self._not_due[job_id]
+        due = []
+        while self._due_times and self._due_times[0][0] <= wall_s:
+            _, number, job_id = heapq.heappop(self._due_times)
+            scheduled = self._not_due.get(job_id)
+            if scheduled is not None and scheduled.number == number:
+                due.append(scheduled)
+        for scheduled in sorted(due, key=_number_of):
+            self._activate(scheduled, now_s, wall_s)
+
+    def _activate(self, scheduled, now_s, wall_s):
+        job, spec = scheduled.job, scheduled.job.spec
+        due_since_s = now_s if spec.repetitions else scheduled.accepted_s
+        while scheduled.next_occurrence < spec.occurrences:
+            if spec.due_s(scheduled.next_occurrence) > wall_s:
+                self._add_due_time(scheduled)
+                return
+            occurrence = job.occurrence(scheduled.next_occurrence)
+            self._add_ready_steps(occurrence, due_since_s)
+            scheduled.next_occurrence += 1
+        del self._not_due[job.job_id]
 
     def _add_ready_steps(self, occurrence, accepted_s):
         for step in range(len(occurrence.tasks)):
@@ -209,5 +247,5 @@
         return declared_s * factor * spec.reserved.dominant_share(capacity)
 
 
-def _number_of(ready_step):
-    return ready_step.number
+def _number_of(numbered):
+    return numbered.number
