Plan the paces of an executor only when one may change

Cause: each cycle went through all runs of each executor with a filler. An executor is now left out once time alone changes none of its paces, until its runs, a poll or a pace that was set say otherwise.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -68,7 +68,6 @@
     :ivar percent: last reported progress
     :ivar usage: tail latency in ms for a serving task, otherwise millicores
     :ivar progressed_s: when the reported progress last increased
-    :ivar pace_percent: share of full speed that the run was told to use
     :ivar pace_changed_s: when pace_percent last changed
     :ivar ticket: permission from the advice service, if its queue needs one
     :ivar planned_s: when the run was planned
@@ -94,7 +93,7 @@
     started_s: float | None = None
     planned_s: float = 0.0
     second_choice: str = ''
-    pace_percent: int = 100
+    _pace_percent: int = 100
     pace_changed_s: float = 0.0
     ticket: str = ''
     checkpoint: str = ''
@@ -121,6 +120,17 @@
         self._is_stop_requested = is_requested
         self._update_index()
 
+    @property
+    def pace_percent(self):
+        """Share of full speed that the run was told to use."""
+        return self._pace_percent
+
+    @pace_percent.setter
+    def pace_percent(self, percent):
+        self._pace_percent = percent
+        if self.index is not None:
+            self.index.note_pace_input(self.executor_id)
+
     def _update_index(self):
         if self.index is not None:
             self.index.update(self)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pacing.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pacing.py
@@ -4,6 +4,8 @@
 approaches its target, and sped up again step by step.
 """
 
+import math
+
 import attrs
 
 # Fraction of the latency target above which fillers are slowed down.
@@ -48,6 +50,11 @@
     return changes
 
 
+def are_settled(runs):
+    """Return True if time alone changes no pace of an executor."""
+    return not plan(runs, math.inf)
+
+
 def _next_percent(run, worst, now_s):
     since_s = now_s - run.pace_changed_s
     if worst > 1.0 and since_s >= SLOW_PERIOD_S:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_index.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_index.py
@@ -12,6 +12,8 @@
         self._by_task = {}
         self._stop_candidates = {}
         self._fillers = {}
+        # Ids of executors whose paces may have to change.
+        self._pace_candidates = set()
 
     def add(self, run):
         """Add a run."""
@@ -22,6 +24,7 @@
             self._fillers.setdefault(run.executor_id, {})[run] = None
         run.index = self
         self.update(run)
+        self.note_pace_input(run.executor_id)
 
     def remove(self, run):
         """Remove a run."""
@@ -30,6 +33,7 @@
         _discard(self._fillers, run.executor_id, run)
         self._stop_candidates.pop(run, None)
         run.index = None
+        self.note_pace_input(run.executor_id)
 
     def update(self, run):
         """Process a change of whether a run may have to be stopped."""
@@ -50,9 +54,20 @@
         """Return the runs that may have to be stopped, in order of place."""
         return sorted(self._stop_candidates, key=lambda run: run.place)
 
-    def filler_executor_ids(self):
-        """Return the ids of the executors that run fillers."""
-        return list(self._fillers)
+    def note_pace_input(self, executor_id):
+        """Record that the runs or the load of an executor have changed."""
+        if executor_id in self._fillers:
+            self._pace_candidates.add(executor_id)
+        else:
+            self._pace_candidates.discard(executor_id)
+
+    def note_paces_settled(self, executor_id):
+        """Record that an executor keeps its paces until the next change."""
+        self._pace_candidates.discard(executor_id)
+
+    def pace_candidates(self):
+        """Return the ids of executors whose paces may have to change."""
+        return list(self._pace_candidates)
 
 
 def _discard(groups, key, run):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -203,6 +203,7 @@
         )
         if executor.last_processed_end > executor.last_recorded_end:
             self._unrecorded[executor_id] = executor
+        self._run_index.note_pace_input(executor_id)
         self._orphans.update(
             {(s.executor_id, s.task_id, s.number): s for s in outcome.orphans}
         )
@@ -356,19 +357,21 @@
         ]
         orphans = list(self._orphans.values())
         self._orphans.clear()
-        paces = [
-            change
-            for executor in self._executors_with_fillers()
-            for change in pacing.plan(executor.runs.values(), now_s)
-        ]
-        return SchedulingPlan(starts, stops, orphans, paces)
+        return SchedulingPlan(starts, stops, orphans, self._plan_paces(now_s))
 
-    def _executors_with_fillers(self):
-        ids = self._run_index.filler_executor_ids()
-        return sorted(
-            (self.executors[executor_id] for executor_id in ids),
-            key=lambda executor: executor.number,
-        )
+    def _plan_paces(self, now_s):
+        candidates = [
+            self.executors[executor_id]
+            for executor_id in self._run_index.pace_candidates()
+        ]
+        candidates.sort(key=lambda executor: executor.number)
+        changes = []
+        for executor in candidates:
+            runs = executor.runs.values()
+            changes += pacing.plan(runs, now_s)
+            if pacing.are_settled(runs):
+                self._run_index.note_paces_settled(executor.executor_id)
+        return changes
 
     def steps_awaiting_advice(self, now_s):
         """Return the steps that wait for advice, with their queues."""
