--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
@@ -0,0 +1,125 @@
+"""Apply the ends of runs to their tasks, steps and jobs."""
+
+from . import executor_health
+from . import executors
+from . import jobs
+from . import run_tracking
+
+_Cause = executors.EndCause
+
+
+class RunEndings:
+    """Applies the ends of runs, and keeps which occurrences changed.
+
+    :param steps: the steps whose tasks may start
+    :param tickets: tickets of the steps
+    :param run_index: the runs on all executors
+    """
+
+    def __init__(self, steps, tickets, run_index):
+        self._steps = steps
+        self._tickets = tickets
+        self._run_index = run_index
+        self._changed = {}
+
+    def note_changed(self, occurrences):
+        """Record that occurrences have changed."""
+        self._changed.update(dict.fromkeys(occurrences))
+
+    def pop_changed(self):
+        """Return the occurrences that changed since the last call."""
+        changed, self._changed = list(self._changed), {}
+        return changed
+
+    def stop_job(self, job):
+        """Stop all runs of a job that has ended."""
+        self._steps.remove_job(job)
+        self._tickets.discard_job(job.job_id)
+        for run in self._run_index.runs_of_job(job.job_id):
+            run.is_stop_requested = True
+
+    def finish(self, executor, ended, now_s):
+        """Remove a run that has ended from its executor."""
+        run, task = ended.run, ended.run.task
+        was_current = run_tracking.is_current(run)
+        executor.remove(run, now_s)
+        self._steps.pools_to_schedule.add(executor.entry.pool)
+        self._update_executor_health(executor, ended, now_s)
+        if not was_current:
+            self._finish_superseded(ended)
+            return
+        if ended.checkpoint and run.step.is_checkpointing:
+            task.checkpoint = ended.checkpoint
+        self._changed[run.occurrence] = None
+        if ended.cause is _Cause.DONE and not run.step.is_lasting:
+            self._mark_done(run)
+        elif ended.cause is _Cause.FAILED and not run.step.is_lasting:
+            self._mark_failed(run)
+        else:
+            self._mark_pending(run)
+
+    def _finish_superseded(self, ended):
+        """Process the end of a run that its task no longer refers to."""
+        run = ended.run
+        if run.step.is_lasting:
+            return
+        if ended.cause is _Cause.DONE:
+            self._mark_done(run)
+        elif ended.cause is _Cause.FAILED:
+            run.task.failures += 1
+            self._changed[run.occurrence] = None
+
+    def _update_executor_health(self, executor, ended, now_s):
+        if ended.cause is _Cause.DONE:
+            executor_health.record_success(executor)
+            self._record_run_time(ended.run, now_s)
+        elif ended.cause is _Cause.FAILED:
+            executor_health.record_failure(executor, now_s)
+
+    def _record_run_time(self, run, now_s):
+        if run.started_s is not None and not run.step.is_lasting:
+            self._steps.estimates.note(
+                run.occurrence.job.queue,
+                run.step.estimate_s,
+                now_s - run.started_s,
+            )
+
+    def _mark_done(self, run):
+        occurrence, step = run.occurrence, run.task_id.step
+        tasks = [run.task]
+        if run.step.is_gang:
+            tasks = occurrence.tasks[step]
+        for task in tasks:
+            # A failed task keeps its state, and so does its job.
+            if task.state not in (jobs.TaskState.DONE, jobs.TaskState.FAILED):
+                task.state = jobs.TaskState.DONE
+                occurrence.done_counts[step] += 1
+        self._changed[occurrence] = None
+        self._steps.drop_done_tasks(occurrence, step)
+        self._stop_other_runs(run)
+        if occurrence.is_step_done(step):
+            self._steps.complete_step(occurrence, step)
+
+    def _stop_other_runs(self, ended_run):
+        if ended_run.step.is_gang:
+            return
+        for run in self._run_index.runs_of_task(ended_run.task_id):
+            run.is_stop_requested = True
+
+    def _mark_failed(self, run):
+        occurrence, step = run.occurrence, run.task_id.step
+        run.task.failures += 1
+        failures = run.task.failures
+        if run.step.is_gang:
+            failures = sum(t.failures for t in occurrence.tasks[step])
+        job = occurrence.job
+        if failures >= self._steps.queue_of(job).max_attempts:
+            run.task.state = jobs.TaskState.FAILED
+            job.is_failed = True
+            self.stop_job(job)
+        else:
+            self._mark_pending(run)
+
+    def _mark_pending(self, run):
+        run.task.state = jobs.TaskState.PENDING
+        self._steps.requeue(run.task_id, run.occurrence.job)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -10,6 +10,7 @@
 from . import placement
 from . import pool_loads
 from . import ready_steps as ready_steps_module
+from . import run_endings
 from . import run_index
 from . import run_tracking
 from . import specs
@@ -55,8 +56,10 @@
         self._index = executor_index.ExecutorIndex()
         self._run_index = run_index.RunIndex()
         self._unrecorded = {}
-        self._changed = {}
         self._orphans = {}
+        self._endings = run_endings.RunEndings(
+            self.steps, self.tickets, self._run_index
+        )
 
     # Jobs
 
@@ -72,13 +75,7 @@
 
     def cancel_job(self, job):
         """Stop all runs of a cancelled job."""
-        self._stop_job(job)
-
-    def _stop_job(self, job):
-        self.steps.remove_job(job)
-        self.tickets.discard_job(job.job_id)
-        for run in self._run_index.runs_of_job(job.job_id):
-            run.is_stop_requested = True
+        self._endings.stop_job(job)
 
     def set_configuration(self, configuration):
         """Apply a newer configuration."""
@@ -164,7 +161,7 @@
             for run in list(executor.runs.values())
         ]
         for ended in finished_runs:
-            self._finish(executor, ended, now_s)
+            self._endings.finish(executor, ended, now_s)
         return finished_runs
 
     def inherit(self, now_s, inherited_lease_s):
@@ -208,7 +205,7 @@
             {(s.executor_id, s.task_id, s.number): s for s in outcome.orphans}
         )
         for ended in outcome.finished_runs:
-            self._finish(executor, ended, now_s)
+            self._endings.finish(executor, ended, now_s)
         for run in executor_health.check_progress(
             executor, self._expected_s, now_s
         ):
@@ -242,99 +239,12 @@
         if answer is _Answer.NO_ROOM:
             executor_health.record_no_room(executor, now_s)
         if ended is not None:
-            self._finish(executor, ended, now_s)
+            self._endings.finish(executor, ended, now_s)
 
     def handle_stop_answer(self, run, is_answered, now_s):
         """Record whether a stop request was acknowledged."""
         run_tracking.apply_stop_answer(run, is_answered, now_s)
 
-    # Finished runs
-
-    def _finish(self, executor, ended, now_s):
-        run, task = ended.run, ended.run.task
-        was_current = run_tracking.is_current(run)
-        executor.remove(run, now_s)
-        self.steps.pools_to_schedule.add(executor.entry.pool)
-        self._update_executor_health(executor, ended, now_s)
-        if not was_current:
-            self._finish_superseded(ended)
-            return
-        if ended.checkpoint and run.step.is_checkpointing:
-            task.checkpoint = ended.checkpoint
-        self._changed[run.occurrence] = None
-        if ended.cause is _Cause.DONE and not run.step.is_lasting:
-            self._mark_done(run)
-        elif ended.cause is _Cause.FAILED and not run.step.is_lasting:
-            self._mark_failed(run)
-        else:
-            self._mark_pending(run)
-
-    def _finish_superseded(self, ended):
-        """Process the end of a run that its task no longer refers to."""
-        run = ended.run
-        if run.step.is_lasting:
-            return
-        if ended.cause is _Cause.DONE:
-            self._mark_done(run)
-        elif ended.cause is _Cause.FAILED:
-            run.task.failures += 1
-            self._changed[run.occurrence] = None
-
-    def _update_executor_health(self, executor, ended, now_s):
-        if ended.cause is _Cause.DONE:
-            executor_health.record_success(executor)
-            self._record_run_time(ended.run, now_s)
-        elif ended.cause is _Cause.FAILED:
-            executor_health.record_failure(executor, now_s)
-
-    def _record_run_time(self, run, now_s):
-        if run.started_s is not None and not run.step.is_lasting:
-            self.steps.estimates.note(
-                run.occurrence.job.queue,
-                run.step.estimate_s,
-                now_s - run.started_s,
-            )
-
-    def _mark_done(self, run):
-        occurrence, step = run.occurrence, run.task_id.step
-        tasks = [run.task]
-        if run.step.is_gang:
-            tasks = occurrence.tasks[step]
-        for task in tasks:
-            # A failed task keeps its state, and so does its job.
-            if task.state not in (jobs.TaskState.DONE, jobs.TaskState.FAILED):
-                task.state = jobs.TaskState.DONE
-                occurrence.done_counts[step] += 1
-        self._changed[occurrence] = None
-        self.steps.drop_done_tasks(occurrence, step)
-        self._stop_other_runs(run)
-        if occurrence.is_step_done(step):
-            self.steps.complete_step(occurrence, step)
-
-    def _stop_other_runs(self, ended_run):
-        if ended_run.step.is_gang:
-            return
-        for run in self._run_index.runs_of_task(ended_run.task_id):
-            run.is_stop_requested = True
-
-    def _mark_failed(self, run):
-        occurrence, step = run.occurrence, run.task_id.step
-        run.task.failures += 1
-        failures = run.task.failures
-        if run.step.is_gang:
-            failures = sum(t.failures for t in occurrence.tasks[step])
-        job = occurrence.job
-        if failures >= self.steps.queue_of(job).max_attempts:
-            run.task.state = jobs.TaskState.FAILED
-            job.is_failed = True
-            self._stop_job(job)
-        else:
-            self._mark_pending(run)
-
-    def _mark_pending(self, run):
-        run.task.state = jobs.TaskState.PENDING
-        self.steps.requeue(run.task_id, run.occurrence.job)
-
     # Scheduling
 
     def plan(self, now_s, wall_s):
@@ -349,7 +259,7 @@
             starts += self._planner.plan_pool(
                 pool, self.executors_in(pool), now_s
             )
-        self._changed.update({run.occurrence: None for run in starts})
+        self._endings.note_changed(run.occurrence for run in starts)
         stops = [
             run
             for run in self._run_index.stop_candidates()
@@ -419,14 +329,15 @@
         """Remove a planned run whose start request was not sent."""
         executor = self.executors.get(run.executor_id)
         if executor is not None:
-            self._finish(executor, run_tracking.FinishedRun(run, None), now_s)
+            self._endings.finish(
+                executor, run_tracking.FinishedRun(run, None), now_s
+            )
 
     # Persistence
 
     def pop_changed(self):
         """Return the occurrences that changed since the last call."""
-        changed, self._changed = list(self._changed), {}
-        return changed
+        return self._endings.pop_changed()
 
     def unrecorded_ends(self):
         """Return each executor's last processed end that isn't stored yet."""
