Count for how many tasks of a gang a pool has room

Cause: each gang that waits was placed on paper in each cycle, sorting all executors of its pool by cost. The room of a kind of gang is now kept as its executors change, and a gang larger than it is left alone.

--- a/features/jobs_scheduler_cost.feature
+++ b/features/jobs_scheduler_cost.feature
@@ -39,6 +39,7 @@
       | steps of one task              | 20  | 60   |
       | steps that fit on no executor  | 20  | 60   |
       | steps limited per executor     | 20  | 60   |
+      | gangs larger than the pool     | 20  | 60   |
 
   Scenario: The cost of the end of a task does not grow with its step
     Given a step of 100 tasks and a step of 1500, of which most are pending
--- a/features/steps/jobs_scheduler_cost.py
+++ b/features/steps/jobs_scheduler_cost.py
@@ -10,6 +10,8 @@
 
 OWN_EXECUTORS = 4
 EXPIRED_S = 1.1
+# More than the executors of any pool, each of which has room for one.
+GANG_TASKS = 400
 
 _Cause = executors.EndCause
 
@@ -236,11 +238,19 @@
     return [loaded_partition.job_spec(2, max_per_executor=1)] * count
 
 
+def _large_gangs(count):
+    spec = loaded_partition.job_spec(
+        GANG_TASKS, request=loaded_partition.CAPACITY, is_gang=True
+    )
+    return [spec] * count
+
+
 WORK = {
     'tasks of one step': (_tasks_of_one_step, 1),
     'steps of one task': (_steps_of_one_task, 1),
     'steps that fit on no executor': (_unplaceable_steps, 0),
     'steps limited per executor': (_limited_steps, 2),
+    'gangs larger than the pool': (_large_gangs, 0),
 }
 
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
@@ -100,7 +100,7 @@
 
 def _place_all(executors, step, task_ids):
     slot_lists = [
-        itertools.repeat(executor, _free_slots(executor, step, task_ids[0]))
+        itertools.repeat(executor, _slots(executor, step, task_ids[0]))
         for executor in sorted(executors, key=lambda e: cost(e, step))
     ]
     chosen = list(
@@ -109,8 +109,17 @@
     return chosen if len(chosen) == len(task_ids) else None
 
 
-def _free_slots(executor, step, task_id):
-    if not can_place(executor, step, task_id):
+def _slots(executor, step, task_id):
+    slots = room_slots(executor, step)
+    if step.max_per_executor:
+        runs = executor.step_run_count(task_id)
+        slots = min(slots, max(0, step.max_per_executor - runs))
+    return slots
+
+
+def room_slots(executor, step):
+    """Return for how many tasks of a step an executor has room."""
+    if not has_room(executor, step):
         return 0
     need, free = step.reserved, executor.free
     fits = [
@@ -122,8 +131,6 @@
         )
         if needed
     ]
-    if step.max_per_executor:
-        fits.append(step.max_per_executor - executor.step_run_count(task_id))
     return min(fits, default=step.count)
 
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
@@ -50,8 +50,11 @@
         self._changed += {number for number, _ in differences}
 
     def has_room(self, step):
-        """Whether any executor has room for a task of a step now."""
-        return self._ranking(step).has_room
+        """Return True if a task of a step, or its whole gang, may have room.
+
+        Limits per executor and racks are not considered.
+        """
+        return self._ranking(step).has_room(step)
 
     def choose(self, step, task_id, task, allowed_ids=None):
         """Return the best and the second-best executor for a task.
@@ -120,10 +123,17 @@
         }
         self._heap = list(self._entries.values())
         heapq.heapify(self._heap)
+        # For gangs only: for how many tasks each executor has room.
+        self._slots = {}
+        self._slot_count = 0
+        if step.is_gang:
+            for number in self._entries:
+                self._count_slots(number)
 
-    @property
-    def has_room(self):
-        """Whether any executor has room."""
+    def has_room(self, step):
+        """Return True if the executors have room for a step."""
+        if step.is_gang:
+            return self._slot_count >= step.count
         return bool(self._entries)
 
     def update(self, usable, changed):
@@ -136,6 +146,8 @@
             return
         for number in set(changed[self._change_count :]):
             self._rank_again(number)
+            if self._step.is_gang:
+                self._count_slots(number)
         self._change_count = len(changed)
 
     def _rank_again(self, number):
@@ -147,6 +159,14 @@
         self._entries[number] = entry
         heapq.heappush(self._heap, entry)
 
+    def _count_slots(self, number):
+        executor = self._usable.get(number)
+        slots = 0
+        if executor is not None:
+            slots = placement.room_slots(executor, self._step)
+        self._slot_count += slots - self._slots.get(number, 0)
+        self._slots[number] = slots
+
     def best_two(self, step, task_id, avoided_id=''):
         """Return up to two executors that may run a task, the best first.
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/specs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/specs.py
@@ -109,6 +109,7 @@
             self.data_rack,
             self.is_filler,
             bool(self.tail_target_ms),
+            self.count if self.is_gang else 0,
         )
 
 
