--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
@@ -110,15 +110,17 @@
 
         Entries that executors publish are newer than the last list.
         """
-        known = self._owner.scheduler.executors
-        incarnations = [e for e in known.values() if e.entry.host == host]
+        scheduler = self._owner.scheduler
+        incarnations = scheduler.executors_on(host)
         if incarnations:
             # An entry that is stored late may describe an ended incarnation.
             return max(
                 incarnations, key=lambda e: (e.is_fenced, e.last_contact_s)
             )
         entry = self.entries.get(host)
-        return known.get(entry.executor_id) if entry is not None else None
+        if entry is None:
+            return None
+        return scheduler.executors.get(entry.executor_id)
 
     def reserve(self, host):
         """Prevent new runs on a host."""
