--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -67,6 +67,7 @@
             self, parts.executors, parts.metrics
         )
         self._agents = {}
+        self._without_agent = {}
         self._ended_executor_ids = set()
         self._background_tasks = set()
         self._wake = asyncio.Event()
@@ -468,11 +469,16 @@
     # Executors
 
     def _ensure_agent(self, executor):
-        if executor.executor_id in self._agents or not executor.entry.address:
+        executor_id = executor.executor_id
+        if executor_id in self._agents:
+            return
+        if not executor.entry.address:
+            self._without_agent[executor_id] = executor
             return
+        self._without_agent.pop(executor_id, None)
         agent = executor_agent.ExecutorAgent(executor, self)
         task = asyncio.create_task(self._run_guarded(agent))
-        self._agents[executor.executor_id] = (task, agent)
+        self._agents[executor_id] = (task, agent)
 
     async def _run_guarded(self, part):
         """Run a task, and give up the partition if it raises."""
@@ -543,13 +549,13 @@
 
     def _check_executors_without_agent(self):
         # Executors without a known address have no agent that checks leases.
-        for executor in list(self.scheduler.executors.values()):
-            if executor.executor_id not in self._agents:
-                self.check_lease_expiry(executor)
+        for executor in list(self._without_agent.values()):
+            self.check_lease_expiry(executor)
 
     def remove_executor(self, executor, why):
         """Remove an executor that has ended, and end all its runs."""
         self._ended_executor_ids.add(executor.executor_id)
+        self._without_agent.pop(executor.executor_id, None)
         ended_runs = self.scheduler.remove_executor(
             executor.executor_id, self.now_s()
         )
