Drop finished jobs without going through those that wait

Each cycle went through all jobs whose final state wasn't read back yet, and through all tasks of those whose final state was. The first kind piles up as long as the statuses are read late, the second while runs of many cancelled jobs have not ended.

FinishedJobs is told of each status that is read, and looks only at jobs whose final state is stored; their tasks are looked at once the index knows of no run.

The new scenario of the cost fails if all finished jobs are looked at.

--- a/features/jobs_scheduler_cost.feature
+++ b/features/jobs_scheduler_cost.feature
@@ -45,3 +45,13 @@
     Given a step of 100 tasks and a step of 1500, of which most are pending
     When a task of each of them ends
     Then the large step costs less than 2 times the small one
+
+  Scenario: The cost of dropping a finished job does not grow with others
+    Given 100 and 1500 finished jobs whose final state is not stored
+    When the final state of one of them is stored, and it is dropped
+    Then dropping it costs less than 2 times as much among many
+
+  Scenario: A finished job is dropped once its final state is stored and no run of it is left
+    Given a finished job with a run that has not ended
+    When its final state is stored
+    Then it is dropped once, after the run has ended
--- a/features/steps/jobs_scheduler_cost.py
+++ b/features/steps/jobs_scheduler_cost.py
@@ -1,11 +1,16 @@
 """Steps for the cost of the scheduler's decisions, in instructions."""
 
+import functools
+
 from behave import given
 from behave import then
 from behave import when
 
 from hawthorndeal_jobs import executors
+from hawthorndeal_jobs import finished_jobs
 from hawthorndeal_jobs import jobs
+from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import status_board
 from stage import loaded_partition
 
 OWN_EXECUTORS = 4
@@ -316,3 +321,79 @@
 @then('the large step costs less than {factor:d} times the small one')
 def check_step_costs(context, factor):
     check_costs(context, factor)
+
+
+@given('{few:d} and {many:d} finished jobs whose final state is not stored')
+def add_finished_jobs(context, few, many):
+    context.finished = {
+        size: _finished_jobs(count)
+        for size, count in (('small', few), ('large', many))
+    }
+
+
+def _finished_jobs(count):
+    board = status_board.StatusBoard()
+    finished = finished_jobs.FinishedJobs(board)
+    for number in range(count):
+        assert finished.add(_cancelled_job(f'j{number}'))
+    return board, finished
+
+
+def _cancelled_job(job_id):
+    spec = loaded_partition.job_spec(1)
+    job = jobs.Job(job_id, 'queue', 'pool', 0.0, spec)
+    job.is_cancelled = True
+    return job
+
+
+def _store_final_state(board, finished, job_id):
+    status = journal.JobStatus('queue', '', jobs.JobState.CANCELLED)
+    record = journal.status_record(job_id, status)
+    board.apply(record.key, record.value, 0)
+    finished.note_status(job_id)
+
+
+@when('the final state of one of them is stored, and it is dropped')
+def count_drop(context):
+    def drop(board, finished):
+        _store_final_state(board, finished, 'j7')
+        (job,) = finished.pop_droppable(lambda job_id: False)
+        assert job.job_id == 'j7'
+
+    context.costs = {
+        size: loaded_partition.count_instructions(
+            functools.partial(drop, *parts)
+        )
+        for size, parts in context.finished.items()
+    }
+
+
+@then('dropping it costs less than {factor:d} times as much among many')
+def check_drop_costs(context, factor):
+    check_costs(context, factor)
+
+
+@given('a finished job with a run that has not ended')
+def add_finished_job(context):
+    context.board, context.finished = _finished_jobs(1)
+    context.jobs_with_runs = {'j0'}
+
+
+@when('its final state is stored')
+def store_final_state(context):
+    assert not _drop(context)
+    _store_final_state(context.board, context.finished, 'j0')
+
+
+def _drop(context):
+    return context.finished.pop_droppable(context.jobs_with_runs.__contains__)
+
+
+@then('it is dropped once, after the run has ended')
+def check_drop(context):
+    assert not context.finished.add(_cancelled_job('j0'))
+    assert not _drop(context)
+    context.jobs_with_runs.clear()
+    (job,) = _drop(context)
+    assert job.job_id == 'j0'
+    assert not _drop(context)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -6,6 +6,7 @@
 import attrs
 
 from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import finished_jobs
 from hawthorndeal_jobs import hand_over
 from hawthorndeal_jobs import journal
 from hawthorndeal_jobs import ownership
@@ -78,7 +79,7 @@
         self._lost_reason = ''
         self._states_to_publish = {}
         self._cancelled = {}
-        self._finished = {}
+        self._finished = finished_jobs.FinishedJobs(parts.board)
         self._stray_cancellations = []
         self._is_storing_host_records = False
         self._ends_being_stored = {}
@@ -204,7 +205,7 @@
     def _add_job(self, job, age_s):
         """Schedule a job, unless it is a late copy of one that has ended."""
         if self._parts.board.is_stored_final(job.job_id):
-            self._finished[job.job_id] = job
+            self._finished.add(job)
             return
         self._publish_state(job, job.state())
         wall_s = self._parts.clock.now_s()
@@ -339,21 +340,10 @@
         return records + self._drop_finished_jobs()
 
     def _drop_finished_jobs(self):
-        """Return the records that drop jobs whose final state is stored.
-
-        A job stays while a run of it may be executing, so that a successor
-        knows what occupies the executors.
-        """
-        dropped = [
-            job
-            for job_id, job in self._finished.items()
-            if self._parts.board.is_stored_final(job_id)
-            and not job.has_assigned_tasks
-            and not self.scheduler.has_runs(job_id)
-        ]
+        """Return the records that drop finished jobs."""
+        dropped = self._finished.pop_droppable(self.scheduler.has_runs)
         strays, self._stray_cancellations = self._stray_cancellations, []
         for job in dropped:
-            del self._finished[job.job_id]
             self._parts.jobs_reader.replica.drop(job)
             self._publisher.forget(job.job_id)
         return [
@@ -390,8 +380,7 @@
         self._ends_being_stored = {}
 
     def _publish_state(self, job, state):
-        if state.is_final and job.job_id not in self._finished:
-            self._finished[job.job_id] = job
+        if state.is_final and self._finished.add(job):
             self.events.write('job_ended', job=job.job_id, state=state)
         self._publisher.publish(job, state)
 
@@ -410,6 +399,8 @@
         """Act on a record that the board has applied."""
         if change.kind == journal.OFFER:
             self._consider_offer()
+        elif change.kind == journal.STATUS:
+            self._finished.note_status(change.job_id)
         elif change.kind == journal.OWNER:
             current = self._parts.board.ownership
             if current.epoch > self.epoch:
