Spend less on steps without room when starts are planned

No object is made for a waiting step that has no room and is marked already, and a step's key is compared only while a gang is held back.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -38,14 +38,7 @@
         :param pools: the executors of each pool to look at, sorted by pool
         :param shares: the starts that may be planned
         """
-        waiting, full = [], []
-        for pool, executors in pools.items():
-            for candidate in self._candidates(pool, executors, now_s):
-                spec = candidate.ready_step.spec
-                if candidate.executors.has_room(spec):
-                    waiting.append(candidate)
-                elif candidate.ready_step.unplaced_since_s is None:
-                    full.append(candidate)
+        waiting, full = self._find_candidates(pools, now_s)
         waiting.sort(key=lambda candidate: self._order(candidate, now_s))
         starts, reached = self._plan_steps(waiting, now_s, shares)
         if not shares.left:
@@ -59,20 +52,28 @@
         self._held_gang = shares.held_gang
         return starts
 
-    def _candidates(self, pool, executors, now_s):
-        pool_executors = self._pools[pool]
-        pool_executors.update(executors, now_s)
-        if not pool_executors.has_usable:
-            return []
-        return [
-            _Candidate(ready_step, pool, pool_executors)
-            for ready_step in self._steps.pending_in(pool)
-        ]
+    def _find_candidates(self, pools, now_s):
+        """Return the steps with room, and those newly without room."""
+        waiting, full = [], []
+        for pool, executors in pools.items():
+            pool_executors = self._pools[pool]
+            pool_executors.update(executors, now_s)
+            if not pool_executors.has_usable:
+                continue
+            for ready_step in self._steps.pending_in(pool):
+                if pool_executors.has_room(ready_step.spec):
+                    group = waiting
+                elif ready_step.unplaced_since_s is None:
+                    group = full
+                else:
+                    continue
+                group.append(_Candidate(ready_step, pool, pool_executors))
+        return waiting, full
 
     def _order(self, candidate, now_s):
-        ready_step = candidate.ready_step
+        ready_step, held = candidate.ready_step, self._held_gang
         return (
-            ready_step.key != self._held_gang,
+            held is None or ready_step.key != held,
             ordering.rank(ready_step, now_s),
             candidate.pool,
             ready_step.number,
