--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -2,10 +2,13 @@
 
 import collections
 import enum
+import functools
+import itertools
 
 import attrs
 
 from . import jobs
+from . import run_index as run_index_module
 from . import specs
 
 # Upper bound on how much slower an executor's monotonic clock runs than ours.
@@ -60,17 +63,17 @@
     :ivar phase_changed_s: when the phase changed, on the local monotonic clock
     :ivar start_blocked_since_s: since when the run cannot start any more, if
         it had not started before; None while it may start
-    :ivar is_stop_requested: whether the run has to end
     :ivar is_stop_in_flight: whether a stop request is in flight
     :ivar stop_retry_s: earliest time for the next stop request
     :ivar percent: last reported progress
     :ivar usage: tail latency in ms for a serving task, otherwise millicores
     :ivar progressed_s: when the reported progress last increased
-    :ivar pace_percent: share of full speed that the run was told to use
     :ivar pace_changed_s: when pace_percent last changed
     :ivar ticket: permission from the advice service, if its queue needs one
     :ivar planned_s: when the run was planned
     :ivar second_choice: executor ranked second at placement, if any
+    :ivar place: sorts the runs of a partition by executor and age there
+    :ivar index: the index that the run is in, if any
     """
 
     task_id: jobs.TaskId
@@ -78,10 +81,10 @@
     occurrence: jobs.Occurrence
     executor_id: str
     reserved: specs.Resources
-    phase: RunPhase
+    _phase: RunPhase
     phase_changed_s: float
     start_blocked_since_s: float | None = None
-    is_stop_requested: bool = False
+    _is_stop_requested: bool = False
     is_stop_in_flight: bool = False
     stop_retry_s: float = 0.0
     percent: int = 0
@@ -90,12 +93,54 @@
     started_s: float | None = None
     planned_s: float = 0.0
     second_choice: str = ''
-    pace_percent: int = 100
+    _pace_percent: int = 100
     pace_changed_s: float = 0.0
     ticket: str = ''
     checkpoint: str = ''
+    place: tuple[int, int] = (0, 0)
+    index: run_index_module.RunIndex | None = None
 
     @property
+    def phase(self):
+        """State of the run, as far as it is known."""
+        return self._phase
+
+    @phase.setter
+    def phase(self, phase):
+        self._phase = phase
+        self._update_index()
+
+    @property
+    def is_stop_requested(self):
+        """Whether the run has to end."""
+        return self._is_stop_requested
+
+    @is_stop_requested.setter
+    def is_stop_requested(self, is_requested):
+        self._is_stop_requested = is_requested
+        self._update_index()
+
+    @property
+    def pace_percent(self):
+        """Share of full speed that the run was told to use."""
+        return self._pace_percent
+
+    @pace_percent.setter
+    def pace_percent(self, percent):
+        self._pace_percent = percent
+        if self.index is not None:
+            self.index.note_pace_input(self.executor_id)
+
+    def _update_index(self):
+        if self.index is not None:
+            self.index.update(self)
+
+    @property
+    def may_need_stop(self):
+        """Whether a stop request may have to be sent."""
+        return self._is_stop_requested or self._phase is RunPhase.UNKNOWN
+
+    @functools.cached_property
     def step(self):
         """The declared step of the task."""
         return self.occurrence.job.spec.steps[self.task_id.step]
@@ -105,10 +150,10 @@
         """The persistent state of the task."""
         return self.occurrence.task(self.task_id)
 
-    @property
+    @functools.cached_property
     def key(self):
         """Key that identifies the run on its executor."""
-        return self.task_id, self.number
+        return run_key(self.task_id, self.number)
 
 
 @attrs.frozen
@@ -170,7 +215,11 @@
     """One executor, with the runs that occupy or may occupy its capacity.
 
     :ivar discovered_s: when it was first seen
-    :ivar runs: runs by task and number
+    :ivar number: increases with each executor of the partition
+    :ivar version: increases when runs are added or removed, and with each
+        entry
+    :ivar run_index: the runs of all executors of the partition
+    :ivar runs: runs by :func:`run_key`
     :ivar free: capacity not reserved by any run
     :ivar is_fenced: whether it has seen this owner's epoch
     :ivar fenced_since_s: time by which it had seen the epoch
@@ -184,6 +233,12 @@
     entry: ExecutorEntry
     free: specs.Resources
     discovered_s: float = 0.0
+    number: int = 0
+    version: int = 0
+    run_index: run_index_module.RunIndex = attrs.Factory(
+        run_index_module.RunIndex
+    )
+    _run_numbers: itertools.count = attrs.Factory(itertools.count)
     runs: dict = attrs.Factory(dict)
     step_counts: collections.Counter = attrs.Factory(collections.Counter)
     is_fenced: bool = False
@@ -205,6 +260,12 @@
         """Identity of this incarnation."""
         return self.entry.executor_id
 
+    def replace_entry(self, entry):
+        """Replace the entry by a newer one."""
+        self.free = self.free + (entry.capacity - self.entry.capacity)
+        self.entry = entry
+        self.version += 1
+
     def mark_fenced(self, now_s):
         """Record that the executor has seen this owner's epoch."""
         if not self.is_fenced:
@@ -217,16 +278,27 @@
 
     def add(self, run):
         """Add a run and reserve its capacity."""
+        replaced = self.runs.get(run.key)
+        if replaced is None:
+            run.place = (self.number, next(self._run_numbers))
+        else:
+            run.place = replaced.place
+            self.run_index.remove(replaced)
         self.runs[run.key] = run
+        self.run_index.add(run)
         self.free = self.free - run.reserved
         self.step_counts[_step_key(run.task_id)] += 1
+        self.version += 1
 
     def remove(self, run, now_s):
         """Remove a run and free its capacity."""
-        if self.runs.pop(run.key, None) is None:
+        removed = self.runs.pop(run.key, None)
+        if removed is None:
             return
+        self.run_index.remove(removed)
         self.free = self.free + run.reserved
         self.step_counts[_step_key(run.task_id)] -= 1
+        self.version += 1
         if not self.runs:
             self.idle_since_s = now_s
 
@@ -259,5 +331,19 @@
         return now_s > self.lease_expires_s + LEASE_EXPIRY_MARGIN_S
 
 
+def run_key(task_id, number):
+    """Return the key that identifies a run of a task on an executor.
+
+    A tuple of plain values is hashed and compared faster than a task id.
+    """
+    return (
+        task_id.job_id,
+        task_id.occurrence,
+        task_id.step,
+        task_id.index,
+        number,
+    )
+
+
 def _step_key(task_id):
     return task_id.job_id, task_id.occurrence, task_id.step
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
@@ -1,5 +1,7 @@
 """Order the steps that wait for executors in a pool."""
 
+import functools
+
 import attrs
 
 from . import jobs
@@ -18,6 +20,7 @@
     :ivar cutoff_s: when the job has lost its value
     :ivar remaining_path_s: declared run time of the critical path from here
     :ivar unplaced_since_s: since when no task of the step could be placed
+    :ivar number: increases with each step of the partition
     """
 
     occurrence: jobs.Occurrence
@@ -28,13 +31,14 @@
     priority: int
     remaining_path_s: float
     unplaced_since_s: float | None = None
+    number: int = 0
 
     @property
     def key(self):
         """Key that identifies the step."""
         return self.occurrence.job.job_id, self.occurrence.number, self.step
 
-    @property
+    @functools.cached_property
     def spec(self):
         """The declared step."""
         return self.occurrence.job.spec.steps[self.step]
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -1,6 +1,10 @@
 """Track the steps whose tasks may start, and occurrences not yet due."""
 
 import collections
+import heapq
+import itertools
+
+import attrs
 
 from . import demand
 from . import estimates
@@ -13,6 +17,20 @@
 MAX_RECOVERED_AGE_S = 120.0
 
 
+@attrs.define
+class _ScheduledJob:
+    """A job with occurrences that are not due yet.
+
+    :ivar number: increases with each such job
+    :ivar next_occurrence: number of the first occurrence that is not due
+    """
+
+    number: int
+    job: jobs.Job
+    next_occurrence: int
+    accepted_s: float
+
+
 class ReadySteps:
     """The steps whose tasks may start.
 
@@ -27,8 +45,14 @@
         self.pools_to_schedule = set()
         self.estimates = estimates.EstimateCorrector()
         self.demand_meters = collections.defaultdict(demand.DemandMeter)
+        self._numbers = itertools.count()
         self._steps = {}
+        # Steps by queue and number; some may not be pending any more.
+        self._pending = collections.defaultdict(dict)
         self._not_due = {}
+        # Due time, number and id of each job that is not due yet; jobs that
+        # were removed may still be listed.
+        self._due_times = []
         self._queues = dict(configuration.queues)
 
     def set_configuration(self, configuration):
@@ -50,15 +74,42 @@
 
     def pending(self):
         """Return the steps with tasks that wait for placement."""
-        return [step for step in self._steps.values() if step.pending]
+        return self._pending_where(lambda queue: True)
 
     def pending_in(self, pool):
         """Return the steps of a pool with tasks that wait for placement."""
-        return [
-            step
-            for step in self.pending()
-            if self.pool_of(step.occurrence.job) == pool
-        ]
+        return self._pending_where(lambda queue: queue.pool == pool)
+
+    def pending_advised(self):
+        """Return the pending steps of queues that need advice."""
+        return self._pending_where(lambda queue: queue.advice)
+
+    def _pending_where(self, is_wanted):
+        steps = itertools.chain.from_iterable(
+            self._pending_of(name)
+            for name in list(self._pending)
+            if is_wanted(self._queues[name])
+        )
+        return sorted(steps, key=_number_of)
+
+    def _pending_of(self, queue_name):
+        steps = self._pending[queue_name]
+        for number in [n for n, step in steps.items() if not step.pending]:
+            del steps[number]
+        if not steps:
+            del self._pending[queue_name]
+        return steps.values()
+
+    def _note_pending(self, ready_step):
+        queue = self.queue_of(ready_step.occurrence.job)
+        self._pending[queue.name][ready_step.number] = ready_step
+
+    def _remove_step(self, key):
+        ready_step = self._steps.pop(key, None)
+        if ready_step is not None:
+            queue = self.queue_of(ready_step.occurrence.job)
+            self._pending.get(queue.name, {}).pop(ready_step.number, None)
+        return ready_step
 
     def add_job(self, job, now_s, wall_s, age_s, capacity):
         """Add an accepted job.
@@ -78,7 +129,16 @@
             self._add_ready_steps(job.occurrences[number], accepted_s)
         next_number = len(job.occurrences)
         if next_number < job.spec.occurrences:
-            self._not_due[job.job_id] = (job, next_number, accepted_s)
+            scheduled = _ScheduledJob(
+                next(self._numbers), job, next_number, accepted_s
+            )
+            self._not_due[job.job_id] = scheduled
+            self._add_due_time(scheduled)
+
+    def _add_due_time(self, scheduled):
+        job = scheduled.job
+        due_s = job.spec.due_s(scheduled.next_occurrence)
+        heapq.heappush(self._due_times, (due_s, scheduled.number, job.job_id))
 
     def _record_demand(self, job, capacity, now_s):
         work = demand.declared_work(job.spec, capacity)
@@ -87,17 +147,26 @@
 
     def activate_due(self, now_s, wall_s):
         """Add the steps of occurrences that have become due."""
-        for job_id, (job, number, accepted_s) in list(self._not_due.items()):
-            due_since_s = now_s if job.spec.repetitions else accepted_s
-            while number < job.spec.occurrences:
-                if job.spec.due_s(number) > wall_s:
-                    break
-                self._add_ready_steps(job.occurrence(number), due_since_s)
-                number += 1
-            if number < job.spec.occurrences:
-                self._not_due[job_id] = (job, number, accepted_s)
-            else:
-                del self._not_due[job_id]
+        due = []
+        while self._due_times and self._due_times[0][0] <= wall_s:
+            _, number, job_id = heapq.heappop(self._due_times)
+            scheduled = self._not_due.get(job_id)
+            if scheduled is not None and scheduled.number == number:
+                due.append(scheduled)
+        for scheduled in sorted(due, key=_number_of):
+            self._activate(scheduled, now_s, wall_s)
+
+    def _activate(self, scheduled, now_s, wall_s):
+        job, spec = scheduled.job, scheduled.job.spec
+        due_since_s = now_s if spec.repetitions else scheduled.accepted_s
+        while scheduled.next_occurrence < spec.occurrences:
+            if spec.due_s(scheduled.next_occurrence) > wall_s:
+                self._add_due_time(scheduled)
+                return
+            occurrence = job.occurrence(scheduled.next_occurrence)
+            self._add_ready_steps(occurrence, due_since_s)
+            scheduled.next_occurrence += 1
+        del self._not_due[job.job_id]
 
     def _add_ready_steps(self, occurrence, accepted_s):
         for step in range(len(occurrence.tasks)):
@@ -124,13 +193,15 @@
             accepted_s + ordering.CUTOFF_FACTOR * objective_s,
             queue.priority,
             ordering.remaining_path_s(job.spec, step),
+            number=next(self._numbers),
         )
+        self._note_pending(self._steps[key])
         self.pools_to_schedule.add(queue.pool)
 
     def complete_step(self, occurrence, step):
         """Remove a step that is done, and add its successors."""
         key = occurrence.job.job_id, occurrence.number, step
-        done_step = self._steps.pop(key, None)
+        done_step = self._remove_step(key)
         if done_step is None or occurrence.job.is_terminal:
             return
         job = occurrence.job
@@ -142,7 +213,7 @@
         self._not_due.pop(job.job_id, None)
         for occurrence in job.occurrences.values():
             for step in range(len(occurrence.tasks)):
-                self._steps.pop((job.job_id, occurrence.number, step), None)
+                self._remove_step((job.job_id, occurrence.number, step))
 
     def requeue(self, task_id, job):
         """Make a task that needs another run pending again."""
@@ -150,6 +221,7 @@
         ready_step = self._steps.get(key)
         if ready_step is not None:
             ready_step.pending.append(task_id.index)
+            self._note_pending(ready_step)
             self.pools_to_schedule.add(self.pool_of(job))
 
     def drop_done_tasks(self, occurrence, step):
@@ -173,3 +245,7 @@
         declared_s = spec.estimate_s * len(ready_step.pending)
         factor = self.estimates.factor(ready_step.occurrence.job.queue)
         return declared_s * factor * spec.reserved.dominant_share(capacity)
+
+
+def _number_of(numbered):
+    return numbered.number
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -1,23 +1,23 @@
 """Scheduler of one partition: decides which runs to start and to stop."""
 
-import itertools
-
 import attrs
 
 from . import executor_health
+from . import executor_index
 from . import executors as executors_module
 from . import jobs
-from . import ordering
 from . import pacing
 from . import placement
 from . import pool_loads
 from . import ready_steps as ready_steps_module
+from . import run_endings
+from . import run_index
 from . import run_tracking
 from . import specs
+from . import start_planning
 from . import start_shares
 from . import tickets as tickets_module
 
-_Phase = executors_module.RunPhase
 _Cause = executors_module.EndCause
 _Answer = run_tracking.StartAnswer
 
@@ -54,10 +54,15 @@
         self.is_limited = False
         self.steps = ready_steps_module.ReadySteps(configuration)
         self.tickets = tickets_module.TicketCache()
+        self._planner = start_planning.StartPlanner(self.steps, self.tickets)
         self._replica = replica
-        self._changed = {}
+        self._index = executor_index.ExecutorIndex()
+        self._run_index = run_index.RunIndex()
+        self._unrecorded = {}
         self._orphans = {}
-        self._held_gang = None
+        self._endings = run_endings.RunEndings(
+            self.steps, self.tickets, self._run_index
+        )
 
     # Jobs
 
@@ -67,29 +72,17 @@
         :param age_s: time since the job was accepted, or None if unknown
         """
         capacity = pool_loads.host_capacity(
-            self.steps.pool_of(job), self.executors
+            self.executors_in(self.steps.pool_of(job)), self.executors
         )
         self.steps.add_job(job, now_s, wall_s, age_s, capacity)
 
     def cancel_job(self, job):
         """Stop all runs of a cancelled job."""
-        self._stop_job(job)
-
-    def _stop_job(self, job):
-        self.steps.remove_job(job)
-        self.tickets.discard_job(job.job_id)
-        for run in self._all_runs():
-            if run.task_id.job_id == job.job_id:
-                run.is_stop_requested = True
+        self._endings.stop_job(job)
 
     def has_runs(self, job_id):
         """Return whether a run of a job may be executing."""
-        return any(run.task_id.job_id == job_id for run in self._all_runs())
-
-    def _all_runs(self):
-        return itertools.chain.from_iterable(
-            executor.runs.values() for executor in self.executors.values()
-        )
+        return self._run_index.has_runs_of_job(job_id)
 
     def set_configuration(self, configuration):
         """Apply a newer configuration."""
@@ -97,8 +90,10 @@
 
     def load_of(self, pool, arriving, ahead_s, now_s):
         """Return the load of a pool; see :func:`pool_loads.measure`."""
+        known = self.executors_in(pool.name)
+        capacity = pool_loads.host_capacity(known, self.executors)
         return pool_loads.measure(
-            pool, self.executors, self.steps, arriving, ahead_s, now_s
+            pool, known, capacity, self.steps, arriving, ahead_s, now_s
         )
 
     @property
@@ -112,16 +107,10 @@
         """Add or update an executor from the entry that it advertises."""
         executor = self.executors.get(entry.executor_id)
         if executor is None:
-            executor = executors_module.Executor(
-                entry,
-                entry.capacity,
-                discovered_s=now_s,
-                idle_since_s=now_s,
-                last_contact_s=now_s,
-            )
-            self.executors[entry.executor_id] = executor
+            executor = self._add_executor(entry)
+            executor.discovered_s = executor.idle_since_s = now_s
         else:
-            self._update_entry(executor, entry)
+            self._index.replace_entry(executor, entry)
         executor.missing_since_s = None
         executor.last_contact_s = max(executor.last_contact_s, now_s)
         if entry.clock_s is not None:
@@ -129,10 +118,13 @@
         self.steps.pools_to_schedule.add(entry.pool)
         return executor
 
-    def _update_entry(self, executor, entry):
-        added_capacity = entry.capacity - executor.entry.capacity
-        executor.free = executor.free + added_capacity
-        executor.entry = entry
+    def _add_executor(self, entry):
+        executor = executors_module.Executor(
+            entry, entry.capacity, run_index=self._run_index
+        )
+        self.executors[entry.executor_id] = executor
+        self._index.add(executor)
+        return executor
 
     def mark_executor_missing(self, executor_id, now_s):
         """Record that an executor is no longer listed."""
@@ -151,19 +143,21 @@
         host = executor.entry.host if executor is not None else ''
         return [
             other
-            for other in self.executors.values()
-            if host
-            and other.entry.host == host
-            and other.executor_id != executor_id
-            and other.discovered_s < poll.sent_s
+            for other in self.executors_on(host)
+            if other is not executor and other.discovered_s < poll.sent_s
         ]
 
+    def executors_on(self, host):
+        """Return the known incarnations of the executor of a host."""
+        return self._index.on_host(host) if host else []
+
     def remove_executor(self, executor_id, now_s):
         """Remove an executor whose incarnation has ended, with its runs."""
         if executor_id not in self.executors:
             return []
         finished_runs = self.expire_executor(executor_id, now_s)
-        del self.executors[executor_id]
+        self._index.remove(self.executors.pop(executor_id))
+        self._unrecorded.pop(executor_id, None)
         return finished_runs
 
     def expire_executor(self, executor_id, now_s):
@@ -174,7 +168,7 @@
             for run in list(executor.runs.values())
         ]
         for ended in finished_runs:
-            self._finish(executor, ended, now_s)
+            self._endings.finish(executor, ended, now_s)
         return finished_runs
 
     def inherit(self, now_s, inherited_lease_s):
@@ -199,9 +193,8 @@
             entry = executors_module.ExecutorEntry(
                 executor_id, '', '', '', specs.Resources()
             )
-            executor = executors_module.Executor(entry, entry.capacity)
+            executor = self._add_executor(entry)
             executor.missing_since_s = now_s
-            self.executors[executor_id] = executor
         return executor
 
     def handle_poll(self, executor_id, poll, now_s):
@@ -212,11 +205,14 @@
         outcome = run_tracking.process_poll(
             executor, poll, self._find_occurrence
         )
+        if executor.last_processed_end > executor.last_recorded_end:
+            self._unrecorded[executor_id] = executor
+        self._run_index.note_pace_input(executor_id)
         self._orphans.update(
             {(s.executor_id, s.task_id, s.number): s for s in outcome.orphans}
         )
         for ended in outcome.finished_runs:
-            self._finish(executor, ended, now_s)
+            self._endings.finish(executor, ended, now_s)
         for run in executor_health.check_progress(
             executor, self._expected_s, now_s
         ):
@@ -250,100 +246,12 @@
         if answer is _Answer.NO_ROOM:
             executor_health.record_no_room(executor, now_s)
         if ended is not None:
-            self._finish(executor, ended, now_s)
+            self._endings.finish(executor, ended, now_s)
 
     def handle_stop_answer(self, run, is_answered, now_s):
         """Record whether a stop request was acknowledged."""
         run_tracking.apply_stop_answer(run, is_answered, now_s)
 
-    # Finished runs
-
-    def _finish(self, executor, ended, now_s):
-        run, task = ended.run, ended.run.task
-        was_current = run_tracking.is_current(run)
-        executor.remove(run, now_s)
-        self.steps.pools_to_schedule.add(executor.entry.pool)
-        self._update_executor_health(executor, ended, now_s)
-        if not was_current:
-            self._finish_superseded(ended)
-            return
-        if ended.checkpoint and run.step.is_checkpointing:
-            task.checkpoint = ended.checkpoint
-        self._changed[run.occurrence] = None
-        if ended.cause is _Cause.DONE and not run.step.is_lasting:
-            self._mark_done(run)
-        elif ended.cause is _Cause.FAILED and not run.step.is_lasting:
-            self._mark_failed(run)
-        else:
-            self._mark_pending(run)
-
-    def _finish_superseded(self, ended):
-        """Process the end of a run that its task no longer refers to."""
-        run = ended.run
-        if run.step.is_lasting:
-            return
-        if ended.cause is _Cause.DONE:
-            self._mark_done(run)
-        elif ended.cause is _Cause.FAILED:
-            run.task.failures += 1
-            self._changed[run.occurrence] = None
-
-    def _update_executor_health(self, executor, ended, now_s):
-        if ended.cause is _Cause.DONE:
-            executor_health.record_success(executor)
-            self._record_run_time(ended.run, now_s)
-        elif ended.cause is _Cause.FAILED:
-            executor_health.record_failure(executor, now_s)
-
-    def _record_run_time(self, run, now_s):
-        if run.started_s is not None and not run.step.is_lasting:
-            self.steps.estimates.note(
-                run.occurrence.job.queue,
-                run.step.estimate_s,
-                now_s - run.started_s,
-            )
-
-    def _mark_done(self, run):
-        occurrence, step = run.occurrence, run.task_id.step
-        tasks = [run.task]
-        if run.step.is_gang:
-            tasks = occurrence.tasks[step]
-        for task in tasks:
-            # A failed task keeps its state, and so does its job.
-            if task.state not in (jobs.TaskState.DONE, jobs.TaskState.FAILED):
-                task.state = jobs.TaskState.DONE
-                occurrence.done_counts[step] += 1
-        self._changed[occurrence] = None
-        self.steps.drop_done_tasks(occurrence, step)
-        self._stop_other_runs(run)
-        if occurrence.is_step_done(step):
-            self.steps.complete_step(occurrence, step)
-
-    def _stop_other_runs(self, ended_run):
-        if ended_run.step.is_gang:
-            return
-        for run in self._all_runs():
-            if run.task_id == ended_run.task_id:
-                run.is_stop_requested = True
-
-    def _mark_failed(self, run):
-        occurrence, step = run.occurrence, run.task_id.step
-        run.task.failures += 1
-        failures = run.task.failures
-        if run.step.is_gang:
-            failures = sum(t.failures for t in occurrence.tasks[step])
-        job = occurrence.job
-        if failures >= self.steps.queue_of(job).max_attempts:
-            run.task.state = jobs.TaskState.FAILED
-            job.is_failed = True
-            self._stop_job(job)
-        else:
-            self._mark_pending(run)
-
-    def _mark_pending(self, run):
-        run.task.state = jobs.TaskState.PENDING
-        self.steps.requeue(run.task_id, run.occurrence.job)
-
     # Scheduling
 
     def plan(self, now_s, wall_s, max_starts=None, is_idle=True):
@@ -358,154 +266,55 @@
         shares = start_shares.StartShares(is_idle=is_idle)
         if max_starts is not None:
             shares.left = max_starts
-        starts = self._schedule_pools(now_s, shares) if shares.left else []
+        starts = self._plan_starts(now_s, shares) if shares.left else []
         self.is_limited = not shares.left
         stops = [
             run
-            for executor in self.executors.values()
-            for run in executor.runs.values()
+            for run in self._run_index.stop_candidates()
             if run_tracking.needs_stop(run, now_s)
         ]
         orphans = list(self._orphans.values())
         self._orphans.clear()
-        paces = [
-            change
-            for executor in self.executors.values()
-            for change in pacing.plan(executor.runs.values(), now_s)
-        ]
-        return SchedulingPlan(starts, stops, orphans, paces)
+        return SchedulingPlan(starts, stops, orphans, self._plan_paces(now_s))
 
-    def _schedule_pools(self, now_s, shares):
+    def _plan_starts(self, now_s, shares):
         stale, self.steps.pools_to_schedule = (
             self.steps.pools_to_schedule,
             set(),
         )
-        waiting = [
-            (ready_step, executors)
-            for pool in sorted(stale)
-            for executors in [self.executors_in(pool)]
-            if any(placement.is_usable(e, now_s) for e in executors)
-            for ready_step in self.steps.pending_in(pool)
-        ]
-        waiting.sort(
-            key=lambda pair: (
-                pair[0].key != self._held_gang,
-                ordering.rank(pair[0], now_s),
-            )
-        )
-        starts, wide = self._schedule_steps(waiting, now_s, shares)
-        # Wide steps also get what the others have left.
-        shares.is_sharing = False
-        starts += self._schedule_steps(wide, now_s, shares)[0]
+        pools = {pool: self.executors_in(pool) for pool in sorted(stale)}
+        starts = self._planner.plan(pools, now_s, shares)
         if not shares.left:
             self.steps.pools_to_schedule |= stale
-        self._held_gang = shares.held_gang
-        return starts
-
-    def _schedule_steps(self, waiting, now_s, shares):
-        """Return planned runs, and the steps that could start more."""
-        starts, limited = [], []
-        for ready_step, executors in waiting:
-            if not shares.left:
-                break
-            found = self._schedule_step(ready_step, executors, now_s, shares)
-            starts += found
-            shares.take(len(found))
-            if ready_step.pending and ready_step.unplaced_since_s is None:
-                limited.append((ready_step, executors))
-        return starts, limited
-
-    def _schedule_step(self, ready_step, executors, now_s, shares):
-        if ready_step.spec.is_gang:
-            return self._schedule_gang(ready_step, executors, now_s, shares)
-        limit = shares.limit(ready_step)
-        starts = []
-        if ready_step.unplaced_since_s is None:
-            ready_step.unplaced_since_s = now_s
-        step_tickets = self._valid_tickets(ready_step, now_s)
-        while ready_step.pending and len(starts) < limit:
-            index = ready_step.pending[0]
-            task_id = _task_id(ready_step, index)
-            task = ready_step.occurrence.task(task_id)
-            executor, second = placement.choose(
-                executors, ready_step.spec, task_id, task, now_s, step_tickets
-            )
-            if executor is None:
-                break
-            ready_step.pending.pop(0)
-            ready_step.unplaced_since_s = now_s if ready_step.pending else None
-            run = self._plan_run(
-                ready_step, task_id, executor, task.run + 1, now_s
-            )
-            run.second_choice = second.executor_id if second else ''
-            run.ticket = (step_tickets or {}).get(executor.executor_id, '')
-            starts.append(run)
-        if len(starts) == limit:
-            # The rest waits for other starts, not for room.
-            ready_step.unplaced_since_s = None
+        self._endings.note_changed(run.occurrence for run in starts)
         return starts
 
-    def _schedule_gang(self, ready_step, executors, now_s, shares):
-        if ready_step.unplaced_since_s is None:
-            ready_step.unplaced_since_s = now_s
-        tasks = ready_step.occurrence.tasks[ready_step.step]
-        if len(ready_step.pending) < len(tasks):
-            return []
-        ids = [_task_id(ready_step, index) for index in range(len(tasks))]
-        step_tickets = self._valid_tickets(ready_step, now_s)
-        chosen = placement.choose_gang(
-            executors, ready_step.spec, ids, tasks[0], now_s, step_tickets
-        )
-        if chosen is None or not shares.admits_gang(ready_step):
-            return []
-        ready_step.pending.clear()
-        ready_step.unplaced_since_s = None
-        number = max(task.run for task in tasks) + 1
-        checkpoint = next((t.checkpoint for t in tasks if t.checkpoint), '')
-        for task in tasks:
-            task.checkpoint = checkpoint
-        runs = [
-            self._plan_run(ready_step, task_id, executor, number, now_s)
-            for task_id, executor in zip(ids, chosen)
+    def _plan_paces(self, now_s):
+        candidates = [
+            self.executors[executor_id]
+            for executor_id in self._run_index.pace_candidates()
         ]
-        for run in runs:
-            run.ticket = (step_tickets or {}).get(run.executor_id, '')
-        return runs
-
-    def _valid_tickets(self, ready_step, now_s):
-        """Return tickets by executor, or None if the queue needs none."""
-        job = ready_step.occurrence.job
-        if self.steps.queue_of(job).advice is None:
-            return None
-        return self.tickets.valid(ready_step.key, now_s)
+        candidates.sort(key=lambda executor: executor.number)
+        changes = []
+        for executor in candidates:
+            runs = executor.runs.values()
+            changes += pacing.plan(runs, now_s)
+            if pacing.are_settled(runs):
+                self._run_index.note_paces_settled(executor.executor_id)
+        return changes
 
     def steps_awaiting_advice(self, now_s):
         """Return the steps that wait for advice, with their queues."""
         return [
             (step, queue)
-            for step in self.steps.pending()
+            for step in self.steps.pending_advised()
             for queue in [self.steps.queue_of(step.occurrence.job)]
-            if queue.advice and not self.tickets.valid(step.key, now_s)
+            if not self.tickets.valid(step.key, now_s)
         ]
 
-    def _plan_run(self, ready_step, task_id, executor, number, now_s):
-        occurrence = ready_step.occurrence
-        task = occurrence.task(task_id)
-        task.state = jobs.TaskState.ASSIGNED
-        task.run = number
-        task.executor = executor.executor_id
-        run = executors_module.Run(
-            task_id, number, occurrence, executor.executor_id,
-            ready_step.spec.reserved, _Phase.PLANNED, now_s,
-            planned_s=now_s,
-        )  # fmt: skip
-        executor.add(run)
-        self._changed[occurrence] = None
-        return run
-
     def executors_in(self, pool):
         """Return the executors of a pool."""
-        return [e for e in self.executors.values() if e.entry.pool == pool]
+        return self._index.in_pool(pool)
 
     def can_run_elsewhere(self, run, now_s):
         """Return True if another executor in the pool could run the task."""
@@ -529,31 +338,31 @@
             and other is not run
             and other.occurrence is run.occurrence
             and other.task_id.step == run.task_id.step
-            for executor in self.executors.values()
-            if executor.has_ended_inherited_runs(now_s)
-            for other in executor.runs.values()
+            and self._has_ended_inherited_runs(other.executor_id, now_s)
+            for other in self._run_index.runs_of_job(run.task_id.job_id)
         )
 
+    def _has_ended_inherited_runs(self, executor_id, now_s):
+        return self.executors[executor_id].has_ended_inherited_runs(now_s)
+
     def withdraw_run(self, run, now_s):
         """Remove a planned run whose start request was not sent."""
         executor = self.executors.get(run.executor_id)
         if executor is not None:
-            self._finish(executor, run_tracking.FinishedRun(run, None), now_s)
+            self._endings.finish(
+                executor, run_tracking.FinishedRun(run, None), now_s
+            )
 
     # Persistence
 
     def pop_changed(self):
         """Return the occurrences that changed since the last call."""
-        changed, self._changed = list(self._changed), {}
-        return changed
+        return self._endings.pop_changed()
 
     def unrecorded_ends(self):
         """Return each executor's last processed end that isn't stored yet."""
-        return {
-            executor.executor_id: executor.last_processed_end
-            for executor in self.executors.values()
-            if executor.last_processed_end > executor.last_recorded_end
-        }
+        in_order = sorted(self._unrecorded.values(), key=lambda e: e.number)
+        return {e.executor_id: e.last_processed_end for e in in_order}
 
     def mark_ends_recorded(self, ends):
         """Record that ends are stored, so that executors may discard them."""
@@ -561,6 +370,8 @@
             executor = self.executors.get(executor_id)
             if executor is not None:
                 executor.last_recorded_end = sequence
+                if executor.last_processed_end <= sequence:
+                    self._unrecorded.pop(executor_id, None)
 
 
 def step_key(task_id):
@@ -577,10 +388,3 @@
                     jobs.TaskId(job_id, occurrence.number, step, index),
                     task,
                 )
-
-
-def _task_id(ready_step, index):
-    occurrence = ready_step.occurrence
-    return jobs.TaskId(
-        occurrence.job.job_id, occurrence.number, ready_step.step, index
-    )
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -0,0 +1,194 @@
+"""Plan which tasks start where."""
+
+import collections
+
+import attrs
+
+from . import executors as executors_module
+from . import jobs
+from . import ordering
+from . import pool_placement
+
+
+@attrs.frozen(eq=False)
+class _Candidate:
+    """A step that may start, and the executors of its pool."""
+
+    ready_step: ordering.ReadyStep
+    pool: str
+    executors: pool_placement.PoolPlacement
+
+
+class StartPlanner:
+    """Plans the runs to start.
+
+    :param steps: the steps whose tasks may start
+    :param tickets: permissions for steps of queues that need advice
+    """
+
+    def __init__(self, steps, tickets):
+        self._steps = steps
+        self._tickets = tickets
+        self._pools = collections.defaultdict(pool_placement.PoolPlacement)
+        self._held_gang = None
+
+    def plan(self, pools, now_s, shares):
+        """Return the runs to start; they are on their executors.
+
+        :param pools: the executors of each pool to look at, sorted by pool
+        :param shares: the starts that may be planned
+        """
+        waiting, full = self._find_candidates(pools, now_s)
+        waiting.sort(key=lambda candidate: self._order(candidate, now_s))
+        starts, reached = self._plan_steps(waiting, now_s, shares)
+        if not shares.left:
+            full = self._ranked_before(reached[-1], full, now_s)
+        for candidate in full:
+            candidate.ready_step.unplaced_since_s = now_s
+        # Wide steps also get what the others have left.
+        shares.is_sharing = False
+        wide = [c for c in reached if _is_limited(c.ready_step)]
+        starts += self._plan_steps(wide, now_s, shares)[0]
+        self._held_gang = shares.held_gang
+        return starts
+
+    def _find_candidates(self, pools, now_s):
+        """Return the steps with room, and those newly without room."""
+        waiting, full = [], []
+        for pool, executors in pools.items():
+            pool_executors = self._pools[pool]
+            pool_executors.update(executors, now_s)
+            if not pool_executors.has_usable:
+                continue
+            for ready_step in self._steps.pending_in(pool):
+                if pool_executors.has_room(ready_step.spec):
+                    group = waiting
+                elif ready_step.unplaced_since_s is None:
+                    group = full
+                else:
+                    continue
+                group.append(_Candidate(ready_step, pool, pool_executors))
+        return waiting, full
+
+    def _order(self, candidate, now_s):
+        ready_step, held = candidate.ready_step, self._held_gang
+        return (
+            held is None or ready_step.key != held,
+            ordering.rank(ready_step, now_s),
+            candidate.pool,
+            ready_step.number,
+        )
+
+    def _ranked_before(self, last, candidates, now_s):
+        """Return the candidates that are planned before another one."""
+        last_order = self._order(last, now_s)
+        return [c for c in candidates if self._order(c, now_s) < last_order]
+
+    def _plan_steps(self, waiting, now_s, shares):
+        """Return planned runs, and the candidates that had their turn."""
+        starts, reached = [], []
+        for candidate in waiting:
+            if not shares.left:
+                break
+            found = self._plan_step(candidate, now_s, shares)
+            starts += found
+            shares.take(len(found))
+            reached.append(candidate)
+        return starts, reached
+
+    def _plan_step(self, candidate, now_s, shares):
+        ready_step = candidate.ready_step
+        if ready_step.unplaced_since_s is None:
+            ready_step.unplaced_since_s = now_s
+        # Steps that were placed before may have taken the room.
+        if not candidate.executors.has_room(ready_step.spec):
+            return []
+        if ready_step.spec.is_gang:
+            return self._plan_gang(
+                ready_step, candidate.executors, now_s, shares
+            )
+        return self._plan_tasks(
+            ready_step, candidate.executors, now_s, shares.limit(ready_step)
+        )
+
+    def _plan_tasks(self, ready_step, pool_executors, now_s, limit):
+        starts = []
+        step_tickets = self._valid_tickets(ready_step, now_s)
+        while ready_step.pending and len(starts) < limit:
+            index = ready_step.pending[0]
+            task_id = _task_id(ready_step, index)
+            task = ready_step.occurrence.task(task_id)
+            executor, second = pool_executors.choose(
+                ready_step.spec, task_id, task, step_tickets
+            )
+            if executor is None:
+                break
+            ready_step.pending.pop(0)
+            ready_step.unplaced_since_s = now_s if ready_step.pending else None
+            run = _plan_run(ready_step, task_id, executor, task.run + 1, now_s)
+            pool_executors.note_placed(executor)
+            run.second_choice = second.executor_id if second else ''
+            run.ticket = (step_tickets or {}).get(executor.executor_id, '')
+            starts.append(run)
+        if len(starts) == limit:
+            # The rest waits for other starts, not for room.
+            ready_step.unplaced_since_s = None
+        return starts
+
+    def _plan_gang(self, ready_step, pool_executors, now_s, shares):
+        tasks = ready_step.occurrence.tasks[ready_step.step]
+        if len(ready_step.pending) < len(tasks):
+            return []
+        ids = [_task_id(ready_step, index) for index in range(len(tasks))]
+        step_tickets = self._valid_tickets(ready_step, now_s)
+        chosen = pool_executors.choose_gang(ready_step.spec, ids, step_tickets)
+        if chosen is None or not shares.admits_gang(ready_step):
+            return []
+        ready_step.pending.clear()
+        ready_step.unplaced_since_s = None
+        number = max(task.run for task in tasks) + 1
+        checkpoint = next((t.checkpoint for t in tasks if t.checkpoint), '')
+        for task in tasks:
+            task.checkpoint = checkpoint
+        runs = [
+            _plan_run(ready_step, task_id, executor, number, now_s)
+            for task_id, executor in zip(ids, chosen)
+        ]
+        for run, executor in zip(runs, chosen):
+            pool_executors.note_placed(executor)
+            run.ticket = (step_tickets or {}).get(run.executor_id, '')
+        return runs
+
+    def _valid_tickets(self, ready_step, now_s):
+        """Return tickets by executor, or None if the queue needs none."""
+        job = ready_step.occurrence.job
+        if self._steps.queue_of(job).advice is None:
+            return None
+        return self._tickets.valid(ready_step.key, now_s)
+
+
+def _is_limited(ready_step):
+    """Return True if more tasks of a step might start in this cycle."""
+    return bool(ready_step.pending) and ready_step.unplaced_since_s is None
+
+
+def _plan_run(ready_step, task_id, executor, number, now_s):
+    occurrence = ready_step.occurrence
+    task = occurrence.task(task_id)
+    task.state = jobs.TaskState.ASSIGNED
+    task.run = number
+    task.executor = executor.executor_id
+    run = executors_module.Run(
+        task_id, number, occurrence, executor.executor_id,
+        ready_step.spec.reserved, executors_module.RunPhase.PLANNED, now_s,
+        planned_s=now_s,
+    )  # fmt: skip
+    executor.add(run)
+    return run
+
+
+def _task_id(ready_step, index):
+    occurrence = ready_step.occurrence
+    return jobs.TaskId(
+        occurrence.job.job_id, occurrence.number, ready_step.step, index
+    )
