--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/finished_jobs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/finished_jobs.py
@@ -16,10 +16,13 @@
         self._unstored = {}
         self._stored = {}
 
+    def __contains__(self, job_id):
+        return job_id in self._unstored or job_id in self._stored
+
     def add(self, job):
         """Add a job unless it is known; return whether it was added."""
         job_id = job.job_id
-        if job_id in self._unstored or job_id in self._stored:
+        if job_id in self:
             return False
         self._unstored[job_id] = job
         self.note_status(job_id)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
@@ -55,7 +55,7 @@
     def expire(self, now_s, retention_s, kept):
         """Delete the statuses of jobs that ended long ago.
 
-        :param kept: jobs that have not been dropped yet, by id
+        :param kept: container of the ids of jobs that are not dropped yet
         """
         since_s = self._parts.status_reader.final_since_s
         self._expiring &= set(since_s)
