--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/applied_offsets.py
@@ -0,0 +1,19 @@
+"""Remembers the offsets of applied records, so that none is applied twice."""
+
+
+class AppliedOffsets:
+    """Offset of the newest applied record of each key that exists."""
+
+    def __init__(self):
+        self._by_key = {}
+
+    def is_old(self, key, offset):
+        """Return whether this record of a key, or a newer one, was applied."""
+        return offset <= self._by_key.get(key, -1)
+
+    def note(self, key, value, offset):
+        """Record that a record was applied; an empty value deletes the key."""
+        if value:
+            self._by_key[key] = offset
+        else:
+            self._by_key.pop(key, None)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
@@ -4,6 +4,7 @@
 
 from hawthorndeal_fleet import errors
 
+from . import applied_offsets
 from . import jobs
 from . import journal
 
@@ -35,7 +36,7 @@
     def __init__(self):
         self.jobs = {}
         self.is_owned = False
-        self._offsets = {}
+        self._offsets = applied_offsets.AppliedOffsets()
         self._deferred = {}
 
     def apply(self, key, value, offset):
@@ -44,17 +45,14 @@
         :raises errors.InvalidRecord: if it cannot be decoded; the replica is
             unchanged
         """
-        if offset <= self._offsets.get(key, -1):
+        if self._offsets.is_old(key, offset):
             return None
         kind, _, rest = key.partition('/')
         handler = self._HANDLERS.get(kind)
         if handler is None:
             raise errors.InvalidRecord(f'unknown record key {key!r:.80}')
         applied = handler(self, rest, value)
-        if value:
-            self._offsets[key] = offset
-        else:
-            self._offsets.pop(key, None)
+        self._offsets.note(key, value, offset)
         return applied
 
     def _apply_job(self, job_id, value):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
@@ -9,6 +9,7 @@
 
 from hawthorndeal_fleet import errors
 
+from . import applied_offsets
 from . import host_intents
 from . import jobs
 from . import journal
@@ -47,7 +48,7 @@
         # What this daemon has appended itself and not read back so far.
         self._local = {}
         self._waiting = collections.Counter()
-        self._offsets = {}
+        self._offsets = applied_offsets.AppliedOffsets()
 
     def apply(self, key, value, offset):
         """Apply one record, and return its effect; None if it has none.
@@ -55,17 +56,14 @@
         :raises errors.InvalidRecord: if it cannot be decoded; the board is
             unchanged
         """
-        if offset <= self._offsets.get(key, -1):
+        if self._offsets.is_old(key, offset):
             return None
         kind, _, rest = key.partition('/')
         handler = self._HANDLERS.get(kind)
         if handler is None:
             raise errors.InvalidRecord(f'unknown record key {key!r:.80}')
         change = handler(self, rest, value)
-        if value:
-            self._offsets[key] = offset
-        else:
-            self._offsets.pop(key, None)
+        self._offsets.note(key, value, offset)
         return change
 
     def _apply_status(self, job_id, value):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
@@ -32,7 +32,8 @@
     """Task that renews the lease of an executor and polls its runs.
 
     :param executor: the scheduler's record of the executor
-    :param owner: processes the answers, and holds the ownership term
+    :param owner: its tracker processes the answers, and its term permits the
+        renewal of leases
     """
 
     def __init__(self, executor, owner):
@@ -60,7 +61,7 @@
             try:
                 await self._poll()
             except executor_orders.ExecutorGone:
-                self._owner.remove_executor(
+                self._owner.tracker.remove(
                     self._executor, 'another executor answers at its address'
                 )
                 return
@@ -71,12 +72,12 @@
                 return
             except errors.PlatformError as error:
                 self._failures += 1
-                self._owner.note_unanswered_poll()
+                self._owner.tracker.note_unanswered_poll()
                 if self._failures < UNREACHABLE_FAILURES:
                     continue
                 self._note_unreachable(error)
                 await asyncio.sleep(RETRY_S)
-                if self._owner.check_lease_expiry(self._executor):
+                if self._owner.tracker.check_lease_expiry(self._executor):
                     return
 
     def _needs_poll(self):
@@ -102,7 +103,7 @@
         )
         self._note_reached()
         self._ends_stored.clear()
-        ended_runs = owner.handle_poll(executor, poll)
+        ended_runs = owner.tracker.handle_poll(executor, poll)
         if ended_runs:
             await self._wait_for_ends_stored()
         else:
--- /dev/null
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
@@ -0,0 +1,159 @@
+"""Tracks the executors of a partition on behalf of its owner."""
+
+import asyncio
+
+from . import executor_agent
+
+
+class ExecutorTracker:
+    """Runs an agent for each executor, and ends executors that are gone.
+
+    :param owner: the owner; its scheduler knows the executors
+    :param metrics: counts ends and unanswered polls
+    """
+
+    def __init__(self, owner, metrics):
+        self._owner = owner
+        self._scheduler = owner.scheduler
+        self._events = owner.events
+        self._metrics = metrics
+        self._agents = {}
+        # Executors without a known address.
+        self._without_agent = {}
+        self._ended_executor_ids = set()
+
+    def register(self, entries):
+        """Add the executors that had published entries before."""
+        now_s = self._owner.now_s()
+        for entry in entries:
+            self._register_entry(entry, now_s)
+
+    def start_agents(self):
+        """Start an agent for each executor that the scheduler knows."""
+        for executor in list(self._scheduler.executors.values()):
+            self._ensure_agent(executor)
+
+    def cancel_agents(self):
+        """Cancel all agents."""
+        for task, _ in self._agents.values():
+            task.cancel()
+
+    def note_ends_stored(self, executor_ids):
+        """Record that ends of runs on these executors were stored."""
+        for executor_id in executor_ids:
+            if executor_id in self._agents:
+                self._agents[executor_id][1].note_ends_stored()
+
+    def update(self, entry, now_s):
+        """Process the entry that an executor published."""
+        executor = self._register_entry(entry, now_s)
+        if executor is not None:
+            self._ensure_agent(executor)
+            self._owner.wake()
+
+    def _register_entry(self, entry, now_s):
+        # Entries of ended executor incarnations are retained for a while, are
+        # read again after the log was truncated, and may be stored late.
+        if entry.executor_id in self._ended_executor_ids:
+            return None
+        return self._scheduler.update_executor(entry, now_s)
+
+    def mark_missing(self, executor_id):
+        """Record that the entry of an executor was removed."""
+        self._scheduler.mark_executor_missing(executor_id, self._owner.now_s())
+
+    def _ensure_agent(self, executor):
+        executor_id = executor.executor_id
+        if executor_id in self._agents:
+            return
+        if not executor.entry.address:
+            self._without_agent[executor_id] = executor
+            return
+        self._without_agent.pop(executor_id, None)
+        agent = executor_agent.ExecutorAgent(executor, self._owner)
+        task = asyncio.create_task(self._owner.run_guarded(agent))
+        self._agents[executor_id] = (task, agent)
+
+    def handle_poll(self, executor, look):
+        """Process the answer to a poll, and return the runs that ended."""
+        executor_id = executor.executor_id
+        for other in self._scheduler.superseded_executors(executor_id, look):
+            self.remove(other, 'its host runs a newer executor')
+        ended_runs = self._scheduler.handle_poll(
+            executor_id, look, self._owner.now_s()
+        )
+        for ended in ended_runs:
+            self._log_end(ended)
+        if ended_runs or self._scheduler.has_orphans:
+            self._owner.wake()
+        return ended_runs
+
+    def note_unanswered_poll(self):
+        """Count a poll that failed or timed out."""
+        self._metrics.note_unanswered_call('poll')
+
+    def poll_soon(self, executor):
+        """Request an early poll of an executor."""
+        if executor.executor_id in self._agents:
+            self._agents[executor.executor_id][1].poll_soon()
+
+    def _log_end(self, ended):
+        run = ended.run
+        cause = ended.cause.value if ended.cause else 'never_began'
+        self._metrics.note_end(cause)
+        self._events.write(
+            'run_over',
+            task=str(run.task_id),
+            run=run.number,
+            executor=run.executor_id,
+            cause=cause,
+            failures=run.task.failures,
+        )
+
+    def check_lease_expiry(self, executor):
+        """End the runs of an executor whose leases have expired.
+
+        :returns: whether the executor has ended as well
+        """
+        now_s = self._owner.now_s()
+        if executor.executor_id not in self._scheduler.executors:
+            return True
+        if not executor.is_lease_expired(now_s):
+            return False
+        if executor.runs:
+            for ended in self._scheduler.expire_executor(
+                executor.executor_id, now_s
+            ):
+                self._log_end(ended)
+            self._owner.wake()
+        if executor.missing_since_s is not None:
+            self.remove(
+                executor, 'its entry was removed and its leases have expired'
+            )
+            return True
+        return False
+
+    def check_without_agent(self):
+        """Check the leases of executors without a known address."""
+        for executor in list(self._without_agent.values()):
+            self.check_lease_expiry(executor)
+
+    def remove(self, executor, why):
+        """Remove an executor that has ended, and end all its runs."""
+        self._ended_executor_ids.add(executor.executor_id)
+        self._without_agent.pop(executor.executor_id, None)
+        ended_runs = self._scheduler.remove_executor(
+            executor.executor_id, self._owner.now_s()
+        )
+        self._events.write(
+            'executor_gone',
+            executor=executor.executor_id,
+            runs=len(ended_runs),
+            why=why,
+        )
+        for ended in ended_runs:
+            self._log_end(ended)
+        held = self._agents.pop(executor.executor_id, None)
+        if held is not None and held[0] is not asyncio.current_task():
+            held[0].cancel()
+        self._owner.wake()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
@@ -98,7 +98,7 @@
             and sent_s - executor.last_contact_s > MIN_UNREACHED_S
         }
         for executor_id in sorted(unlisted & self._unlisted):
-            self._owner.remove_executor(
+            self._owner.tracker.remove(
                 known[executor_id], 'not on any listed host'
             )
         self._unlisted = unlisted
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_order_sender.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_order_sender.py
@@ -98,7 +98,7 @@
         if outcome == 'done':
             on_success()
             if executor is not None:
-                owner.remove_executor(executor, event)
+                owner.tracker.remove(executor, event)
             self._inventory.list_soon()
         self._parts.metrics.note_host_order(event)
         owner.events.write(
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -14,7 +14,7 @@
 from hawthorndeal_platform import keyed_log
 
 from . import advice_requester
-from . import executor_agent
+from . import executor_tracker
 from . import host_controller
 from . import journal_writer
 from . import offerer
@@ -66,6 +66,7 @@
             parts.jobs_reader.replica,
             parts.configuration_reader.configuration,
         )
+        self.tracker = executor_tracker.ExecutorTracker(self, parts.metrics)
         self._jobs_writer = self._make_writer(parts.jobs_follower)
         # Claims are stored among the statuses, so only these appends show
         # that there is no newer one.
@@ -77,9 +78,6 @@
         self._orders = run_orders.RunOrders(
             self, parts.executors, parts.metrics
         )
-        self._agents = {}
-        self._without_agent = {}
-        self._ended_executor_ids = set()
         self._background_tasks = set()
         self._wake = asyncio.Event()
         self._is_releasing = False
@@ -160,7 +158,7 @@
         """
         parts = self._parts
         parts.status_reader.on_changed = self.handle_status_change
-        self.spawn(self._run_guarded(self._publisher))
+        self.spawn(self.run_guarded(self._publisher))
         followers = [asyncio.create_task(parts.entries_follower.run())]
         try:
             await self._fence_predecessors()
@@ -169,19 +167,16 @@
             if not self.is_at_work:
                 await self._write_release()
                 return
-            self.spawn(self._run_guarded(self.hosts))
+            self.spawn(self.run_guarded(self.hosts))
             requester = advice_requester.AdviceRequester(parts, self)
-            self.spawn(self._run_guarded(requester))
+            self.spawn(self.run_guarded(requester))
             await self._run_cycles()
         finally:
             # Also ends the loops of tasks that swallow their cancellation.
             self.term.is_lost = True
             parts.detach()
-            for task in [
-                *followers,
-                *self._background_tasks,
-                *(t for t, _ in self._agents.values()),
-            ]:
+            self.tracker.cancel_agents()
+            for task in [*followers, *self._background_tasks]:
                 task.cancel()
             self._released.set()
 
@@ -205,8 +200,7 @@
             if self._is_releasing:
                 return
         now_s = self.now_s()
-        for entry in parts.entries_reader.entries.values():
-            self._register_entry(entry, now_s)
+        self.tracker.register(parts.entries_reader.entries.values())
         longest_s = parts.settings.longest_lease_ms / 1000 + LEASE_MARGIN_S
         self.scheduler.inherit(
             now_s, ownership.inherited_lease_expiry_s(now_s, longest_s)
@@ -217,8 +211,7 @@
             self._add_job(job, None)
         for job_id in replica.unknown_job_ids:
             self.cancel_job(job_id)
-        for executor in list(self.scheduler.executors.values()):
-            self._ensure_agent(executor)
+        self.tracker.start_agents()
         parts.attach(self)
         self.is_at_work = True
         self.events.write(
@@ -288,7 +281,7 @@
         self._wake.clear()
         parts = self._parts
         now_s = self.now_s()
-        self._check_executors_without_agent()
+        self.tracker.check_without_agent()
         window = self._orders.starts
         may_start = self._knows_cancellations(now_s)
         turn = self.scheduler.plan(
@@ -412,9 +405,7 @@
             self._publish_state(job, state)
         self._states_to_publish = {}
         self.scheduler.mark_ends_recorded(self._ends_being_stored)
-        for executor_id in self._ends_being_stored:
-            if executor_id in self._agents:
-                self._agents[executor_id][1].note_ends_stored()
+        self.tracker.note_ends_stored(self._ends_being_stored)
         self._ends_being_stored = {}
 
     def _publish_state(self, job, state):
@@ -477,126 +468,10 @@
         self.scheduler.set_configuration(configuration)
         self.wake()
 
-    def update_executor(self, entry, now_s):
-        """Process the entry that an executor published."""
-        executor = self._register_entry(entry, now_s)
-        if executor is not None:
-            self._ensure_agent(executor)
-            self.wake()
-
-    def _register_entry(self, entry, now_s):
-        # Entries of ended executor incarnations are retained for a while, are
-        # read again after the log was truncated, and may be stored late.
-        if entry.executor_id in self._ended_executor_ids:
-            return None
-        return self.scheduler.update_executor(entry, now_s)
-
-    def mark_executor_missing(self, executor_id):
-        """Record that the entry of an executor was removed."""
-        self.scheduler.mark_executor_missing(executor_id, self.now_s())
-
-    # Executors
-
-    def _ensure_agent(self, executor):
-        executor_id = executor.executor_id
-        if executor_id in self._agents:
-            return
-        if not executor.entry.address:
-            self._without_agent[executor_id] = executor
-            return
-        self._without_agent.pop(executor_id, None)
-        agent = executor_agent.ExecutorAgent(executor, self)
-        task = asyncio.create_task(self._run_guarded(agent))
-        self._agents[executor_id] = (task, agent)
-
-    async def _run_guarded(self, part):
+    async def run_guarded(self, part):
         """Run a task, and give up the partition if it raises."""
         try:
             await part.run()
         except Exception as error:
             self.events.write('owner_part_failed', why=repr(error)[:300])
             self.lose_ownership(f'a task of the owner failed: {error!r:.100}')
-
-    def handle_poll(self, executor, look):
-        """Process the answer to a poll, and return the runs that ended."""
-        executor_id = executor.executor_id
-        for other in self.scheduler.superseded_executors(executor_id, look):
-            self.remove_executor(other, 'its host runs a newer executor')
-        ended_runs = self.scheduler.handle_poll(
-            executor_id, look, self.now_s()
-        )
-        for ended in ended_runs:
-            self._log_end(ended)
-        if ended_runs or self.scheduler.has_orphans:
-            self.wake()
-        return ended_runs
-
-    def note_unanswered_poll(self):
-        """Count a poll that failed or timed out."""
-        self._parts.metrics.note_unanswered_call('poll')
-
-    def poll_soon(self, executor):
-        """Request an early poll of an executor."""
-        if executor.executor_id in self._agents:
-            self._agents[executor.executor_id][1].poll_soon()
-
-    def _log_end(self, ended):
-        run = ended.run
-        cause = ended.cause.value if ended.cause else 'never_began'
-        self._parts.metrics.note_end(cause)
-        self.events.write(
-            'run_over',
-            task=str(run.task_id),
-            run=run.number,
-            executor=run.executor_id,
-            cause=cause,
-            failures=run.task.failures,
-        )
-
-    def check_lease_expiry(self, executor):
-        """End the runs of an executor whose leases have expired.
-
-        :returns: whether the executor has ended as well
-        """
-        now_s = self.now_s()
-        if executor.executor_id not in self.scheduler.executors:
-            return True
-        if not executor.is_lease_expired(now_s):
-            return False
-        if executor.runs:
-            for ended in self.scheduler.expire_executor(
-                executor.executor_id, now_s
-            ):
-                self._log_end(ended)
-            self.wake()
-        if executor.missing_since_s is not None:
-            self.remove_executor(
-                executor, 'its entry was removed and its leases have expired'
-            )
-            return True
-        return False
-
-    def _check_executors_without_agent(self):
-        # Executors without a known address have no agent that checks leases.
-        for executor in list(self._without_agent.values()):
-            self.check_lease_expiry(executor)
-
-    def remove_executor(self, executor, why):
-        """Remove an executor that has ended, and end all its runs."""
-        self._ended_executor_ids.add(executor.executor_id)
-        self._without_agent.pop(executor.executor_id, None)
-        ended_runs = self.scheduler.remove_executor(
-            executor.executor_id, self.now_s()
-        )
-        self.events.write(
-            'executor_gone',
-            executor=executor.executor_id,
-            runs=len(ended_runs),
-            why=why,
-        )
-        for ended in ended_runs:
-            self._log_end(ended)
-        held = self._agents.pop(executor.executor_id, None)
-        if held is not None and held[0] is not asyncio.current_task():
-            held[0].cancel()
-        self.wake()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
@@ -108,12 +108,12 @@
         if answer is _Answer.FENCED:
             owner.lose_ownership('an executor has seen a newer epoch')
         elif answer is _Answer.GONE:
-            owner.remove_executor(
+            owner.tracker.remove(
                 executor, 'another executor answers at its address'
             )
         else:
             owner.scheduler.handle_start_answer(run, answer, owner.now_s())
-            owner.poll_soon(executor)
+            owner.tracker.poll_soon(executor)
             if answer is not _Answer.ACCEPTED or self._may_start_others():
                 owner.wake()
 
@@ -213,7 +213,7 @@
                 target_of(executor), task_id, number, owner.epoch
             )
         except executor_orders.ExecutorGone:
-            owner.remove_executor(
+            owner.tracker.remove(
                 executor, 'another executor answers at its address'
             )
             return False
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -136,8 +136,8 @@
         self._owner = owner
         self.jobs_reader.on_applied = owner.handle_applied
         self.configuration_reader.on_changed = owner.handle_configuration
-        self.entries_reader.on_entry = owner.update_executor
-        self.entries_reader.on_missing = owner.mark_executor_missing
+        self.entries_reader.on_entry = owner.tracker.update
+        self.entries_reader.on_missing = owner.tracker.mark_missing
 
     def detach(self):
         """Disconnect the owner, and discard what only an owner reads."""
