--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -1,4 +1,4 @@
-"""Owner of a partition: plans in cycles, stores the plan, then acts on it."""
+"""Owner of the jobs: plans in cycles, stores the plan, then acts on it."""
 
 import asyncio
 import itertools
@@ -41,17 +41,23 @@
 
 
 class LostOwnership(errors.HawthorndealError):
-    """Raised when another daemon owns the partition."""
+    """Raised when the ownership has ended against the owner's will."""
 
     reason = 'lost_ownership'
 
 
 class Owner:
-    """Schedules the jobs of a partition during its ownership term.
+    """Schedules the jobs of a fleet during its ownership term.
+
+    It owns the partition of the jobs, which it loads and drops ended jobs
+    from, and the partition of the statuses, which its publisher writes to.
 
     :param parts: shared components of the daemon
     :param term: determines how long the owner may act
     :param intents: determines which hosts may be given orders
+    :ivar tracker: knows the executors, and runs their agents
+    :ivar hosts: moves and maintains hosts
+    :ivar is_at_work: whether the jobs of the predecessors were taken over
     :ivar lost_reason: why the term has ended; empty while it has not, and
         where the store fenced the owner
     """
@@ -144,7 +150,7 @@
         task.add_done_callback(self._background_tasks.discard)
 
     def lose_ownership(self, why):
-        """End the ownership term because another daemon owns the partition."""
+        """End the ownership term at once, without a release."""
         self.term.is_lost = True
         self.lost_reason = why
         self.wake()
@@ -438,7 +444,7 @@
                 )
 
     def _consider_offer(self):
-        """Release the partitions if a much stronger daemon has offered."""
+        """Release the ownership if a much stronger daemon has offered."""
         if self._is_releasing and self._accepted_offer is None:
             return
         self._accepted_offer = hand_over.accepted_offer(
@@ -469,7 +475,7 @@
         self.wake()
 
     async def run_guarded(self, part):
-        """Run a task, and give up the partition if it raises."""
+        """Run a task, and give up the ownership if it raises."""
         try:
             await part.run()
         except Exception as error:
