--- a/features/jobs_narrow_links.feature
+++ b/features/jobs_narrow_links.feature
@@ -80,6 +80,11 @@
     When the link goes down
     Then the store is reported as lost within 0.7 seconds
 
+  Scenario: A long list of hosts arrives over a narrow link
+    Given a host service that lists 3000 hosts on one page
+    When the hosts are listed over a link of 600000 bytes a second
+    Then 3000 hosts are known
+
   Scenario: Callers of a daemon behind a narrow link soon see that jobs ended
     Given simulated daemons with seed 510
     And a daemon without ownership behind a link of 60000 bytes a second
--- a/features/steps/jobs_narrow_links.py
+++ b/features/steps/jobs_narrow_links.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import json
 
 from behave import given
 from behave import then
@@ -14,8 +15,10 @@
 from hawthorndeal_jobs import journal
 from hawthorndeal_platform import executor_orders
 from hawthorndeal_platform import keyed_log
+from hawthorndeal_platform import transport
 from hawthorndeal_scheduler import log_follower
 from hawthorndeal_scheduler import metrics
+from hawthorndeal_site import hosts as hosts_adapter
 from hawthorndeal_site import store as store_adapter
 from stage import job_world
 from stage import virtual_time
@@ -267,6 +270,59 @@
     assert held == context.count, (held, context.count)
 
 
+class _ListingHttp:
+    """Stand-in for the HTTP client of the host service's adapter."""
+
+    def __init__(self, body, link):
+        self._response = transport.HttpResponse(200, body)
+        self._link = link
+
+    async def send(
+        self, method, url, timeout_s, params=None, is_idle_timeout=False
+    ):
+        """Return the list of hosts."""
+        return await self._link.call(
+            lambda: self._response,
+            None,
+            timeout_s,
+            links.REQUEST_BYTES,
+            lambda response: len(response.body),
+            is_idle_timeout,
+        )
+
+
+@given('a host service that lists {count:d} hosts on one page')
+def make_listing(context, count):
+    rows = [
+        {
+            'machine': f'm-{number:05}',
+            'pool': 'web',
+            'state': 'up',
+            'zone': 'cz-a',
+            'labels': ['a', f'r{number // 12}'],
+            'capacity': {'cpu': 16000, 'mem-mb': 65536, 'gpus': 0},
+            'id': f'i-{number:010}',
+        }
+        for number in range(count)
+    ]
+    context.listing = json.dumps({'machines': rows}).encode()
+
+
+@when('the hosts are listed over a link of {rate:d} bytes a second')
+def list_hosts(context, rate):
+    link = links.Link(rng=None)
+    link.narrow(rate)
+    client = hosts_adapter.HostClient(
+        _ListingHttp(context.listing, link), 'hosts:1'
+    )
+    context.listed = virtual_time.run(client.list)
+
+
+@then('{count:d} hosts are known')
+def check_listed(context, count):
+    assert len(context.listed) == count, len(context.listed)
+
+
 @given('a daemon without ownership behind a link of {rate:d} bytes a second')
 def narrow_follower(context, rate):
     world = context.world
