Count no task as serving on an executor that answers no polls

Progress counts for 2.5 s after the poll that told it. The scenario failed before (2 of the others counted).

--- a/features/jobs_scheduler.feature
+++ b/features/jobs_scheduler.feature
@@ -44,3 +44,14 @@
     Then 0 of the others count as serving
     When the clock advances by 1.1 seconds
     Then 2 of the others count as serving
+
+  @invariant_budget
+  Scenario: A task on an executor that answers no polls does not count as serving
+    Given 3 long-running tasks that a new owner finds running
+    When one of them is to be moved off its executor
+    And the clock advances by 1.1 seconds
+    Then 2 of the others count as serving
+    When the clock advances by 2 seconds
+    Then 0 of the others count as serving
+    When their executor answers a poll again
+    Then 2 of the others count as serving
--- a/features/steps/jobs_scheduler.py
+++ b/features/steps/jobs_scheduler.py
@@ -138,12 +138,17 @@
     harness.register_executor('a')
     spec = scheduler_harness.steps(count, is_lasting=True, max_unavailable=1)
     harness.add_job('j', spec)
-    rows = [
+    context.rows = [
         executors.ReportedRun(jobs.TaskId('j', 0, 0, index), 1, '', 100)
         for index in range(count)
     ]
     harness.assign_all_tasks('j', 'a')
-    harness.poll('a', running=rows)
+    answer_again(context)
+
+
+@when('their executor answers a poll again')
+def answer_again(context):
+    context.harness.poll('a', running=context.rows)
 
 
 @when('one of them is to be moved off its executor')
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -15,6 +15,10 @@
 MAX_CLOCK_DRIFT = 0.02
 # Time within which a stopped run has ended and its end has been observed.
 STOP_TIMEOUT_S = 1.0
+# What an executor told of its runs counts for this long. Longer than a poll
+# may take that waits for an end, and shorter than planned operations must
+# take notice of a task that is not at work.
+MAX_POLL_AGE_S = 2.5
 # Time for an executor to kill its runs after their lease has expired.
 LEASE_EXPIRY_MARGIN_S = 0.3
 
@@ -228,6 +232,7 @@
     :ivar lease_expires_s: time by which every lease granted has certainly
         expired, on the local monotonic clock
     :ivar suspended_until_s: no new runs are placed here before this time
+    :ivar polled_s: when the last answer to a poll arrived
     """
 
     entry: ExecutorEntry
@@ -249,6 +254,7 @@
     clock_read_s: float = 0.0
     lease_expires_s: float = 0.0
     last_contact_s: float = 0.0
+    polled_s: float = 0.0
     is_reserved: bool = False
     suspended_until_s: float = 0.0
     consecutive_failures: int = 0
@@ -276,6 +282,13 @@
         """Return True if every run that a previous owner stopped has ended."""
         return self.is_fenced and now_s - self.fenced_since_s > STOP_TIMEOUT_S
 
+    def is_known_to_serve(self, now_s):
+        """Return True if the progress of the runs here is known and holds."""
+        return (
+            now_s - self.polled_s <= MAX_POLL_AGE_S
+            and self.has_ended_inherited_runs(now_s)
+        )
+
     def add(self, run):
         """Add a run and reserve its capacity."""
         replaced = self.runs.get(run.key)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -330,7 +330,8 @@
         """Return how many other tasks of a long-running step are serving.
 
         Executors on which a previous owner may just have stopped runs are
-        excluded, since those runs may be about to end.
+        excluded, since those runs may be about to end, and executors that
+        don't answer polls, since their runs may have ended.
         """
         return sum(
             other.percent >= 100
@@ -338,13 +339,10 @@
             and other is not run
             and other.occurrence is run.occurrence
             and other.task_id.step == run.task_id.step
-            and self._has_ended_inherited_runs(other.executor_id, now_s)
+            and self.executors[other.executor_id].is_known_to_serve(now_s)
             for other in self._run_index.runs_of_job(run.task_id.job_id)
         )
 
-    def _has_ended_inherited_runs(self, executor_id, now_s):
-        return self.executors[executor_id].has_ended_inherited_runs(now_s)
-
     def withdraw_run(self, run, now_s):
         """Remove a planned run whose start request was not sent."""
         executor = self.executors.get(run.executor_id)
