List the hosts while orders to them go on

Cause: each acknowledged order put the next list of hosts off to 0.3 s later. While orders followed each other in every cycle of 0.1 s no list was read, so hosts that had arrived counted as moving for up to 4 s: those on standby could not be taken from there, and the others still counted as arriving. Ruled out: the limits of the host service (a list takes milliseconds, 36 a second are allowed). Change: a request for an early list never puts off one that is due sooner.

--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
@@ -64,8 +64,13 @@
         self._end_unlisted_executors(entries, sent_s)
 
     def list_soon(self):
-        """Request an early list of the hosts."""
-        self._list_due_s = self._owner.now_s() + EARLY_LIST_DELAY_S
+        """Request an early list of the hosts.
+
+        Further requests don't put it off: while hosts are ordered in every
+        cycle, the outcomes would never be learned.
+        """
+        early_s = self._owner.now_s() + EARLY_LIST_DELAY_S
+        self._list_due_s = min(self._list_due_s, early_s)
 
     def _note_entry(self, entry):
         arrival = self._moving.get(entry.host)
