Count a host that has arrived in a pool once

What callers saw: pools in a burst got fewer hosts than their load called for. Cause: a host counted as arriving until a list showed it in its new pool, also once its executor took tasks there, where it counted as usable as well. The deficit of the pool was too small by as many hosts. Change: a host whose executor has been reached in the pool isn't arriving.

--- a/features/jobs_host_inventory.feature
+++ b/features/jobs_host_inventory.feature
@@ -5,3 +5,16 @@
     Given an inventory of 4 hosts in pool "ci"
     When a host is ordered to pool "web" every 0.1 seconds for 3 seconds
     Then no two lists were more than 0.5 seconds apart
+
+  Scenario Outline: A host counts once for the pool that it moves to: <case>
+    Given an inventory of 4 hosts in pool "ci"
+    When 2 hosts are ordered to pool "web"
+    And the new executors of <known> of them <seen>
+    Then <arriving> hosts are arriving in pool "web"
+
+    Examples:
+      | case                     | known | seen                  | arriving |
+      | no executor is known     | 0     | have published        | 2        |
+      | an executor has started  | 1     | have published        | 2        |
+      | an executor may be used  | 1     | were polled           | 1        |
+      | both may be used         | 2     | were polled           | 0        |
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
@@ -176,8 +176,20 @@
         self.entries[host] = attrs.evolve(self.entries[host], **fields)
 
     def arriving(self, pool, now_s):
-        """Return the number of hosts that are moving to a pool."""
+        """Return the number of hosts that are moving to a pool.
+
+        A host whose executor has been reached there has arrived, even if it
+        is not listed in the pool so far.
+        """
         return sum(
-            target == pool and now_s < timeout_at_s
-            for target, timeout_at_s in self._moving.values()
+            target == pool
+            and now_s < timeout_at_s
+            and not self._has_arrived(host, pool)
+            for host, (target, timeout_at_s) in self._moving.items()
+        )
+
+    def _has_arrived(self, host, pool):
+        return any(
+            executor.is_fenced and executor.entry.pool == pool
+            for executor in self._owner.scheduler.executors_on(host)
         )
