Finish begun jobs first, and put back jobs that won't be in time

Cause: the earliest latest start went first, by declared run times. Under overload each job began when its slack was used up; any delay made it late, and its remaining tasks then gave way to other jobs that were also about to be late.

--- /dev/null
+++ b/features/jobs_queueing.feature
@@ -0,0 +1,34 @@
+@jobs
+Feature: What callers get while a pool has less room than its jobs ask for
+
+  Jobs of one to four steps arrive at random; each has several tasks of about
+  0.6 s, whose declared times are wrong by a fifth.
+
+  Scenario Outline: An overloaded pool goes on doing work in time: <load> times its capacity
+    When jobs arrive for 8 seconds at 1.0 times the capacity of their pool
+    And jobs arrive for 8 seconds at <load> times the capacity of their pool
+    Then the second pool did at least 0.8 of the first one's work in time
+
+    Examples:
+      | load |
+      | 1.6  |
+      | 2.5  |
+
+  Scenario Outline: The order of an overloaded pool beats a simple one: <order>
+    When jobs arrive for 8 seconds at 1.6 times the capacity of their pool
+    And the same jobs arrive at a pool that places <order> first
+    Then the first pool did at least 1.25 times the second one's work in time
+
+    Examples:
+      | order                     |
+      | the oldest job            |
+      | the earliest objective    |
+      | the latest possible start |
+
+  Scenario: Large jobs aren't sacrificed to small ones in an overloaded pool
+    When jobs arrive for 8 seconds at 1.6 times the capacity of their pool
+    Then the largest tenth of the jobs is in time half as often as all, or more
+
+  Scenario: A pool with room makes no job wait for its order
+    When jobs arrive for 8 seconds at 0.5 times the capacity of their pool
+    Then at least 0.95 of the jobs are in time
--- a/features/steps/jobs_host_inventory.py
+++ b/features/steps/jobs_host_inventory.py
@@ -47,9 +47,7 @@
         context.listed_s.append(context.owner.now_s())
         return tuple(context.entries.values())
 
-    parts = types.SimpleNamespace(
-        hosts=types.SimpleNamespace(list=list_hosts)
-    )
+    parts = types.SimpleNamespace(hosts=types.SimpleNamespace(list=list_hosts))
     context.inventory = host_inventory.HostInventory(parts, context.owner)
     asyncio.run(context.inventory.refresh())
 
--- /dev/null
+++ b/features/steps/jobs_queueing.py
@@ -0,0 +1,92 @@
+"""Steps for loads of jobs on one pool, played in simulated time."""
+
+import functools
+from unittest import mock
+
+from behave import then
+from behave import when
+
+from hawthorndeal_jobs import ordering
+from stage import queue_load
+
+SEEDS = (1, 2, 3)
+TENTH = 10
+
+_SIMPLE_ORDERS = {
+    'the oldest job': lambda step, now_s, factor=1.0: (
+        step.occurrence.job.accepted_s,
+        step.number,
+    ),
+    'the earliest objective': lambda step, now_s, factor=1.0: (
+        step.objective_s,
+    ),
+    'the latest possible start': lambda step, now_s, factor=1.0: (
+        now_s > step.objective_s - step.remaining_path_s,
+        step.objective_s - step.remaining_path_s,
+    ),
+}
+
+
+@functools.cache
+def _play(load, seconds, order=None):
+    rank = _SIMPLE_ORDERS.get(order, ordering.rank)
+    played = []
+    with mock.patch.object(ordering, 'rank', rank):
+        for seed in SEEDS:
+            pool = queue_load.QueueLoad(seed)
+            pool.submit_burst(load, seconds)
+            pool.run()
+            played += pool.played.values()
+    return played
+
+
+def _work_in_time(played):
+    return sum(p.work for p in played if p.is_in_time)
+
+
+def _share_in_time(played):
+    return sum(p.is_in_time for p in played) / len(played)
+
+
+@when(
+    'jobs arrive for {seconds:g} seconds at {load:g} times the capacity of '
+    'their pool'
+)
+def play_load(context, seconds, load):
+    context.load, context.seconds = load, seconds
+    context.pools = [*getattr(context, 'pools', ()), _play(load, seconds)]
+
+
+@when('the same jobs arrive at a pool that places {order} first')
+def play_simple_order(context, order):
+    context.pools.append(_play(context.load, context.seconds, order))
+
+
+@then("the second pool did at least {share:g} of the first one's work in time")
+def check_work_in_time(context, share):
+    first, second = map(_work_in_time, context.pools)
+    assert second >= share * first, (first, second)
+
+
+@then(
+    "the first pool did at least {times:g} times the second one's work in time"
+)
+def check_gain(context, times):
+    first, second = map(_work_in_time, context.pools)
+    assert first >= times * second, (first, second)
+
+
+@then('the largest tenth of the jobs is in time half as often as all, or more')
+def check_large_jobs(context):
+    (played,) = context.pools
+    by_size = sorted(played, key=lambda p: p.work)
+    largest = by_size[-len(by_size) // TENTH :]
+    found = _share_in_time(largest), _share_in_time(played)
+    assert found[0] >= found[1] / 2, found
+
+
+@then('at least {share:g} of the jobs are in time')
+def check_share_in_time(context, share):
+    (played,) = context.pools
+    found = _share_in_time(played)
+    assert found >= share, found
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
@@ -1,5 +1,14 @@
-"""Order the steps that wait for executors in a pool."""
+"""Order the steps that wait for executors in a pool.
 
+The order matters while a pool has less room than its jobs ask for. If each
+job were started as late as its objective allows, every delay would make it
+late, and its remaining tasks would then give way to other jobs: all of the
+pool would work on jobs that are of little use by their end. Therefore jobs
+that have begun are finished first, and a job is put back as soon as it is not
+expected to be in time.
+"""
+
+import enum
 import functools
 
 import attrs
@@ -8,6 +17,22 @@
 
 # A job loses its value this many times its objective after it was due.
 CUTOFF_FACTOR = 3.0
+# Time from the end of a job until the daemons of its callers know of it.
+PUBLICATION_S = 0.2
+
+
+class Urgency(enum.IntEnum):
+    """Groups of steps; those of a lower one are placed first."""
+
+    # Long-running tasks are useful from the start and for a long time.
+    LASTING = 0
+    # Work that would be lost if the rest of the job came too late.
+    BEGUN = 1
+    EXPECTED_IN_TIME = 2
+    # In time only if its tasks end sooner than those of other jobs.
+    HARDLY_IN_TIME = 3
+    LATE = 4
+    WORTHLESS = 5
 
 
 @attrs.define(eq=False)
@@ -20,6 +45,7 @@
     :ivar cutoff_s: when the job has lost its value
     :ivar remaining_path_s: declared run time of the critical path from here
     :ivar unplaced_since_s: since when no task of the step could be placed
+    :ivar placed_s: when a task of the step was last placed
     :ivar number: increases with each step of the partition
     """
 
@@ -31,6 +57,7 @@
     priority: int
     remaining_path_s: float
     unplaced_since_s: float | None = None
+    placed_s: float | None = None
     number: int = 0
 
     @property
@@ -43,6 +70,11 @@
         """The declared step."""
         return self.occurrence.job.spec.steps[self.step]
 
+    @property
+    def is_begun(self):
+        """Whether a task of the step, or one that it waits for, has begun."""
+        return len(self.pending) < self.spec.count or bool(self.spec.after)
+
 
 def objective_s(queue, spec):
     """Return the time within which a due job should be done."""
@@ -59,21 +91,34 @@
     return spec.steps[step].estimate_s + max(successors_s, default=0.0)
 
 
-def rank(ready_step, now_s):
+def rank(ready_step, now_s, run_time_factor=1.0):
     """Return the sort key of a step; the lowest is placed first.
 
-    Long-running tasks come first, since they are useful from the start and
-    for a long time. Jobs that can still meet their objective come before
-    those that cannot, so that one late job does not delay others. Among steps
-    of equal priority, those in time are ordered by latest start time, and
-    late ones by objective.
+    Among steps of one urgency and priority, those in time are ordered by
+    latest start time, and late ones by objective.
+
+    :param run_time_factor: by how much steps of the queue take longer than
+        declared; see :class:`estimates.StepTimes`
     """
     spec = ready_step.spec
     if spec.is_lasting:
-        return (0, spec.is_filler, ready_step.objective_s)
-    latest_start_s = ready_step.objective_s - ready_step.remaining_path_s
-    if now_s <= latest_start_s:
-        return (1, ready_step.priority, latest_start_s)
+        return (Urgency.LASTING, spec.is_filler, ready_step.objective_s)
+    urgency = _urgency(ready_step, now_s, run_time_factor)
+    order_s = ready_step.objective_s
+    if urgency < Urgency.LATE:
+        order_s -= ready_step.remaining_path_s
+    return (urgency, ready_step.priority, order_s)
+
+
+def _urgency(ready_step, now_s, run_time_factor):
+    left_s = ready_step.objective_s - now_s
+    path_s = ready_step.remaining_path_s
+    if left_s >= path_s:
+        if ready_step.is_begun:
+            return Urgency.BEGUN
+        if left_s >= path_s * run_time_factor + PUBLICATION_S:
+            return Urgency.EXPECTED_IN_TIME
+        return Urgency.HARDLY_IN_TIME
     if now_s <= ready_step.cutoff_s:
-        return (2, ready_step.priority, ready_step.objective_s)
-    return (3, ready_step.priority, ready_step.objective_s)
+        return Urgency.LATE
+    return Urgency.WORTHLESS
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -44,6 +44,7 @@
         # Pools in which tasks may have become placeable.
         self.pools_to_schedule = set()
         self.estimates = estimates.EstimateCorrector()
+        self.step_times = estimates.StepTimes()
         self.demand_meters = collections.defaultdict(demand.DemandMeter)
         self._numbers = itertools.count()
         self._steps = {}
@@ -198,11 +199,19 @@
         self._note_pending(self._steps[key])
         self.pools_to_schedule.add(queue.pool)
 
-    def complete_step(self, occurrence, step):
+    def complete_step(self, occurrence, step, now_s):
         """Remove a step that is done, and add its successors."""
         key = occurrence.job.job_id, occurrence.number, step
         done_step = self._remove_step(key)
-        if done_step is None or occurrence.job.is_terminal:
+        if done_step is None:
+            return
+        if done_step.placed_s is not None:
+            self.step_times.note(
+                occurrence.job.queue,
+                done_step.spec.estimate_s,
+                now_s - done_step.placed_s,
+            )
+        if occurrence.job.is_terminal:
             return
         job = occurrence.job
         objective_s = ordering.objective_s(self.queue_of(job), job.spec)
@@ -215,6 +224,11 @@
             for step in range(len(occurrence.tasks)):
                 self._remove_step((job.job_id, occurrence.number, step))
 
+    def rank(self, ready_step, now_s):
+        """Return the sort key of a step; the lowest is placed first."""
+        factor = self.step_times.factor(ready_step.occurrence.job.queue)
+        return ordering.rank(ready_step, now_s, factor)
+
     def requeue(self, task_id, job):
         """Make a task that needs another run pending again."""
         key = task_id.job_id, task_id.occurrence, task_id.step
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
@@ -46,25 +46,25 @@
         self._steps.pools_to_schedule.add(executor.entry.pool)
         self._update_executor_health(executor, ended, now_s)
         if not was_current:
-            self._finish_superseded(ended)
+            self._finish_superseded(ended, now_s)
             return
         if ended.checkpoint and run.step.is_checkpointing:
             task.checkpoint = ended.checkpoint
         self._changed[run.occurrence] = None
         if ended.cause is _Cause.DONE and not run.step.is_lasting:
-            self._mark_done(run)
+            self._mark_done(run, now_s)
         elif ended.cause is _Cause.FAILED and not run.step.is_lasting:
             self._mark_failed(run)
         else:
             self._mark_pending(run)
 
-    def _finish_superseded(self, ended):
+    def _finish_superseded(self, ended, now_s):
         """Process the end of a run that its task no longer refers to."""
         run = ended.run
         if run.step.is_lasting:
             return
         if ended.cause is _Cause.DONE:
-            self._mark_done(run)
+            self._mark_done(run, now_s)
         elif ended.cause is _Cause.FAILED:
             run.task.failures += 1
             self._changed[run.occurrence] = None
@@ -84,7 +84,7 @@
                 now_s - run.started_s,
             )
 
-    def _mark_done(self, run):
+    def _mark_done(self, run, now_s):
         occurrence, step = run.occurrence, run.task_id.step
         tasks = [run.task]
         if run.step.is_gang:
@@ -100,7 +100,7 @@
             self._steps.drop_done_tasks(occurrence, step)
         self._stop_other_runs(run)
         if occurrence.is_step_done(step):
-            self._steps.complete_step(occurrence, step)
+            self._steps.complete_step(occurrence, step, now_s)
 
     def _stop_other_runs(self, ended_run):
         if ended_run.step.is_gang:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -74,7 +74,7 @@
         ready_step, held = candidate.ready_step, self._held_gang
         return (
             held is None or ready_step.key != held,
-            ordering.rank(ready_step, now_s),
+            self._steps.rank(ready_step, now_s),
             candidate.pool,
             ready_step.number,
         )
@@ -125,6 +125,7 @@
                 break
             ready_step.pending.pop(0)
             ready_step.unplaced_since_s = now_s if ready_step.pending else None
+            ready_step.placed_s = now_s
             run = _plan_run(ready_step, task_id, executor, task.run + 1, now_s)
             pool_executors.note_placed(executor)
             run.second_choice = second.executor_id if second else ''
@@ -146,6 +147,7 @@
             return []
         ready_step.pending.clear()
         ready_step.unplaced_since_s = None
+        ready_step.placed_s = now_s
         number = max(task.run for task in tasks) + 1
         checkpoint = next((t.checkpoint for t in tasks if t.checkpoint), '')
         for task in tasks:
