Keep owner and daemon running after an unexpected error in one part

What callers would see: an error that nobody expects, in handling one executor's answer or one list of hosts, ended the ownership, and met the next owner again; in a record, it ended the task that follows the partition, and the daemon after eight restarts. The owner's own followers ended silently. Cause: only errors of the platform were handled; each other one ended the task, and the task's end was the owner's. Change: a poll that fails in any way concerns its executor alone; the parts that manage hosts, ask for advice and follow partitions run again after half a second; a record that can't be processed is skipped. Each is logged (owner_part_failed, poll_failed, record_skipped). The publisher still ends the term: without it nothing can be confirmed.

--- a/features/jobs_owner_terms.feature
+++ b/features/jobs_owner_terms.feature
@@ -62,3 +62,19 @@
     And 8 seconds pass
     Then each of them was accepted within 1.2 seconds
     And at most 20 appends were sent for them
+
+  Scenario Outline: An unexpected error in <part> ends neither an owner nor a daemon
+    Given simulated daemons with seed 31
+    When <part> raises an unexpected error for 4 seconds
+    And 5 jobs of 3 and 2 tasks are submitted
+    And 12 seconds pass
+    Then every job is reported as completed
+    And the first owner is still at work
+    And the error was logged
+
+    Examples:
+      | part                           |
+      | each poll of one executor      |
+      | each list of hosts             |
+      | each entry of one executor     |
+      | the record of an odd key       |
--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -486,6 +486,10 @@
         And 4 seconds pass
         And partitions are healed
         And 14 seconds pass
+        And each list of hosts raises an unexpected error for 1 seconds
+        And each poll of one executor raises an unexpected error for 4 seconds
+        And 20 jobs of 16 and 16 tasks are submitted in the background
+        And 4 seconds pass
         And the owner's host becomes weak
         And 4 seconds pass
     """)
--- a/features/steps/jobs_owner_terms.py
+++ b/features/steps/jobs_owner_terms.py
@@ -1,6 +1,7 @@
 """Steps for what an owner does from its claim to the end of its term."""
 
 import asyncio
+import types
 
 from behave import given
 from behave import then
@@ -250,3 +251,57 @@
 @then('at most {count:d} appends were sent for them')
 def check_appends(context, count):
     assert context.sent <= count, context.sent
+
+
+@when('{part} raises an unexpected error for {seconds:g} seconds')
+def raise_errors(context, part, seconds):
+    world = context.world
+    until_s = world.now_s() + seconds
+    first_id = min(
+        (not executor.runs, executor_id)
+        for executor_id, executor in world.executors.items()
+        if not executor.is_gone
+    )[1]
+
+    def breaks(function, is_affected):
+        def call(*arguments):
+            if world.now_s() < until_s and is_affected(*arguments):
+                raise OverflowError('unexpected, by a test')
+            return function(*arguments)
+
+        return call
+
+    for daemon in world.daemons:
+        parts = daemon.parts
+        if part == 'each poll of one executor':
+            parts.executors.poll = breaks(
+                parts.executors.poll,
+                lambda target, *_: target.executor_id == first_id,
+            )
+        elif part == 'each list of hosts':
+            parts.hosts.list = breaks(parts.hosts.list, lambda: True)
+        elif part == 'each entry of one executor':
+            reader = parts.entries_reader
+            reader._formats = types.SimpleNamespace(
+                decode_entry=breaks(
+                    world.formats.decode_entry,
+                    lambda executor_id, _: executor_id == first_id,
+                )
+            )
+        else:
+            board = parts.status_reader.board
+            board.apply = breaks(board.apply, lambda key, *_: key == 'odd')
+    if part == 'the record of an odd key':
+        world.store.append(job_world.STATUSES, [journal.Record('odd', b'{}')])
+
+
+@then('the first owner is still at work')
+def check_first_owner(context):
+    owner = context.world.owner.candidate.owner
+    assert owner.epoch == context.first_epoch
+
+
+@then('the error was logged')
+def check_error_logged(context):
+    logged = [e for e in context.world.log if 'by a test' in repr(e)]
+    assert logged
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
@@ -70,16 +70,28 @@
                     'an executor has seen a newer epoch'
                 )
                 return
-            except errors.PlatformError as error:
-                self._failures += 1
-                self._owner.tracker.note_unanswered_poll()
-                if self._failures < UNREACHABLE_FAILURES:
-                    continue
-                self._note_unreachable(error)
-                await asyncio.sleep(RETRY_S)
-                if self._owner.tracker.check_lease_expiry(self._executor):
+            except Exception as error:
+                # An unexpected error, too, concerns this executor only.
+                if await self._has_ended_after(error):
                     return
 
+    async def _has_ended_after(self, error):
+        """Return whether the executor has ended, after a poll that failed."""
+        if not isinstance(error, errors.PlatformError):
+            self._owner.events.write(
+                'poll_failed',
+                executor=self._executor.executor_id,
+                why=repr(error)[:300],
+            )
+            await asyncio.sleep(RETRY_S)
+        self._failures += 1
+        self._owner.tracker.note_unanswered_poll()
+        if self._failures < UNREACHABLE_FAILURES:
+            return False
+        self._note_unreachable(error)
+        await asyncio.sleep(RETRY_S)
+        return self._owner.tracker.check_lease_expiry(self._executor)
+
     def _needs_poll(self):
         return self._executor.runs or not self._executor.is_fenced
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
@@ -204,13 +204,19 @@
         try:
             self._reader.handle_record(record)
         except errors.InvalidRecord as error:
-            self._events.write(
-                'record_skipped',
-                partition=self.partition.name,
-                offset=record.offset,
-                key=record.key[:80],
-                why=str(error)[:200],
-            )
+            self._log_skipped(record, str(error))
+        except Exception as error:
+            # The same record would stop this daemon and each of its restarts.
+            self._log_skipped(record, repr(error))
+
+    def _log_skipped(self, record, why):
+        self._events.write(
+            'record_skipped',
+            partition=self.partition.name,
+            offset=record.offset,
+            key=record.key[:80],
+            why=why[:200],
+        )
 
     def _note_unavailable(self, error):
         if not self._is_unavailable:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -36,6 +36,7 @@
 GIVE_UP_JOBS_AGE_S = 4.0
 LEASE_MARGIN_S = 0.5
 EXPIRY_PERIOD_S = 1.0
+PART_RESTART_S = 0.5
 # Other daemons see the end of a job slightly later than the owner.
 RETENTION_MARGIN_S = 10.0
 
@@ -165,17 +166,17 @@
         parts = self._parts
         parts.status_reader.on_changed = self.handle_status_change
         self.spawn(self.run_guarded(self._publisher))
-        followers = [asyncio.create_task(parts.entries_follower.run())]
+        followers = [self._start_follower(parts.entries_follower)]
         try:
             await self._fence_predecessors()
-            followers.append(asyncio.create_task(parts.jobs_follower.run()))
+            followers.append(self._start_follower(parts.jobs_follower))
             await self._take_over()
             if not self.is_at_work:
                 await self._write_release()
                 return
-            self.spawn(self.run_guarded(self.hosts))
+            self.spawn(self._run_restarting(self.hosts))
             requester = advice_requester.AdviceRequester(parts, self)
-            self.spawn(self.run_guarded(requester))
+            self.spawn(self._run_restarting(requester))
             await self._run_cycles()
         finally:
             # Also ends the loops of tasks that swallow their cancellation.
@@ -186,6 +187,9 @@
                 task.cancel()
             self._released.set()
 
+    def _start_follower(self, follower):
+        return asyncio.create_task(self._run_restarting(follower))
+
     async def _fence_predecessors(self):
         """Keep earlier owners from storing the progress of jobs."""
         record = journal.ownership_record(self.ownership())
@@ -479,5 +483,26 @@
         try:
             await part.run()
         except Exception as error:
-            self.events.write('owner_part_failed', why=repr(error)[:300])
+            self._log_failed_part(part, error)
             self.lose_ownership(f'a task of the owner failed: {error!r:.100}')
+
+    async def _run_restarting(self, part):
+        """Run a task, and run it again if it raises.
+
+        What made it fail would meet each successor as well, so that giving
+        up the ownership would not help.
+        """
+        while not self.term.is_lost:
+            try:
+                await part.run()
+                return
+            except Exception as error:
+                self._log_failed_part(part, error)
+                await asyncio.sleep(PART_RESTART_S)
+
+    def _log_failed_part(self, part, error):
+        self.events.write(
+            'owner_part_failed',
+            part=type(part).__name__,
+            why=repr(error)[:300],
+        )
