Ask for hosts by what can still be in time, and by what can't be placed

Cause: each step that had waited for a second counted as a host needed for tasks that no host has room for. And late work, of little use by then, asked for as many hosts as work in time. Change: a step counts as starved only if the pool has room for it, though no host has. Late work is to be drained in 6 s, other work in 2 s as before.

--- a/features/stage/scheduler_harness.py
+++ b/features/stage/scheduler_harness.py
@@ -49,10 +49,10 @@
         self.register_executor(name)
         self.poll(name)
 
-    def register_executor(self, name, host=''):
+    def register_executor(self, name, host='', pool=POOL):
         """Register an executor, or update its entry."""
         entry = executors.ExecutorEntry(
-            name, f'{name}:1', POOL, 'z', CAPACITY, host=host
+            name, f'{name}:1', pool, 'z', CAPACITY, host=host
         )
         self.scheduler.update_executor(entry, self.now_s)
 
--- a/features/steps/jobs_decisions.py
+++ b/features/steps/jobs_decisions.py
@@ -44,6 +44,7 @@
                 lasting_hosts=float(row['lasting']),
                 rate_hosts=float(row['rate']),
                 backlog_host_s=float(row['backlog_s']),
+                late_backlog_host_s=float(row.get('late_s', 0)),
                 starved_hosts=int(row['starved']),
             )
         )
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/capacity.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/capacity.py
@@ -22,8 +22,10 @@
 RELEASE_MARGIN_HOSTS = 1.0
 # Tasks don't pack perfectly: hosts needed for each host of work.
 PACKING_FACTOR = 1.15
-# Time within which the backlog should be drained.
+# Time within which the backlog should be drained. Work that is late anyway
+# leaves hosts to pools whose work can still be in time.
 BACKLOG_DRAIN_S = 2.0
+LATE_BACKLOG_DRAIN_S = 6.0
 
 
 @attrs.frozen
@@ -47,8 +49,10 @@
     :ivar lasting_hosts: hosts that long-running tasks use or wait for
     :ivar rate_hosts: hosts kept busy by arriving work
     :ivar growth_hosts: additional hosts needed for the forecast growth
-    :ivar backlog_host_s: pending work, in host-seconds
-    :ivar starved_hosts: hosts needed for tasks that no host has room for
+    :ivar backlog_host_s: pending work that may be in time, in host-seconds
+    :ivar late_backlog_host_s: pending work that is late
+    :ivar starved_hosts: hosts needed for tasks that no host has room for,
+        though the pool has
     """
 
     pool: str
@@ -59,6 +63,7 @@
     rate_hosts: float = 0.0
     growth_hosts: float = 0.0
     backlog_host_s: float = 0.0
+    late_backlog_host_s: float = 0.0
     starved_hosts: int = 0
 
     @property
@@ -69,6 +74,7 @@
         growth = min(self.growth_hosts, self.rate_hosts)
         arriving_work = self.rate_hosts + growth
         backlog = self.backlog_host_s / BACKLOG_DRAIN_S
+        backlog += self.late_backlog_host_s / LATE_BACKLOG_DRAIN_S
         return self.lasting_hosts + (arriving_work + backlog) * PACKING_FACTOR
 
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
@@ -75,6 +75,10 @@
         """Whether a task of the step, or one that it waits for, has begun."""
         return len(self.pending) < self.spec.count or bool(self.spec.after)
 
+    def is_late(self, now_s):
+        """Return whether the job can't be in time any more."""
+        return now_s > self.objective_s - self.remaining_path_s
+
 
 def objective_s(queue, spec):
     """Return the time within which a due job should be done."""
@@ -113,7 +117,7 @@
 def _urgency(ready_step, now_s, run_time_factor):
     left_s = ready_step.objective_s - now_s
     path_s = ready_step.remaining_path_s
-    if left_s >= path_s:
+    if not ready_step.is_late(now_s):
         if ready_step.is_begun:
             return Urgency.BEGUN
         if left_s >= path_s * run_time_factor + PUBLICATION_S:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_loads.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_loads.py
@@ -20,16 +20,27 @@
     """
     waiting = ready_steps.pending_in(pool.name)
     meter = ready_steps.demand_meters[pool.name]
+    usable = [e for e in executors if placement.is_usable(e, now_s)]
+    late = {step.key for step in waiting if step.is_late(now_s)}
     return capacity_module.PoolLoad(
         pool.name,
         pool.is_standby,
-        sum(placement.is_usable(e, now_s) for e in executors),
+        len(usable),
         arriving,
         _lasting_hosts(executors, waiting, capacity),
         meter.rate(now_s),
         meter.growth(now_s, ahead_s),
-        sum(ready_steps.backlog_host_s(step, capacity) for step in waiting),
-        sum(_starved_hosts(step, now_s) for step in waiting),
+        sum(
+            ready_steps.backlog_host_s(step, capacity)
+            for step in waiting
+            if step.key not in late
+        ),
+        sum(
+            ready_steps.backlog_host_s(step, capacity)
+            for step in waiting
+            if step.key in late
+        ),
+        _starved_hosts(waiting, usable, now_s),
     )
 
 
@@ -61,11 +72,32 @@
     )
 
 
-def _starved_hosts(ready_step, now_s):
-    """Return the number of hosts that a starved step needs."""
+def _starved_hosts(waiting, usable, now_s):
+    """Return the number of hosts that starved steps need.
+
+    A step that waits because the pool is full is part of the backlog.
+    """
+    free = sum((e.free for e in usable), start=specs.Resources())
+    return sum(
+        _hosts_to_place(step)
+        for step in waiting
+        if _is_starved(step, now_s) and _needed(step).is_within(free)
+    )
+
+
+def _is_starved(ready_step, now_s):
     since_s = ready_step.unplaced_since_s
-    if since_s is None or now_s - since_s < STARVATION_S:
-        return 0
+    return since_s is not None and now_s - since_s >= STARVATION_S
+
+
+def _needed(ready_step):
+    """Return what a step needs to go on: room for a task, or for a gang."""
+    spec = ready_step.spec
+    tasks = len(ready_step.pending) if spec.is_gang else 1
+    return sum([spec.reserved] * tasks, start=specs.Resources())
+
+
+def _hosts_to_place(ready_step):
     limit = ready_step.spec.max_per_executor
     if not limit:
         return 1
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
@@ -154,5 +154,6 @@
         'rate_hosts': round(load.rate_hosts, 2),
         'growth_hosts': round(load.growth_hosts, 2),
         'backlog_host_s': round(load.backlog_host_s, 2),
+        'late_backlog_host_s': round(load.late_backlog_host_s, 2),
         'starved_hosts': load.starved_hosts,
     }
