Hold back late work while other pools lack hosts for work in time

What callers saw: when bursts of several pools follow each other and ask for more than all hosts, the first one was served and the later ones hardly at all: their hosts never came. Cause: a pool with more jobs than it can do in time fills each free place with late ones, so that none of its hosts becomes idle and can be moved; and as long as it asks for hosts for late work it gives none away.

--- a/features/jobs_queueing.feature
+++ b/features/jobs_queueing.feature
@@ -32,3 +32,13 @@
   Scenario: A pool with room makes no job wait for its order
     When jobs arrive for 8 seconds at 0.5 times the capacity of their pool
     Then at least 0.95 of the jobs are in time
+
+  Scenario Outline: Bursts that follow each other all get hosts: <peak> times what all hosts can do
+    When bursts of <peak> times the capacity of 24 hosts follow each other in 4 pools
+    Then each pool's share of work in time is half as large as that of all, or more
+
+    Examples:
+      | peak |
+      | 0.8  |
+      | 1.2  |
+      | 1.5  |
--- a/features/stage/queue_load.py
+++ b/features/stage/queue_load.py
@@ -35,6 +35,8 @@
 DETECT_S = 0.04
 # From the end of a job until callers are told.
 PUBLISH_S = 0.2
+# Jobs that are drawn to learn the mean work of a job.
+WORK_SAMPLES = 400
 
 
 @attrs.define(eq=False)
@@ -75,9 +77,12 @@
     :param seed: seed of all random choices
     :param hosts: number of executors
     :param task_s: mean run time of a task
+    :param configuration: queues and pools; each queue has the name of its pool
     """
 
-    def __init__(self, seed, hosts=8, task_s=0.64):
+    def __init__(
+        self, seed, hosts=8, task_s=0.64, configuration=CONFIGURATION
+    ):
         self.now_s = 100.0
         self.played = {}
         self._rng = random.Random(seed)
@@ -87,13 +92,13 @@
         self._numbers = itertools.count()
         self._ends = {}
         self._is_cycle_due = False
-        self._scheduler = scheduler.Scheduler(replica.Replica(), CONFIGURATION)
+        self._scheduler = scheduler.Scheduler(replica.Replica(), configuration)
         for number in range(hosts):
-            self._add_executor(f'x{number}')
+            self._add_executor(f'x{number}', POOL)
 
-    def _add_executor(self, name):
+    def _add_executor(self, name, pool):
         entry = executors.ExecutorEntry(
-            name, f'{name}:1', POOL, 'z', HOST, host=name
+            name, f'{name}:1', pool, 'z', HOST, host=name
         )
         self._scheduler.update_executor(entry, self.now_s)
         self._ends[name] = itertools.count(1)
@@ -109,7 +114,7 @@
         capacity = self._hosts * HOST_CORES
         at_s, end_s = self.now_s, self.now_s + seconds
         mean_work = statistics.fmean(
-            self._make_job(0.0).work for _ in range(400)
+            self._make_job(0.0).work for _ in range(WORK_SAMPLES)
         )
         while True:
             at_s += self._rng.expovariate(load * capacity / mean_work)
@@ -121,11 +126,11 @@
         drawn = self._rng.lognormvariate(-sigma * sigma / 2, sigma)
         return min(most, mean * drawn)
 
-    def _make_job(self, accepted_s):
+    def _make_job(self, accepted_s, pool=POOL, task_cores=1.5):
         step_specs, task_s, work, chain_s = [], [], 0.0, 0.0
         for number in range(max(1, round(self._draw(1.6, 0.4, 4)))):
             count = max(1, round(self._draw(8, 0.6, 32)))
-            cores = max(0.1, self._draw(1.5, 0.45, 4.6))
+            cores = max(0.1, self._draw(task_cores, 0.45, 3 * task_cores))
             mean_s = self._draw(self._task_s, 0.5, self._task_s * 2.5)
             declared_s = self._draw(mean_s, 0.2)
             room = specs.Resources(int(cores * 1000), 512)
@@ -138,8 +143,8 @@
             chain_s += max(task_s[-1])
         job = jobs.Job(
             f'j{next(self._numbers)}',
-            POOL,
-            POOL,
+            pool,
+            pool,
             accepted_s,
             specs.JobSpec('payload', tuple(step_specs)),
         )
@@ -167,7 +172,6 @@
     def _submit(self, played):
         job = played.job
         self.played[job.job_id] = played
-        job.occurrence(0)
         self._scheduler.add_job(job, self.now_s, self.now_s, age_s=0.0)
         self._wake()
 
--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -490,6 +490,10 @@
         And each poll of one executor raises an unexpected error for 4 seconds
         And 20 jobs of 16 and 16 tasks are submitted in the background
         And 4 seconds pass
+        And 90 jobs of 16 tasks are submitted to "web" at once
+        And 4 seconds pass
+        And 60 jobs of 16 tasks are submitted to "ci" at once
+        And 3 seconds pass
         And the owner's host becomes weak
         And 4 seconds pass
     """)
--- a/features/steps/jobs_queueing.py
+++ b/features/steps/jobs_queueing.py
@@ -8,9 +8,13 @@
 
 from hawthorndeal_jobs import ordering
 from stage import queue_load
+from stage import turns_load
 
 SEEDS = (1, 2, 3)
+TURNS_SEEDS = (1, 2)
 TENTH = 10
+# Mean run time in seconds, and cores, of the tasks of each pool.
+KINDS = ((0.64, 1.5), (1.3, 3.3), (0.64, 1.5), (1.3, 3.3))
 
 _SIMPLE_ORDERS = {
     'the oldest job': lambda step, now_s, factor=1.0: (
@@ -90,3 +94,30 @@
     (played,) = context.pools
     found = _share_in_time(played)
     assert found >= share, found
+
+
+@when(
+    'bursts of {peak:g} times the capacity of {hosts:d} hosts follow each '
+    'other in {pools:d} pools'
+)
+def play_turns(context, peak, hosts, pools):
+    context.pools = []
+    for seed in TURNS_SEEDS:
+        load = turns_load.TurnsLoad(seed, KINDS[:pools], hosts, peak)
+        load.run()
+        context.pools += load.played.values()
+
+
+@then(
+    "each pool's share of work in time is half as large as that of all, or "
+    'more'
+)
+def check_pools(context):
+    played = context.pools
+    share = _work_in_time(played) / sum(p.work for p in played)
+    pools = {p.job.pool for p in played}
+    shares = {}
+    for pool in sorted(pools):
+        in_pool = [p for p in played if p.job.pool == pool]
+        shares[pool] = _work_in_time(in_pool) / sum(p.work for p in in_pool)
+    assert min(shares.values()) >= share / 2, (share, shares)
--- a/features/steps/jobs_world.py
+++ b/features/steps/jobs_world.py
@@ -145,6 +145,21 @@
     context.runner.run(submit_all())
 
 
+@when('{count:d} jobs of {tasks:d} tasks are submitted to "{pool}" at once')
+def submit_burst(context, count, tasks, pool):
+    world = context.world
+    spec = job_world.chain(tasks)
+
+    async def submit_all():
+        ids = [f'{pool}{n}-{len(context.jobs)}' for n in range(count)]
+        context.jobs |= dict.fromkeys(ids, pool)
+        await asyncio.gather(
+            *(world.submit(world.daemons[0], pool, j, spec) for j in ids)
+        )
+
+    context.runner.run(submit_all())
+
+
 @when('{case} is submitted')
 def submit_invalid(context, case):
     world = context.world
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/capacity.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/capacity.py
@@ -8,6 +8,7 @@
 takes of its dominant resource.
 """
 
+import collections
 import math
 
 import attrs
@@ -53,6 +54,7 @@
     :ivar late_backlog_host_s: pending work that is late
     :ivar starved_hosts: hosts needed for tasks that no host has room for,
         though the pool has
+    :ivar late_starved_hosts: the same for tasks of late jobs
     """
 
     pool: str
@@ -65,6 +67,14 @@
     backlog_host_s: float = 0.0
     late_backlog_host_s: float = 0.0
     starved_hosts: int = 0
+    late_starved_hosts: int = 0
+
+    @property
+    def in_time(self):
+        """The load without the work that is late."""
+        return attrs.evolve(
+            self, late_backlog_host_s=0.0, late_starved_hosts=0
+        )
 
     @property
     def needed_hosts(self):
@@ -94,14 +104,32 @@
 def plan_moves(loads, idle_hosts):
     """Return the moves to make now.
 
+    Work that may be in time gets hosts before late work does.
+
     :param loads: loads of all pools
     :param idle_hosts: hosts that may be moved
     """
     by_pool = {load.pool: load for load in loads}
-    moves = _plan_transfers(by_pool, idle_hosts)
+    in_time = {load.pool: load.in_time for load in loads}
+    moves = _plan_transfers(in_time, idle_hosts)
+    moves += _plan_transfers(
+        _with_arrivals(by_pool, moves), _not_moved(idle_hosts, moves)
+    )
+    return moves + _plan_standby(by_pool, _not_moved(idle_hosts, moves))
+
+
+def _with_arrivals(by_pool, moves):
+    """Return the loads after moves were ordered."""
+    targets = collections.Counter(move.to_pool for move in moves)
+    return {
+        pool: attrs.evolve(load, arriving=load.arriving + targets[pool])
+        for pool, load in by_pool.items()
+    }
+
+
+def _not_moved(idle_hosts, moves):
     moved = {move.host for move in moves}
-    remaining = [host for host in idle_hosts if host.host not in moved]
-    return moves + _plan_standby(by_pool, remaining)
+    return [host for host in idle_hosts if host.host not in moved]
 
 
 def _plan_transfers(by_pool, idle_hosts):
@@ -149,13 +177,14 @@
     if load.is_standby:
         return 0
     deficit = load.needed_hosts + HEADROOM_HOSTS - load.hosts
-    deficit = max(math.ceil(deficit), load.starved_hosts)
+    starved = load.starved_hosts + load.late_starved_hosts
+    deficit = max(math.ceil(deficit), starved)
     return max(0, deficit - load.arriving)
 
 
 def host_surplus(load):
     """Return how many hosts a pool can release."""
-    if load.is_standby or load.starved_hosts:
+    if load.is_standby or load.starved_hosts or load.late_starved_hosts:
         return 0
     retained = load.needed_hosts + HEADROOM_HOSTS + RELEASE_MARGIN_HOSTS
     return max(0, math.floor(load.hosts + load.arriving - retained + 0.5))
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_loads.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_loads.py
@@ -19,9 +19,13 @@
     :param ahead_s: forecast horizon
     """
     waiting = ready_steps.pending_in(pool.name)
+    in_time, late = _partition_by_lateness(waiting, now_s)
     meter = ready_steps.demand_meters[pool.name]
     usable = [e for e in executors if placement.is_usable(e, now_s)]
-    late = {step.key for step in waiting if step.is_late(now_s)}
+
+    def backlog_host_s(steps):
+        return sum(ready_steps.backlog_host_s(s, capacity) for s in steps)
+
     return capacity_module.PoolLoad(
         pool.name,
         pool.is_standby,
@@ -30,20 +34,23 @@
         _lasting_hosts(executors, waiting, capacity),
         meter.rate(now_s),
         meter.growth(now_s, ahead_s),
-        sum(
-            ready_steps.backlog_host_s(step, capacity)
-            for step in waiting
-            if step.key not in late
-        ),
-        sum(
-            ready_steps.backlog_host_s(step, capacity)
-            for step in waiting
-            if step.key in late
-        ),
-        _starved_hosts(waiting, usable, now_s),
+        backlog_host_s(in_time),
+        backlog_host_s(late),
+        _starved_hosts(in_time, usable, now_s),
+        _starved_hosts(late, usable, now_s),
     )
 
 
+def _partition_by_lateness(waiting, now_s):
+    """Return the steps that may be in time, and those that are late.
+
+    Long-running tasks are never too late to be useful.
+    """
+    late = [s for s in waiting if not s.spec.is_lasting and s.is_late(now_s)]
+    keys = {step.key for step in late}
+    return [step for step in waiting if step.key not in keys], late
+
+
 def host_capacity(executors, all_executors):
     """Return the largest host capacity in a pool, or of all if it is empty.
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -96,6 +96,16 @@
             pool, known, capacity, self.steps, arriving, ahead_s, now_s
         )
 
+    def hold_late_work(self, pools):
+        """Start no late work in these pools, and in no others than these.
+
+        :returns: whether work that was held back may start now
+        """
+        released = self._planner.holding_pools - pools
+        self._planner.holding_pools = frozenset(pools)
+        self.steps.pools_to_schedule |= released
+        return bool(released)
+
     @property
     def has_orphans(self):
         """Whether there are runs of no known task to stop."""
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -24,12 +24,14 @@
 
     :param steps: the steps whose tasks may start
     :param tickets: permissions for steps of queues that need advice
+    :ivar holding_pools: pools that start no work that is late
     """
 
     def __init__(self, steps, tickets):
         self._steps = steps
         self._tickets = tickets
         self._pools = collections.defaultdict(pool_placement.PoolPlacement)
+        self.holding_pools = frozenset()
         self._held_gang = None
 
     def plan(self, pools, now_s, shares):
@@ -60,7 +62,7 @@
             pool_executors.update(executors, now_s)
             if not pool_executors.has_usable:
                 continue
-            for ready_step in self._steps.pending_in(pool):
+            for ready_step in self._steps_to_start(pool, now_s):
                 if pool_executors.has_room(ready_step.spec):
                     group = waiting
                 elif ready_step.unplaced_since_s is None:
@@ -70,6 +72,16 @@
                 group.append(_Candidate(ready_step, pool, pool_executors))
         return waiting, full
 
+    def _steps_to_start(self, pool, now_s):
+        pending = self._steps.pending_in(pool)
+        if pool not in self.holding_pools:
+            return pending
+        return [
+            ready_step
+            for ready_step in pending
+            if ready_step.spec.is_lasting or not ready_step.is_late(now_s)
+        ]
+
     def _order(self, candidate, now_s):
         ready_step, held = candidate.ready_step, self._held_gang
         return (
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
@@ -6,6 +6,7 @@
 
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import capacity
+from hawthorndeal_jobs import late_work
 
 from . import host_inventory
 from . import host_order_sender
@@ -36,6 +37,7 @@
         self._waves = wave_controller.WaveController(
             parts, owner, self._inventory, self._order_sender
         )
+        self._late_work = late_work.LateWorkHolds()
         self._load_log_due_s = 0.0
 
     async def run(self):
@@ -92,7 +94,18 @@
             for idle_s in self._movable_idle_s(host, entry, now_s)
         ]
         self._log_loads(loads, now_s)
-        return capacity.plan_moves(loads, idle)
+        moves = capacity.plan_moves(loads, idle)
+        self._hold_late_work(loads, moves, now_s)
+        return moves
+
+    def _hold_late_work(self, loads, moves, now_s):
+        before = self._late_work.pools
+        self._late_work.update(loads, moves, now_s)
+        pools = self._late_work.pools
+        if self._owner.scheduler.hold_late_work(pools):
+            self._owner.wake()
+        if pools != before:
+            self._owner.events.write('late_work_held', pools=sorted(pools))
 
     def _log_loads(self, loads, now_s):
         if now_s < self._load_log_due_s:
@@ -156,4 +169,5 @@
         'backlog_host_s': round(load.backlog_host_s, 2),
         'late_backlog_host_s': round(load.late_backlog_host_s, 2),
         'starved_hosts': load.starved_hosts,
+        'late_starved_hosts': load.late_starved_hosts,
     }
