Displace long-running tasks from the beginning of a wave

What callers saw: waves of grown fleets ended late, 5 to 19 of 140 hosts; and while one went on, hosts stood in pools that had no use for them. Cause: hosts are drained only once the wave is behind its schedule, fewest tasks first, and idle hosts keep it ahead for a third of its time. Hosts with long-running tasks take longest, as few tasks of a step may be away at once: they were begun last, 8 to 23 s after they had begun to drain. And each task that found no other room asked for a host of its own, up to one for each draining host in each pool. Evidence: a log of the largest deployment: first displacement 6.5 s after the wave was seen; at second 12 pools without a load had taken 100 hosts, while a pool in a burst lacked 150. Change: tasks are displaced from all due hosts from the beginning; the hosts take no other long-running task, and go on with short ones until they are drained as before. Blocked tasks ask for as many hosts as can be filled at once.

--- a/features/jobs_decisions.feature
+++ b/features/jobs_decisions.feature
@@ -198,3 +198,18 @@
     Then it may operate on "h"
     When the operation has ended
     Then it may not operate on "h"
+
+  Scenario Outline: Blocked long-running tasks ask for few hosts: <case>
+    When <tasks> tasks of each of <steps> steps find no room elsewhere
+    And each step may have <limit> on an executor and <away> away
+    Then they ask for <hosts> hosts
+
+    Examples:
+      | case                          | tasks | steps | limit | away | hosts |
+      | none                          | 0     | 2     | 1     | 2    | 0     |
+      | one on each executor          | 9     | 1     | 1     | 2    | 2     |
+      | two on each executor          | 9     | 1     | 2     | 2    | 1     |
+      | steps share a host            | 9     | 5     | 2     | 2    | 1     |
+      | any number on an executor     | 9     | 1     | 0     | 3    | 1     |
+      | any number away               | 9     | 1     | 3     | -1   | 3     |
+      | none may be away              | 9     | 1     | 1     | 0    | 0     |
--- a/features/jobs_world.feature
+++ b/features/jobs_world.feature
@@ -353,3 +353,18 @@
     And no task of "a" has started
     And nothing of the jobs is stored
     And no invariant was violated
+
+  Scenario Outline: A wave displaces each long-running task once, and in time: seed <seed>
+    Given simulated daemons with seed <seed>, and 12 hosts in each pool
+    When job "l" of 12 long-running tasks, 2 unavailable at most, starts
+    And a wave over its pool and idle hosts is requested, 8 at once, within 10 seconds
+    And 10 seconds pass
+    Then the wave is reported as completed
+    And no task was displaced more than once
+    And no invariant was violated
+
+    Examples:
+      | seed |
+      | 41   |
+      | 42   |
+      | 43   |
--- a/features/steps/jobs_decisions.py
+++ b/features/steps/jobs_decisions.py
@@ -564,3 +564,23 @@
 def check_owner_timeout(context, expected_s):
     timeout_s = context.view.owner_timeout_s
     assert abs(timeout_s - expected_s) < 1e-6, timeout_s
+
+
+@when('{tasks:d} tasks of each of {steps:d} steps find no room elsewhere')
+def set_blocked_tasks(context, tasks, steps):
+    context.blocked_keys = [
+        ('j', 0, step) for step in range(steps) for _ in range(tasks)
+    ]
+
+
+@when('each step may have {limit:d} on an executor and {away:d} away')
+def set_blocked_limits(context, limit, away):
+    context.blocked = [
+        wave_planning.BlockedTask(key, limit, None if away < 0 else away)
+        for key in context.blocked_keys
+    ]
+
+
+@then('they ask for {hosts:d} hosts')
+def check_blocked_hosts(context, hosts):
+    assert wave_planning.hosts_for_blocked(context.blocked) == hosts
--- a/features/steps/jobs_world.py
+++ b/features/steps/jobs_world.py
@@ -20,10 +20,17 @@
 
 @given('simulated daemons with seed {seed:d}')
 def start_simulation(context, seed):
+    start_large_simulation(context, seed, 4)
+
+
+@given(
+    'simulated daemons with seed {seed:d}, and {hosts:d} hosts in each pool'
+)
+def start_large_simulation(context, seed, hosts):
     context.runner = asyncio.Runner(loop_factory=virtual_time.VirtualLoop)
 
     async def start():
-        context.world = job_world.World(seed)
+        context.world = job_world.World(seed, hosts_per_pool=hosts)
         await context.world.start()
         context.first_epoch = context.world.owner.candidate.owner.epoch
 
@@ -276,6 +283,17 @@
     context.world.add_wave(1, hosts, limit, most)
 
 
+@when(
+    'a wave over its pool and idle hosts is requested, {most:d} at once, '
+    'within {limit:g} seconds'
+)
+def add_wave_with_idle_hosts(context, most, limit):
+    world = context.world
+    hosts = [h for h in world.hosts.entries if not h.startswith('ci')]
+    context.wave_hosts = hosts
+    world.add_wave(1, hosts, limit, most)
+
+
 @then('the wave is reported as completed')
 def check_wave(context):
     assert 1 in context.world.waves_completed, context.world.event_log_text()[
@@ -579,3 +597,14 @@
         if v.violations or v.unfinished
     ]
     assert not bad, bad
+
+
+@then('no task was displaced more than once')
+def check_displaced_once(context):
+    counts = collections.Counter(
+        fields['task']
+        for _, _, kind, fields in context.world.log
+        if kind == 'run_displaced'
+    )
+    assert counts
+    assert max(counts.values()) == 1, counts
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -231,6 +231,7 @@
     :ivar last_processed_end: sequence of the last end that was processed
     :ivar lease_expires_s: time by which every lease granted has certainly
         expired, on the local monotonic clock
+    :ivar is_closed_to_lasting: whether no long-running task is placed here
     :ivar suspended_until_s: no new runs are placed here before this time
     :ivar polled_s: when the last answer to a poll arrived
     """
@@ -256,6 +257,7 @@
     last_contact_s: float = 0.0
     polled_s: float = 0.0
     is_reserved: bool = False
+    is_closed_to_lasting: bool = False
     suspended_until_s: float = 0.0
     consecutive_failures: int = 0
     idle_since_s: float = 0.0
@@ -272,6 +274,16 @@
         self.entry = entry
         self.version += 1
 
+    def close_to_lasting(self):
+        """Place no more long-running tasks here."""
+        if not self.is_closed_to_lasting:
+            self.is_closed_to_lasting = True
+            self.version += 1
+
+    def lasting_runs(self):
+        """Return the runs of long-running tasks."""
+        return [run for run in self.runs.values() if run.step.is_lasting]
+
     def mark_fenced(self, now_s):
         """Record that the executor has seen this owner's epoch."""
         if not self.is_fenced:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
@@ -51,6 +51,8 @@
 
 def has_room(executor, step):
     """Return True if an executor has the label and the room for a step."""
+    if step.is_lasting and executor.is_closed_to_lasting:
+        return False
     if step.required_label and step.required_label not in (
         executor.entry.labels
     ):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/specs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/specs.py
@@ -108,6 +108,7 @@
             self.required_label,
             self.data_rack,
             self.is_filler,
+            self.is_lasting,
             bool(self.tail_target_ms),
             self.count if self.is_gang else 0,
         )
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/wave_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/wave_planning.py
@@ -1,5 +1,9 @@
 """Decide which hosts of a wave start maintenance, so that it ends in time."""
 
+import collections
+import itertools
+import math
+
 import attrs
 
 # Share of a wave's duration within which all hosts should have started.
@@ -88,6 +92,39 @@
     return others - others_at_work < max_unavailable
 
 
+@attrs.frozen
+class BlockedTask:
+    """A long-running task on a due host that no other executor has room for.
+
+    :ivar step_key: identifies its step
+    :ivar max_per_executor: limit on tasks of the step per executor; 0 for none
+    :ivar max_unavailable: number of tasks of the step that may be away at
+        once; None for no limit
+    """
+
+    step_key: tuple
+    max_per_executor: int
+    max_unavailable: int | None
+
+
+def hosts_for_blocked(tasks):
+    """Return how many more hosts blocked tasks of one pool can use now.
+
+    Steps share hosts, and few tasks of a step can move at once.
+
+    :param tasks: all :class:`BlockedTask` of the pool
+    """
+    by_step = collections.Counter(tasks)
+    return max(itertools.starmap(_hosts_for_step, by_step.items()), default=0)
+
+
+def _hosts_for_step(task, count):
+    movable = count
+    if task.max_unavailable is not None:
+        movable = min(count, task.max_unavailable)
+    return math.ceil(movable / (task.max_per_executor or movable or 1))
+
+
 def is_completed(wave, begun, gone):
     """Return True if every existing host of a wave has started maintenance.
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
@@ -74,6 +74,7 @@
         await self._inventory.refresh()
         if not self._inventory.has_listing:
             return
+        self._waves.begin_cycle()
         for wave in list(self._parts.configuration_reader.waves.values()):
             await self._waves.advance(wave)
         moves = self._plan_moves()
@@ -122,8 +123,7 @@
         arriving = self._inventory.arriving(pool.name, now_s)
         horizon_s = self._parts.settings.host_move_s + MOVE_MARGIN_S
         load = self._owner.scheduler.load_of(pool, arriving, horizon_s, now_s)
-        draining = len(self._inventory.draining)
-        blocked = min(self._waves.blocked[pool.name], draining)
+        blocked = self._waves.hosts_for_blocked(pool.name)
         return attrs.evolve(load, starved_hosts=load.starved_hosts + blocked)
 
     def _movable_idle_s(self, host, entry, now_s):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
@@ -5,6 +5,7 @@
 import attrs
 
 from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import scheduler as scheduler_module
 from hawthorndeal_jobs import wave_planning
 from hawthorndeal_platform import host_orders
 
@@ -16,8 +17,6 @@
     :param owner: its scheduler knows the runs on each host
     :param inventory: a :class:`host_inventory.HostInventory`
     :param order_sender: a :class:`host_order_sender.HostOrderSender`
-    :ivar blocked: number of lasting tasks, by pool, that no other
-        executor has room for
     """
 
     def __init__(self, parts, owner, inventory, order_sender):
@@ -25,7 +24,7 @@
         self._owner = owner
         self._inventory = inventory
         self._order_sender = order_sender
-        self.blocked = collections.Counter()
+        self._blocked = collections.defaultdict(list)
         self._changed_waves = set()
         # Newer than what the board has read back from the store.
         self._wave_records = dict(parts.board.wave_records)
@@ -38,6 +37,10 @@
             for number in sorted(changed)
         ]
 
+    def begin_cycle(self):
+        """Forget what the waves lacked in the last cycle."""
+        self._blocked.clear()
+
     async def advance(self, wave):
         """Drain the next hosts of a wave and begin their maintenance."""
         progress = self._wave_records.get(wave.number)
@@ -63,10 +66,14 @@
         )
         for host in plan.empty:
             self._begin_draining(host, wave.number)
+        self._displace_lasting(
+            host
+            for host in wave.hosts
+            if host not in progress.begun and host in self._inventory.entries
+        )
         await self._order_sender.store_intents(plan.begin)
         for host in plan.begin:
             await self._begin_maintenance(host, wave)
-        self._drain_hosts()
 
     def _wave_progress(self, wave, progress):
         down = sum(
@@ -102,22 +109,38 @@
         self._inventory.reserve(host)
         self._owner.events.write('host_emptying', host=host, wave=number)
 
-    def _drain_hosts(self):
-        """Displace lasting tasks from draining hosts."""
-        self.blocked.clear()
-        for host in sorted(self._inventory.draining):
+    def hosts_for_blocked(self, pool):
+        """Return how many hosts a pool lacks to displace lasting tasks."""
+        return wave_planning.hosts_for_blocked(self._blocked[pool])
+
+    def _displace_lasting(self, due_hosts):
+        """Displace lasting tasks from the hosts that are due.
+
+        It takes longest, as few tasks of a step may be away at once, and
+        begins with the wave. Meanwhile the hosts go on running short tasks.
+        """
+        for host in sorted(due_hosts):
             executor = self._inventory.executor_on(host)
             if executor is None:
                 continue
-            executor.is_reserved = True
-            for run in list(executor.runs.values()):
-                if run.step.is_lasting and not run.is_stop_requested:
+            if host in self._inventory.draining:
+                executor.is_reserved = True
+            executor.close_to_lasting()
+            for run in executor.lasting_runs():
+                if not run.is_stop_requested:
                     self._displace_if_allowed(run)
 
     def _displace_if_allowed(self, run):
         scheduler = self._owner.scheduler
+        step = run.step
         if not scheduler.can_run_elsewhere(run, self._owner.now_s()):
-            self.blocked[scheduler.steps.pool_of(run.occurrence.job)] += 1
+            pool = scheduler.steps.pool_of(run.occurrence.job)
+            blocked = wave_planning.BlockedTask(
+                scheduler_module.step_key(run.task_id),
+                step.max_per_executor,
+                step.max_unavailable,
+            )
+            self._blocked[pool].append(blocked)
             return
         tasks = run.occurrence.tasks[run.task_id.step]
         at_work = scheduler.count_serving_peers(run, self._owner.now_s())
