Stop a run of unknown start only if a poll doesn't list it

What callers saw: where the answers of executors are lost or late, work that had begun was ended and begun again elsewhere; tasks that last were away once more than their step allows. Cause: a start without an answer was stopped 0.2 s after its call had timed out, whether or not the executor had been heard of since. Where only the answer was lost, the run was at work by then. Evidence: the operators of similar systems name it; the scenario finds the stop sent while nothing was heard. Change: the stop, which keeps a late start from taking effect, is sent once a poll that was sent after the timeout doesn't list the run. Polls of such an executor are frequent as before.

--- a/features/jobs_scheduler.feature
+++ b/features/jobs_scheduler.feature
@@ -55,3 +55,17 @@
     Then 0 of the others count as serving
     When their executor answers a poll again
     Then 2 of the others count as serving
+
+  @invariant_budget @invariant_at_most_once
+  Scenario Outline: A run whose start was not answered is stopped only if it isn't listed: <case>
+    Given a long-running task whose start on executor "a" was not answered
+    When 0.3 seconds pass without an answer
+    And "a" answers <poll>
+    Then the run is <verdict>
+
+    Examples:
+      | case                     | poll                         | verdict |
+      | nothing is heard         | no poll                      | kept    |
+      | it runs                  | a poll that lists it         | kept    |
+      | it doesn't run so far    | a poll that omits it         | stopped |
+      | the poll was sent before | an earlier poll without it   | kept    |
--- a/features/stage/scheduler_harness.py
+++ b/features/stage/scheduler_harness.py
@@ -73,9 +73,9 @@
                 task.executor = executor_id
         self.scheduler.inherit(self.now_s, self.now_s)
 
-    def poll(self, name, running=(), ended=()):
-        """Report the answer to a poll that took 10 ms."""
-        sent_s = self.now_s
+    def poll(self, name, running=(), ended=(), sent_s=None):
+        """Report the answer to a poll that took 10 ms, or longer."""
+        sent_s = self.now_s if sent_s is None else sent_s
         self.now_s += 0.01
         answer = executors.ExecutorPoll(
             sent_s, self.now_s, self.now_s, tuple(running), tuple(ended)
--- a/features/steps/jobs_scheduler.py
+++ b/features/steps/jobs_scheduler.py
@@ -8,6 +8,7 @@
 
 from hawthorndeal_jobs import executors
 from hawthorndeal_jobs import jobs
+from hawthorndeal_jobs import run_tracking
 from stage import scheduler_harness
 from stage import scheduler_model
 
@@ -167,3 +168,40 @@
     harness = context.harness
     found = harness.scheduler.count_serving_peers(context.run, harness.now_s)
     assert found == count, found
+
+
+@given('a long-running task whose start on executor "{name}" was not answered')
+def make_unknown_run(context, name):
+    harness = context.harness = scheduler_harness.Harness()
+    harness.add_executor(name)
+    harness.add_job('j', scheduler_harness.steps(1, is_lasting=True))
+    (context.run,) = harness.plan().starts
+    context.run.phase = executors.RunPhase.SENT
+    harness.scheduler.handle_start_answer(
+        context.run, run_tracking.StartAnswer.UNKNOWN, harness.now_s
+    )
+
+
+@when('{seconds:g} seconds pass without an answer')
+def pass_time(context, seconds):
+    context.harness.now_s += seconds
+
+
+@when('"{name}" answers {poll}')
+def answer_poll_of_unknown(context, name, poll):
+    harness, run = context.harness, context.run
+    row = executors.ReportedRun(run.task_id, run.number, '', 100)
+    if poll == 'a poll that lists it':
+        harness.poll(name, running=[row])
+    elif poll == 'a poll that omits it':
+        harness.poll(name)
+    elif poll == 'an earlier poll without it':
+        harness.poll(name, sent_s=run.phase_changed_s - 0.1)
+    else:
+        assert poll == 'no poll', poll
+
+
+@then('the run is {verdict}')
+def check_verdict(context, verdict):
+    stops = context.harness.plan().stops
+    assert (context.run in stops) == (verdict == 'stopped'), stops
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -67,6 +67,8 @@
     :ivar phase_changed_s: when the phase changed, on the local monotonic clock
     :ivar start_blocked_since_s: since when the run cannot start any more, if
         it had not started before; None while it may start
+    :ivar is_unlisted: whether a poll that was sent after its start went
+        unanswered doesn't list it
     :ivar is_stop_in_flight: whether a stop request is in flight
     :ivar stop_retry_s: earliest time for the next stop request
     :ivar percent: last reported progress
@@ -89,6 +91,7 @@
     phase_changed_s: float
     start_blocked_since_s: float | None = None
     _is_stop_requested: bool = False
+    is_unlisted: bool = False
     is_stop_in_flight: bool = False
     stop_retry_s: float = 0.0
     percent: int = 0
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
@@ -4,7 +4,9 @@
 observation                    conclusion
 =============================  =============================================
 no response to a start         the run may execute now or later, until a stop
-                               is acknowledged and a later poll omits it
+                               is acknowledged and a later poll omits it; it
+                               is stopped only if a poll omits it, since it
+                               may be executing and only its answer be lost
 no response to a stop          the run continues; the stop is retried
 a poll lists a run             it is running, whatever was reported before
 a poll omits a run             nothing, unless its start or its stop was
@@ -27,8 +29,6 @@
 from . import executors
 from . import jobs
 
-# Time for an unacknowledged start to appear in a poll before it is stopped.
-UNKNOWN_START_WAIT_S = 0.2
 STOP_RETRY_S = 0.4
 
 _Phase = executors.RunPhase
@@ -114,6 +114,7 @@
             )
         elif _update_running(run, row, poll):
             found.append(run)
+    _note_unlisted(executor, poll, listed)
     if poll.is_whole:
         finished_runs += _missing_runs(executor, poll, listed)
     return PollOutcome(finished_runs, found, orphans)
@@ -190,6 +191,16 @@
     return True
 
 
+def _note_unlisted(executor, poll, listed):
+    for key, run in executor.runs.items():
+        if (
+            run.phase is _Phase.UNKNOWN
+            and poll.sent_s > run.phase_changed_s
+            and key not in listed
+        ):
+            run.is_unlisted = True
+
+
 def _missing_runs(executor, poll, listed):
     ended = {executors.run_key(end.task_id, end.number) for end in poll.ended}
     return [
@@ -229,7 +240,6 @@
     if answer is StartAnswer.UNKNOWN:
         run.phase = _Phase.UNKNOWN
         run.phase_changed_s = now_s
-        run.stop_retry_s = now_s + UNKNOWN_START_WAIT_S
         return None
     return FinishedRun(run, None)
 
@@ -248,7 +258,8 @@
         return False
     if run.phase is _Phase.PLANNED:
         return False
-    return run.is_stop_requested or run.phase is _Phase.UNKNOWN
+    is_unlisted = run.phase is _Phase.UNKNOWN and run.is_unlisted
+    return run.is_stop_requested or is_unlisted
 
 
 def inherit(executor, run_key, occurrence, since_s):
