--- a/features/steps/thin_path.py
+++ b/features/steps/thin_path.py
@@ -253,13 +253,20 @@
             for task in proc.joinpath('task').iterdir()
         ]
         assert not any(children), (name, children)
-        descriptors = [
-            str(link.readlink()) for link in proc.joinpath('fd').iterdir()
-        ]
+        descriptors = list(_open_descriptors(proc))
         assert descriptors, name
         assert not any('io_uring' in d for d in descriptors), descriptors
 
 
+def _open_descriptors(proc):
+    for link in proc.joinpath('fd').iterdir():
+        try:
+            yield str(link.readlink())
+        except FileNotFoundError:
+            # Closed since the descriptors were listed.
+            continue
+
+
 @then('the resident memory of every daemon is printed')
 def print_memory(context):
     for name, process in context.stage.daemons.items():
