Plan moves again that waited long for the store

Cause: moves are planned, their intents stored, then the orders sent. While the store was away for 2.4 s they waited, and ten idle hosts were then sent to standby though a burst had begun in the meantime; they came back 3 s later. Change: after a wait of more than 0.3 s the plan is made again from the loads of now, for the hosts whose intents are stored.

--- a/features/jobs_world.feature
+++ b/features/jobs_world.feature
@@ -368,3 +368,19 @@
       | 41   |
       | 42   |
       | 43   |
+
+  Scenario Outline: Moves that waited for the store follow the load of that time, seed <seed>
+    Given simulated daemons with seed <seed>
+    When 30 jobs of 16 tasks are submitted to "web" at once
+    And the hosts of "web" are idle
+    And intents to order hosts take 2 seconds to be stored
+    And 2 seconds pass
+    And 30 jobs of 16 tasks are submitted to "ci" at once
+    And 3 seconds pass
+    Then no host went from "web" to standby since then, and some went to "ci"
+    And no invariant was violated
+
+    Examples:
+      | seed |
+      | 96   |
+      | 97   |
--- a/features/steps/jobs_world_troubles.py
+++ b/features/steps/jobs_world_troubles.py
@@ -278,3 +278,54 @@
     counts = context.world.starts
     twice = {str(t): count for t, count in counts.items() if count > 1}
     assert counts and not twice, twice
+
+
+@when('the hosts of "{pool}" are idle')
+def wait_until_idle(context, pool):
+    world = context.world
+
+    def is_idle():
+        jobs = [j for j in context.jobs if context.jobs[j] == pool]
+        return not any(world.running(job_id) for job_id in jobs)
+
+    async def wait():
+        await asyncio.sleep(1.0)
+        assert await world.wait_for(is_idle, 30.0)
+
+    context.runner.run(wait())
+
+
+@when('intents to order hosts take {seconds:g} seconds to be stored')
+def delay_intents(context, seconds):
+    sender = context.world.owner.candidate.owner.hosts._order_sender
+    store_intents = sender.store_intents
+
+    async def store_late(hosts):
+        if hosts:
+            await asyncio.sleep(seconds)
+        await store_intents(hosts)
+
+    sender.store_intents = store_late
+    context.delayed_since = len(context.world.log)
+
+
+@then(
+    'no host went from "{pool}" to standby since then, and some went to '
+    '"{other}"'
+)
+def check_targets(context, pool, other):
+    world = context.world
+    accepted_s = min(
+        time_s
+        for time_s, _, kind, fields in world.log
+        if kind == 'run_started'
+        and context.jobs.get(fields['task'].split('.')[0]) == other
+    )
+    moved = [
+        (time_s, fields['from_pool'], fields['to_pool'])
+        for time_s, _, kind, fields in world.log[context.delayed_since :]
+        if kind == 'host_moved'
+    ]
+    astray = [m for m in moved if m[0] >= accepted_s and m[2] == 'spare']
+    assert not astray, moved
+    assert any(to_pool == other for _, _, to_pool in moved), moved
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
@@ -17,6 +17,8 @@
 LOAD_LOG_PERIOD_S = 1.0
 # Time from the end of a move until tasks start on the host.
 MOVE_MARGIN_S = 0.5
+# A plan whose intents took longer to be stored is made again.
+MAX_PLAN_AGE_S = 0.3
 
 
 class HostController:
@@ -78,11 +80,30 @@
         for wave in list(self._parts.configuration_reader.waves.values()):
             await self._waves.advance(wave)
         moves = self._plan_moves()
-        await self._order_sender.store_intents([move.host for move in moves])
+        hosts = {move.host for move in moves}
+        planned_s = self._owner.now_s()
+        await self._order_sender.store_intents(hosts)
+        if self._owner.now_s() - planned_s > MAX_PLAN_AGE_S:
+            moves = self._plan_again(hosts)
         for move in moves:
             await self._move(move)
 
-    def _plan_moves(self):
+    def _plan_again(self, hosts):
+        """Return the moves of hosts whose intents took long to be stored.
+
+        The loads may have changed meanwhile. Hosts that need not move any
+        more are released.
+        """
+        moves = [m for m in self._plan_moves(hosts) if m.host in hosts]
+        for host in hosts - {move.host for move in moves}:
+            self._order_sender.withdraw(host)
+        return moves
+
+    def _plan_moves(self, held_hosts=frozenset()):
+        """Return the moves to make now.
+
+        :param held_hosts: hosts that are reserved for a move
+        """
         now_s = self._owner.now_s()
         configuration = self._parts.configuration_reader.configuration
         loads = [
@@ -92,7 +113,9 @@
             capacity.IdleHost(host, entry.pool, idle_s)
             for host, entry in self._inventory.entries.items()
             if entry.pool in configuration.pools
-            for idle_s in self._movable_idle_s(host, entry, now_s)
+            for idle_s in self._movable_idle_s(
+                host, entry, now_s, host in held_hosts
+            )
         ]
         self._log_loads(loads, now_s)
         moves = capacity.plan_moves(loads, idle)
@@ -126,7 +149,7 @@
         blocked = self._waves.hosts_for_blocked(pool.name)
         return attrs.evolve(load, starved_hosts=load.starved_hosts + blocked)
 
-    def _movable_idle_s(self, host, entry, now_s):
+    def _movable_idle_s(self, host, entry, now_s, is_held):
         """Return the idle time of a host in a list; empty if it must stay."""
         if host in self._inventory.draining or not self._inventory.is_stable(
             host
@@ -138,7 +161,9 @@
         if pools[entry.pool].is_standby:
             return [capacity.MIN_IDLE_S]
         executor = self._inventory.executor_on(host)
-        if executor is None or executor.runs or executor.is_reserved:
+        if executor is None or executor.runs:
+            return []
+        if executor.is_reserved and not is_held:
             return []
         return [now_s - executor.idle_since_s]
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_order_sender.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_order_sender.py
@@ -91,8 +91,7 @@
         is_busy = executor is not None and executor.runs
         may_order = owner.may_order_hosts() and self._intents.may_order(host)
         if is_busy or not may_order:
-            self._end_intent(host)
-            self._inventory.unreserve(host)
+            self.withdraw(host)
             return
         outcome = await self._call_host_service(host, call)
         if outcome == 'done':
@@ -105,6 +104,11 @@
             event, host=host, epoch=owner.epoch, outcome=outcome, **fields
         )
 
+    def withdraw(self, host):
+        """Give no order to a host, and let new runs start on it again."""
+        self._end_intent(host)
+        self._inventory.unreserve(host)
+
     async def _call_host_service(self, host, call):
         """Call the host service, and return the outcome as text."""
         owner = self._owner
