Order several hosts at once, as fast as their service accepts

Cause: orders to hosts were sent one after the other, 70 a second by the time that each takes (14 ms); 210 hosts took three seconds. Meanwhile nothing was planned anew, so that the next pool's burst waited for them as well. The service accepts 310 a second there, and 64 to 215 on other deployments. Change: up to six orders are in flight, spaced out to 0.85 of what the service accepts, which a new setting tells (host_orders_per_s). Each is still sent only after its intent was stored, and checks the ownership just before.

--- a/features/jobs_world.feature
+++ b/features/jobs_world.feature
@@ -384,3 +384,18 @@
       | seed |
       | 96   |
       | 97   |
+
+  Scenario Outline: Many hosts are ordered at once, as fast as their service accepts: <rate> a second
+    Given simulated daemons with seed 98, and 16 hosts in each pool
+    And 4 seconds pass
+    When an order to a host takes 0.05 seconds, and <rate> a second are accepted
+    And 120 jobs of 16 tasks are submitted to "web" at once
+    And 4 seconds pass
+    Then 20 hosts were ordered within <least> to <most> seconds
+    And at most 8 orders were in flight
+    And no invariant was violated
+
+    Examples:
+      | rate | least | most |
+      | 200  | 0.0   | 0.4  |
+      | 40   | 0.5   | 1.2  |
--- a/features/steps/jobs_owner_terms.py
+++ b/features/steps/jobs_owner_terms.py
@@ -33,7 +33,7 @@
 def accept_offer_during_order(context):
     context.former = context.world.owner
     owner = context.former.candidate.owner
-    owner.hosts._order_sender._has_pending_order = True
+    owner.hosts._order_sender._pending_orders = 1
     owner._is_releasing = True
     owner.wake()
     context.runner.run(asyncio.sleep(0.12))
@@ -52,7 +52,7 @@
         keyed_log.AppendFence(claim.epoch, 0),
     )
     context.runner.run(asyncio.sleep(seconds))
-    owner.hosts._order_sender._has_pending_order = False
+    owner.hosts._order_sender._pending_orders = 0
 
 
 @then('no daemon still holds a lost ownership')
--- a/features/steps/jobs_world_troubles.py
+++ b/features/steps/jobs_world_troubles.py
@@ -329,3 +329,41 @@
     astray = [m for m in moved if m[0] >= accepted_s and m[2] == 'spare']
     assert not astray, moved
     assert any(to_pool == other for _, _, to_pool in moved), moved
+
+
+@when(
+    'an order to a host takes {seconds:g} seconds, and {rate:g} a second are '
+    'accepted'
+)
+def slow_orders(context, seconds, rate):
+    world = context.world
+    owner = world.owner
+    sender = owner.candidate.owner.hosts._order_sender
+    sender._pace.orders_per_s = rate
+    move = owner.parts.hosts.move
+    context.ordered_s, context.in_flight, context.most_in_flight = [], 0, 0
+
+    async def move_slowly(*arguments):
+        context.ordered_s.append(world.now_s())
+        context.in_flight += 1
+        context.most_in_flight = max(context.most_in_flight, context.in_flight)
+        await asyncio.sleep(seconds)
+        context.in_flight -= 1
+        await move(*arguments)
+
+    owner.parts.hosts.move = move_slowly
+
+
+@then('{count:d} hosts were ordered within {least_s:g} to {most_s:g} seconds')
+def check_order_rate(context, count, least_s, most_s):
+    times_s = context.ordered_s
+    assert len(times_s) >= count, times_s
+    took_s = min(
+        last - first for first, last in zip(times_s, times_s[count - 1 :])
+    )
+    assert least_s <= took_s <= most_s, (took_s, times_s)
+
+
+@then('at most {count:d} orders were in flight')
+def check_orders_in_flight(context, count):
+    assert 0 < context.most_in_flight <= count, context.most_in_flight
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_order_sender.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_order_sender.py
@@ -4,12 +4,16 @@
 
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import order_pace
 from hawthorndeal_platform import host_orders
 
 ORDER_RETRY_S = 0.5
 # Orders are deferred if their intents are not stored within this time.
 INTENT_STORE_TIMEOUT_S = 2.5
 ORDER_CHECK_PERIOD_S = 0.01
+# Fewer than the connections to one address, so that none waits for one after
+# its permission was checked.
+MAX_ORDERS_IN_FLIGHT = 6
 
 
 class HostOrderSender:
@@ -27,7 +31,9 @@
         self._inventory = inventory
         self._intents = intents
         self._stored = asyncio.Event()
-        self._has_pending_order = False
+        self._pending_orders = 0
+        self._places = asyncio.Semaphore(MAX_ORDERS_IN_FLIGHT)
+        self._pace = order_pace.OrderPace(parts.settings.host_orders_per_s)
 
     def reserve_outstanding(self):
         """Reserve hosts that a previous owner's order may still reach."""
@@ -78,6 +84,18 @@
         except asyncio.TimeoutError:
             self._owner.events.write('host_orders_put_off', hosts=len(hosts))
 
+    async def run_paced(self, orders):
+        """Run orders, several at once, as fast as the service accepts them.
+
+        :param orders: coroutines, each of which sends one order
+        """
+        await asyncio.gather(*map(self._run_in_turn, orders))
+
+    async def _run_in_turn(self, order):
+        async with self._places:
+            await asyncio.sleep(self._pace.reserve(self._owner.now_s()))
+            await order
+
     async def send_order(self, host, event, call, fields, on_success):
         """Send one order whose intent is stored, if the term permits it.
 
@@ -113,7 +131,7 @@
         """Call the host service, and return the outcome as text."""
         owner = self._owner
         holder = host_orders.Holder(self._parts.settings.daemon, owner.epoch)
-        self._has_pending_order = True
+        self._pending_orders += 1
         try:
             await call(holder)
         except errors.OutcomeUnknown as error:
@@ -125,7 +143,7 @@
             self._inventory.unreserve(host)
             return f'refused: {error}'
         finally:
-            self._has_pending_order = False
+            self._pending_orders -= 1
             # Even an order that was not answered has ended by now.
             self._end_intent(host)
         return 'done'
@@ -134,6 +152,6 @@
         self._intents.end(host, self._parts.clock.boot_s())
 
     async def wait_for_order(self):
-        """Wait for an order in progress."""
-        while self._has_pending_order:
+        """Wait for the orders in progress."""
+        while self._pending_orders:
             await asyncio.sleep(ORDER_CHECK_PERIOD_S)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
@@ -37,6 +37,7 @@
     :ivar away_notice_ms: how long a lasting task may be missing before it
         counts as unavailable
     :ivar host_move_s: time that a host takes to change its pool
+    :ivar host_orders_per_s: orders that the host service accepts per second
     :ivar processor_share: share of a core that this entry host may use, before
         processor_count
     :ivar processor_count: how many cores' speed that share has
@@ -58,6 +59,7 @@
     job_retention_s: float = _positive(120.0)
     away_notice_ms: float = _positive(4500.0)
     host_move_s: float = _positive(1.5)
+    host_orders_per_s: float = _positive(50.0)
     processor_share: float = _positive(1.0)
     processor_count: float = _positive(1.0)
     link_mbps: float = _positive(100.0)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
@@ -72,8 +72,9 @@
             if host not in progress.begun and host in self._inventory.entries
         )
         await self._order_sender.store_intents(plan.begin)
-        for host in plan.begin:
-            await self._begin_maintenance(host, wave)
+        await self._order_sender.run_paced(
+            self._begin_maintenance(host, wave) for host in plan.begin
+        )
 
     def _wave_progress(self, wave, progress):
         down = sum(
