Part the owner's background tasks, and what applies keyed records

Replica and StatusBoard applied records by the same lines; keyed_records.py has them once. Seven docstrings begin with what their function does. Orders to hosts are sent by a function and its targets rather than by coroutines, which were never awaited where an ownership ended before their turn. No behaviour is meant to change otherwise.

--- a/features/steps/jobs_decisions.py
+++ b/features/steps/jobs_decisions.py
@@ -319,6 +319,8 @@
 
     def __init__(self, executor):
         self.spawned = []
+        # Queues coroutines without running them, like a busy event loop.
+        self.tasks = types.SimpleNamespace(spawn=self.spawned.append)
         self.scheduler = types.SimpleNamespace(
             executors={executor.executor_id: executor}
         )
@@ -331,10 +333,6 @@
         """Always allow lease renewal."""
         return True
 
-    def spawn(self, work):
-        """Queue a coroutine without running it, like a busy event loop."""
-        self.spawned.append(work)
-
 
 @given('an idle executor whose last lease has expired')
 def add_idle_executor(context):
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/maintenance.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/maintenance.py
@@ -81,26 +81,26 @@
 
 @attrs.frozen
 class Drain(Action):
-    """Have the platform drain the host."""
+    """Drain the host through the platform."""
 
 
 @attrs.frozen
 class Reboot(Action):
-    """Have the platform reboot the host, unless its boot id has changed."""
+    """Reboot the host through the platform, if its boot id is unchanged."""
 
     boot_id: str
 
 
 @attrs.frozen
 class Move(Action):
-    """Have the platform move the host to another pool."""
+    """Move the host to another pool through the platform."""
 
     pool: str
 
 
 @attrs.frozen
 class Restore(Action):
-    """Have the platform admit tasks to the host again."""
+    """Admit tasks to the host again through the platform."""
 
 
 @attrs.frozen
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/members.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/members.py
@@ -66,7 +66,7 @@
 
 
 def note_checkpoint(body, state, offset):
-    """Note the newest checkpoint, so that other daemons needn't write one."""
+    """Record the newest checkpoint, which other daemons needn't write then."""
     if body.next_offset > offset:
         return f'offset {body.next_offset} is not reached yet'
     known = state.checkpoint
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/retries.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/retries.py
@@ -25,7 +25,7 @@
         self.tokens = min(MAX_TOKENS, self.tokens + TOKENS_PER_REQUEST)
 
     def spend(self):
-        """Take a token; return whether one was available."""
+        """Spend a token; return whether one was available."""
         if self.tokens < 1.0:
             return False
         self.tokens -= 1.0
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/keyed_records.py
@@ -0,0 +1,35 @@
+"""Apply the records of a partition, each of them once."""
+
+from hawthorndeal_fleet import errors
+
+from . import applied_offsets
+
+
+class KeyedRecords:
+    """Applies records by the kind that their keys begin with.
+
+    Records are applied idempotently: one that is read again after a newer one
+    of its key is ignored. A subclass has ``_HANDLERS``: functions by kind,
+    each of which takes the rest of the key and the value.
+    """
+
+    _HANDLERS = {}
+
+    def __init__(self):
+        self._offsets = applied_offsets.AppliedOffsets()
+
+    def apply(self, key, value, offset):
+        """Apply one record, and return its effect; None if it has none.
+
+        :raises errors.InvalidRecord: if it cannot be decoded; nothing is
+            changed then
+        """
+        if self._offsets.is_old(key, offset):
+            return None
+        kind, _, rest = key.partition('/')
+        handler = self._HANDLERS.get(kind)
+        if handler is None:
+            raise errors.InvalidRecord(f'unknown record key {key!r:.80}')
+        effect = handler(self, rest, value)
+        self._offsets.note(key, value, offset)
+        return effect
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
@@ -29,7 +29,7 @@
         return bool(self._usable)
 
     def update(self, executors, now_s):
-        """Note what has changed since the last cycle.
+        """Record what has changed since the last cycle.
 
         :param executors: the executors of the pool
         """
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
@@ -4,9 +4,9 @@
 
 from hawthorndeal_fleet import errors
 
-from . import applied_offsets
 from . import jobs
 from . import journal
+from . import keyed_records
 
 
 @attrs.frozen
@@ -22,39 +22,20 @@
     job: jobs.Job | None = None
 
 
-class Replica:
+class Replica(keyed_records.KeyedRecords):
     """Applies the records of the partition of the jobs.
 
-    Records are applied idempotently: one that is read again after a newer one
-    of its key is ignored.
-
     :ivar jobs: the jobs that have not been dropped, by id
     :ivar is_owned: whether this daemon owns the partition; progress records
         are not applied then, since the owner's state is newer
     """
 
     def __init__(self):
+        super().__init__()
         self.jobs = {}
         self.is_owned = False
-        self._offsets = applied_offsets.AppliedOffsets()
         self._deferred = {}
 
-    def apply(self, key, value, offset):
-        """Apply one record, and return its effect; None if it has none.
-
-        :raises errors.InvalidRecord: if it cannot be decoded; the replica is
-            unchanged
-        """
-        if self._offsets.is_old(key, offset):
-            return None
-        kind, _, rest = key.partition('/')
-        handler = self._HANDLERS.get(kind)
-        if handler is None:
-            raise errors.InvalidRecord(f'unknown record key {key!r:.80}')
-        applied = handler(self, rest, value)
-        self._offsets.note(key, value, offset)
-        return applied
-
     def _apply_job(self, job_id, value):
         if not value:
             job = self.jobs.pop(job_id, None)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
@@ -9,10 +9,10 @@
 
 from hawthorndeal_fleet import errors
 
-from . import applied_offsets
 from . import host_intents
 from . import jobs
 from . import journal
+from . import keyed_records
 
 
 @attrs.frozen
@@ -26,12 +26,9 @@
     job_id: str = ''
 
 
-class StatusBoard:
+class StatusBoard(keyed_records.KeyedRecords):
     """Statuses of jobs, the owner, its waves and its host intents.
 
-    Records are applied idempotently: one that is read again after a newer one
-    of its key is ignored.
-
     :ivar stored: statuses read from the store, by job
     :ivar ownership: the newest owner, or None
     :ivar offer: the newest offer to take over from an owner, or None
@@ -40,6 +37,7 @@
     """
 
     def __init__(self):
+        super().__init__()
         self.stored = {}
         self.ownership = None
         self.offer = None
@@ -48,23 +46,6 @@
         # What this daemon has appended itself and not read back so far.
         self._local = {}
         self._waiting = collections.Counter()
-        self._offsets = applied_offsets.AppliedOffsets()
-
-    def apply(self, key, value, offset):
-        """Apply one record, and return its effect; None if it has none.
-
-        :raises errors.InvalidRecord: if it cannot be decoded; the board is
-            unchanged
-        """
-        if self._offsets.is_old(key, offset):
-            return None
-        kind, _, rest = key.partition('/')
-        handler = self._HANDLERS.get(kind)
-        if handler is None:
-            raise errors.InvalidRecord(f'unknown record key {key!r:.80}')
-        change = handler(self, rest, value)
-        self._offsets.note(key, value, offset)
-        return change
 
     def _apply_status(self, job_id, value):
         change = StatusChange(journal.STATUS, job_id)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
@@ -71,7 +71,7 @@
             return
         self._without_agent.pop(executor_id, None)
         agent = executor_agent.ExecutorAgent(executor, self._owner)
-        task = asyncio.create_task(self._owner.run_guarded(agent))
+        task = asyncio.create_task(self._owner.tasks.run_guarded(agent))
         self._agents[executor_id] = (task, agent)
 
     def handle_poll(self, executor, look):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
@@ -85,7 +85,7 @@
         await self._order_sender.store_intents(hosts)
         if self._owner.now_s() - planned_s > MAX_PLAN_AGE_S:
             moves = self._plan_again(hosts)
-        await self._order_sender.run_paced(map(self._move, moves))
+        await self._order_sender.run_paced(self._move, moves)
 
     def _plan_again(self, hosts):
         """Return the moves of hosts whose intents took long to be stored.
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_order_sender.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_order_sender.py
@@ -84,17 +84,19 @@
         except asyncio.TimeoutError:
             self._owner.events.write('host_orders_put_off', hosts=len(hosts))
 
-    async def run_paced(self, orders):
-        """Run orders, several at once, as fast as the service accepts them.
+    async def run_paced(self, send, targets):
+        """Send orders, several at once, as fast as the service accepts them.
 
-        :param orders: coroutines, each of which sends one order
+        :param send: sends the order for one target
         """
-        await asyncio.gather(*map(self._run_in_turn, orders))
+        await asyncio.gather(
+            *(self._send_in_turn(send, target) for target in targets)
+        )
 
-    async def _run_in_turn(self, order):
+    async def _send_in_turn(self, send, target):
         async with self._places:
             await asyncio.sleep(self._pace.reserve(self._owner.now_s()))
-            await order
+            await send(target)
 
     async def send_order(self, host, event, call, fields, on_success):
         """Send one order whose intent is stored, if the term permits it.
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -18,6 +18,7 @@
 from . import host_controller
 from . import journal_writer
 from . import offerer
+from . import owner_tasks
 from . import run_orders
 from . import status_publisher
 
@@ -36,7 +37,6 @@
 GIVE_UP_JOBS_AGE_S = 4.0
 LEASE_MARGIN_S = 0.5
 EXPIRY_PERIOD_S = 1.0
-PART_RESTART_S = 0.5
 # Other daemons see the end of a job slightly later than the owner.
 RETENTION_MARGIN_S = 10.0
 
@@ -85,7 +85,9 @@
         self._orders = run_orders.RunOrders(
             self, parts.executors, parts.metrics
         )
-        self._background_tasks = set()
+        self.tasks = owner_tasks.OwnerTasks(
+            term, parts.events, self.lose_ownership
+        )
         self._wake = asyncio.Event()
         self._is_releasing = False
         self._claimed_s = self.now_s()
@@ -144,12 +146,6 @@
         """Request a scheduling cycle."""
         self._wake.set()
 
-    def spawn(self, coroutine):
-        """Run a coroutine in the background until the ownership term ends."""
-        task = asyncio.create_task(coroutine)
-        self._background_tasks.add(task)
-        task.add_done_callback(self._background_tasks.discard)
-
     def lose_ownership(self, why):
         """End the ownership term at once, without a release."""
         self.term.is_lost = True
@@ -165,30 +161,30 @@
         """
         parts = self._parts
         parts.status_reader.on_changed = self.handle_status_change
-        self.spawn(self.run_guarded(self._publisher))
-        followers = [self._start_follower(parts.entries_follower)]
+        self.tasks.spawn(self.tasks.run_guarded(self._publisher))
+        self._run_in_background(parts.entries_follower)
         try:
             await self._fence_predecessors()
-            followers.append(self._start_follower(parts.jobs_follower))
+            self._run_in_background(parts.jobs_follower)
             await self._take_over()
             if not self.is_at_work:
                 await self._write_release()
                 return
-            self.spawn(self._run_restarting(self.hosts))
-            requester = advice_requester.AdviceRequester(parts, self)
-            self.spawn(self._run_restarting(requester))
+            self._run_in_background(self.hosts)
+            self._run_in_background(
+                advice_requester.AdviceRequester(parts, self)
+            )
             await self._run_cycles()
         finally:
             # Also ends the loops of tasks that swallow their cancellation.
             self.term.is_lost = True
             parts.detach()
             self.tracker.cancel_agents()
-            for task in [*followers, *self._background_tasks]:
-                task.cancel()
+            self.tasks.cancel()
             self._released.set()
 
-    def _start_follower(self, follower):
-        return asyncio.create_task(self._run_restarting(follower))
+    def _run_in_background(self, part):
+        self.tasks.spawn(self.tasks.run_restarting(part))
 
     async def _fence_predecessors(self):
         """Keep earlier owners from storing the progress of jobs."""
@@ -268,7 +264,7 @@
             self.events.write('release_not_stored', epoch=self.epoch)
 
     async def _write_release(self):
-        if self._background_tasks:
+        if self.tasks.are_running:
             await self.hosts.wait_for_order()
         records = self.hosts.take_records()
         offer = self._accepted_offer
@@ -327,7 +323,7 @@
         records = self.hosts.take_records()
         if records:
             self._is_storing_host_records = True
-            self.spawn(self._store_host_records(records))
+            self.tasks.spawn(self._store_host_records(records))
 
     async def _store_host_records(self, records):
         try:
@@ -477,32 +473,3 @@
         """Apply a newer configuration."""
         self.scheduler.set_configuration(configuration)
         self.wake()
-
-    async def run_guarded(self, part):
-        """Run a task, and give up the ownership if it raises."""
-        try:
-            await part.run()
-        except Exception as error:
-            self._log_failed_part(part, error)
-            self.lose_ownership(f'a task of the owner failed: {error!r:.100}')
-
-    async def _run_restarting(self, part):
-        """Run a task, and run it again if it raises.
-
-        What made it fail would meet each successor as well, so that giving
-        up the ownership would not help.
-        """
-        while not self.term.is_lost:
-            try:
-                await part.run()
-                return
-            except Exception as error:
-                self._log_failed_part(part, error)
-                await asyncio.sleep(PART_RESTART_S)
-
-    def _log_failed_part(self, part, error):
-        self.events.write(
-            'owner_part_failed',
-            part=type(part).__name__,
-            why=repr(error)[:300],
-        )
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
@@ -59,7 +59,9 @@
         # counts as lapsed.
         deadline_s = executor.grant_lease(owner.lease_s, owner.now_s())
         sent = self.starts.note_sent(run.executor_id, owner.now_s())
-        owner.spawn(self._send_start_call(run, executor, deadline_s, sent))
+        owner.tasks.spawn(
+            self._send_start_call(run, executor, deadline_s, sent)
+        )
 
     async def _send_start_call(self, run, executor, deadline_s, sent):
         owner = self._owner
@@ -135,7 +137,7 @@
 
     def _send_stop(self, run):
         run.is_stop_in_flight = True
-        self._owner.spawn(self._send_stop_call(run))
+        self._owner.tasks.spawn(self._send_stop_call(run))
 
     async def _send_stop_call(self, run):
         owner = self._owner
@@ -149,7 +151,7 @@
 
     def send_stray_stop(self, stray):
         """Stop a run that belongs to no known task."""
-        self._owner.spawn(self._send_stray_stop_call(stray))
+        self._owner.tasks.spawn(self._send_stray_stop_call(stray))
 
     async def _send_stray_stop_call(self, stray):
         is_answered = await self._try_stop(
@@ -173,7 +175,7 @@
         run = order.run
         run.pace_percent, before = order.percent, run.pace_percent
         run.pace_changed_s = self._owner.now_s()
-        self._owner.spawn(self._send_pace_call(run, before))
+        self._owner.tasks.spawn(self._send_pace_call(run, before))
 
     async def _send_pace_call(self, run, before):
         owner = self._owner
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
@@ -73,7 +73,7 @@
         )
         await self._order_sender.store_intents(plan.begin)
         await self._order_sender.run_paced(
-            self._begin_maintenance(host, wave) for host in plan.begin
+            lambda host: self._begin_maintenance(host, wave), plan.begin
         )
 
     def _wave_progress(self, wave, progress):
