Check callers' keys, and keep the quotas of workspaces

Each daemon checks keys by the configuration that it follows, for a limited time after the read that confirmed it was sent, on the clock that counts suspensions; again right before the append. Jobs remember their workspace. The owner counts what the runs of a workspace use until they have certainly ended, and leaves its steps out of the order meanwhile.

The fault search's lossy store stayed lossy for ever when two such faults overlapped: each restored the link that it had found.

--- a/features/stage/fault_search.py
+++ b/features/stage/fault_search.py
@@ -9,6 +9,7 @@
 from stage import virtual_time
 
 JOB_COUNT = 30
+WORKSPACE = 'vltava'
 FAULT_COUNT = 10
 MAX_FAULT_INTERVAL_S = 1.2
 # Time without new faults before the final state is checked.
@@ -36,10 +37,12 @@
 class _FaultRun:
     """One run of a simulation with faults of some kinds."""
 
-    def __init__(self, seed, kinds, limits):
+    def __init__(self, seed, kinds, limits, quota):
         self.world = job_world.World(
             seed, daemons=3, hosts_per_pool=3, limits=limits
         )
+        if quota is not None:
+            self.world.declare_workspace('web', WORKSPACE, quota)
         self._rng = self.world.rng
         self._kinds = kinds
         self.faults = []
@@ -84,6 +87,7 @@
         """Retry until a daemon accepts the job, as callers do."""
         world = self.world
         world.specs[job_id] = spec
+        world.queues[job_id] = pool
         body = world.spec_body(spec)
         for _ in range(40):
             daemon = self._rng.choice(world.daemons)
@@ -203,11 +207,10 @@
 
     async def _do_lose_store_answers(self, duration_s):
         for daemon in self.world.daemons:
-            log = daemon.parts.log
-            normal_link, log._link = (
-                log._link,
-                links.Link(self.world.rng, lost_share=0.35),
-            )
+            log, normal_link = daemon.parts.log, daemon.link
+            log._link = links.Link(self.world.rng, lost_share=0.35)
+            # Of several that overlap, the last one to end must not bring back
+            # the lossy link of another.
             self._call_after(
                 duration_s, lambda g=log, k=normal_link: setattr(g, '_link', k)
             )
@@ -245,15 +248,17 @@
 )
 
 
-def run_with_faults(seed, kinds=ALL_KINDS, limits=None):
+def run_with_faults(seed, kinds=ALL_KINDS, limits=None, quota=None):
     """Run one simulation with random faults and return the result.
 
     :param kinds: kinds of faults to choose from
     :param limits: limits of each daemon's host; see :class:`job_world.World`
+    :param quota: quota of the workspace that calls one of the queues; None
+        for no workspaces
     """
 
     async def run():
-        fault_run = _FaultRun(seed, kinds, limits)
+        fault_run = _FaultRun(seed, kinds, limits, quota)
         violations, unfinished = await fault_run.run()
         return FaultRunResult(
             seed,
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -19,6 +19,7 @@
 from hawthorndeal_jobs import journal
 from hawthorndeal_jobs import queues
 from hawthorndeal_jobs import specs
+from hawthorndeal_jobs import workspaces as workspaces_module
 from hawthorndeal_platform import host_orders
 from hawthorndeal_platform import keyed_log
 from hawthorndeal_scheduler import callers
@@ -51,6 +52,7 @@
 
     configuration_key = 'config'
     wave_prefix = 'wave/'
+    key_header = 'key'
 
     def __init__(self):
         self.objects = {}
@@ -216,6 +218,8 @@
         self._last_executor_number = 0
         self._tasks = []
         self.configuration = None
+        # Keys that callers of a queue send, by queue.
+        self.keys = {}
         self._version = 0
         self._pools = pools
         for pool in (*pools, 'spare'):
@@ -243,9 +247,10 @@
         if is_completed:
             self.waves_completed.add(number)
 
-    def configure(self, **changes):
+    def configure(self, workspaces=(), **changes):
         """Write a new configuration version.
 
+        :param workspaces: the workspaces that it declares
         :param changes: queues that replace the default ones, by name
         """
         self._version += 1
@@ -264,10 +269,27 @@
         pools = {pool: queues.Pool(pool) for pool in self._pools}
         pools['spare'] = queues.Pool('spare', is_standby=True)
         self.configuration = queues.Configuration(
-            self._version, pool_queues, pools
+            self._version,
+            pool_queues,
+            pools,
+            workspaces={w.name: w for w in workspaces},
         )
         self._write(OPERATORS, 'config', self.configuration)
 
+    def declare_workspace(self, queue, name, quota):
+        """Let a workspace with a quota call a queue, and send its key."""
+        self.keys[queue] = f'key of {name}'
+        self.quotas[queue] = quota
+        digest = workspaces_module.key_digest(self.keys[queue])
+        self.configure(
+            [workspaces_module.Workspace(name, (digest,), quota=quota)],
+            **{
+                queue: attrs.evolve(
+                    self.configuration.queues[queue], is_public=False
+                )
+            },
+        )
+
     def add_wave(self, number, hosts, duration_s, max_count):
         """Write a maintenance wave."""
         wave = queues.Wave(number, tuple(hosts), duration_s, max_count)
@@ -417,6 +439,7 @@
     async def submit(self, daemon, pool, job_id, spec):
         """Submit a job; return the reason of a refusal, or None."""
         self.specs[job_id] = spec
+        self.queues[job_id] = pool
         body = self.spec_body(spec)
         return await self.submit_body(daemon, pool, job_id, body)
 
@@ -426,7 +449,8 @@
             queue, _ = daemon.interface.find_queue(
                 f'{pool}.example', f'/jobs/{job_id}'
             )
-            await daemon.interface.submit(queue, job_id, body)
+            access = daemon.interface.authorize(queue, self.keys.get(pool))
+            await daemon.interface.submit(access, job_id, body)
         except errors.RequestFailed as failure:
             return failure.reason
         return None
@@ -435,7 +459,8 @@
         """Return the state of a job that a daemon reports."""
         queue = daemon.parts.configuration_reader.configuration.queues[pool]
         try:
-            status = await daemon.interface.find(queue, job_id)
+            access = daemon.interface.authorize(queue, self.keys.get(pool))
+            status = await daemon.interface.find(access, job_id)
         except errors.RequestFailed as failure:
             return failure.reason
         return status.state.value if status is not None else 'unknown'
@@ -444,7 +469,8 @@
         """Cancel a job; return whether the cancellation was acknowledged."""
         queue = daemon.parts.configuration_reader.configuration.queues[pool]
         try:
-            exists = await daemon.interface.cancel(queue, job_id)
+            access = daemon.interface.authorize(queue, self.keys.get(pool))
+            exists = await daemon.interface.cancel(access, job_id)
         except errors.RequestFailed:
             return False
         self.cancelled.setdefault(job_id, self.now_s())
--- a/features/stage/run_checker.py
+++ b/features/stage/run_checker.py
@@ -6,6 +6,7 @@
 from hawthorndeal_jobs import executors as executors_module
 from hawthorndeal_jobs import jobs
 from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import quotas
 from hawthorndeal_jobs import specs
 
 # Upper bound on the time until all daemons know of a cancellation.
@@ -18,6 +19,8 @@
     :param rng: source of randomness for run times
     :ivar executors: fake executors by id
     :ivar specs: submitted jobs by id
+    :ivar queues: queue of each job, where it is known
+    :ivar quotas: the most that all runs of a queue's jobs may use
     :ivar cancelled: time of the acknowledged cancellation, by job id
     :ivar violations: violations, as invariant, time and details
     :ivar done: tasks with a successful run, and whether a daemon has
@@ -29,6 +32,8 @@
         self.rng = rng
         self.executors = {}
         self.specs = {}
+        self.queues = {}
+        self.quotas = {}
         self.cancelled = {}
         self.violations = []
         self.done = {}
@@ -112,6 +117,7 @@
                 self.record_violation(
                     'start before a preceding step is done', task=name
                 )
+        self._check_quota(task_id)
         cancelled_s = self.cancelled.get(task_id.job_id)
         if (
             cancelled_s is not None
@@ -119,6 +125,23 @@
         ):
             self.record_violation('start after cancellation', task=name)
 
+    def _check_quota(self, task_id):
+        queue = self.queues.get(task_id.job_id)
+        quota = self.quotas.get(queue)
+        if quota is None:
+            return
+        used = sum(
+            (
+                self._spec(key[0]).request
+                for executor in self.executors.values()
+                for key in executor.runs
+                if self.queues.get(key[0].job_id) == queue
+            ),
+            start=specs.Resources(),
+        )
+        if not quotas.is_within(used, quota):
+            self.record_violation('quota exceeded', task=str(task_id))
+
     def record_end(self, executor, run, cause):
         """Record the end of a run."""
         if cause is executors_module.EndCause.DONE:
--- a/features/stage/virtual_time.py
+++ b/features/stage/virtual_time.py
@@ -26,11 +26,13 @@
     """Clock of one host in virtual time.
 
     :ivar wall_step_s: error of the wall clock
+    :ivar suspended_s: how long the host has been suspended
     """
 
     def __init__(self, loop):
         self._loop = loop
         self.wall_step_s = 0.0
+        self.suspended_s = 0.0
 
     def now_s(self):
         """Return the wall clock time, which may jump."""
@@ -42,7 +44,7 @@
 
     def boot_s(self):
         """Return monotonic time that includes time in suspend."""
-        return self._loop.time()
+        return self._loop.time() + self.suspended_s
 
 
 def run(coroutine_function, *arguments):
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
@@ -215,6 +215,13 @@
     status = 403
 
 
+class UnknownKey(NotRun):
+    """A call carries no key, or one that belongs to no workspace."""
+
+    reason = 'unknown_key'
+    status = 401
+
+
 class QuotaExceeded(NotRun):
     """A request exceeds the quota of its workspace."""
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -152,6 +152,11 @@
         """The declared step of the task."""
         return self.occurrence.job.spec.steps[self.task_id.step]
 
+    @property
+    def workspace(self):
+        """Workspace of the job; empty where its queue is public."""
+        return self.occurrence.job.workspace
+
     @property
     def task(self):
         """The persistent state of the task."""
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
@@ -114,6 +114,9 @@
 
     :ivar accepted_s: when it was accepted, since the epoch
     :ivar pool: pool of its queue when it was accepted
+    :ivar workspace: workspace of its caller; empty where the queue is public
+    :ivar is_beyond_share: whether its workspace sent more jobs than are owed
+        to it at that time
     """
 
     job_id: str
@@ -121,6 +124,8 @@
     pool: str
     accepted_s: float
     spec: specs.JobSpec
+    workspace: str = ''
+    is_beyond_share: bool = False
     occurrences: dict[int, Occurrence] = attrs.Factory(dict)
     is_cancelled: bool = False
     is_failed: bool = False
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -62,12 +62,17 @@
 
 @attrs.frozen
 class Submission:
-    """A job as it was accepted."""
+    """A job as it was accepted.
+
+    :ivar workspace: workspace of the caller; empty where the queue is public,
+        and in records of earlier versions
+    """
 
     queue: str
     pool: str
     accepted_s: float
     spec: specs.JobSpec
+    workspace: str = ''
 
 
 @attrs.frozen
@@ -97,11 +102,17 @@
     """What callers are told about a job.
 
     :ivar digest: digest of the declared job; see :func:`spec_digest`
+    :ivar workspace: workspace that may see the job; empty for any
     """
 
     queue: str
     digest: str
     state: jobs.JobState = jobs.JobState.QUEUED
+    workspace: str = ''
+
+    def is_visible_to(self, workspace):
+        """Return whether callers of a workspace may see the job."""
+        return self.workspace in ('', workspace)
 
     @property
     def is_waiting(self):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/queues.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/queues.py
@@ -1,7 +1,12 @@
-"""Queues, pools and waves from the configuration."""
+"""Queues, pools, workspaces and waves from the configuration."""
 
 import attrs
 
+from . import workspaces as workspaces_module
+
+# How long callers wait for an answer where the configuration says nothing.
+CALLER_TIMEOUT_S = 3.0
+
 
 @attrs.frozen
 class Advice:
@@ -27,6 +32,8 @@
     :ivar stretch: factor on a job's critical path in its objective
     :ivar latency_target_s: constant part of a job's objective
     :ivar advice: settings of the advice service, or None if not used
+    :ivar is_public: whether calls need no key
+    :ivar timeout_s: how long its callers wait for an answer
     """
 
     name: str
@@ -38,6 +45,8 @@
     stretch: float = 1.0
     latency_target_s: float = 1.0
     advice: Advice | None = None
+    is_public: bool = True
+    timeout_s: float = CALLER_TIMEOUT_S
 
 
 @attrs.frozen
@@ -68,19 +77,29 @@
 
 @attrs.frozen
 class Configuration:
-    """One version of the queues and pools.
+    """One version of the queues, pools and workspaces.
 
     :ivar queues: queues by name
     :ivar pools: pools by name
+    :ivar workspaces: workspaces by name
     """
 
     version: int
     queues: dict[str, Queue]
     pools: dict[str, Pool]
     max_body_bytes: int = 1024 * 1024
+    workspaces: dict[str, workspaces_module.Workspace] = attrs.Factory(dict)
     _by_host: dict = attrs.field(init=False, repr=False, eq=False)
+    # Name of the workspace of each digest of a key.
+    _by_key: dict = attrs.field(init=False, repr=False, eq=False)
 
     def __attrs_post_init__(self):
+        by_key = {
+            digest: workspace.name
+            for workspace in self.workspaces.values()
+            for digest in workspace.key_digests
+        }
+        object.__setattr__(self, '_by_key', by_key)
         by_host = {}
         for queue in self.queues.values():
             by_host.setdefault(queue.host_name, []).append(queue)
@@ -88,6 +107,13 @@
             queues.sort(key=lambda queue: -len(queue.path_prefix))
         object.__setattr__(self, '_by_host', by_host)
 
+    def workspace_of_key(self, digest):
+        """Return the workspace that a key belongs to, or an empty string.
+
+        Digests are looked up, so that the time taken tells nothing of a key.
+        """
+        return self._by_key.get(digest, '')
+
     def find_queue(self, host_name, path):
         """Return the queue with the longest matching path prefix, or None."""
         for queue in self._by_host.get(host_name, ()):
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/quotas.py
@@ -0,0 +1,127 @@
+"""Limit what the tasks of each workspace use at once, over all executors.
+
+A run counts from when it is planned until it has certainly ended: also while
+its start is unanswered, while it is being stopped, and on an executor that
+can't be reached, until its lease has expired.
+"""
+
+import collections
+import typing
+
+import attrs
+
+from . import specs
+
+_NOTHING = specs.Resources()
+
+
+class Allotments(typing.Protocol):
+    """How much of each workspace's quota this partition may use."""
+
+    def limit(self, workspace):
+        """Return the limit of a workspace, or None if it has none.
+
+        :rtype: specs.Resources | None
+        """
+
+
+@attrs.frozen
+class WholeQuotas:
+    """Allotments where one partition holds all jobs.
+
+    :ivar workspaces: the declared workspaces by name
+    """
+
+    workspaces: dict
+
+    def limit(self, workspace):
+        """Return the limit of a workspace, or None if it has none."""
+        declared = self.workspaces.get(workspace)
+        return declared.quota if declared is not None else None
+
+
+class QuotaLedger:
+    """Counts what the runs of each workspace use.
+
+    :ivar allotments: the limits in force
+    """
+
+    def __init__(self):
+        self.allotments = WholeQuotas({})
+        self._used = collections.defaultdict(specs.Resources)
+        self._runs = collections.Counter()
+        # Workspaces of which a run has ended since they were asked for.
+        self._freed = set()
+
+    def add(self, workspace, request):
+        """Count a run."""
+        if workspace:
+            self._used[workspace] += request
+            self._runs[workspace] += 1
+
+    def remove(self, workspace, request):
+        """Stop counting a run that has ended."""
+        if not workspace:
+            return
+        self._used[workspace] -= request
+        self._runs[workspace] -= 1
+        self._freed.add(workspace)
+
+    def used(self, workspace):
+        """Return what the runs of a workspace use."""
+        return self._used.get(workspace, _NOTHING)
+
+    def admits(self, workspace, request, count=1):
+        """Return whether a workspace may start more tasks.
+
+        A single task may always run alone: its job was accepted under a
+        larger quota, and would wait for ever otherwise.
+
+        :param request: what each of the tasks uses
+        :param count: number of tasks that start together
+        """
+        limit = self.allotments.limit(workspace)
+        if limit is None:
+            return True
+        if count == 1 and not self._runs[workspace]:
+            return True
+        wanted = sum([request] * count, start=self.used(workspace))
+        return is_within(wanted, limit)
+
+    def pop_freed(self):
+        """Return the workspaces of which a run has ended since the last call.
+
+        :rtype: set[str]
+        """
+        freed, self._freed = self._freed, set()
+        return freed
+
+
+def is_within(used, limit):
+    """Return whether an amount keeps to a limit; 0 is no limit."""
+    return all(
+        not most or amount <= most
+        for amount, most in zip(attrs.astuple(used), attrs.astuple(limit))
+    )
+
+
+def never_fits(limit, spec):
+    """Return what of a job can never run under a limit, or an empty string.
+
+    :param limit: the quota of the job's workspace
+    :param spec: the declared job
+    """
+    for index, step in enumerate(spec.steps):
+        count = step.count if step.is_gang else 1
+        needed = sum([step.request] * count, start=_NOTHING)
+        if not is_within(needed, limit):
+            kind = 'gang' if step.is_gang else 'task'
+            return f'a {kind} of step {index} needs {_describe(needed)}'
+    return ''
+
+
+def _describe(resources):
+    return (
+        f'{resources.cpu_millicores} millicores, {resources.memory_mb} MB'
+        f' and {resources.gpus} GPUs'
+    )
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -9,6 +9,7 @@
 from . import demand
 from . import estimates
 from . import jobs
+from . import limited_steps
 from . import ordering
 from . import queues
 
@@ -50,6 +51,7 @@
         self._steps = {}
         # Steps by queue and number; some may not be pending any more.
         self._pending = collections.defaultdict(dict)
+        self.limited = limited_steps.LimitedSteps()
         self._not_due = {}
         # Due time, number and id of each job that is not due yet; jobs that
         # were removed may still be listed.
@@ -105,9 +107,25 @@
         queue = self.queue_of(ready_step.occurrence.job)
         self._pending[queue.name][ready_step.number] = ready_step
 
+    def limit(self, ready_step, request):
+        """Leave a step out until its workspace may use more.
+
+        :param request: what the workspace has to be able to use
+        """
+        queue = self.queue_of(ready_step.occurrence.job)
+        self._pending.get(queue.name, {}).pop(ready_step.number, None)
+        self.limited.add(ready_step, request)
+
+    def release_limited(self, workspace):
+        """Make the left-out steps of a workspace pending again."""
+        for ready_step in self.limited.pop(workspace):
+            self._note_pending(ready_step)
+            self.pools_to_schedule.add(self.pool_of(ready_step.occurrence.job))
+
     def _remove_step(self, key):
         ready_step = self._steps.pop(key, None)
         if ready_step is not None:
+            self.limited.discard(ready_step)
             queue = self.queue_of(ready_step.occurrence.job)
             self._pending.get(queue.name, {}).pop(ready_step.number, None)
         return ready_step
@@ -235,7 +253,8 @@
         ready_step = self._steps.get(key)
         if ready_step is not None:
             ready_step.pending.append(task_id.index)
-            self._note_pending(ready_step)
+            if ready_step not in self.limited:
+                self._note_pending(ready_step)
             self.pools_to_schedule.add(self.pool_of(job))
 
     def drop_done_tasks(self, occurrence, step):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
@@ -46,7 +46,7 @@
         accepted = journal.decode(value, journal.Submission)
         job = jobs.Job(
             job_id, accepted.queue, accepted.pool, accepted.accepted_s,
-            accepted.spec,
+            accepted.spec, accepted.workspace,
         )  # fmt: skip
         self.jobs[job_id] = job
         # The initial load returns records in key order, so that others of a
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_index.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_index.py
@@ -1,13 +1,18 @@
 """Index of the runs of a partition, by job, task and possible need."""
 
+from . import quotas
+
 
 class RunIndex:
     """The runs on all executors.
 
     Executors add and remove their runs; a run reports its own changes.
+
+    :ivar quotas: counts what the runs of each workspace use
     """
 
     def __init__(self):
+        self.quotas = quotas.QuotaLedger()
         self._by_job = {}
         self._by_task = {}
         self._stop_candidates = {}
@@ -23,6 +28,7 @@
         if run.step.is_filler:
             self._fillers.setdefault(run.executor_id, {})[run] = None
         run.index = self
+        self.quotas.add(run.workspace, run.step.request)
         self.update(run)
         self.note_pace_input(run.executor_id)
 
@@ -33,6 +39,7 @@
         _discard(self._fillers, run.executor_id, run)
         self._stop_candidates.pop(run, None)
         run.index = None
+        self.quotas.remove(run.workspace, run.step.request)
         self.note_pace_input(run.executor_id)
 
     def update(self, run):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -9,6 +9,7 @@
 from . import pacing
 from . import placement
 from . import pool_loads
+from . import quotas
 from . import ready_steps as ready_steps_module
 from . import run_endings
 from . import run_index
@@ -47,6 +48,7 @@
     :param replica: the jobs of the partition
     :param configuration: current queues and pools
     :ivar is_limited: whether the last plan had no starts left for more runs
+    :ivar quotas: what the runs of each workspace use, and may use
     """
 
     def __init__(self, replica, configuration):
@@ -54,10 +56,14 @@
         self.is_limited = False
         self.steps = ready_steps_module.ReadySteps(configuration)
         self.tickets = tickets_module.TicketCache()
-        self._planner = start_planning.StartPlanner(self.steps, self.tickets)
         self._replica = replica
         self._index = executor_index.ExecutorIndex()
         self._run_index = run_index.RunIndex()
+        self.quotas = self._run_index.quotas
+        self.quotas.allotments = quotas.WholeQuotas(configuration.workspaces)
+        self._planner = start_planning.StartPlanner(
+            self.steps, self.tickets, self.quotas
+        )
         self._unrecorded = {}
         self._orphans = {}
         self._endings = run_endings.RunEndings(
@@ -85,8 +91,14 @@
         return self._run_index.has_runs_of_job(job_id)
 
     def set_configuration(self, configuration):
-        """Apply a newer configuration."""
+        """Apply a newer configuration.
+
+        A quota that is lower than what its workspace uses stops nothing.
+        """
         self.steps.set_configuration(configuration)
+        self.quotas.allotments = quotas.WholeQuotas(configuration.workspaces)
+        for workspace in self.steps.limited.workspaces:
+            self.steps.release_limited(workspace)
 
     def load_of(self, pool, arriving, ahead_s, now_s):
         """Return the load of a pool; see :func:`pool_loads.measure`."""
@@ -273,6 +285,7 @@
             exceed the limit
         """
         self.steps.activate_due(now_s, wall_s)
+        self._release_limited()
         shares = start_shares.StartShares(is_idle=is_idle)
         if max_starts is not None:
             shares.left = max_starts
@@ -287,6 +300,12 @@
         self._orphans.clear()
         return SchedulingPlan(starts, stops, orphans, self._plan_paces(now_s))
 
+    def _release_limited(self):
+        for workspace in self.quotas.pop_freed():
+            needed = self.steps.limited.needed(workspace)
+            if needed is not None and self.quotas.admits(workspace, needed):
+                self.steps.release_limited(workspace)
+
     def _plan_starts(self, now_s, shares):
         stale, self.steps.pools_to_schedule = (
             self.steps.pools_to_schedule,
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -8,6 +8,7 @@
 from . import jobs
 from . import ordering
 from . import pool_placement
+from . import specs
 
 
 @attrs.frozen(eq=False)
@@ -24,12 +25,14 @@
 
     :param steps: the steps whose tasks may start
     :param tickets: permissions for steps of queues that need advice
+    :param ledger: what the runs of each workspace use
     :ivar holding_pools: pools that start no work that is late
     """
 
-    def __init__(self, steps, tickets):
+    def __init__(self, steps, tickets, ledger):
         self._steps = steps
         self._tickets = tickets
+        self._ledger = ledger
         self._pools = collections.defaultdict(pool_placement.PoolPlacement)
         self.holding_pools = frozenset()
         self._held_gang = None
@@ -49,7 +52,7 @@
             candidate.ready_step.unplaced_since_s = now_s
         # Wide steps also get what the others have left.
         shares.is_sharing = False
-        wide = [c for c in reached if _is_limited(c.ready_step)]
+        wide = [c for c in reached if _is_cut_short(c.ready_step)]
         starts += self._plan_steps(wide, now_s, shares)[0]
         self._held_gang = shares.held_gang
         return starts
@@ -110,6 +113,8 @@
 
     def _plan_step(self, candidate, now_s, shares):
         ready_step = candidate.ready_step
+        if self._is_limited_workspace(ready_step):
+            return []
         if ready_step.unplaced_since_s is None:
             ready_step.unplaced_since_s = now_s
         # Steps that were placed before may have taken the room.
@@ -123,10 +128,39 @@
             ready_step, candidate.executors, now_s, shares.limit(ready_step)
         )
 
+    def _is_limited_workspace(self, ready_step):
+        """Return whether a step has to wait for the quota, and note it.
+
+        A step that has to wait keeps back those of its workspace that are
+        placed after it, so that small tasks can't keep it out for ever.
+        """
+        workspace = ready_step.occurrence.job.workspace
+        needed = self._steps.limited.needed(workspace)
+        if needed is None and self._admits(ready_step):
+            return False
+        self._limit(ready_step, needed)
+        return True
+
+    def _admits(self, ready_step):
+        spec = ready_step.spec
+        count = len(ready_step.pending) if spec.is_gang else 1
+        workspace = ready_step.occurrence.job.workspace
+        return self._ledger.admits(workspace, spec.request, count)
+
+    def _limit(self, ready_step, needed=None):
+        ready_step.unplaced_since_s = None
+        spec = ready_step.spec
+        count = len(ready_step.pending) if spec.is_gang else 1
+        request = sum([spec.request] * count, start=specs.Resources())
+        self._steps.limit(ready_step, needed or request)
+
     def _plan_tasks(self, ready_step, pool_executors, now_s, limit):
         starts = []
         step_tickets = self._valid_tickets(ready_step, now_s)
         while ready_step.pending and len(starts) < limit:
+            if not self._admits(ready_step):
+                self._limit(ready_step)
+                return starts
             index = ready_step.pending[0]
             task_id = _task_id(ready_step, index)
             task = ready_step.occurrence.task(task_id)
@@ -181,7 +215,7 @@
         return self._tickets.valid(ready_step.key, now_s)
 
 
-def _is_limited(ready_step):
+def _is_cut_short(ready_step):
     """Return True if more tasks of a step might start in this cycle."""
     return bool(ready_step.pending) and ready_step.unplaced_since_s is None
 
--- /dev/null
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/caller_access.py
@@ -0,0 +1,92 @@
+"""Guards the queues of workspaces: checks the keys that calls carry."""
+
+import attrs
+
+from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import key_check
+from hawthorndeal_jobs import queues
+from hawthorndeal_jobs import workspaces
+
+RETRY_AFTER_S = 1
+
+_Verdict = key_check.KeyVerdict
+
+
+class CallerGuard:
+    """Decides by the newest configuration that this daemon has read.
+
+    :param parts: shared components of the daemon
+    """
+
+    def __init__(self, parts):
+        self._parts = parts
+
+    @property
+    def has_read_configuration(self):
+        """Whether the newest configuration was read since the start."""
+        return (
+            self._parts.configuration_reader.configuration is not None
+            and self._parts.operators_follower.confirmed_boot_s >= 0.0
+        )
+
+    def authorize(self, queue, key):
+        """Return the access that a key gives to a queue.
+
+        :param key: the key that the call carries, or None
+        :raises errors.UnknownKey: if the key is not valid
+        :raises errors.NotReady: if that can't be told now
+        """
+        if queue.is_public:
+            return Access(self, queue)
+        digest = workspaces.key_digest(key or '')
+        return Access(self, queue, digest, self.workspace_of(digest))
+
+    def workspace_of(self, digest):
+        """Return the workspace of a key's digest.
+
+        :raises errors.UnknownKey: if there is none
+        :raises errors.NotReady: if that can't be told now
+        """
+        parts = self._parts
+        confirmed_s = parts.operators_follower.confirmed_boot_s
+        checked = key_check.check(
+            parts.configuration_reader.configuration,
+            digest,
+            parts.clock.boot_s() - confirmed_s,
+            parts.settings.key_revocation_ms / 1000,
+        )
+        if checked.verdict is _Verdict.UNCERTAIN:
+            raise errors.NotReady('keys can not be checked now', RETRY_AFTER_S)
+        if checked.verdict is _Verdict.UNKNOWN:
+            shown = workspaces.shown_digest(digest)
+            raise errors.UnknownKey(f'no workspace has the key {shown}')
+        return checked.workspace
+
+
+@attrs.frozen
+class Access:
+    """What a caller may do.
+
+    :ivar queue: the queue that was called
+    :ivar workspace: workspace of the caller; empty if the queue is public
+    """
+
+    _guard: CallerGuard
+    queue: queues.Queue
+    _digest: str = ''
+    workspace: str = ''
+
+    def verify(self):
+        """Check again that the key is valid.
+
+        :raises errors.RequestFailed: if it is not, or belongs to another
+            workspace now
+        """
+        if self.queue.is_public:
+            return
+        if self._guard.workspace_of(self._digest) != self.workspace:
+            raise errors.UnknownKey('the key belongs to another workspace now')
+
+    def may_see(self, status):
+        """Return whether the caller may see a job with this status."""
+        return self.queue.is_public or status.is_visible_to(self.workspace)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -10,6 +10,9 @@
 from hawthorndeal_daemon import web
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import quotas
+
+from . import caller_access
 
 APPEND_TIMEOUT_S = 2.0
 # No append is started with less time left before shutdown.
@@ -36,8 +39,13 @@
     def __init__(self, parts, formats):
         self._parts = parts
         self._formats = formats
+        self._guard = caller_access.CallerGuard(parts)
         self._drain_deadline_s = math.inf
 
+    def key_of(self, headers):
+        """Return the key that the headers of a call carry, or None."""
+        return headers.get(self._formats.key_header)
+
     @property
     def is_draining(self):
         """Return whether the daemon is shutting down."""
@@ -60,7 +68,7 @@
         parts = self._parts
         return (
             not self.is_draining
-            and parts.configuration_reader.configuration is not None
+            and self._guard.has_read_configuration
             and parts.status_follower.is_loaded
             and not self._is_behind()
         )
@@ -89,11 +97,23 @@
             raise errors.UnknownService(f'no queue at {host_name}{path:.80}')
         return queue, path[len(queue.path_prefix) :]
 
-    async def submit(self, queue, job_id, body):
+    def authorize(self, queue, key):
+        """Return the access that a key gives to a queue.
+
+        :param key: the key that the call carries, or None
+        :rtype: caller_access.Access
+        :raises errors.UnknownKey: if the key is not valid
+        :raises errors.NotReady: if that can't be told now
+        """
+        return self._guard.authorize(queue, key)
+
+    async def submit(self, access, job_id, body):
         """Accept a job.
 
+        :param access: what the caller may do; see :meth:`authorize`
         :raises errors.RequestFailed: if it is not accepted
         """
+        queue = access.queue
         if not self._formats.is_job_id(job_id):
             raise errors.BadRequest(f'{job_id!r:.40} is not a job id')
         try:
@@ -101,27 +121,60 @@
         except ValueError as error:
             raise errors.BadRequest(str(error)[:200]) from error
         parts = self._parts
-        status = journal.JobStatus(queue.name, journal.spec_digest(spec))
-        known = self._find(queue, job_id)
-        if known is not None:
-            if known.digest != status.digest:
-                raise JobConflict(f'job {job_id} was submitted differently')
+        status = journal.JobStatus(
+            queue.name,
+            journal.spec_digest(spec),
+            workspace=access.workspace,
+        )
+        if self._is_known(access, job_id, status):
             return
+        self._check_quota(access, spec)
         if self._is_store_unavailable() or not parts.status_follower.is_loaded:
             raise errors.NotReady('the store is away', RETRY_AFTER_S)
         submission = journal.Submission(
-            queue.name, queue.pool, parts.clock.now_s(), spec
+            queue.name,
+            queue.pool,
+            parts.clock.now_s(),
+            spec,
+            access.workspace,
         )
         record = journal.submission_record(job_id, submission)
-        await self._append(record)
+        await self._append(record, access)
         parts.board.note_accepted(job_id, status)
 
-    async def _append(self, record):
+    def _is_known(self, access, job_id, status):
+        """Return whether the same job was accepted before.
+
+        :raises JobConflict: if the id belongs to another job
+        """
+        known = self._parts.board.find(job_id)
+        if known is None:
+            return False
+        if (
+            not access.may_see(known)
+            or known.queue != status.queue
+            or known.digest != status.digest
+        ):
+            raise JobConflict(f'job {job_id} was submitted differently')
+        return True
+
+    def _check_quota(self, access, spec):
+        configuration = self._parts.configuration_reader.configuration
+        workspace = configuration.workspaces.get(access.workspace)
+        problem = workspace and quotas.never_fits(workspace.quota, spec)
+        if problem:
+            raise errors.QuotaExceeded(
+                f'{problem}, more than workspace {workspace.name} may use'
+            )
+
+    async def _append(self, record, access):
         timeout_s = self._cap_timeout(APPEND_TIMEOUT_S)
         if timeout_s < MIN_APPEND_TIMEOUT_S:
             raise errors.ShuttingDown('this daemon stops', RETRY_AFTER_S)
         try:
-            await self._parts.submitter.append(record, timeout_s)
+            await self._parts.submitter.append(
+                record, timeout_s, access.verify
+            )
         except errors.PlatformUnavailable as error:
             raise errors.NotReady(
                 'the store takes nothing now', RETRY_AFTER_S
@@ -130,20 +183,25 @@
             # The record may have been stored; only a retry can tell.
             raise errors.AnswerLost(str(error)[:200]) from error
 
-    def _find(self, queue, job_id):
+    def _find(self, access, job_id):
         status = self._parts.board.find(job_id)
-        is_of_queue = status is not None and status.queue == queue.name
-        return status if is_of_queue else None
+        is_visible = (
+            status is not None
+            and status.queue == access.queue.name
+            and access.may_see(status)
+        )
+        return status if is_visible else None
 
-    async def find(self, queue, job_id):
-        """Return the status of a job, or None if the job doesn't exist.
+    async def find(self, access, job_id):
+        """Return the status of a job, or None if there is none to be seen.
 
+        :param access: what the caller may do; see :meth:`authorize`
         :raises errors.NotReady: if that can't be told now
         """
-        status = self._find(queue, job_id)
+        status = self._find(access, job_id)
         if status is None:
             await self._wait_until_covered()
-            status = self._find(queue, job_id)
+            status = self._find(access, job_id)
         return status
 
     async def _wait_until_covered(self):
@@ -178,13 +236,16 @@
     def _unreadable_jobs(self):
         return errors.NotReady('jobs can not be read now', RETRY_AFTER_S)
 
-    async def cancel(self, queue, job_id):
-        """Cancel a job; return whether it exists."""
-        status = await self.find(queue, job_id)
+    async def cancel(self, access, job_id):
+        """Cancel a job; return whether it exists.
+
+        :param access: what the caller may do; see :meth:`authorize`
+        """
+        status = await self.find(access, job_id)
         if status is None:
             return False
         if not status.state.is_final:
-            await self._append(journal.cancel_record(job_id))
+            await self._append(journal.cancel_record(job_id), access)
             self._parts.note_cancelled(job_id)
         return True
 
@@ -241,16 +302,17 @@
     host_name = request.headers.get('host', '')
     try:
         queue, job_id = interface.find_queue(host_name, request.path)
+        access = interface.authorize(queue, interface.key_of(request.headers))
         if request.method == 'POST':
-            await interface.submit(queue, job_id, request.body)
+            await interface.submit(access, job_id, request.body)
             answer = response.json({'state': 'queued'})
         elif request.method == 'DELETE':
-            is_found = await interface.cancel(queue, job_id)
+            is_found = await interface.cancel(access, job_id)
             answer = response.json({}, 200 if is_found else 410)
         elif not job_id:
             answer = response.json({'waiting': interface.waiting(queue)})
         else:
-            answer = _state_answer(await interface.find(queue, job_id))
+            answer = _state_answer(await interface.find(access, job_id))
     except errors.RequestFailed as failure:
         _log_refusal(request, failure, parts)
         return web.failure_response(failure)
@@ -259,6 +321,7 @@
             'job_accepted' if request.method == 'POST' else 'job_cancelled',
             job=job_id,
             queue=queue.name,
+            workspace=access.workspace,
             status=answer.status,
             version=parts.configuration_reader.configuration.version,
             waiting=parts.board.waiting(queue.name),
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
@@ -1,6 +1,7 @@
 """Follower of one partition of the keyed log."""
 
 import asyncio
+import math
 import typing
 
 import attrs
@@ -60,6 +61,8 @@
     :param metrics: counts the pages
     :param wait_s: how long a read waits for new records
     :ivar last_answer_s: when the last page arrived; None before the first
+    :ivar confirmed_boot_s: when the last read that reached the end was sent,
+        on the clock that counts suspensions; -inf before the first one
     :ivar read_pause_s: pause after a read that returned the last records
     """
 
@@ -77,6 +80,7 @@
         self.partition = partition
         self.next_offset = 0
         self.last_answer_s = None
+        self.confirmed_boot_s = -math.inf
         self.read_pause_s = 0.0
         self._log = log
         self._reader = reader
@@ -154,6 +158,7 @@
 
     async def _read_log(self, load):
         sent_s = self._clock.monotonic_s()
+        sent_boot_s = self._clock.boot_s()
         # The age of the data is unknown until a read has reached the end, so
         # reads don't wait until then.
         wait_s = self._wait_s if self._is_at_end else 0.0
@@ -168,6 +173,7 @@
         self._is_at_end = page.next_offset >= page.end
         if self._is_at_end:
             self._load = None
+            self.confirmed_boot_s = max(self.confirmed_boot_s, sent_boot_s)
             self._reader.note_read(sent_s)
         self._read_finished.set()
         self._read_finished = asyncio.Event()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
@@ -161,7 +161,16 @@
         # A deleted record doesn't revoke the configuration in force.
         if not record.value:
             return
-        newer = self._formats.decode_configuration(record.value)
+        try:
+            newer = self._formats.decode_configuration(record.value)
+        except ValueError as error:
+            # What was in force stays.
+            self._events.write(
+                'configuration_rejected',
+                offset=record.offset,
+                why=str(error)[:200],
+            )
+            return
         current = self.configuration
         if current is not None and newer.version <= current.version:
             return
@@ -170,6 +179,7 @@
             'configuration_in_force',
             version=newer.version,
             queues=len(newer.queues),
+            workspaces=len(newer.workspaces),
             offset=record.offset,
         )
         if self.on_changed is not None:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
@@ -38,6 +38,8 @@
         counts as unavailable
     :ivar host_move_s: time that a host takes to change its pool
     :ivar host_orders_per_s: orders that the host service accepts per second
+    :ivar key_revocation_ms: time after which no daemon may use a key that was
+        withdrawn
     :ivar processor_share: share of a core that this entry host may use, before
         processor_count
     :ivar processor_count: how many cores' speed that share has
@@ -60,6 +62,7 @@
     away_notice_ms: float = _positive(4500.0)
     host_move_s: float = _positive(1.5)
     host_orders_per_s: float = _positive(50.0)
+    key_revocation_ms: float = _positive(5000.0)
     processor_share: float = _positive(1.0)
     processor_count: float = _positive(1.0)
     link_mbps: float = _positive(100.0)
