Spread submissions over partitions of the store

A store whose answers took 41 times as long accepted 2 to 8 jobs a second from 36 daemons together, instead of 20 to 77: all submissions went to one partition, which processes appends one at a time, and copies of slow appends added to its queue. The owner's records waited in the same queue.

Submissions and cancellations go to one of several partitions, by the job's id, as many as the owner's record says that it reads. An append is copied only if reads are answered much faster. A submission whose answer was lost, but which the owner has read, is told as accepted; deadlines follow the queue's timeout.

--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -224,6 +224,7 @@
             self._append_latency,
             keyed_log.APPEND_TIMEOUT_S,
             asyncio.get_running_loop().time,
+            self._read_latency.delay_s,
         )
 
     async def read(self, partition, offset, wait_s):
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -136,7 +136,7 @@
             self.parts.configuration_reader,
             self.parts.entries_reader,
             self.parts.status_follower,
-            self.parts.jobs_follower,
+            *self.parts.jobs_followers,
             self.parts.operators_follower,
             self.parts.entries_follower,
         ):
@@ -380,7 +380,9 @@
 
     def find_record(self, key):
         """Return the newest stored job record with a key, or None."""
-        return self.store.find(JOBS, key)
+        partitions = self.daemons[0].parts.submission_partitions
+        found = [self.store.find(p, key) for p in (JOBS, *partitions)]
+        return next((record for record in found if record is not None), None)
 
     def stored_status(self, job_id):
         """Return the stored status of a job, or None."""
--- a/features/steps/jobs_workspaces.py
+++ b/features/steps/jobs_workspaces.py
@@ -279,9 +279,9 @@
     """Submit a job, and let something happen after its first check."""
     original = daemon.parts.submitter.append
 
-    async def append(record, *arguments):
+    async def append(*arguments):
         interrupt()
-        return await original(record, *arguments)
+        return await original(*arguments)
 
     with mock.patch.object(daemon.parts.submitter, 'append', append):
         _submit(context, key, 'bad', daemon)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -1,7 +1,8 @@
 """The records that persist jobs; each key has one current record.
 
-The partition of the jobs holds what the owner needs to run them. Only owners
-read it, and a job is dropped from it soon after its end.
+The partition of the jobs holds what the owner needs to run them, and so do the
+partitions of the submissions, over which callers' records are spread. Only
+owners read them, and a job is dropped from them soon after its end.
 
 ====================  =======================================  ==============
 key                   value                                    written by
@@ -84,6 +85,9 @@
     :ivar is_released: whether the owner has released the partition
     :ivar covered_offset: the statuses stored before this record cover the
         records of the partition of the jobs up to this offset
+    :ivar submission_partitions: number of partitions of the submissions that
+        the owner reads; 0 if it reads the partition of the jobs only
+    :ivar covered_offsets: the same as covered_offset for each of them
     :ivar strength: strength of the owner's host; see :mod:`hand_over`
     :ivar successor: the daemon that the partition was released to; empty for
         any
@@ -95,6 +99,8 @@
     covered_offset: int = 0
     strength: float = 1.0
     successor: str = ''
+    submission_partitions: int = 0
+    covered_offsets: tuple[int, ...] = ()
 
 
 @attrs.frozen
@@ -126,6 +132,9 @@
 
     :ivar epoch: epoch of the owner that the offer is made to
     :ivar daemon: the daemon that offers
+    :ivar submission_partitions: number of partitions of the submissions that
+        the owner reads; 0 if it reads the partition of the jobs only
+    :ivar covered_offsets: the same as covered_offset for each of them
     :ivar strength: strength of its host
     """
 
@@ -213,11 +222,26 @@
     return Record(HOSTS, _encode(intents))
 
 
-def deletion_records(job):
-    """Return the records that drop a job from the partition of the jobs."""
-    keys = [f'{PROGRESS}/{job.job_id}/{k}' for k in job.occurrences]
-    keys += [f'{CANCEL}/{job.job_id}', f'{JOB}/{job.job_id}']
-    return [Record(key) for key in keys]
+def progress_deletion_records(job):
+    """Return the records that delete the progress of a job."""
+    return [
+        Record(f'{PROGRESS}/{job.job_id}/{number}')
+        for number in job.occurrences
+    ]
+
+
+def submission_deletion_records(job_id):
+    """Return the records that delete what callers have stored of a job."""
+    return [Record(f'{CANCEL}/{job_id}'), Record(f'{JOB}/{job_id}')]
+
+
+def submission_partition(job_id, count):
+    """Return the number of the partition that a job's submission belongs to.
+
+    Each repeat lands in the same one, wherever it is sent.
+    """
+    digest = hashlib.blake2b(job_id.encode(), digest_size=DIGEST_BYTES)
+    return int.from_bytes(digest.digest()) % count
 
 
 def decode(value, kind):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/keyed_records.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/keyed_records.py
@@ -1,5 +1,7 @@
 """Apply the records of a partition, each of them once."""
 
+import collections
+
 from hawthorndeal_fleet import errors
 
 from . import applied_offsets
@@ -9,27 +11,30 @@
     """Applies records by the kind that their keys begin with.
 
     Records are applied idempotently: one that is read again after a newer one
-    of its key is ignored. A subclass has ``_HANDLERS``: functions by kind,
+    of its key is ignored. Offsets are compared within one source, since each
+    partition counts its own. A subclass has ``_HANDLERS``: functions by kind,
     each of which takes the rest of the key and the value.
     """
 
     _HANDLERS = {}
 
     def __init__(self):
-        self._offsets = applied_offsets.AppliedOffsets()
+        self._offsets = collections.defaultdict(applied_offsets.AppliedOffsets)
 
-    def apply(self, key, value, offset):
+    def apply(self, key, value, offset, source=''):
         """Apply one record, and return its effect; None if it has none.
 
+        :param source: name of the partition that the record is from
         :raises errors.InvalidRecord: if it cannot be decoded; nothing is
             changed then
         """
-        if self._offsets.is_old(key, offset):
+        offsets = self._offsets[source]
+        if offsets.is_old(key, offset):
             return None
         kind, _, rest = key.partition('/')
         handler = self._HANDLERS.get(kind)
         if handler is None:
             raise errors.InvalidRecord(f'unknown record key {key!r:.80}')
         effect = handler(self, rest, value)
-        self._offsets.note(key, value, offset)
+        offsets.note(key, value, offset)
         return effect
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
@@ -52,6 +52,9 @@
     :ivar last_read_done_s: when that read completed
     :ivar covered_offset: offset in the partition of the jobs up to which the
         statuses read so far cover it
+    :ivar submission_partitions: number of partitions of the submissions that
+        the owner reads; None while no owner is known
+    :ivar covered_offsets: the same as covered_offset for each of them
     :ivar covered_s: when the owner's last record with such an offset was read;
         None before the first one
     :ivar readable_since_s: since when reads have succeeded without a gap; None
@@ -69,6 +72,8 @@
     last_read_s: float | None = None
     last_read_done_s: float | None = None
     covered_offset: int = 0
+    submission_partitions: int | None = None
+    covered_offsets: tuple[int, ...] = ()
     covered_s: float | None = None
     readable_since_s: float | None = None
 
@@ -88,6 +93,7 @@
         :param claimed_epochs: epochs that this process has claimed
         """
         self.strongest_seen = max(self.strongest_seen, current.strength)
+        self.submission_partitions = current.submission_partitions
         self.is_named = current.is_released and current.successor == daemon
         self.note_owner(
             now_s,
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
@@ -1,5 +1,7 @@
 """The owner's replica of the partition of the jobs."""
 
+import collections
+
 import attrs
 
 from hawthorndeal_fleet import errors
@@ -26,6 +28,8 @@
     """Applies the records of the partition of the jobs.
 
     :ivar jobs: the jobs that have not been dropped, by id
+    :ivar sources: names of the partitions that hold records of callers, by
+        job
     :ivar is_owned: whether this daemon owns the partition; progress records
         are not applied then, since the owner's state is newer
     """
@@ -33,9 +37,18 @@
     def __init__(self):
         super().__init__()
         self.jobs = {}
+        self.sources = collections.defaultdict(set)
         self.is_owned = False
         self._deferred = {}
 
+    def apply(self, key, value, offset, source=''):
+        """Apply one record; see :class:`keyed_records.KeyedRecords`."""
+        effect = super().apply(key, value, offset, source)
+        kind, _, job_id = key.partition('/')
+        if value and kind in (journal.JOB, journal.CANCEL):
+            self.sources[job_id].add(source)
+        return effect
+
     def _apply_job(self, job_id, value):
         if not value:
             job = self.jobs.pop(job_id, None)
@@ -86,6 +99,7 @@
         """Forget a job whose records have been deleted."""
         if self.jobs.get(job.job_id) is job:
             del self.jobs[job.job_id]
+        self.sources.pop(job.job_id, None)
 
     @property
     def unknown_job_ids(self):
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
@@ -61,19 +61,23 @@
             self._typical_s += (took_s - self._typical_s) * DECREASE_WEIGHT
 
 
-async def call(send, latency, timeout_s, now_s=time.monotonic):
+async def call(
+    send, latency, timeout_s, now_s=time.monotonic, min_delay_s=0.0
+):
     """Return the first answer to a call that may be sent several times.
 
     :param send: sends the call once; the call must be idempotent
     :param latency: latency estimate of the callee
     :param timeout_s: time limit over all attempts
     :param now_s: returns the monotonic time
+    :param min_delay_s: delay before the second attempt at least; another
+        attempt doesn't help if all answers of the callee take long
     :raises errors.OutcomeUnknown: at least one attempt may have arrived
     :raises errors.PlatformUnavailable: no attempt was accepted
     """
     hedged = _HedgedCall(send, latency, now_s)
     end_s = now_s() + timeout_s
-    delay_s = latency.delay_s
+    delay_s = max(min_delay_s, latency.delay_s)
     try:
         while now_s() < end_s:
             hedged.send_attempt()
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/transport.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/transport.py
@@ -75,9 +75,12 @@
 
     Connections are reused. A connection whose request got no response is
     reset, so that delayed bytes of it can't take effect later.
+
+    :param max_connections_per_host: further calls to a host wait
     """
 
-    def __init__(self):
+    def __init__(self, max_connections_per_host=MAX_CONNECTIONS_PER_HOST):
+        self._max_connections_per_host = max_connections_per_host
         self._session = None
 
     async def send(
@@ -123,7 +126,7 @@
             self._session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(
                     limit=0,
-                    limit_per_host=MAX_CONNECTIONS_PER_HOST,
+                    limit_per_host=self._max_connections_per_host,
                     socket_factory=_create_socket,
                 ),
                 skip_auto_headers=('User-Agent', 'Accept-Encoding'),
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/caller_access.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/caller_access.py
@@ -8,6 +8,8 @@
 from hawthorndeal_jobs import workspaces
 
 RETRY_AFTER_S = 1
+# Time for an answer to reach its caller.
+ANSWER_MARGIN_S = 0.3
 
 _Verdict = key_check.KeyVerdict
 
@@ -87,6 +89,12 @@
         if self._guard.workspace_of(self._digest) != self.workspace:
             raise errors.UnknownKey('the key belongs to another workspace now')
 
+    @property
+    def timeout_s(self):
+        """How long the effect of a call may take until it is answered."""
+        wait_s = self.queue.timeout_s
+        return max(wait_s / 2, wait_s - ANSWER_MARGIN_S)
+
     def may_see(self, status):
         """Return whether the caller may see a job with this status."""
         return self.queue.is_public or status.is_visible_to(self.workspace)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -14,7 +14,6 @@
 
 from . import caller_access
 
-APPEND_TIMEOUT_S = 2.0
 # No append is started with less time left before shutdown.
 MIN_APPEND_TIMEOUT_S = 0.05
 # Time for the statuses to cover what was stored when a caller asked.
@@ -42,9 +41,10 @@
         self._guard = caller_access.CallerGuard(parts)
         self._drain_deadline_s = math.inf
 
-    def key_of(self, headers):
-        """Return the key that the headers of a call carry, or None."""
-        return headers.get(self._formats.key_header)
+    @property
+    def key_header(self):
+        """Name of the header in which a call carries a key."""
+        return self._formats.key_header
 
     @property
     def is_draining(self):
@@ -139,7 +139,12 @@
             access.workspace,
         )
         record = journal.submission_record(job_id, submission)
-        await self._append(record, access)
+        try:
+            await self._append(job_id, record, access)
+        except errors.AnswerLost:
+            # The owner may have read the submission meanwhile.
+            if not self._is_known(access, job_id, status):
+                raise
         parts.board.note_accepted(job_id, status)
 
     def _is_known(self, access, job_id, status):
@@ -167,13 +172,17 @@
                 f'{problem}, more than workspace {workspace.name} may use'
             )
 
-    async def _append(self, record, access):
-        timeout_s = self._cap_timeout(APPEND_TIMEOUT_S)
+    async def _append(self, job_id, record, access):
+        parts = self._parts
+        timeout_s = self._cap_timeout(access.timeout_s)
         if timeout_s < MIN_APPEND_TIMEOUT_S:
             raise errors.ShuttingDown('this daemon stops', RETRY_AFTER_S)
         try:
-            await self._parts.submitter.append(
-                record, timeout_s, access.verify
+            await parts.submitter.append(
+                parts.submission_partition(job_id),
+                record,
+                timeout_s,
+                access.verify,
             )
         except errors.PlatformUnavailable as error:
             raise errors.NotReady(
@@ -200,37 +209,38 @@
         """
         status = self._find(access, job_id)
         if status is None:
-            await self._wait_until_covered()
+            await self._wait_until_covered(job_id)
             status = self._find(access, job_id)
         return status
 
-    async def _wait_until_covered(self):
-        """Wait until the board covers all submissions stored before the call.
+    async def _wait_until_covered(self, job_id):
+        """Wait until the board covers a submission stored before the call.
 
         :raises errors.NotReady: if it doesn't in time
         """
         parts = self._parts
         if not parts.status_follower.is_loaded:
             raise self._unreadable_jobs()
+        partition = parts.submission_partition(job_id)
         timeout_s = max(0.0, self._cap_timeout(CATCH_UP_TIMEOUT_S))
         deadline_s = parts.clock.monotonic_s() + timeout_s
         try:
             async with asyncio.timeout(timeout_s):
-                end = await parts.jobs_end.read(
-                    parts.owner_view.covered_offset
+                end = await parts.end_reader(partition).read(
+                    parts.covered_offset(partition)
                 )
         except (errors.PlatformError, asyncio.TimeoutError) as error:
             raise self._unreadable_jobs() from error
-        while not self._covers(end):
+        while not self._covers(partition, end):
             left_s = deadline_s - parts.clock.monotonic_s()
             if left_s < MIN_WAIT_S:
                 raise self._unreadable_jobs()
             await parts.status_follower.wait_for_read(left_s)
 
-    def _covers(self, end):
+    def _covers(self, partition, end):
         return (
             self._parts.status_follower.is_loaded
-            and self._parts.owner_view.covered_offset >= end
+            and self._parts.covered_offset(partition) >= end
         )
 
     def _unreadable_jobs(self):
@@ -245,7 +255,7 @@
         if status is None:
             return False
         if not status.state.is_final:
-            await self._append(journal.cancel_record(job_id), access)
+            await self._append(job_id, journal.cancel_record(job_id), access)
             self._parts.note_cancelled(job_id)
         return True
 
@@ -302,7 +312,9 @@
     host_name = request.headers.get('host', '')
     try:
         queue, job_id = interface.find_queue(host_name, request.path)
-        access = interface.authorize(queue, interface.key_of(request.headers))
+        access = interface.authorize(
+            queue, request.headers.get(interface.key_header)
+        )
         if request.method == 'POST':
             await interface.submit(access, job_id, request.body)
             answer = response.json({'state': 'queued'})
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
@@ -37,7 +37,8 @@
         self._is_stopping = False
         self._owner = None
         parts.status_follower.read_pause_s = STATUS_READ_PAUSE_S
-        parts.jobs_follower.read_pause_s = JOBS_READ_PAUSE_S
+        for follower in parts.jobs_followers:
+            follower.read_pause_s = JOBS_READ_PAUSE_S
 
     @property
     def owner(self):
@@ -120,6 +121,7 @@
             epoch,
             parts.settings.daemon,
             strength=offerer.strength(parts.settings),
+            submission_partitions=len(parts.submission_partitions),
         )
         parts.status_reader.claimed_epochs.add(epoch)
         sent_s = parts.clock.boot_s()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
@@ -71,6 +71,7 @@
         current = self.board.ownership
         if current.covered_offset:
             self.owner_view.covered_offset = current.covered_offset
+            self.owner_view.covered_offsets = current.covered_offsets
             self.owner_view.covered_s = now_s
         seen = current.daemon, current.epoch, current.is_released
         if seen != self._last_logged_owner:
@@ -96,41 +97,78 @@
 
 
 class JobsReader:
-    """Maintains the owner's replica of the jobs.
+    """Maintains the owner's replica of the jobs, from several partitions.
 
     :param clock: clocks of the daemon
     :param events: the decision log
-    :ivar last_read_s: when the last read that reached the end completed, or
-        None before the first one
+    :param sources: names of the partitions that it is read from
     """
 
-    def __init__(self, clock, events):
-        self.replica = replica_module.Replica()
-        self.last_read_s = None
+    def __init__(self, clock, events, sources):
         self.on_applied = None
         self._clock = clock
         self._events = events
+        self._sources = tuple(sources)
+        self.reset()
 
     def reset(self):
-        """Discard the replica, so that the partition is read anew."""
+        """Discard the replica, so that the partitions are read anew."""
         self.replica = replica_module.Replica()
-        self.last_read_s = None
-
-    def handle_record(self, record):
-        """Apply one record to the replica."""
-        applied = self.replica.apply(record.key, record.value, record.offset)
+        # When the last read of each partition that reached its end completed.
+        self._read_s = {}
+
+    @property
+    def last_read_s(self):
+        """Since when all partitions are known; None until all were read."""
+        if len(self._read_s) < len(self._sources):
+            return None
+        return min(self._read_s.values())
+
+    def handle_record(self, source, record):
+        """Apply one record of a partition to the replica."""
+        applied = self.replica.apply(
+            record.key, record.value, record.offset, source
+        )
         if applied is not None and self.on_applied is not None:
             self.on_applied(applied)
 
+    def note_loaded(self, source, keys):
+        """Log that a partition has been loaded."""
+        if keys or source == self._sources[0]:
+            self._events.write(
+                'jobs_loaded',
+                partition=source,
+                keys=len(keys),
+                jobs=len(self.replica.jobs),
+            )
+
+    def note_read(self, source):
+        """Record that a read has reached the end of a partition."""
+        self._read_s[source] = self._clock.monotonic_s()
+
+
+class JobsPartitionReader:
+    """Reader of one of the partitions that hold the jobs.
+
+    :param jobs_reader: maintains the replica
+    :param source: name of the partition
+    """
+
+    def __init__(self, jobs_reader, source):
+        self._jobs_reader = jobs_reader
+        self._source = source
+
+    def handle_record(self, record):
+        """Apply one record."""
+        self._jobs_reader.handle_record(self._source, record)
+
     def note_loaded(self, keys):
-        """Log that the partition has been loaded."""
-        self._events.write(
-            'jobs_loaded', keys=len(keys), jobs=len(self.replica.jobs)
-        )
+        """Process the end of the load."""
+        self._jobs_reader.note_loaded(self._source, keys)
 
     def note_read(self, sent_s):
-        """Record that a read sent at this time reached the end."""
-        self.last_read_s = self._clock.monotonic_s()
+        """Record that a read has reached the end."""
+        self._jobs_reader.note_read(self._source)
 
 
 class ConfigurationReader:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -21,6 +21,7 @@
 from . import owner_tasks
 from . import run_orders
 from . import status_publisher
+from . import submission_cleaner
 
 CHECK_PERIOD_S = 0.05
 # Delay before a cycle, so that decisions made close together share an append.
@@ -97,6 +98,9 @@
         self._states_to_publish = {}
         self._cancelled = {}
         self._finished = finished_jobs.FinishedJobs(parts.board)
+        self._cleaner = submission_cleaner.SubmissionCleaner(
+            parts.log, parts.submission_partitions
+        )
         self._stray_cancellations = []
         self._is_storing_host_records = False
         self._ends_being_stored = {}
@@ -165,12 +169,14 @@
         self._run_in_background(parts.entries_follower)
         try:
             await self._fence_predecessors()
-            self._run_in_background(parts.jobs_follower)
+            for follower in parts.jobs_followers:
+                self._run_in_background(follower)
             await self._take_over()
             if not self.is_at_work:
                 await self._write_release()
                 return
             self._run_in_background(self.hosts)
+            self._run_in_background(self._cleaner)
             self._run_in_background(
                 advice_requester.AdviceRequester(parts, self)
             )
@@ -372,7 +378,9 @@
             self._expiry_due_s = now_s + EXPIRY_PERIOD_S
             retention_s = self._parts.settings.job_retention_s
             self._publisher.expire(
-                now_s, retention_s + RETENTION_MARGIN_S, self._finished
+                now_s,
+                retention_s + RETENTION_MARGIN_S,
+                (self._finished, self._cleaner),
             )
         return records + self._drop_finished_jobs()
 
@@ -380,25 +388,43 @@
         """Return the records that drop finished jobs."""
         dropped = self._finished.pop_droppable(self.scheduler.has_runs)
         strays, self._stray_cancellations = self._stray_cancellations, []
-        for job in dropped:
-            self._parts.jobs_reader.replica.drop(job)
-            self._publisher.forget(job.job_id)
         return [
-            *itertools.chain.from_iterable(
-                map(journal.deletion_records, dropped)
-            ),
+            *itertools.chain.from_iterable(map(self._drop_job, dropped)),
             *map(journal.cancel_deletion_record, strays),
         ]
 
+    def _drop_job(self, job):
+        """Return the records that drop a job from the partition of the jobs.
+
+        Its submission is deleted after its progress: a successor that finds
+        it without progress knows from its status that it has ended.
+        """
+        replica = self._parts.jobs_reader.replica
+        sources = replica.sources[job.job_id]
+        records = journal.progress_deletion_records(job)
+        if self._parts.jobs_follower.partition.name in sources:
+            records += journal.submission_deletion_records(job.job_id)
+        self._cleaner.add(job.job_id, sources)
+        replica.drop(job)
+        self._publisher.forget(job.job_id)
+        return records
+
     def ownership(self):
         """Return the record of this ownership."""
         settings = self._parts.settings
-        covered = self._parts.jobs_follower.next_offset
-        return journal.Ownership(
+        ownership = journal.Ownership(
             self.epoch,
             settings.daemon,
             strength=offerer.strength(settings),
-            covered_offset=covered if self.is_at_work else 0,
+            submission_partitions=len(self._parts.submission_partitions),
+        )
+        if not self.is_at_work:
+            return ownership
+        jobs, *submissions = [
+            follower.next_offset for follower in self._parts.jobs_followers
+        ]
+        return attrs.evolve(
+            ownership, covered_offset=jobs, covered_offsets=tuple(submissions)
         )
 
     async def _store(self, records):
@@ -463,6 +489,8 @@
         if job is None:
             if self._parts.board.is_stored_final(job_id):
                 self._stray_cancellations.append(job_id)
+                sources = self._parts.jobs_reader.replica.sources
+                self._cleaner.add(job_id, sources.pop(job_id, ()))
             return
         job.is_cancelled = True
         self._cancelled[job_id] = job
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -13,6 +13,7 @@
 from hawthorndeal_daemon import supervisor
 from hawthorndeal_daemon import web
 from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import journal
 from hawthorndeal_platform import keyed_log
 
 from . import callers
@@ -29,6 +30,10 @@
 
 JOBS = keyed_log.Partition('hawthorndeal')
 STATUSES = keyed_log.Partition('hawthorndeal', 1)
+SUBMISSIONS_TOPIC = 'hawthorndeal-submissions'
+# Shorter than the age at which an owner starts nothing any more, with a store
+# that answers slowly.
+SUBMISSIONS_READ_WAIT_S = 0.5
 OPERATORS_READ_WAIT_S = 1.0
 SETTINGS_PERIOD_S = 1.0
 GAUGES_PERIOD_S = 1.0
@@ -85,7 +90,15 @@
         self.status_reader = log_readers.StatusReader(
             settings.daemon, self.clock, self.events
         )
-        self.jobs_reader = log_readers.JobsReader(self.clock, self.events)
+        self.submission_partitions = [
+            keyed_log.Partition(SUBMISSIONS_TOPIC, number)
+            for number in range(settings.submission_partitions)
+        ]
+        self.jobs_reader = log_readers.JobsReader(
+            self.clock,
+            self.events,
+            [p.name for p in (JOBS, *self.submission_partitions)],
+        )
         self.configuration_reader = log_readers.ConfigurationReader(
             adapter.formats, self.events
         )
@@ -95,7 +108,11 @@
         self.status_follower = self._make_follower(
             STATUSES, self.status_reader
         )
-        self.jobs_follower = self._make_follower(JOBS, self.jobs_reader)
+        self.jobs_follower = self._make_jobs_follower(JOBS)
+        self.submission_followers = [
+            self._make_jobs_follower(partition, SUBMISSIONS_READ_WAIT_S)
+            for partition in self.submission_partitions
+        ]
         self.operators_follower = self._make_follower(
             keyed_log.Partition(adapter.operators_topic),
             self.configuration_reader,
@@ -104,10 +121,16 @@
         self.entries_follower = self._make_follower(
             keyed_log.Partition(adapter.entries_topic), self.entries_reader
         )
-        self.jobs_end = end_reader.EndReader(self.log, JOBS)
-        self.submitter = submitter_module.Submitter(self.log, JOBS)
+        self._end_readers = {}
+        self.submitter = submitter_module.Submitter(self.log)
         self._owner = None
 
+    def _make_jobs_follower(self, partition, *arguments):
+        reader = log_readers.JobsPartitionReader(
+            self.jobs_reader, partition.name
+        )
+        return self._make_follower(partition, reader, *arguments)
+
     def _make_follower(
         self, log_partition, reader, wait_s=log_follower.READ_WAIT_S
     ):
@@ -121,6 +144,41 @@
             wait_s,
         )
 
+    @property
+    def jobs_followers(self):
+        """The followers of all partitions that hold the jobs."""
+        return [self.jobs_follower, *self.submission_followers]
+
+    def submission_partition(self, job_id):
+        """Return the partition that callers' records of a job belong to.
+
+        The owner tells how many it reads: one of an earlier version reads
+        the partition of the jobs only.
+        """
+        count = self.owner_view.submission_partitions
+        if count is None:
+            count = len(self.submission_partitions)
+        if not count:
+            return JOBS
+        number = journal.submission_partition(job_id, count)
+        return keyed_log.Partition(SUBMISSIONS_TOPIC, number)
+
+    def covered_offset(self, partition):
+        """Return up to which offset of a partition the statuses cover it."""
+        view = self.owner_view
+        if partition == JOBS:
+            return view.covered_offset
+        known = view.covered_offsets
+        return known[partition.number] if partition.number < len(known) else 0
+
+    def end_reader(self, partition):
+        """Return the reader of a partition's end."""
+        if partition not in self._end_readers:
+            self._end_readers[partition] = end_reader.EndReader(
+                self.log, partition
+            )
+        return self._end_readers[partition]
+
     @property
     def board(self):
         """The statuses of jobs, and the owner."""
@@ -152,7 +210,8 @@
         self.entries_follower.reload()
         # Also discards decisions that were not stored.
         self.jobs_reader.reset()
-        self.jobs_follower.reload()
+        for follower in self.jobs_followers:
+            follower.reload()
 
     def note_cancelled(self, job_id):
         """Record that this daemon has stored the cancellation of a job."""
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
@@ -40,6 +40,8 @@
     :ivar host_orders_per_s: orders that the host service accepts per second
     :ivar key_revocation_ms: time after which no daemon may use a key that was
         withdrawn
+    :ivar submission_partitions: number of partitions over which submissions
+        are spread; 0 stores them beside the jobs' progress
     :ivar processor_share: share of a core that this entry host may use, before
         processor_count
     :ivar processor_count: how many cores' speed that share has
@@ -63,6 +65,9 @@
     host_move_s: float = _positive(1.5)
     host_orders_per_s: float = _positive(50.0)
     key_revocation_ms: float = _positive(5000.0)
+    submission_partitions: int = attrs.field(
+        default=0, validator=validators.ge(0)
+    )
     processor_share: float = _positive(1.0)
     processor_count: float = _positive(1.0)
     link_mbps: float = _positive(100.0)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
@@ -55,7 +55,8 @@
     def expire(self, now_s, retention_s, kept):
         """Delete the statuses of jobs that ended long ago.
 
-        :param kept: container of the ids of jobs that are not dropped yet
+        :param kept: containers of the ids of jobs of which records are stored
+            elsewhere; one that has a record but no status would run again
         """
         since_s = self._parts.status_reader.final_since_s
         self._expiring &= set(since_s)
@@ -64,7 +65,7 @@
             for job_id, final_s in since_s.items()
             if now_s - final_s > retention_s
             and job_id not in self._expiring
-            and job_id not in kept
+            and not any(job_id in container for container in kept)
         ]
         self._expiring.update(expired)
         self._records += map(journal.status_deletion_record, expired)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/submitter.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/submitter.py
@@ -1,6 +1,7 @@
 """Batched appends of callers' records, with an outcome for each record."""
 
 import asyncio
+import collections
 
 import attrs
 
@@ -43,18 +44,24 @@
 class Submitter:
     """Task that appends the records of callers; runs on every daemon.
 
+    One append to each partition is in flight at a time. What arrives
+    meanwhile shares the next one, so that a store that slows down gets larger
+    appends rather than more of them.
+
     :param log: a :class:`keyed_log.KeyedLog`
-    :param partition: partition to append to
     """
 
     name = 'submitter'
 
-    def __init__(self, log, partition):
+    def __init__(self, log):
         self._log = log
-        self._partition = partition
-        self._queue = asyncio.Queue()
+        self._queues = collections.defaultdict(collections.deque)
+        # Partitions with records, and no append in flight.
+        self._waiting = asyncio.Queue()
+        self._busy = set()
+        self._tasks = set()
 
-    async def append(self, record, timeout_s, verify=_allow):
+    async def append(self, partition, record, timeout_s, verify=_allow):
         """Append a record and return its offset.
 
         :param verify: called right before the append, which is left out if
@@ -66,7 +73,10 @@
             still be
         """
         done = asyncio.get_running_loop().create_future()
-        self._queue.put_nowait(_Entry(record, verify, done))
+        self._queues[partition].append(_Entry(record, verify, done))
+        if partition not in self._busy:
+            self._busy.add(partition)
+            self._waiting.put_nowait(partition)
         try:
             return await asyncio.wait_for(done, timeout_s)
         except asyncio.TimeoutError as error:
@@ -74,24 +84,35 @@
 
     async def run(self):
         """Append queued records until cancelled."""
-        while True:
-            batch = [await self._queue.get()]
-            size_bytes = batch[0].size_bytes
-            while (
-                len(batch) < MAX_BATCH_RECORDS
-                and size_bytes < MAX_BATCH_BYTES
-                and not self._queue.empty()
-            ):
-                batch.append(self._queue.get_nowait())
-                size_bytes += batch[-1].size_bytes
-            batch = [entry for entry in batch if entry.is_permitted()]
-            if batch:
-                await self._append(batch)
-
-    async def _append(self, batch):
+        try:
+            while True:
+                partition = await self._waiting.get()
+                task = asyncio.create_task(self._drain(partition))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+        finally:
+            for task in self._tasks:
+                task.cancel()
+
+    async def _drain(self, partition):
+        """Append the records of a partition until none are left."""
+        try:
+            while self._queues[partition]:
+                batch = [
+                    entry
+                    for entry in _take_batch(self._queues[partition])
+                    if entry.is_permitted()
+                ]
+                if batch:
+                    await self._append(partition, batch)
+        finally:
+            del self._queues[partition]
+            self._busy.discard(partition)
+
+    async def _append(self, partition, batch):
         records = [entry.record for entry in batch]
         try:
-            offset = await self._log.append(self._partition, records)
+            offset = await self._log.append(partition, records)
         except errors.PlatformError as error:
             for entry in batch:
                 _resolve(entry.done, error=error)
@@ -103,6 +124,20 @@
         """Do nothing; the outcome of queued records is reported as unknown."""
 
 
+def _take_batch(queue):
+    """Remove and return the first entries of a queue that fit an append."""
+    batch = [queue.popleft()]
+    size_bytes = batch[0].size_bytes
+    while (
+        queue
+        and len(batch) < MAX_BATCH_RECORDS
+        and size_bytes < MAX_BATCH_BYTES
+    ):
+        batch.append(queue.popleft())
+        size_bytes += batch[-1].size_bytes
+    return batch
+
+
 def _resolve(done, offset=None, error=None):
     if done.done():
         return
