Serve what a workspace sends beyond its share after all others

The owner counts arrivals against the workspace's weight, in the log's order, and places what is beyond it after everything that may be in time, also once it has begun.

--- a/features/jobs_queueing.feature
+++ b/features/jobs_queueing.feature
@@ -42,3 +42,19 @@
       | 0.8  |
       | 1.2  |
       | 1.5  |
+
+  Scenario Outline: A workspace that sends several times its usual takes little from others: <hot> of 10
+    When 10 workspaces load a pool of 24 hosts at 0.6 of its capacity for 8 seconds
+    And <hot> of them send <factor> times their usual
+    Then the others got at least 0.75 of the work in time that they got without it
+    And more than they got without shares
+
+    Examples:
+      | hot | factor |
+      | 1   | 7.0    |
+      | 3   | 4.5    |
+
+  Scenario: What a workspace sends beyond its share is served from room that is left
+    When 10 workspaces load a pool of 24 hosts at 0.3 of its capacity for 8 seconds
+    And 1 of them send 7 times their usual
+    Then at least 0.9 of all work is in time
--- a/features/stage/queue_load.py
+++ b/features/stage/queue_load.py
@@ -111,17 +111,21 @@
 
         :param load: their work, as a multiple of what the pool can do
         """
-        capacity = self._hosts * HOST_CORES
         at_s, end_s = self.now_s, self.now_s + seconds
-        mean_work = statistics.fmean(
-            self._make_job(0.0).work for _ in range(WORK_SAMPLES)
-        )
+        rate = load * self.jobs_per_s()
         while True:
-            at_s += self._rng.expovariate(load * capacity / mean_work)
+            at_s += self._rng.expovariate(rate)
             if at_s >= end_s:
                 return
             self._at(at_s, self._submit, self._make_job(at_s))
 
+    def jobs_per_s(self):
+        """Return how many jobs of mean work the pool can do per second."""
+        mean_work = statistics.fmean(
+            self._make_job(0.0).work for _ in range(WORK_SAMPLES)
+        )
+        return self._hosts * HOST_CORES / mean_work
+
     def _draw(self, mean, sigma, most=math.inf):
         drawn = self._rng.lognormvariate(-sigma * sigma / 2, sigma)
         return min(most, mean * drawn)
--- a/features/steps/jobs_queueing.py
+++ b/features/steps/jobs_queueing.py
@@ -6,8 +6,10 @@
 from behave import then
 from behave import when
 
+from hawthorndeal_jobs import arrival_shares
 from hawthorndeal_jobs import ordering
 from stage import queue_load
+from stage import shared_load
 from stage import turns_load
 
 SEEDS = (1, 2, 3)
@@ -121,3 +123,77 @@
         in_pool = [p for p in played if p.job.pool == pool]
         shares[pool] = _work_in_time(in_pool) / sum(p.work for p in in_pool)
     assert min(shares.values()) >= share / 2, (share, shares)
+
+
+@functools.cache
+def _play_shared(hosts, usual, seconds, hot, factor):
+    loads = []
+    for seed in TURNS_SEEDS:
+        load = shared_load.SharedLoad(seed, usual, hot, factor, hosts)
+        load.submit_all(seconds)
+        load.run()
+        loads.append(load)
+    return loads
+
+
+def _share_of_others(loads, hot):
+    shares = [
+        load.served_share(lambda p: p.job.workspace not in hot)
+        for load in loads
+    ]
+    return sum(shares) / len(shares)
+
+
+@when(
+    '10 workspaces load a pool of {hosts:d} hosts at {usual:g} of its capacity '
+    'for {seconds:g} seconds'
+)
+def set_usual_load(context, hosts, usual, seconds):
+    context.usual, context.seconds, context.hosts = usual, seconds, hosts
+
+
+@when('{hot:d} of them send {factor:g} times their usual')
+def play_shared(context, hot, factor):
+    context.hot, context.factor = hot, factor
+    context.loads = _play_shared(
+        context.hosts, context.usual, context.seconds, hot, factor
+    )
+
+
+@then(
+    'the others got at least {share:g} of the work in time that they got '
+    'without it'
+)
+def check_others(context, share):
+    hot = context.loads[0].hot
+    before = _play_shared(
+        context.hosts, context.usual, context.seconds, 0, 1.0
+    )
+    found = _share_of_others(context.loads, hot), _share_of_others(before, hot)
+    assert found[0] >= share * found[1], found
+
+
+@then('more than they got without shares')
+def check_shares(context):
+    hot = context.loads[0].hot
+    with mock.patch.object(
+        arrival_shares.ArrivalShares, 'note', autospec=True, return_value=False
+    ):
+        without = _play_shared.__wrapped__(
+            context.hosts,
+            context.usual,
+            context.seconds,
+            context.hot,
+            context.factor,
+        )
+    found = (
+        _share_of_others(context.loads, hot),
+        _share_of_others(without, hot),
+    )
+    assert found[0] > found[1], found
+
+
+@then('at least {share:g} of all work is in time')
+def check_all(context, share):
+    found = _share_of_others(context.loads, ())
+    assert found >= share, found
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/arrival_shares.py
@@ -0,0 +1,49 @@
+"""Tell which jobs are beyond the share of their workspace.
+
+The load: one to three workspaces send four to seven times their usual for some
+seconds, and fill the hosts that all of them share. A workspace's weight is the
+number of jobs per second that are owed to it. What it sends beyond that is
+served from room that nobody else needs.
+"""
+
+import attrs
+
+# A workspace may send this many seconds' worth of its jobs at once: the
+# arrivals of callers who don't know of each other vary by themselves.
+BURST_S = 3.0
+MIN_BURST_JOBS = 4.0
+
+
+@attrs.define
+class _Bucket:
+    """What is left of a workspace's share.
+
+    :ivar jobs: number of jobs that are owed to it now
+    """
+
+    jobs: float
+    updated_s: float
+
+
+class ArrivalShares:
+    """Counts the jobs that arrive from each workspace, in the log's order."""
+
+    def __init__(self):
+        self._buckets = {}
+
+    def note(self, workspace, weight, arrived_s):
+        """Count a job; return whether it is beyond the workspace's share.
+
+        :param weight: jobs per second that are owed to the workspace
+        """
+        burst = max(MIN_BURST_JOBS, weight * BURST_S)
+        bucket = self._buckets.get(workspace)
+        if bucket is None:
+            bucket = self._buckets[workspace] = _Bucket(burst, arrived_s)
+        passed_s = max(0.0, arrived_s - bucket.updated_s)
+        bucket.jobs = min(burst, bucket.jobs + passed_s * weight)
+        bucket.updated_s = max(bucket.updated_s, arrived_s)
+        if bucket.jobs < 1.0:
+            return True
+        bucket.jobs -= 1.0
+        return False
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
@@ -6,6 +6,10 @@
 pool would work on jobs that are of little use by their end. Therefore jobs
 that have begun are finished first, and a job is put back as soon as it is not
 expected to be in time.
+
+Jobs that a workspace sends beyond its share come after those of all others
+that may be in time. If those of them that have begun were finished first, too,
+each moment with room would let the workspace take the pool for a while.
 """
 
 import enum
@@ -31,8 +35,10 @@
     EXPECTED_IN_TIME = 2
     # In time only if its tasks end sooner than those of other jobs.
     HARDLY_IN_TIME = 3
-    LATE = 4
-    WORTHLESS = 5
+    BEGUN_BEYOND_SHARE = 4
+    LATE = 5
+    BEYOND_SHARE = 6
+    WORTHLESS = 7
 
 
 @attrs.define(eq=False)
@@ -79,6 +85,20 @@
         """Return whether the job can't be in time any more."""
         return now_s > self.objective_s - self.remaining_path_s
 
+    @property
+    def is_beyond_share(self):
+        """Whether the job is beyond the share of its workspace."""
+        return self.occurrence.job.is_beyond_share
+
+    def gives_way(self, now_s):
+        """Return whether the step is placed after what may be in time.
+
+        Long-running tasks are never too late to be useful.
+        """
+        if self.spec.is_lasting:
+            return False
+        return self.is_late(now_s) or self.is_beyond_share
+
 
 def objective_s(queue, spec):
     """Return the time within which a due job should be done."""
@@ -108,6 +128,12 @@
     if spec.is_lasting:
         return (Urgency.LASTING, spec.is_filler, ready_step.objective_s)
     urgency = _urgency(ready_step, now_s, run_time_factor)
+    if ready_step.is_beyond_share:
+        is_begun = urgency is Urgency.BEGUN
+        urgency = max(
+            urgency,
+            Urgency.BEGUN_BEYOND_SHARE if is_begun else Urgency.BEYOND_SHARE,
+        )
     order_s = ready_step.objective_s
     if urgency < Urgency.LATE:
         order_s -= ready_step.remaining_path_s
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_loads.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_loads.py
@@ -19,7 +19,7 @@
     :param ahead_s: forecast horizon
     """
     waiting = ready_steps.pending_in(pool.name)
-    in_time, late = _partition_by_lateness(waiting, now_s)
+    in_time, late = _partition_by_urgency(waiting, now_s)
     meter = ready_steps.demand_meters[pool.name]
     usable = [e for e in executors if placement.is_usable(e, now_s)]
 
@@ -41,12 +41,9 @@
     )
 
 
-def _partition_by_lateness(waiting, now_s):
-    """Return the steps that may be in time, and those that are late.
-
-    Long-running tasks are never too late to be useful.
-    """
-    late = [s for s in waiting if not s.spec.is_lasting and s.is_late(now_s)]
+def _partition_by_urgency(waiting, now_s):
+    """Return the steps that may be in time, and those that give way."""
+    late = [step for step in waiting if step.gives_way(now_s)]
     keys = {step.key for step in late}
     return [step for step in waiting if step.key not in keys], late
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -141,7 +141,7 @@
             return
         if age_s is None:
             age_s = min(MAX_RECOVERED_AGE_S, max(0.0, wall_s - job.accepted_s))
-        elif not job.occurrences:
+        elif not job.occurrences and not job.is_beyond_share:
             self._record_demand(job, capacity, now_s)
         accepted_s = now_s - age_s
         for number in sorted(job.occurrences):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from . import arrival_shares
 from . import executor_health
 from . import executor_index
 from . import executors as executors_module
@@ -60,7 +61,8 @@
         self._index = executor_index.ExecutorIndex()
         self._run_index = run_index.RunIndex()
         self.quotas = self._run_index.quotas
-        self.quotas.allotments = quotas.WholeQuotas(configuration.workspaces)
+        self._arrivals = arrival_shares.ArrivalShares()
+        self._set_workspaces(configuration.workspaces)
         self._planner = start_planning.StartPlanner(
             self.steps, self.tickets, self.quotas
         )
@@ -80,8 +82,19 @@
         capacity = pool_loads.host_capacity(
             self.executors_in(self.steps.pool_of(job)), self.executors
         )
+        self._note_arrival(job, now_s, wall_s, age_s)
         self.steps.add_job(job, now_s, wall_s, age_s, capacity)
 
+    def _note_arrival(self, job, now_s, wall_s, age_s):
+        workspace = self._workspaces.get(job.workspace)
+        if workspace is None or not workspace.weight or job.is_terminal:
+            return
+        if age_s is None:
+            age_s = max(0.0, wall_s - job.accepted_s)
+        job.is_beyond_share = self._arrivals.note(
+            workspace.name, workspace.weight, now_s - age_s
+        )
+
     def cancel_job(self, job):
         """Stop all runs of a cancelled job."""
         self._endings.stop_job(job)
@@ -96,10 +109,14 @@
         A quota that is lower than what its workspace uses stops nothing.
         """
         self.steps.set_configuration(configuration)
-        self.quotas.allotments = quotas.WholeQuotas(configuration.workspaces)
+        self._set_workspaces(configuration.workspaces)
         for workspace in self.steps.limited.workspaces:
             self.steps.release_limited(workspace)
 
+    def _set_workspaces(self, workspaces):
+        self._workspaces = workspaces
+        self.quotas.allotments = quotas.WholeQuotas(workspaces)
+
     def load_of(self, pool, arriving, ahead_s, now_s):
         """Return the load of a pool; see :func:`pool_loads.measure`."""
         known = self.executors_in(pool.name)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -82,7 +82,7 @@
         return [
             ready_step
             for ready_step in pending
-            if ready_step.spec.is_lasting or not ready_step.is_late(now_s)
+            if not ready_step.gives_way(now_s)
         ]
 
     def _order(self, candidate, now_s):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -219,7 +219,8 @@
         )
         replica = parts.jobs_reader.replica
         replica.is_owned = True
-        for job in list(replica.jobs.values()):
+        # Shares are counted in the order in which jobs were accepted.
+        for job in sorted(replica.jobs.values(), key=_accepted_s):
             self._add_job(job, None)
         for job_id in replica.unknown_job_ids:
             self.cancel_job(job_id)
@@ -501,3 +502,7 @@
         """Apply a newer configuration."""
         self.scheduler.set_configuration(configuration)
         self.wake()
+
+
+def _accepted_s(job):
+    return job.accepted_s
