Refuse at once what an overloaded pool or an owner that is behind can't serve

The owner publishes the waits of its pools and the workspaces beyond their share, on change; its ownership record tells how long ago it had read all submissions. The daemon that takes a call refuses with 429 what would have lost its value by its expected end, and with 503 while the owner is more than 4 s behind; nothing is stored before. The number of waiting jobs isn't told either then: it would be too low.

--- /dev/null
+++ b/features/jobs_admission.feature
@@ -0,0 +1,84 @@
+@jobs
+Feature: What can't be served is refused at once, and never runs
+
+  Scenario Outline: A job is refused if it would have lost its value by its end: <case>
+    Given a pool with <hosts> hosts, <arriving> on their way and <standby> on standby
+    And pending work of <backlog> host-seconds, and <late> that gives way
+    When a job of 1 second arrives, <share> the share of its workspace
+    Then the job is <decision>
+
+    Examples:
+      | case                     | hosts | arriving | standby | backlog | late | share  | decision |
+      | nothing waits            | 10    | 0        | 0       | 0       | 0    | within | admitted |
+      | a short wait             | 10    | 0        | 0       | 40      | 0    | within | admitted |
+      | too long                 | 10    | 0        | 0       | 70      | 0    | within | refused  |
+      | hosts are on their way   | 10    | 10       | 0       | 70      | 0    | within | admitted |
+      | hosts are on standby     | 10    | 0        | 10      | 70      | 0    | within | admitted |
+      | only late work waits     | 10    | 0        | 0       | 0       | 90   | within | admitted |
+      | late work, beyond share  | 10    | 0        | 0       | 0       | 90   | beyond | refused  |
+      | nothing waits, beyond    | 10    | 0        | 0       | 0       | 0    | beyond | admitted |
+
+  Scenario: Long-running and scheduled jobs are never refused for a wait
+    Given a pool with 10 hosts, 0 on their way and 0 on standby
+    And pending work of 900 host-seconds, and 0 that gives way
+    When a long-running job arrives
+    Then the job is admitted
+    When a scheduled job arrives
+    Then the job is admitted
+
+  Scenario: Callers that are sent back together don't return together
+    Given a pool with 10 hosts, 0 on their way and 0 on standby
+    And pending work of 200 host-seconds, and 0 that gives way
+    When 100 jobs of 1 second arrive
+    Then they are told to return at 3 different seconds or more
+    And none before the backlog has room
+
+  Scenario Outline: An owner that is behind is told from one that isn't: <delay>
+    When the submissions were last known to be read <delay> seconds ago
+    Then a submission is <decision>
+
+    Examples:
+      | delay | decision |
+      | None  | admitted |
+      | 0.3   | admitted |
+      | 3.9   | admitted |
+      | 4.1   | refused  |
+
+  @invariant_not_run
+  Scenario Outline: While the owner can't read submissions, no more are accepted: <when>
+    Given 3 simulated daemons with seed 401, whose submissions have 4 partitions
+    When <seconds> seconds pass
+    And the owner can't read one partition of the submissions
+    And 5 seconds pass
+    And job "a" of 2 and 2 tasks is submitted to daemon 0
+    Then it was refused as not_ready
+    And the daemons don't tell how many jobs wait
+    When the owner can read all partitions again
+    And 2 seconds pass
+    And job "a" of 2 and 2 tasks is submitted to daemon 0
+    Then it was accepted
+
+    Examples:
+      | when          | seconds |
+      | from its start | 0      |
+      | later         | 1       |
+
+  @invariant_not_run
+  Scenario: A job refused by an overloaded pool never runs
+    Given 3 simulated daemons with seed 402, whose submissions have 4 partitions
+    When 400 jobs of 16 tasks are submitted to "web" at once
+    And 0.4 seconds pass
+    And job "late" of 2 and 2 tasks is submitted to daemon 1
+    Then it was refused as pool_overloaded
+    When 20 seconds pass
+    Then no task of "late" has started
+
+  Scenario: What was told of the load is forgotten with its owner
+    Given 3 simulated daemons with seed 403, whose submissions have 4 partitions
+    When a report of an overloaded pool "web" is stored
+    And 1 second passes
+    And job "a" of 2 and 2 tasks is submitted to daemon 1
+    Then it was refused as pool_overloaded
+    When 3 seconds pass
+    And job "a" of 2 and 2 tasks is submitted to daemon 1
+    Then it was accepted
--- /dev/null
+++ b/features/steps/jobs_admission.py
@@ -0,0 +1,150 @@
+"""Steps for submissions that are refused because of the load."""
+
+import math
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import admission
+from hawthorndeal_jobs import capacity
+from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import queues
+from hawthorndeal_jobs import specs
+from stage import job_world
+
+POOL = 'web'
+QUEUE = queues.Queue(POOL, POOL, stretch=1.6, latency_target_s=0.6)
+WORKSPACE = 'vltava'
+HOPELESS_S = 600.0
+
+
+@given(
+    'a pool with {hosts:d} hosts, {arriving:d} on their way and {standby:d} '
+    'on standby'
+)
+def make_pool(context, hosts, arriving, standby):
+    context.hosts, context.arriving = hosts, arriving
+    context.standby = capacity.PoolLoad('spare', True, standby)
+
+
+@given('pending work of {backlog:g} host-seconds, and {late:g} that gives way')
+def make_backlog(context, backlog, late):
+    context.loads = [
+        capacity.PoolLoad(
+            POOL,
+            hosts=context.hosts,
+            arriving=context.arriving,
+            backlog_host_s=backlog,
+            late_backlog_host_s=late,
+        ),
+        context.standby,
+    ]
+
+
+def _check(context, spec, beyond=(), seed=1):
+    return admission.check_pool(
+        admission.forecast(context.loads, beyond),
+        QUEUE,
+        WORKSPACE,
+        spec,
+        random.Random(seed),
+    )
+
+
+@when('a job of {run_s:g} second arrives, {share} the share of its workspace')
+def check_job(context, run_s, share):
+    beyond = (WORKSPACE,) if share == 'beyond' else ()
+    spec = job_world.one_step(8, estimate_s=run_s)
+    context.refusal = _check(context, spec, beyond)
+
+
+@when('a long-running job arrives')
+def check_lasting(context):
+    spec = job_world.one_step(1, is_lasting=True)
+    context.refusal = _check(context, spec)
+
+
+@when('a scheduled job arrives')
+def check_scheduled(context):
+    spec = specs.JobSpec(
+        '', job_world.one_step(1).steps, repetitions=2, interval_s=3.0
+    )
+    context.refusal = _check(context, spec)
+
+
+@when('{count:d} jobs of {run_s:g} second arrive')
+def check_jobs(context, count, run_s):
+    spec = job_world.one_step(8, estimate_s=run_s)
+    context.refusals = [
+        _check(context, spec, seed=seed) for seed in range(count)
+    ]
+    context.room_s = 200 / context.hosts + run_s
+    context.room_s -= 3 * (QUEUE.stretch * run_s + QUEUE.latency_target_s)
+
+
+@then('the job is {decision}')
+def check_decision(context, decision):
+    assert (context.refusal is not None) == (decision == 'refused')
+
+
+@then('they are told to return at {count:d} different seconds or more')
+def check_spread(context, count):
+    delays = {math.ceil(r.retry_after_s) for r in context.refusals}
+    assert len(delays) >= count, delays
+
+
+@then('none before the backlog has room')
+def check_room(context):
+    least_s = min(refusal.retry_after_s for refusal in context.refusals)
+    assert least_s >= context.room_s, (least_s, context.room_s)
+
+
+@when('the submissions were last known to be read {delay} seconds ago')
+def check_owner(context, delay):
+    delay_s = None if delay == 'None' else float(delay)
+    context.refusal = admission.check_owner(delay_s, random.Random(1))
+
+
+@then('a submission is {decision}')
+def check_submission(context, decision):
+    check_decision(context, decision)
+
+
+@when("the owner can't read one partition of the submissions")
+def block_partition(context):
+    store = context.world.store
+    blocked = context.world.owner.parts.submission_partitions[0]
+    context.read = store.read
+
+    def read(partition, *arguments):
+        if partition == blocked:
+            raise errors.OutcomeUnknown('no answer')
+        return context.read(partition, *arguments)
+
+    store.read = read
+
+
+@when('the owner can read all partitions again')
+def unblock_partition(context):
+    context.world.store.read = context.read
+
+
+@then("the daemons don't tell how many jobs wait")
+def check_waiting(context):
+    queue = context.world.configuration.queues[POOL]
+    for daemon in context.world.daemons:
+        try:
+            daemon.interface.waiting(queue)
+        except errors.NotReady:
+            continue
+        raise AssertionError(daemon.name)
+
+
+@when('a report of an overloaded pool "{pool}" is stored')
+def store_report(context, pool):
+    waits = admission.PoolForecast(HOPELESS_S, HOPELESS_S)
+    record = journal.load_record(admission.LoadReport({pool: waits}))
+    context.world.store.append(job_world.STATUSES, [record])
--- a/features/steps/jobs_queueing.py
+++ b/features/steps/jobs_queueing.py
@@ -145,8 +145,8 @@
 
 
 @when(
-    '10 workspaces load a pool of {hosts:d} hosts at {usual:g} of its capacity '
-    'for {seconds:g} seconds'
+    '10 workspaces load a pool of {hosts:d} hosts at {usual:g} of its '
+    'capacity for {seconds:g} seconds'
 )
 def set_usual_load(context, hosts, usual, seconds):
     context.usual, context.seconds, context.hosts = usual, seconds, hosts
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/admission.py
@@ -0,0 +1,135 @@
+"""Decide at once whether a submission could still be of use.
+
+The loads: a backlog that can't be done before it has lost its value; and an
+owner that reads submissions more slowly than they arrive. The daemon that
+takes a call decides, without asking anyone, by what the owner has published.
+A job is refused before anything of it is stored, so that it never runs.
+"""
+
+import math
+
+import attrs
+
+from . import ordering
+
+# An owner that hasn't read all submissions for this long is falling behind. A
+# change of owners takes less.
+MAX_OWNER_DELAY_S = 4.0
+# What is published of the load holds for this long.
+MAX_REPORT_AGE_S = 3.0
+# Waits are published in multiples of this, so that small changes cost nothing.
+WAIT_STEP_S = 0.5
+# Callers that are sent back return within this multiple of the delay.
+SPREAD = 0.5
+MIN_RETRY_AFTER_S = 1.0
+
+
+@attrs.frozen
+class PoolForecast:
+    """How long new jobs will wait for hosts of a pool.
+
+    :ivar wait_s: wait of a job within the share of its workspace
+    :ivar beyond_wait_s: wait of a job beyond it
+    """
+
+    wait_s: float = 0.0
+    beyond_wait_s: float = 0.0
+
+
+@attrs.frozen
+class LoadReport:
+    """What an owner tells the daemons about its load.
+
+    :ivar pools: forecasts by pool; no entry where nothing waits
+    :ivar beyond_share: workspaces that have used up their share
+    """
+
+    pools: dict[str, PoolForecast] = attrs.Factory(dict)
+    beyond_share: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Refusal:
+    """Why a job is refused, and when to return.
+
+    :ivar is_overload: whether the pool has too much work; otherwise the owner
+        is behind
+    """
+
+    detail: str
+    retry_after_s: float
+    is_overload: bool
+
+
+def forecast(loads, beyond_share):
+    """Return the report of the loads of all pools.
+
+    Hosts on their way and on standby count as hosts of each pool: a job is
+    refused only if they can't help it either.
+
+    :param loads: :class:`capacity.PoolLoad` of each pool
+    :param beyond_share: workspaces that have used up their share
+    """
+    standby = sum(load.hosts for load in loads if load.is_standby)
+    pools = {}
+    for load in loads:
+        hosts = max(1, load.hosts + load.arriving + standby)
+        waits = PoolForecast(
+            _rounded(load.backlog_host_s / hosts),
+            _rounded((load.backlog_host_s + load.late_backlog_host_s) / hosts),
+        )
+        if waits.beyond_wait_s:
+            pools[load.pool] = waits
+    return LoadReport(pools, tuple(sorted(beyond_share)) if pools else ())
+
+
+def _rounded(wait_s):
+    return math.floor(wait_s / WAIT_STEP_S) * WAIT_STEP_S
+
+
+def check_owner(delay_s, rng):
+    """Return a refusal if the owner is behind, or None.
+
+    :param delay_s: how long ago all submissions were known to be read; None
+        if it isn't known
+    """
+    if delay_s is None or delay_s <= MAX_OWNER_DELAY_S:
+        return None
+    return Refusal(
+        f'the owner has not read all submissions for {delay_s:.1f} s',
+        _spread(MIN_RETRY_AFTER_S, rng),
+        is_overload=False,
+    )
+
+
+def check_pool(report, queue, workspace, spec, rng):
+    """Return a refusal if a job would have lost its value by its end, or None.
+
+    Long-running tasks never lose their value, and scheduled jobs may be due
+    much later.
+
+    :param report: the newest :class:`LoadReport`, or None if it is too old
+    :param queue: the job's :class:`queues.Queue`
+    """
+    if report is None or spec.repetitions:
+        return None
+    if any(step.is_lasting for step in spec.steps):
+        return None
+    waits = report.pools.get(queue.pool)
+    if waits is None:
+        return None
+    is_beyond = workspace in report.beyond_share
+    wait_s = waits.beyond_wait_s if is_beyond else waits.wait_s
+    cutoff_s = ordering.CUTOFF_FACTOR * ordering.objective_s(queue, spec)
+    late_s = wait_s + spec.critical_path_s() - cutoff_s
+    if late_s <= 0.0:
+        return None
+    return Refusal(
+        f'a job of {queue.name} would wait {wait_s:.1f} s for a host',
+        _spread(max(MIN_RETRY_AFTER_S, late_s), rng),
+        is_overload=True,
+    )
+
+
+def _spread(delay_s, rng):
+    return delay_s * (1.0 + rng.uniform(0.0, SPREAD))
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/arrival_shares.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/arrival_shares.py
@@ -36,14 +36,27 @@
 
         :param weight: jobs per second that are owed to the workspace
         """
-        burst = max(MIN_BURST_JOBS, weight * BURST_S)
         bucket = self._buckets.get(workspace)
         if bucket is None:
-            bucket = self._buckets[workspace] = _Bucket(burst, arrived_s)
-        passed_s = max(0.0, arrived_s - bucket.updated_s)
-        bucket.jobs = min(burst, bucket.jobs + passed_s * weight)
+            bucket = _Bucket(_burst(weight), arrived_s)
+            self._buckets[workspace] = bucket
+        bucket.jobs = _refilled(bucket, weight, arrived_s)
         bucket.updated_s = max(bucket.updated_s, arrived_s)
         if bucket.jobs < 1.0:
             return True
         bucket.jobs -= 1.0
         return False
+
+    def is_used_up(self, workspace, weight, now_s):
+        """Return whether a job that arrives now would be beyond the share."""
+        bucket = self._buckets.get(workspace)
+        return bucket is not None and _refilled(bucket, weight, now_s) < 1.0
+
+
+def _burst(weight):
+    return max(MIN_BURST_JOBS, weight * BURST_S)
+
+
+def _refilled(bucket, weight, now_s):
+    passed_s = max(0.0, now_s - bucket.updated_s)
+    return min(_burst(weight), bucket.jobs + passed_s * weight)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -23,6 +23,7 @@
 ``offer``             the newest offer to take over            any daemon
 ``wave/N``            progress of a maintenance wave           the owner
 ``hosts``             completed or intended host operations    the owner
+``load``              what new jobs will have to wait for      the owner
 ====================  =======================================  ==============
 
 An empty value deletes a key.
@@ -47,6 +48,7 @@
 OFFER = 'offer'
 WAVE = 'wave'
 HOSTS = 'hosts'
+LOAD = 'load'
 
 DIGEST_BYTES = 6
 
@@ -88,6 +90,7 @@
     :ivar submission_partitions: number of partitions of the submissions that
         the owner reads; 0 if it reads the partition of the jobs only
     :ivar covered_offsets: the same as covered_offset for each of them
+    :ivar delay_s: how long ago the owner had read all partitions to their ends
     :ivar strength: strength of the owner's host; see :mod:`hand_over`
     :ivar successor: the daemon that the partition was released to; empty for
         any
@@ -101,6 +104,7 @@
     successor: str = ''
     submission_partitions: int = 0
     covered_offsets: tuple[int, ...] = ()
+    delay_s: float = 0.0
 
 
 @attrs.frozen
@@ -212,6 +216,11 @@
     return Record(OFFER, _encode(offer))
 
 
+def load_record(report):
+    """Return the record of an owner's load."""
+    return Record(LOAD, _encode(report))
+
+
 def wave_record(number, progress):
     """Return the record of a wave's progress."""
     return Record(f'{WAVE}/{number}', _encode(progress))
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
@@ -5,6 +5,8 @@
 :mod:`host_intents`.
 """
 
+import math
+
 import attrs
 
 from . import hand_over
@@ -55,8 +57,10 @@
     :ivar submission_partitions: number of partitions of the submissions that
         the owner reads; None while no owner is known
     :ivar covered_offsets: the same as covered_offset for each of them
-    :ivar covered_s: when the owner's last record with such an offset was read;
-        None before the first one
+    :ivar covered_s: time up to which the statuses read so far cover the jobs;
+        None before the first record that tells
+    :ivar owner_seen_s: when a record of an owner was first read
+    :ivar load_read_s: when the owner's load was last read
     :ivar readable_since_s: since when reads have succeeded without a gap; None
         before the first one
     """
@@ -75,6 +79,8 @@
     submission_partitions: int | None = None
     covered_offsets: tuple[int, ...] = ()
     covered_s: float | None = None
+    owner_seen_s: float | None = None
+    load_read_s: float = -math.inf
     readable_since_s: float | None = None
 
     def note_read(self, sent_s, now_s):
@@ -117,6 +123,16 @@
         self.is_claimable = is_released
         self.is_previous_incarnation = is_previous_incarnation
 
+    def delay_s(self, now_s):
+        """Return how long ago all submissions were known to be read.
+
+        :returns: None while no owner is known
+        """
+        since_s = self.covered_s
+        if since_s is None:
+            since_s = self.owner_seen_s
+        return None if since_s is None else now_s - since_s
+
     def may_claim(self, now_s, delay_s, strength=hand_over.FULL_STRENGTH):
         """Return True if this daemon should claim the partition now.
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -95,6 +95,17 @@
             workspace.name, workspace.weight, now_s - age_s
         )
 
+    def workspaces_beyond_share(self, now_s):
+        """Return the workspaces whose next job would be beyond their share."""
+        return [
+            workspace.name
+            for workspace in self._workspaces.values()
+            if workspace.weight
+            and self._arrivals.is_used_up(
+                workspace.name, workspace.weight, now_s
+            )
+        ]
+
     def cancel_job(self, job):
         """Stop all runs of a cancelled job."""
         self._endings.stop_job(job)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
@@ -9,6 +9,7 @@
 
 from hawthorndeal_fleet import errors
 
+from . import admission
 from . import host_intents
 from . import jobs
 from . import journal
@@ -34,6 +35,7 @@
     :ivar offer: the newest offer to take over from an owner, or None
     :ivar wave_records: progress of maintenance waves, by number
     :ivar host_intents: the newest intents of an owner
+    :ivar load: the newest :class:`admission.LoadReport`, or None
     """
 
     def __init__(self):
@@ -43,6 +45,7 @@
         self.offer = None
         self.wave_records = {}
         self.host_intents = []
+        self.load = None
         # What this daemon has appended itself and not read back so far.
         self._local = {}
         self._waiting = collections.Counter()
@@ -94,6 +97,10 @@
         self.host_intents = intents
         return StatusChange(journal.HOSTS)
 
+    def _apply_load(self, _, value):
+        self.load = journal.decode(value, admission.LoadReport)
+        return StatusChange(journal.LOAD)
+
     def retain(self, keys):
         """Drop the statuses whose keys are not among those of a whole load.
 
@@ -158,4 +165,5 @@
         journal.OFFER: _apply_offer,
         journal.WAVE: _apply_wave,
         journal.HOSTS: _apply_hosts,
+        journal.LOAD: _apply_load,
     }
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -9,6 +9,7 @@
 
 from hawthorndeal_daemon import web
 from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import admission
 from hawthorndeal_jobs import journal
 from hawthorndeal_jobs import quotas
 
@@ -131,6 +132,7 @@
         self._check_quota(access, spec)
         if self._is_store_unavailable() or not parts.status_follower.is_loaded:
             raise errors.NotReady('the store is away', RETRY_AFTER_S)
+        self._check_load(access, spec)
         submission = journal.Submission(
             queue.name,
             queue.pool,
@@ -147,6 +149,27 @@
                 raise
         parts.board.note_accepted(job_id, status)
 
+    def _check_load(self, access, spec):
+        """Refuse a job that could not be of use any more.
+
+        :raises errors.NotReady: if the owner is behind
+        :raises PoolOverloaded: if the pool has too much work
+        """
+        parts = self._parts
+        view, now_s = parts.owner_view, parts.clock.monotonic_s()
+        report = parts.board.load
+        if now_s - view.load_read_s > admission.MAX_REPORT_AGE_S:
+            report = None
+        refusal = admission.check_owner(
+            view.delay_s(now_s), parts.rng
+        ) or admission.check_pool(
+            report, access.queue, access.workspace, spec, parts.rng
+        )
+        if refusal is None:
+            return
+        kind = PoolOverloaded if refusal.is_overload else errors.NotReady
+        raise kind(refusal.detail, refusal.retry_after_s)
+
     def _is_known(self, access, job_id, status):
         """Return whether the same job was accepted before.
 
@@ -271,6 +294,13 @@
         return self._parts.board.waiting(queue.name)
 
 
+class PoolOverloaded(errors.NotRun):
+    """Raised when a job would have lost its value before its end."""
+
+    reason = 'pool_overloaded'
+    status = 429
+
+
 class JobConflict(errors.NotRun):
     """Raised when a job id is already in use for a different job."""
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
@@ -117,6 +117,7 @@
             )
         ]
         self._log_loads(loads, now_s)
+        self._owner.publish_loads(loads)
         moves = capacity.plan_moves(loads, idle)
         self._hold_late_work(loads, moves, now_s)
         return moves
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
@@ -42,6 +42,8 @@
             self._note_status(change.job_id, now_s)
         if change.kind == journal.HOSTS:
             self.owner_view.intents_read_s = now_s
+        if change.kind == journal.LOAD:
+            self.owner_view.load_read_s = now_s
         # Any daemon may write an offer; all else is written by owners.
         if change.kind != journal.OFFER:
             self._note_owner(now_s)
@@ -69,10 +71,12 @@
 
     def _note_ownership(self, now_s):
         current = self.board.ownership
+        if self.owner_view.owner_seen_s is None:
+            self.owner_view.owner_seen_s = now_s
         if current.covered_offset:
             self.owner_view.covered_offset = current.covered_offset
             self.owner_view.covered_offsets = current.covered_offsets
-            self.owner_view.covered_s = now_s
+            self.owner_view.covered_s = now_s - max(0.0, current.delay_s)
         seen = current.daemon, current.epoch, current.is_released
         if seen != self._last_logged_owner:
             self._last_logged_owner = seen
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -6,6 +6,7 @@
 import attrs
 
 from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import admission
 from hawthorndeal_jobs import finished_jobs
 from hawthorndeal_jobs import hand_over
 from hawthorndeal_jobs import journal
@@ -424,8 +425,12 @@
         jobs, *submissions = [
             follower.next_offset for follower in self._parts.jobs_followers
         ]
+        delay_s = self.now_s() - self._parts.jobs_reader.last_read_s
         return attrs.evolve(
-            ownership, covered_offset=jobs, covered_offsets=tuple(submissions)
+            ownership,
+            covered_offset=jobs,
+            covered_offsets=tuple(submissions),
+            delay_s=round(max(0.0, delay_s), 2),
         )
 
     async def _store(self, records):
@@ -446,6 +451,11 @@
             self.events.write('job_ended', job=job.job_id, state=state)
         self._publisher.publish(job, state)
 
+    def publish_loads(self, loads):
+        """Tell the daemons what new jobs will have to wait for."""
+        beyond = self.scheduler.workspaces_beyond_share(self.now_s())
+        self._publisher.publish_load(admission.forecast(loads, beyond))
+
     # Changes in the followed partitions
 
     def handle_applied(self, applied):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
@@ -1,7 +1,9 @@
 """Stores what callers are told, in the partition that all daemons follow."""
 
 import asyncio
+import math
 
+from hawthorndeal_jobs import admission
 from hawthorndeal_jobs import journal
 from hawthorndeal_jobs import ownership
 from hawthorndeal_platform import keyed_log
@@ -32,6 +34,8 @@
         self._waiting_futures = []
         self._wake = asyncio.Event()
         self._renewal_due_s = 0.0
+        self._load = admission.LoadReport()
+        self._load_due_s = math.inf
 
     # What to publish
 
@@ -48,6 +52,18 @@
         self._statuses[job.job_id] = status
         self._wake.set()
 
+    def publish_load(self, report):
+        """Publish the load unless it was published last, and is still read."""
+        now_s = self._owner.now_s()
+        if report == self._load and now_s < self._load_due_s:
+            return
+        self._load = report
+        self._load_due_s = math.inf
+        if report.pools:
+            self._load_due_s = now_s + admission.MAX_REPORT_AGE_S / 2
+        self._records.append(journal.load_record(report))
+        self._wake.set()
+
     def forget(self, job_id):
         """Forget a job whose final status was read back from the store."""
         self._last_published.pop(job_id, None)
