--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -64,7 +64,12 @@
         return key.encode()
 
     def decode_configuration(self, value):
-        """Return the configuration that a value refers to."""
+        """Return the configuration that a value refers to.
+
+        :raises ValueError: if it refers to no stored object
+        """
+        if value.decode() not in self.objects:
+            raise ValueError(f'no object {value!r:.40}')
         return self.objects[value.decode()]
 
     decode_wave = decode_configuration
--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -20,6 +20,7 @@
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import jobs
 from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import specs
 from hawthorndeal_platform import executor_orders
 from hawthorndeal_platform import keyed_log
 from hawthorndeal_platform import transport
@@ -60,6 +61,14 @@
         ],
         'services': [{'name': 's', 'standby': False}],
         'limits': {'max-body-bytes': 1000},
+        'tenants': [
+            {
+                'name': 'w',
+                'api-keys': ['k1', 'k2'],
+                'weight': 3,
+                'max-count': {'cpu': 4000, 'mem-mb': 1, 'gpus': 0},
+            }
+        ],
     },
     'executor entries': {
         'service': 's',
@@ -496,9 +505,32 @@
         And 3 seconds pass
         And the owner's host becomes weak
         And 4 seconds pass
+        And an unreadable configuration is written
+        And jobs of a workspace with a quota of 1 core arrive
+        And 1 seconds pass
     """)
 
 
+@when('an unreadable configuration is written')
+def write_unreadable_configuration(context):
+    context.world.store.append(
+        job_world.OPERATORS, [journal.Record('config', b'unreadable')]
+    )
+
+
+@when('jobs of a workspace with a quota of {cores:d} core arrive')
+def submit_limited_jobs(context, cores):
+    world = context.world
+    world.declare_workspace('web', 'vltava', specs.Resources(cores * 1000))
+
+    async def submit():
+        await asyncio.sleep(0.5)
+        spec = job_world.one_step(4)
+        assert await world.submit(world.owner, 'web', 'limited', spec) is None
+
+    context.runner.run(submit())
+
+
 # Events that only a process with sockets and settings logs, or that follow a
 # failure of the daemon itself.
 PROCESS_EVENTS = frozenset(
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -388,6 +388,7 @@
 
 
 def _log_refusal(request, failure, parts):
+    parts.metrics.note_refusal(failure.reason)
     read_s = parts.owner_view.last_read_s
     age_s = None
     if read_s is not None:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/metrics.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/metrics.py
@@ -67,6 +67,12 @@
             ['topic'],
             registry=self._registry,
         )
+        self._refusals = prometheus_client.Counter(
+            'hawthorndeal_requests_refused',
+            'Requests that were refused, by reason.',
+            ['reason'],
+            registry=self._registry,
+        )
         self._cycle_seconds = prometheus_client.Histogram(
             'hawthorndeal_cycle_duration_seconds',
             'Time of the parts of a scheduling cycle.',
@@ -92,6 +98,10 @@
         self._requests.labels(method, str(status)).inc()
         self._request_seconds.labels(method).observe(took_s)
 
+    def note_refusal(self, reason):
+        """Count one refused request."""
+        self._refusals.labels(reason).inc()
+
     def note_start(self, answer):
         """Count one order to start a run."""
         self._runs.labels(answer).inc()
@@ -144,5 +154,6 @@
     'runs_active': 'Runs that take room on executors.',
     'starts_in_flight': 'Orders to start a run without an answer so far.',
     'start_window': 'Orders to start a run that may be without an answer.',
+    'workspaces_limited': 'Workspaces with steps that wait for their quota.',
     'log_lines_dropped': 'Lines that standard output did not take.',
 }
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -23,6 +23,7 @@
 from . import run_orders
 from . import status_publisher
 from . import submission_cleaner
+from . import workspace_log
 
 CHECK_PERIOD_S = 0.05
 # Delay before a cycle, so that decisions made close together share an append.
@@ -102,6 +103,9 @@
         self._cleaner = submission_cleaner.SubmissionCleaner(
             parts.log, parts.submission_partitions
         )
+        self._workspace_log = workspace_log.WorkspaceLog(
+            parts.events, parts.metrics
+        )
         self._stray_cancellations = []
         self._is_storing_host_records = False
         self._ends_being_stored = {}
@@ -305,6 +309,7 @@
             may_start and window.is_idle(now_s),
         )
         self._note_planned(self.now_s() - now_s)
+        self._workspace_log.update(self.scheduler, now_s)
         window.note_planned(len(turn.starts))
         self._orders.send_stops(turn.stops)
         for order in turn.paces:
