Cancel a supervised task again whose cancellation was lost

A cancellation that meets the end of a wait is lost in asyncio.wait_for of Python 3.11, and the supervisor then waited for a task that went on running. A child that loses its first cancellation shows it: the supervisor never stopped before.

--- a/features/steps/supervisor.py
+++ b/features/steps/supervisor.py
@@ -1,6 +1,7 @@
 """Steps that check how supervisors start, restart and stop children."""
 
 import asyncio
+import time
 
 from behave import given
 from behave import then
@@ -93,7 +94,9 @@
 @when('it runs until the child works')
 @when('it runs and is stopped')
 def run_and_stop(context):
+    begun_s = time.monotonic()
     asyncio.run(_run_and_stop(context.root, context.child))
+    context.stop_took_s = time.monotonic() - begun_s
 
 
 @when('the root supervisor runs until it fails')
@@ -122,3 +125,30 @@
 @then('they were stopped in the order "{names}"')
 def check_stops(context, names):
     assert context.stops == names.split(), context.stops
+
+
+class DeafChild(Child):
+    """Lose the first cancellation, as a wait that ends meanwhile does."""
+
+    async def run(self):
+        """Run until cancelled twice."""
+        self.is_working.set()
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            asyncio.current_task().uncancel()
+        await asyncio.Event().wait()
+
+
+@given('a supervisor over a child that loses its first cancellation')
+def make_deaf_supervisor(context):
+    context.child = DeafChild()
+    context.children = [context.child]
+    context.root = supervisor.Supervisor(
+        'root', context.children, SteppingClock()
+    )
+
+
+@then('it has ended within {limit_s:g} seconds')
+def check_ended(context, limit_s):
+    assert context.stop_took_s <= limit_s, context.stop_took_s
--- a/features/supervisor.feature
+++ b/features/supervisor.feature
@@ -15,3 +15,8 @@
     Given a supervisor over the children "first", "second" and "third"
     When it runs and is stopped
     Then they were stopped in the order "third second first"
+
+  Scenario: A child whose cancellation is lost is stopped all the same
+    Given a supervisor over a child that loses its first cancellation
+    When it runs and is stopped
+    Then it has ended within 2 seconds
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/supervisor.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/supervisor.py
@@ -12,6 +12,8 @@
 MAX_BACK_OFF_S = 10.0
 MAX_RESTARTS = 8
 RESTART_WINDOW_S = 60.0
+# A task that hasn't ended by then is cancelled again.
+CANCEL_PERIOD_S = 0.5
 
 _log = logs.get('supervisor')
 
@@ -77,8 +79,7 @@
         for child, task in reversed(list(zip(self._children, tasks))):
             if not task.done():
                 await child.stop()
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+            await _cancel(task)
             _log.info('Task %s stopped.', child.name)
 
     async def _run_with_restarts(self, child):
@@ -96,6 +97,20 @@
                 await asyncio.sleep(_back_off_s(len(failure_times_s)))
 
 
+async def _cancel(task):
+    """Cancel a task and wait for its end.
+
+    A cancellation that meets the end of a wait of the task is lost: see
+    ``asyncio.wait_for`` of Python 3.11.
+    """
+    while not task.done():
+        task.cancel()
+        await asyncio.wait({task}, timeout=CANCEL_PERIOD_S)
+    # Otherwise asyncio logs that the exception was never retrieved.
+    if not task.cancelled():
+        task.exception()
+
+
 def _recent(failure_times_s, now_s):
     return [
         failed_at_s
