--- a/features/jobs_admission.feature
+++ b/features/jobs_admission.feature
@@ -72,6 +72,7 @@
     Then it was refused as pool_overloaded
     When 20 seconds pass
     Then no task of "late" has started
+    And the load was stored at most 2 times a second, and is told to be over
 
   Scenario: What was told of the load is forgotten with its owner
     Given 3 simulated daemons with seed 403, whose submissions have 4 partitions
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -36,6 +36,8 @@
 RACK_HOSTS = 4
 ZONES = ('cz-a', 'cz-b', 'cz-c')
 HOST_LEASE_S = 3.0
+# Jobs per second that are owed to a workspace.
+WEIGHT = 5.0
 # Limits of entry hosts, as fields of the settings.
 WEAK_HOST = {'processor_share': 0.26, 'processor_count': 2, 'link_mbps': 5.0}
 STRONG_HOST = {
@@ -287,7 +289,7 @@
         self.quotas[queue] = quota
         digest = workspaces_module.key_digest(self.keys[queue])
         self.configure(
-            [workspaces_module.Workspace(name, (digest,), quota=quota)],
+            [workspaces_module.Workspace(name, (digest,), WEIGHT, quota)],
             **{
                 queue: attrs.evolve(
                     self.configuration.queues[queue], is_public=False
--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -526,7 +526,10 @@
     async def submit():
         await asyncio.sleep(0.5)
         spec = job_world.one_step(4)
-        assert await world.submit(world.owner, 'web', 'limited', spec) is None
+        for number in range(20):
+            job_id = f'limited{number}'
+            refusal = await world.submit(world.owner, 'web', job_id, spec)
+            assert refusal is None, refusal
 
     context.runner.run(submit())
 
--- a/features/steps/jobs_admission.py
+++ b/features/steps/jobs_admission.py
@@ -148,3 +148,16 @@
     waits = admission.PoolForecast(HOPELESS_S, HOPELESS_S)
     record = journal.load_record(admission.LoadReport({pool: waits}))
     context.world.store.append(job_world.STATUSES, [record])
+
+
+@then(
+    'the load was stored at most {rate:d} times a second, and is told to be '
+    'over'
+)
+def check_reports(context, rate):
+    store = context.world.store
+    records = store.read(job_world.STATUSES, 0).records
+    reports = [r for r in records if r.key == journal.LOAD]
+    assert 2 <= len(reports) <= rate * context.world.now_s(), len(reports)
+    newest = journal.decode(reports[-1].value, admission.LoadReport)
+    assert not newest.pools, newest
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -247,6 +247,10 @@
         self._publish_state(job, job.state())
         wall_s = self._parts.clock.now_s()
         self.scheduler.add_job(job, self.now_s(), wall_s, age_s=age_s)
+        if job.is_beyond_share:
+            self.events.write(
+                'job_beyond_share', job=job.job_id, workspace=job.workspace
+            )
 
     async def _run_cycles(self):
         while not self._is_releasing:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
@@ -10,6 +10,8 @@
 
 # Statuses that change within this time share an append.
 BATCH_DELAY_S = 0.03
+# Every daemon reads each report of the load.
+MIN_LOAD_PERIOD_S = 0.5
 
 
 class StatusPublisher:
@@ -35,7 +37,7 @@
         self._wake = asyncio.Event()
         self._renewal_due_s = 0.0
         self._load = admission.LoadReport()
-        self._load_due_s = math.inf
+        self._load_published_s = -math.inf
 
     # What to publish
 
@@ -53,14 +55,17 @@
         self._wake.set()
 
     def publish_load(self, report):
-        """Publish the load unless it was published last, and is still read."""
+        """Publish the load if it has changed, or before it is too old."""
         now_s = self._owner.now_s()
-        if report == self._load and now_s < self._load_due_s:
+        age_s = now_s - self._load_published_s
+        if report == self._load:
+            is_due = report.pools and age_s >= admission.MAX_REPORT_AGE_S / 2
+        else:
+            is_due = age_s >= MIN_LOAD_PERIOD_S
+        if not is_due:
             return
         self._load = report
-        self._load_due_s = math.inf
-        if report.pools:
-            self._load_due_s = now_s + admission.MAX_REPORT_AGE_S / 2
+        self._load_published_s = now_s
         self._records.append(journal.load_record(report))
         self._wake.set()
 
