--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -23,15 +23,17 @@
 from hawthorndeal_platform import host_orders
 from hawthorndeal_platform import keyed_log
 from hawthorndeal_scheduler import callers
-from hawthorndeal_scheduler import service
+from hawthorndeal_scheduler import candidate
+from hawthorndeal_scheduler import offerer
+from hawthorndeal_scheduler import parts
 from hawthorndeal_scheduler import settings as settings_module
 from stage import run_checker
 from stage import virtual_time
 
 OPERATORS = keyed_log.Partition('operators')
 ENTRIES = keyed_log.Partition('entries')
-JOBS = service.JOBS
-STATUSES = service.STATUSES
+JOBS = parts.JOBS
+STATUSES = parts.STATUSES
 HEARTBEAT_INTERVAL_S = 1.5
 RACK_HOSTS = 4
 ZONES = ('cz-a', 'cz-b', 'cz-c')
@@ -113,7 +115,7 @@
 
     def _build_parts(self):
         world = self._world
-        adapter = service.Adapter(
+        adapter = parts.Adapter(
             log=keyed_store.StoreClient(world.store, self.link),
             executors=task_executors.ExecutorsClient(world, self.link),
             hosts=host_service.HostsClient(world.hosts, self.hosts_link),
@@ -125,7 +127,7 @@
             close=None,
         )
         address = '127.0.0.1:1'
-        self.parts = service.Parts(
+        self.parts = parts.Parts(
             settings_module.Settings(
                 self.name,
                 'cz-a',
@@ -151,8 +153,8 @@
             part._events = self.parts.events
         self.parts.rng = random.Random(world.rng.random())
         self.interface = callers.CallersInterface(self.parts, world.formats)
-        self.candidate = service.candidate_module.Candidate(self.parts)
-        self.offerer = service.offerer.Offerer(self.parts, self.interface)
+        self.candidate = candidate.Candidate(self.parts)
+        self.offerer = offerer.Offerer(self.parts, self.interface)
 
     def start(self):
         """Start the tasks of the daemon."""
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -1,13 +1,11 @@
 """Owner of the jobs: plans in cycles, stores the plan, then acts on it."""
 
 import asyncio
-import itertools
 
 import attrs
 
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import admission
-from hawthorndeal_jobs import finished_jobs
 from hawthorndeal_jobs import hand_over
 from hawthorndeal_jobs import journal
 from hawthorndeal_jobs import ownership
@@ -17,12 +15,12 @@
 from . import advice_requester
 from . import executor_tracker
 from . import host_controller
+from . import job_dropper
 from . import journal_writer
 from . import offerer
 from . import owner_tasks
 from . import run_orders
 from . import status_publisher
-from . import submission_cleaner
 from . import workspace_log
 
 CHECK_PERIOD_S = 0.05
@@ -99,14 +97,10 @@
         self.lost_reason = ''
         self._states_to_publish = {}
         self._cancelled = {}
-        self._finished = finished_jobs.FinishedJobs(parts.board)
-        self._cleaner = submission_cleaner.SubmissionCleaner(
-            parts.log, parts.submission_partitions
-        )
+        self._dropper = job_dropper.JobDropper(parts)
         self._workspace_log = workspace_log.WorkspaceLog(
             parts.events, parts.metrics
         )
-        self._stray_cancellations = []
         self._is_storing_host_records = False
         self._ends_being_stored = {}
         self._expiry_due_s = 0.0
@@ -181,7 +175,7 @@
                 await self._write_release()
                 return
             self._run_in_background(self.hosts)
-            self._run_in_background(self._cleaner)
+            self._run_in_background(self._dropper.cleaner)
             self._run_in_background(
                 advice_requester.AdviceRequester(parts, self)
             )
@@ -242,7 +236,7 @@
     def _add_job(self, job, age_s):
         """Schedule a job, unless it is a late copy of one that has ended."""
         if self._parts.board.is_stored_final(job.job_id):
-            self._finished.add(job)
+            self._dropper.finished.add(job)
             return
         self._publish_state(job, job.state())
         wall_s = self._parts.clock.now_s()
@@ -391,34 +385,11 @@
             self._publisher.expire(
                 now_s,
                 retention_s + RETENTION_MARGIN_S,
-                (self._finished, self._cleaner),
+                self._dropper.kept,
             )
-        return records + self._drop_finished_jobs()
-
-    def _drop_finished_jobs(self):
-        """Return the records that drop finished jobs."""
-        dropped = self._finished.pop_droppable(self.scheduler.has_runs)
-        strays, self._stray_cancellations = self._stray_cancellations, []
-        return [
-            *itertools.chain.from_iterable(map(self._drop_job, dropped)),
-            *map(journal.cancel_deletion_record, strays),
-        ]
-
-    def _drop_job(self, job):
-        """Return the records that drop a job from the partition of the jobs.
-
-        Its submission is deleted after its progress: a successor that finds
-        it without progress knows from its status that it has ended.
-        """
-        replica = self._parts.jobs_reader.replica
-        sources = replica.sources[job.job_id]
-        records = journal.progress_deletion_records(job)
-        if self._parts.jobs_follower.partition.name in sources:
-            records += journal.submission_deletion_records(job.job_id)
-        self._cleaner.add(job.job_id, sources)
-        replica.drop(job)
-        self._publisher.forget(job.job_id)
-        return records
+        return records + self._dropper.drop_finished(
+            self.scheduler.has_runs, self._publisher.forget
+        )
 
     def ownership(self):
         """Return the record of this ownership."""
@@ -456,7 +427,7 @@
         self._ends_being_stored = {}
 
     def _publish_state(self, job, state):
-        if state.is_final and self._finished.add(job):
+        if state.is_final and self._dropper.finished.add(job):
             self.events.write('job_ended', job=job.job_id, state=state)
         self._publisher.publish(job, state)
 
@@ -481,7 +452,7 @@
         if change.kind == journal.OFFER:
             self._consider_offer()
         elif change.kind == journal.STATUS:
-            self._finished.note_status(change.job_id)
+            self._dropper.finished.note_status(change.job_id)
         elif change.kind == journal.OWNER:
             current = self._parts.board.ownership
             if current.epoch > self.epoch:
@@ -508,9 +479,7 @@
         job = self._parts.jobs_reader.replica.jobs.get(job_id)
         if job is None:
             if self._parts.board.is_stored_final(job_id):
-                self._stray_cancellations.append(job_id)
-                sources = self._parts.jobs_reader.replica.sources
-                self._cleaner.add(job_id, sources.pop(job_id, ()))
+                self._dropper.drop_cancellation(job_id)
             return
         job.is_cancelled = True
         self._cancelled[job_id] = job
