--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/arrival_shares.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/arrival_shares.py
@@ -8,9 +8,9 @@
 
 import attrs
 
-# A workspace may send this many seconds' worth of its jobs at once: the
-# arrivals of callers who don't know of each other vary by themselves.
-BURST_S = 3.0
+# A workspace may send this many seconds' worth of its jobs at once, and a few
+# jobs in any case: the arrivals of callers who don't know of each other vary.
+BURST_S = 1.0
 MIN_BURST_JOBS = 4.0
 
 
