Refuse a submission that was never sent as not run

A submission that waited behind an unanswered append until its caller left was told as 502, though nothing of it had been sent. It is withdrawn then, and told with 503.

--- a/features/jobs_slow_store.feature
+++ b/features/jobs_slow_store.feature
@@ -73,6 +73,15 @@
     Then it was accepted
     And each task of "a" started once
 
+  @invariant_not_run
+  Scenario: A submission that waits behind a lost append is refused, and never runs
+    Given 3 simulated daemons with seed 309, whose submissions have 1 partitions
+    When the store takes 9 s for each append
+    And jobs "a" and "b" are submitted to daemon 1, one after the other
+    Then "a" was refused as answer_lost and "b" as not_ready
+    When 30 seconds pass
+    Then no task of "b" has started
+
   @search
   Scenario: Random faults violate no invariant with submissions in partitions
     When simulations with random faults and partitions of seeds 500 to 511 run
--- a/features/steps/jobs_slow_store.py
+++ b/features/steps/jobs_slow_store.py
@@ -1,6 +1,7 @@
 """Steps for a slow store, and for submissions in several partitions."""
 
 import asyncio
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -15,6 +16,7 @@
 from stage import virtual_time
 
 SEARCH_PARTITIONS = 4
+LONG_APPEND_S = 8.0
 
 
 @given(
@@ -178,6 +180,31 @@
     log.append = append_without_answer
 
 
+@when(
+    'jobs "{one}" and "{other}" are submitted to daemon {n:d}, one after the '
+    'other'
+)
+def submit_two(context, one, other, n):
+    world = context.world
+    daemon = world.daemons[n]
+    spec = job_world.one_step(1)
+
+    async def submit():
+        first = asyncio.create_task(world.submit(daemon, 'web', one, spec))
+        await asyncio.sleep(0.1)
+        second = asyncio.create_task(world.submit(daemon, 'web', other, spec))
+        return await first, await second
+
+    # The first append isn't given up before the second caller has left.
+    with mock.patch.object(keyed_log, 'APPEND_TIMEOUT_S', LONG_APPEND_S):
+        context.refusals = context.runner.run(submit())
+
+
+@then('"{one}" was refused as {reason} and "{other}" as {other_reason}')
+def check_two(context, one, reason, other, other_reason):
+    assert context.refusals == (reason, other_reason), context.refusals
+
+
 @when(
     'simulations with random faults and partitions of seeds {first:d} to '
     '{last:d} run'
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/submitter.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/submitter.py
@@ -16,13 +16,17 @@
     """Permit any append."""
 
 
-@attrs.frozen(eq=False)
+@attrs.define(eq=False)
 class _Entry:
-    """A record to be appended."""
+    """A record to be appended.
+
+    :ivar is_sent: whether an append of it has begun
+    """
 
     record: object
     verify: object
     done: asyncio.Future
+    is_sent: bool = False
 
     @property
     def size_bytes(self):
@@ -73,14 +77,18 @@
             still be
         """
         done = asyncio.get_running_loop().create_future()
-        self._queues[partition].append(_Entry(record, verify, done))
+        entry = _Entry(record, verify, done)
+        self._queues[partition].append(entry)
         if partition not in self._busy:
             self._busy.add(partition)
             self._waiting.put_nowait(partition)
         try:
             return await asyncio.wait_for(done, timeout_s)
         except asyncio.TimeoutError as error:
-            raise errors.OutcomeUnknown('not appended in time') from error
+            if entry.is_sent:
+                raise errors.OutcomeUnknown('no answer in time') from error
+            # The timeout has cancelled the entry, so that it is never sent.
+            raise errors.PlatformUnavailable('not sent in time') from error
 
     async def run(self):
         """Append queued records until cancelled."""
@@ -110,6 +118,8 @@
             self._busy.discard(partition)
 
     async def _append(self, partition, batch):
+        for entry in batch:
+            entry.is_sent = True
         records = [entry.record for entry in batch]
         try:
             offset = await self._log.append(partition, records)
