--- a/features/jobs_admission.feature
+++ b/features/jobs_admission.feature
@@ -74,6 +74,20 @@
     Then no task of "late" has started
     And the load was stored at most 2 times a second, and is told to be over
 
+  Scenario Outline: A malformed report of the load stops no submission: <wait>
+    Given 3 simulated daemons with seed 404, whose submissions have 4 partitions
+    When a report of a wait of <wait> seconds in pool "web" is stored
+    And 1 second passes
+    And job "a" of 2 and 2 tasks is submitted to daemon 1
+    Then the answer is <answer>
+
+    Examples:
+      | wait     | answer          |
+      | nan      | None            |
+      | -5       | None            |
+      | inf      | pool_overloaded |
+      | "much"   | None            |
+
   Scenario: What was told of the load is forgotten with its owner
     Given 3 simulated daemons with seed 403, whose submissions have 4 partitions
     When a report of an overloaded pool "web" is stored
--- a/features/steps/jobs_admission.py
+++ b/features/steps/jobs_admission.py
@@ -161,3 +161,16 @@
     assert 2 <= len(reports) <= rate * context.world.now_s(), len(reports)
     newest = journal.decode(reports[-1].value, admission.LoadReport)
     assert not newest.pools, newest
+
+
+@when('a report of a wait of {wait} seconds in pool "{pool}" is stored')
+def store_wait(context, wait, pool):
+    shown = {'nan': 'NaN', 'inf': 'Infinity'}.get(wait, wait)
+    value = f'{{"pools":{{"{pool}":{{"wait_s":{shown}}}}}}}'
+    record = journal.Record(journal.LOAD, value.encode())
+    context.world.store.append(job_world.STATUSES, [record])
+
+
+@then('the answer is {answer}')
+def check_answer(context, answer):
+    assert str(context.refusal) == answer, context.refusal
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/admission.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/admission.py
@@ -22,6 +22,7 @@
 # Callers that are sent back return within this multiple of the delay.
 SPREAD = 0.5
 MIN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 30.0
 
 
 @attrs.frozen
@@ -122,11 +123,12 @@
     wait_s = waits.beyond_wait_s if is_beyond else waits.wait_s
     cutoff_s = ordering.CUTOFF_FACTOR * ordering.objective_s(queue, spec)
     late_s = wait_s + spec.critical_path_s() - cutoff_s
-    if late_s <= 0.0:
+    # A malformed report may hold what isn't a number.
+    if not late_s > 0.0:
         return None
     return Refusal(
         f'a job of {queue.name} would wait {wait_s:.1f} s for a host',
-        _spread(max(MIN_RETRY_AFTER_S, late_s), rng),
+        _spread(min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, late_s)), rng),
         is_overload=True,
     )
 
