--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -136,9 +136,6 @@
 
     :ivar epoch: epoch of the owner that the offer is made to
     :ivar daemon: the daemon that offers
-    :ivar submission_partitions: number of partitions of the submissions that
-        the owner reads; 0 if it reads the partition of the jobs only
-    :ivar covered_offsets: the same as covered_offset for each of them
     :ivar strength: strength of its host
     """
 
