Name what waits for a quota by that, and part what a cycle stores

'Limited' stood for steps without quota and for a plan without starts left. Shares hold the declared workspaces themselves; the records of a cycle have a module of their own. Nothing changes in what the daemon does.

--- a/features/stage/shared_load.py
+++ b/features/stage/shared_load.py
@@ -51,7 +51,3 @@
                 played = self._make_job(at_s)
                 played.job.workspace = name
                 self._at(at_s, self._submit, played)
-
-    def share_of_others(self):
-        """Return the share of the work of the usual workspaces in time."""
-        return self.served_share(lambda p: p.job.workspace not in self.hot)
--- a/features/steps/jobs_queueing.py
+++ b/features/steps/jobs_queueing.py
@@ -177,7 +177,7 @@
 def check_shares(context):
     hot = context.loads[0].hot
     with mock.patch.object(
-        arrival_shares.ArrivalShares, 'note', autospec=True, return_value=False
+        arrival_shares.ArrivalShares, 'note', autospec=True
     ):
         without = _play_shared.__wrapped__(
             context.hosts,
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/arrival_shares.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/arrival_shares.py
@@ -1,56 +1,65 @@
-"""Tell which jobs are beyond the share of their workspace.
+"""Tell which jobs a workspace sends in excess of its share.
 
-The load: one to three workspaces send four to seven times their usual for some
-seconds, and fill the hosts that all of them share. A workspace's weight is the
-number of jobs per second that are owed to it. What it sends beyond that is
-served from room that nobody else needs.
+The load: one to three workspaces send four to seven times as many jobs as
+usual for some seconds, and fill the hosts that they share with others. A
+workspace's weight is the number of jobs per second that are owed to it. Jobs
+in excess of that are placed after all other jobs that may be in time.
 """
 
 import attrs
 
-# A workspace may send this many seconds' worth of its jobs at once, and a few
-# jobs in any case: the arrivals of callers who don't know of each other vary.
+# A workspace may send the jobs of this many seconds at once, and a few in any
+# case: its callers don't know of each other, so arrivals vary.
 BURST_S = 1.0
 MIN_BURST_JOBS = 4.0
 
 
 @attrs.define
 class _Bucket:
-    """What is left of a workspace's share.
+    """Token bucket of one workspace.
 
-    :ivar jobs: number of jobs that are owed to it now
+    :ivar tokens: number of jobs that are owed to the workspace
     """
 
-    jobs: float
+    tokens: float
     updated_s: float
 
 
 class ArrivalShares:
-    """Counts the jobs that arrive from each workspace, in the log's order."""
+    """Counts the jobs that arrive from each workspace.
+
+    :ivar workspaces: the declared workspaces by name
+    """
 
     def __init__(self):
+        self.workspaces = {}
         self._buckets = {}
 
-    def note(self, workspace, weight, arrived_s):
-        """Count a job; return whether it is beyond the workspace's share.
-
-        :param weight: jobs per second that are owed to the workspace
-        """
-        bucket = self._buckets.get(workspace)
+    def note(self, job, arrived_s):
+        """Count a job, and record in it whether it is beyond the share."""
+        workspace = self.workspaces.get(job.workspace)
+        if workspace is None or not workspace.weight:
+            return
+        bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            bucket = _Bucket(_burst(weight), arrived_s)
-            self._buckets[workspace] = bucket
-        bucket.jobs = _refilled(bucket, weight, arrived_s)
+            bucket = _Bucket(_burst(workspace.weight), arrived_s)
+            self._buckets[workspace.name] = bucket
+        bucket.tokens = _refilled(bucket, workspace.weight, arrived_s)
         bucket.updated_s = max(bucket.updated_s, arrived_s)
-        if bucket.jobs < 1.0:
-            return True
-        bucket.jobs -= 1.0
-        return False
-
-    def is_used_up(self, workspace, weight, now_s):
-        """Return whether a job that arrives now would be beyond the share."""
-        bucket = self._buckets.get(workspace)
-        return bucket is not None and _refilled(bucket, weight, now_s) < 1.0
+        job.is_beyond_share = bucket.tokens < 1.0
+        if not job.is_beyond_share:
+            bucket.tokens -= 1.0
+
+    def used_up(self, now_s):
+        """Return the names of workspaces whose next job would be beyond."""
+        return [
+            name
+            for name, bucket in self._buckets.items()
+            for workspace in [self.workspaces.get(name)]
+            if workspace is not None
+            and workspace.weight
+            and _refilled(bucket, workspace.weight, now_s) < 1.0
+        ]
 
 
 def _burst(weight):
@@ -59,4 +68,4 @@
 
 def _refilled(bucket, weight, now_s):
     passed_s = max(0.0, now_s - bucket.updated_s)
-    return min(_burst(weight), bucket.jobs + passed_s * weight)
+    return min(_burst(weight), bucket.tokens + passed_s * weight)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/limited_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/quota_waits.py
@@ -1,8 +1,8 @@
 """Steps that wait for the quota of their workspace.
 
-A workspace that sends several times its quota may have hundreds of steps. They
-are left out of the order until it may use what the first of them needs, so
-that they cost no scheduling cycle anything meanwhile.
+A workspace that sends several times its quota may have hundreds of ready
+steps. They are not considered by scheduling cycles until the workspace may use
+what the first of them needs, so they add nothing to the time of a cycle.
 """
 
 import attrs
@@ -22,7 +22,7 @@
     steps: dict = attrs.Factory(dict)
 
 
-class LimitedSteps:
+class QuotaWaits:
     """The steps of each workspace that wait for its quota."""
 
     def __init__(self):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -9,9 +9,9 @@
 from . import demand
 from . import estimates
 from . import jobs
-from . import limited_steps
 from . import ordering
 from . import queues
+from . import quota_waits
 
 # Limit on a job's age after a change of owners: the age is derived from the
 # wall clocks of two hosts, which may disagree.
@@ -51,7 +51,7 @@
         self._steps = {}
         # Steps by queue and number; some may not be pending any more.
         self._pending = collections.defaultdict(dict)
-        self.limited = limited_steps.LimitedSteps()
+        self.quota_waits = quota_waits.QuotaWaits()
         self._not_due = {}
         # Due time, number and id of each job that is not due yet; jobs that
         # were removed may still be listed.
@@ -107,25 +107,25 @@
         queue = self.queue_of(ready_step.occurrence.job)
         self._pending[queue.name][ready_step.number] = ready_step
 
-    def limit(self, ready_step, request):
-        """Leave a step out until its workspace may use more.
+    def wait_for_quota(self, ready_step, request):
+        """Set a step aside until its workspace may use more.
 
         :param request: what the workspace has to be able to use
         """
         queue = self.queue_of(ready_step.occurrence.job)
         self._pending.get(queue.name, {}).pop(ready_step.number, None)
-        self.limited.add(ready_step, request)
+        self.quota_waits.add(ready_step, request)
 
-    def release_limited(self, workspace):
-        """Make the left-out steps of a workspace pending again."""
-        for ready_step in self.limited.pop(workspace):
+    def resume_workspace(self, workspace):
+        """Make the steps of a workspace that wait for its quota pending."""
+        for ready_step in self.quota_waits.pop(workspace):
             self._note_pending(ready_step)
             self.pools_to_schedule.add(self.pool_of(ready_step.occurrence.job))
 
     def _remove_step(self, key):
         ready_step = self._steps.pop(key, None)
         if ready_step is not None:
-            self.limited.discard(ready_step)
+            self.quota_waits.discard(ready_step)
             queue = self.queue_of(ready_step.occurrence.job)
             self._pending.get(queue.name, {}).pop(ready_step.number, None)
         return ready_step
@@ -253,7 +253,7 @@
         ready_step = self._steps.get(key)
         if ready_step is not None:
             ready_step.pending.append(task_id.index)
-            if ready_step not in self.limited:
+            if ready_step not in self.quota_waits:
                 self._note_pending(ready_step)
             self.pools_to_schedule.add(self.pool_of(job))
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -50,6 +50,7 @@
     :param configuration: current queues and pools
     :ivar is_limited: whether the last plan had no starts left for more runs
     :ivar quotas: what the runs of each workspace use, and may use
+    :ivar shares: which workspaces send more jobs than are owed to them
     """
 
     def __init__(self, replica, configuration):
@@ -61,7 +62,7 @@
         self._index = executor_index.ExecutorIndex()
         self._run_index = run_index.RunIndex()
         self.quotas = self._run_index.quotas
-        self._arrivals = arrival_shares.ArrivalShares()
+        self.shares = arrival_shares.ArrivalShares()
         self._set_workspaces(configuration.workspaces)
         self._planner = start_planning.StartPlanner(
             self.steps, self.tickets, self.quotas
@@ -82,30 +83,13 @@
         capacity = pool_loads.host_capacity(
             self.executors_in(self.steps.pool_of(job)), self.executors
         )
-        self._note_arrival(job, now_s, wall_s, age_s)
+        if not job.is_terminal:
+            waited_s = age_s
+            if waited_s is None:
+                waited_s = max(0.0, wall_s - job.accepted_s)
+            self.shares.note(job, now_s - waited_s)
         self.steps.add_job(job, now_s, wall_s, age_s, capacity)
 
-    def _note_arrival(self, job, now_s, wall_s, age_s):
-        workspace = self._workspaces.get(job.workspace)
-        if workspace is None or not workspace.weight or job.is_terminal:
-            return
-        if age_s is None:
-            age_s = max(0.0, wall_s - job.accepted_s)
-        job.is_beyond_share = self._arrivals.note(
-            workspace.name, workspace.weight, now_s - age_s
-        )
-
-    def workspaces_beyond_share(self, now_s):
-        """Return the workspaces whose next job would be beyond their share."""
-        return [
-            workspace.name
-            for workspace in self._workspaces.values()
-            if workspace.weight
-            and self._arrivals.is_used_up(
-                workspace.name, workspace.weight, now_s
-            )
-        ]
-
     def cancel_job(self, job):
         """Stop all runs of a cancelled job."""
         self._endings.stop_job(job)
@@ -121,11 +105,11 @@
         """
         self.steps.set_configuration(configuration)
         self._set_workspaces(configuration.workspaces)
-        for workspace in self.steps.limited.workspaces:
-            self.steps.release_limited(workspace)
+        for workspace in self.steps.quota_waits.workspaces:
+            self.steps.resume_workspace(workspace)
 
     def _set_workspaces(self, workspaces):
-        self._workspaces = workspaces
+        self.shares.workspaces = workspaces
         self.quotas.allotments = quotas.WholeQuotas(workspaces)
 
     def load_of(self, pool, arriving, ahead_s, now_s):
@@ -313,7 +297,7 @@
             exceed the limit
         """
         self.steps.activate_due(now_s, wall_s)
-        self._release_limited()
+        self._resume_workspaces()
         shares = start_shares.StartShares(is_idle=is_idle)
         if max_starts is not None:
             shares.left = max_starts
@@ -328,11 +312,12 @@
         self._orphans.clear()
         return SchedulingPlan(starts, stops, orphans, self._plan_paces(now_s))
 
-    def _release_limited(self):
+    def _resume_workspaces(self):
+        """Consider the steps again for which quota has become free."""
         for workspace in self.quotas.pop_freed():
-            needed = self.steps.limited.needed(workspace)
+            needed = self.steps.quota_waits.needed(workspace)
             if needed is not None and self.quotas.admits(workspace, needed):
-                self.steps.release_limited(workspace)
+                self.steps.resume_workspace(workspace)
 
     def _plan_starts(self, now_s, shares):
         stale, self.steps.pools_to_schedule = (
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -113,7 +113,7 @@
 
     def _plan_step(self, candidate, now_s, shares):
         ready_step = candidate.ready_step
-        if self._is_limited_workspace(ready_step):
+        if not self._may_use_quota(ready_step):
             return []
         if ready_step.unplaced_since_s is None:
             ready_step.unplaced_since_s = now_s
@@ -128,38 +128,42 @@
             ready_step, candidate.executors, now_s, shares.limit(ready_step)
         )
 
-    def _is_limited_workspace(self, ready_step):
-        """Return whether a step has to wait for the quota, and note it.
+    def _may_use_quota(self, ready_step):
+        """Return whether a step may start a task; set it aside if not.
 
-        A step that has to wait keeps back those of its workspace that are
-        placed after it, so that small tasks can't keep it out for ever.
+        Once a step waits, those of its workspace that are placed after it
+        wait, too. Otherwise small tasks would take all that becomes free, and
+        a large one would never start.
         """
         workspace = ready_step.occurrence.job.workspace
-        needed = self._steps.limited.needed(workspace)
+        needed = self._steps.quota_waits.needed(workspace)
         if needed is None and self._admits(ready_step):
-            return False
-        self._limit(ready_step, needed)
-        return True
+            return True
+        self._wait_for_quota(ready_step)
+        return False
 
     def _admits(self, ready_step):
-        spec = ready_step.spec
-        count = len(ready_step.pending) if spec.is_gang else 1
-        workspace = ready_step.occurrence.job.workspace
-        return self._ledger.admits(workspace, spec.request, count)
+        return self._ledger.admits(
+            ready_step.occurrence.job.workspace,
+            ready_step.spec.request,
+            _started_together(ready_step),
+        )
 
-    def _limit(self, ready_step, needed=None):
+    def _wait_for_quota(self, ready_step):
+        # The step lacks quota, not room on a host.
         ready_step.unplaced_since_s = None
-        spec = ready_step.spec
-        count = len(ready_step.pending) if spec.is_gang else 1
-        request = sum([spec.request] * count, start=specs.Resources())
-        self._steps.limit(ready_step, needed or request)
+        request = sum(
+            [ready_step.spec.request] * _started_together(ready_step),
+            start=specs.Resources(),
+        )
+        self._steps.wait_for_quota(ready_step, request)
 
     def _plan_tasks(self, ready_step, pool_executors, now_s, limit):
         starts = []
         step_tickets = self._valid_tickets(ready_step, now_s)
         while ready_step.pending and len(starts) < limit:
             if not self._admits(ready_step):
-                self._limit(ready_step)
+                self._wait_for_quota(ready_step)
                 return starts
             index = ready_step.pending[0]
             task_id = _task_id(ready_step, index)
@@ -215,6 +219,11 @@
         return self._tickets.valid(ready_step.key, now_s)
 
 
+def _started_together(ready_step):
+    """Return how many tasks of a step have to start at the same time."""
+    return len(ready_step.pending) if ready_step.spec.is_gang else 1
+
+
 def _is_cut_short(ready_step):
     """Return True if more tasks of a step might start in this cycle."""
     return bool(ready_step.pending) and ready_step.unplaced_since_s is None
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -21,7 +21,7 @@
 # The store counts as unavailable when no read was answered for this long, and
 # a daemon as behind when none has reached the end.
 MAX_ANSWER_AGE_S = 1.2
-RETRY_AFTER_S = 1
+RETRY_AFTER_S = caller_access.RETRY_AFTER_S
 
 
 class CallersInterface:
--- /dev/null
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/cycle_journal.py
@@ -0,0 +1,102 @@
+"""Stores what a scheduling cycle has changed, then publishes it."""
+
+from hawthorndeal_jobs import journal
+
+from . import job_dropper
+
+EXPIRY_PERIOD_S = 1.0
+# Other daemons see the end of a job slightly later than the owner.
+RETENTION_MARGIN_S = 10.0
+
+
+class CycleJournal:
+    """Keeps what has changed since the last cycle.
+
+    The state of a job is published after the facts that it follows from have
+    been stored. Ends of runs may be forgotten by executors only then.
+
+    :param parts: shared components of the daemon
+    :param scheduler: its changes are stored
+    :param writer: a :class:`journal_writer.JournalWriter` of the jobs
+    :param publisher: a :class:`status_publisher.StatusPublisher`
+    :ivar dropper: drops finished jobs
+    """
+
+    def __init__(self, parts, scheduler, writer, publisher):
+        self.dropper = job_dropper.JobDropper(parts)
+        self._parts = parts
+        self._scheduler = scheduler
+        self._writer = writer
+        self._publisher = publisher
+        self._cancelled = {}
+        self._states_to_publish = {}
+        self._ends_being_stored = {}
+        self._expiry_due_s = 0.0
+
+    async def append(self, records):
+        """Append records to the partition of the jobs.
+
+        :raises keyed_log.Fenced: if a newer owner has taken over
+        """
+        await self._writer.append(records)
+
+    def note_cancelled(self, job):
+        """Publish the state of a cancelled job with the next cycle."""
+        self._cancelled[job.job_id] = job
+
+    def collect_records(self, now_s):
+        """Return the records of what has changed, and of what is dropped."""
+        known = self._parts.jobs_reader.replica.jobs
+        changed = [
+            occurrence
+            for occurrence in self._scheduler.pop_changed()
+            if known.get(occurrence.job.job_id) is occurrence.job
+        ]
+        cancelled, self._cancelled = self._cancelled, {}
+        changed_jobs = {o.job.job_id: o.job for o in changed}
+        self._states_to_publish = {
+            job_id: (job, job.state())
+            for job_id, job in {**cancelled, **changed_jobs}.items()
+        }
+        self._ends_being_stored = self._scheduler.unrecorded_ends()
+        self._expire_statuses(now_s)
+        return [
+            *map(journal.progress_record, changed),
+            *self.dropper.drop_finished(
+                self._scheduler.has_runs, self._publisher.forget
+            ),
+        ]
+
+    def _expire_statuses(self, now_s):
+        if now_s < self._expiry_due_s:
+            return
+        self._expiry_due_s = now_s + EXPIRY_PERIOD_S
+        retention_s = self._parts.settings.job_retention_s
+        self._publisher.expire(
+            now_s, retention_s + RETENTION_MARGIN_S, self.dropper.kept
+        )
+
+    async def store(self, records):
+        """Store records, and publish the states that follow from them.
+
+        :returns: the last stored end of a run, by executor
+        :raises keyed_log.Fenced: if a newer owner has taken over
+        """
+        if records:
+            clock = self._parts.clock
+            begun_s = clock.monotonic_s()
+            await self._writer.append(records)
+            took_s = clock.monotonic_s() - begun_s
+            self._parts.metrics.note_cycle_part('store', took_s)
+        states, self._states_to_publish = self._states_to_publish, {}
+        for job, state in states.values():
+            self.publish_state(job, state)
+        ends, self._ends_being_stored = self._ends_being_stored, {}
+        self._scheduler.mark_ends_recorded(ends)
+        return ends
+
+    def publish_state(self, job, state):
+        """Publish the state of a job."""
+        if state.is_final and self.dropper.finished.add(job):
+            self._parts.events.write('job_ended', job=job.job_id, state=state)
+        self._publisher.publish(job, state)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -13,9 +13,9 @@
 from hawthorndeal_platform import keyed_log
 
 from . import advice_requester
+from . import cycle_journal
 from . import executor_tracker
 from . import host_controller
-from . import job_dropper
 from . import journal_writer
 from . import offerer
 from . import owner_tasks
@@ -33,13 +33,10 @@
 # No task is started if the jobs were last read to their end longer ago: some
 # may have been cancelled.
 MAX_JOBS_AGE_S = 1.5
-# An owner whose ownership is confirmed, but who can't read the jobs for this
-# long, gives it up.
+# An owner that can store its records, but can't read the jobs for this long,
+# gives up the ownership.
 GIVE_UP_JOBS_AGE_S = 4.0
 LEASE_MARGIN_S = 0.5
-EXPIRY_PERIOD_S = 1.0
-# Other daemons see the end of a job slightly later than the owner.
-RETENTION_MARGIN_S = 10.0
 
 
 class LostOwnership(errors.HawthorndealError):
@@ -75,12 +72,17 @@
             parts.configuration_reader.configuration,
         )
         self.tracker = executor_tracker.ExecutorTracker(self, parts.metrics)
-        self._jobs_writer = self._make_writer(parts.jobs_follower)
         # Claims are stored among the statuses, so only these appends show
         # that there is no newer one.
         self._publisher = status_publisher.StatusPublisher(
             parts, self, self._make_writer(parts.status_follower, True)
         )
+        self._journal = cycle_journal.CycleJournal(
+            parts,
+            self.scheduler,
+            self._make_writer(parts.jobs_follower),
+            self._publisher,
+        )
         self.is_at_work = False
         self.hosts = host_controller.HostController(parts, self, intents)
         self._orders = run_orders.RunOrders(
@@ -95,15 +97,10 @@
         self._accepted_offer = None
         self._released = asyncio.Event()
         self.lost_reason = ''
-        self._states_to_publish = {}
-        self._cancelled = {}
-        self._dropper = job_dropper.JobDropper(parts)
         self._workspace_log = workspace_log.WorkspaceLog(
             parts.events, parts.metrics
         )
         self._is_storing_host_records = False
-        self._ends_being_stored = {}
-        self._expiry_due_s = 0.0
 
     def _make_writer(self, follower, confirms_term=False):
         parts = self._parts
@@ -175,7 +172,7 @@
                 await self._write_release()
                 return
             self._run_in_background(self.hosts)
-            self._run_in_background(self._dropper.cleaner)
+            self._run_in_background(self._journal.dropper.cleaner)
             self._run_in_background(
                 advice_requester.AdviceRequester(parts, self)
             )
@@ -194,7 +191,7 @@
     async def _fence_predecessors(self):
         """Keep earlier owners from storing the progress of jobs."""
         record = journal.ownership_record(self.ownership())
-        await self._jobs_writer.append([record])
+        await self._journal.append([record])
 
     async def _take_over(self):
         """Load the jobs, and go on where the predecessors ended.
@@ -236,9 +233,9 @@
     def _add_job(self, job, age_s):
         """Schedule a job, unless it is a late copy of one that has ended."""
         if self._parts.board.is_stored_final(job.job_id):
-            self._dropper.finished.add(job)
+            self._journal.dropper.finished.add(job)
             return
-        self._publish_state(job, job.state())
+        self._journal.publish_state(job, job.state())
         wall_s = self._parts.clock.now_s()
         self.scheduler.add_job(job, self.now_s(), wall_s, age_s=age_s)
         if job.is_beyond_share:
@@ -314,10 +311,11 @@
             self._orders.send_pace(order)
         for stray in turn.orphans:
             self._orders.send_stray_stop(stray)
-        records = self._collect_records(now_s)
+        records = self._journal.collect_records(now_s)
         if not self._is_storing_host_records:
             self._begin_storing_host_records()
-        await self._store(records)
+        ends = await self._journal.store(records)
+        self.tracker.note_ends_stored(ends)
         for run in turn.starts:
             self._orders.send_start(run)
 
@@ -362,35 +360,6 @@
             starts_in_flight=self.starts_in_flight,
         )
 
-    def _collect_records(self, now_s):
-        known = self._parts.jobs_reader.replica.jobs
-        changed = [
-            occurrence
-            for occurrence in self.scheduler.pop_changed()
-            if known.get(occurrence.job.job_id) is occurrence.job
-        ]
-        records = [
-            journal.progress_record(occurrence) for occurrence in changed
-        ]
-        cancelled, self._cancelled = self._cancelled, {}
-        changed_jobs = {o.job.job_id: o.job for o in changed}
-        self._states_to_publish = {
-            job_id: (job, job.state())
-            for job_id, job in {**cancelled, **changed_jobs}.items()
-        }
-        self._ends_being_stored = self.scheduler.unrecorded_ends()
-        if now_s >= self._expiry_due_s:
-            self._expiry_due_s = now_s + EXPIRY_PERIOD_S
-            retention_s = self._parts.settings.job_retention_s
-            self._publisher.expire(
-                now_s,
-                retention_s + RETENTION_MARGIN_S,
-                self._dropper.kept,
-            )
-        return records + self._dropper.drop_finished(
-            self.scheduler.has_runs, self._publisher.forget
-        )
-
     def ownership(self):
         """Return the record of this ownership."""
         settings = self._parts.settings
@@ -413,27 +382,9 @@
             delay_s=round(max(0.0, delay_s), 2),
         )
 
-    async def _store(self, records):
-        if records:
-            begun_s = self.now_s()
-            await self._jobs_writer.append(records)
-            took_s = self.now_s() - begun_s
-            self._parts.metrics.note_cycle_part('store', took_s)
-        for job, state in self._states_to_publish.values():
-            self._publish_state(job, state)
-        self._states_to_publish = {}
-        self.scheduler.mark_ends_recorded(self._ends_being_stored)
-        self.tracker.note_ends_stored(self._ends_being_stored)
-        self._ends_being_stored = {}
-
-    def _publish_state(self, job, state):
-        if state.is_final and self._dropper.finished.add(job):
-            self.events.write('job_ended', job=job.job_id, state=state)
-        self._publisher.publish(job, state)
-
     def publish_loads(self, loads):
         """Tell the daemons what new jobs will have to wait for."""
-        beyond = self.scheduler.workspaces_beyond_share(self.now_s())
+        beyond = self.scheduler.shares.used_up(self.now_s())
         self._publisher.publish_load(admission.forecast(loads, beyond))
 
     # Changes in the followed partitions
@@ -452,7 +403,7 @@
         if change.kind == journal.OFFER:
             self._consider_offer()
         elif change.kind == journal.STATUS:
-            self._dropper.finished.note_status(change.job_id)
+            self._journal.dropper.finished.note_status(change.job_id)
         elif change.kind == journal.OWNER:
             current = self._parts.board.ownership
             if current.epoch > self.epoch:
@@ -479,10 +430,10 @@
         job = self._parts.jobs_reader.replica.jobs.get(job_id)
         if job is None:
             if self._parts.board.is_stored_final(job_id):
-                self._dropper.drop_cancellation(job_id)
+                self._journal.dropper.drop_cancellation(job_id)
             return
         job.is_cancelled = True
-        self._cancelled[job_id] = job
+        self._journal.note_cancelled(job)
         self.scheduler.cancel_job(job)
         self.wake()
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/workspace_log.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/workspace_log.py
@@ -20,9 +20,9 @@
 
     def update(self, scheduler, now_s):
         """Process the state after a scheduling cycle."""
-        limited = scheduler.steps.limited
-        self._metrics.set_gauge('workspaces_limited', len(limited.workspaces))
-        for workspace in limited.workspaces:
+        waits = scheduler.steps.quota_waits
+        self._metrics.set_gauge('workspaces_limited', len(waits.workspaces))
+        for workspace in waits.workspaces:
             logged_s = self._logged_s.get(workspace)
             if logged_s is not None and now_s - logged_s < LOG_PERIOD_S:
                 continue
@@ -30,7 +30,7 @@
             self._events.write(
                 'workspace_limited',
                 workspace=workspace,
-                waiting_steps=limited.count(workspace),
+                waiting_steps=waits.count(workspace),
                 used=attrs.asdict(scheduler.quotas.used(workspace)),
                 limit=attrs.asdict(
                     scheduler.quotas.allotments.limit(workspace)
