--- a/features/jobs_workspaces.feature
+++ b/features/jobs_workspaces.feature
@@ -42,7 +42,20 @@
     Then it was refused as job_conflict
     When a caller without a key submits job "b" to daemon 1
     Then it was refused as unknown_key
-    And no log line holds a key
+
+  Scenario Outline: Neither logs nor metrics nor answers hold a key: <case>
+    Given simulated daemons with seed 209, and queue "web" for workspaces "vltava" and "brno"
+    When a request <request> by HTTP, with the key of "vltava"
+    Then it is answered with <status>, and the log has <event>
+    And no log line, metric or answer holds a key
+
+    Examples:
+      | case             | request                        | status | event           |
+      | accepted         | submits a job                  | 200    | job_accepted    |
+      | cancelled        | cancels a job                  | 410    | job_cancelled   |
+      | withdrawn        | submits a job after withdrawal | 401    | request_refused |
+      | unreadable job   | submits what is no job         | 400    | request_refused |
+      | unreadable configuration | submits a job after an unreadable configuration with its key | 200 | configuration_rejected |
 
   Scenario: A withdrawn key isn't used by a daemon that is cut off from the store
     Given simulated daemons with seed 202, and queue "web" for workspaces "vltava" and "brno"
--- a/features/steps/jobs_workspaces.py
+++ b/features/steps/jobs_workspaces.py
@@ -1,7 +1,10 @@
 """Steps for keys and quotas of workspaces."""
 
 import asyncio
+import itertools
+import json
 import re
+import types
 from unittest import mock
 
 import attrs
@@ -19,6 +22,8 @@
 from hawthorndeal_jobs import run_tracking
 from hawthorndeal_jobs import specs
 from hawthorndeal_jobs import workspaces
+from hawthorndeal_scheduler import callers_app
+from hawthorndeal_site import configuration
 from stage import fault_search
 from stage import job_world
 from stage import scheduler_harness
@@ -206,12 +211,48 @@
     assert not exists
 
 
-@then('no log line holds a key')
-def check_log(context):
-    text = context.world.event_log_text()
-    assert 'unknown_key' in text or 'configuration_in_force' in text
-    for key in KEYS.values():
-        assert key not in text
+@when('a request {action} by HTTP, with the key of "{name}"')
+def send_request(context, action, name):
+    world = context.world
+    if 'withdrawal' in action:
+        withdraw_keys(context, name)
+    if 'unreadable configuration' in action:
+        # The adapter's own decoder meets what an operator wrote.
+        plain = [{'tenants': [{'name': name, 'api-keys': [KEYS[name]]}]}]
+        world.formats.decode_configuration = configuration.decode_configuration
+        world.store.append(
+            job_world.OPERATORS,
+            [journal.Record('config', json.dumps(plain).encode())],
+        )
+    context.runner.run(asyncio.sleep(0.5))
+    body = world.spec_body(SPEC)
+    request = types.SimpleNamespace(
+        method='DELETE' if 'cancels' in action else 'POST',
+        path='/jobs/a',
+        headers={'host': 'web.example', 'key': KEYS[name]},
+        body=b'{' if 'no job' in action else body,
+    )
+    world.specs['a'] = SPEC
+    daemon = world.daemons[1]
+    context.answer = context.runner.run(
+        callers_app.answer_request(request, daemon.interface, daemon.parts)
+    )
+    context.metrics_text = daemon.parts.metrics.exposition().decode()
+
+
+@then('it is answered with {status:d}, and the log has {event}')
+def check_answered(context, status, event):
+    assert context.answer.status == status, context.answer
+    kinds = {kind for _, _, kind, _ in context.world.log}
+    assert event in kinds, kinds
+
+
+@then('no log line, metric or answer holds a key')
+def check_no_key_shown(context):
+    answer = context.answer.body.decode()
+    texts = context.world.event_log_text(), context.metrics_text, answer
+    for text, key in itertools.product(texts, KEYS.values()):
+        assert key not in text, text
 
 
 @when('daemon {n:d} is cut off from the store')
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers_app.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers_app.py
@@ -21,7 +21,7 @@
         if interface.is_draining:
             request.stream.keep_alive = False
         try:
-            answer = await _serve(request, interface, parts)
+            answer = await answer_request(request, interface, parts)
         except asyncio.CancelledError:
             _log_aborted_request(request, time.monotonic() - begun_s, parts)
             raise
@@ -40,7 +40,13 @@
     return app
 
 
-async def _serve(request, interface, parts):
+async def answer_request(request, interface, parts):
+    """Return the response to one request of a caller.
+
+    :param request: the request, with its whole body
+    :param interface: a :class:`callers.CallersInterface`
+    :param parts: shared components of the daemon
+    """
     host_name = request.headers.get('host', '')
     try:
         queue, job_id = interface.find_queue(host_name, request.path)
