--- a/features/jobs_slow_store.feature
+++ b/features/jobs_slow_store.feature
@@ -55,6 +55,7 @@
     And 6 seconds pass
     Then every job is reported as completed
     And no task started more than once
+    And it was logged that submissions are not deleted
 
   Scenario Outline: A slow store makes no copies of appends that wait for it: reads take <read_s> s
     Given a store whose reads take <read_s> seconds
--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -555,6 +555,7 @@
         'request_cut',
         'library_message',
         'host_orders_put_off',
+        'submissions_not_deleted',
         'run_paced',
         'stray_run_stop',
         'run_not_started',
--- a/features/steps/jobs_slow_store.py
+++ b/features/steps/jobs_slow_store.py
@@ -136,6 +136,12 @@
     store.append = append_unless_deletion
 
 
+@then('it was logged that submissions are not deleted')
+def check_not_deleted(context):
+    kinds = {kind for _, _, kind, _ in context.world.log}
+    assert 'submissions_not_deleted' in kinds, kinds
+
+
 @given('a store whose reads take {read_s:g} seconds')
 def make_store(context, read_s):
     context.latency = hedging.LatencyEstimate()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/job_dropper.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/job_dropper.py
@@ -19,7 +19,7 @@
     def __init__(self, parts):
         self.finished = finished_jobs.FinishedJobs(parts.board)
         self.cleaner = submission_cleaner.SubmissionCleaner(
-            parts.log, parts.submission_partitions
+            parts.log, parts.submission_partitions, parts.events
         )
         self._jobs_reader = parts.jobs_reader
         self._jobs_partition = parts.jobs_follower.partition
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -1,4 +1,7 @@
-"""Owner of the jobs: plans in cycles, stores the plan, then acts on it."""
+"""Schedules the jobs during an ownership term.
+
+Each cycle plans runs, stores the plan, and only then sends the orders.
+"""
 
 import asyncio
 
@@ -72,8 +75,8 @@
             parts.configuration_reader.configuration,
         )
         self.tracker = executor_tracker.ExecutorTracker(self, parts.metrics)
-        # Claims are stored among the statuses, so only these appends show
-        # that there is no newer one.
+        # Claims are stored in the partition of the statuses, so only appends
+        # to it confirm that no other daemon has claimed the ownership.
         self._publisher = status_publisher.StatusPublisher(
             parts, self, self._make_writer(parts.status_follower, True)
         )
@@ -178,7 +181,7 @@
             )
             await self._run_cycles()
         finally:
-            # Also ends the loops of tasks that swallow their cancellation.
+            # Ends the loops of tasks that have lost their cancellation.
             self.term.is_lost = True
             parts.detach()
             self.tracker.cancel_agents()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/submission_cleaner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/submission_cleaner.py
@@ -20,10 +20,12 @@
 
     :param log: a :class:`keyed_log.KeyedLog`
     :param partitions: the partitions of the submissions
+    :param events: the decision log
     """
 
-    def __init__(self, log, partitions):
+    def __init__(self, log, partitions, events):
         self._log = log
+        self._events = events
         self._partitions = {p.name: p for p in partitions}
         # Ids of the jobs to delete from each partition.
         self._pending = collections.defaultdict(dict)
@@ -56,8 +58,14 @@
         ]
         try:
             await self._log.append(self._partitions[name], records)
-        except errors.PlatformError:
-            # They are deleted again in the next period.
+        except errors.PlatformError as error:
+            # The next period tries again.
+            self._events.write(
+                'submissions_not_deleted',
+                partition=name,
+                jobs=len(job_ids),
+                why=str(error)[:160],
+            )
             return
         for job_id in job_ids:
             del pending[job_id]
