Tell crashed executors from planned ends, silence and lapsed leases in the log

Operators could not see why a run was over: an end by a crash, by an order to the host, by a shutdown and by a lapsed lease were all logged as lapsed, and nothing counted crashes.

The end of an executor now has a type; executor_gone tells whether it crashed, was planned, or is only silent, with host, rack and the time without an answer. A run whose executor has ended is over as lost, with the time it is known to have lasted. A counter counts departures by kind. An order to a host whose answer was lost marks its executor, so that its end isn't taken for a crash. No decision uses any of it so far.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -186,6 +186,8 @@
     FAILED = 'failed'
     STOPPED = 'stopped'
     LAPSED = 'lapsed'
+    # Its executor has ended, and reported nothing.
+    LOST = 'lost'
     GANG_BROKEN = 'gang_broken'
     GANG_ALONE = 'gang_alone'
 
@@ -242,6 +244,9 @@
     :ivar is_closed_to_lasting: whether no long-running task is placed here
     :ivar suspended_until_s: no new runs are placed here before this time
     :ivar polled_s: when the last answer to a poll arrived
+    :ivar last_answer_s: when the last answer to any call arrived
+    :ivar is_ordered_away: whether an order that ends it was sent to its host,
+        and may have taken effect
     """
 
     entry: ExecutorEntry
@@ -264,7 +269,9 @@
     lease_expires_s: float = 0.0
     last_contact_s: float = 0.0
     polled_s: float = 0.0
+    last_answer_s: float = 0.0
     is_reserved: bool = False
+    is_ordered_away: bool = False
     is_closed_to_lasting: bool = False
     suspended_until_s: float = 0.0
     consecutive_failures: int = 0
@@ -339,6 +346,19 @@
         """Return the number of runs here that belong to the step of a task."""
         return self.step_counts[_step_key(task_id)]
 
+    def survival_s(self, run):
+        """Return how long a run is known to have lasted here.
+
+        :returns: None if its start was not acknowledged
+        """
+        if run.started_s is None:
+            return None
+        return max(0.0, self.last_answer_s - run.started_s)
+
+    def note_answer(self, now_s):
+        """Record that the executor answered a call."""
+        self.last_answer_s = max(self.last_answer_s, now_s)
+
     def update_clock(self, clock_s, now_s):
         """Record the executor's clock; older readings are ignored."""
         if self.clock_s is None or clock_s > self.clock_s:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
@@ -98,6 +98,7 @@
     """
     executor.mark_fenced(poll.received_s)
     executor.last_contact_s = executor.polled_s = poll.received_s
+    executor.note_answer(poll.received_s)
     executor.update_clock(poll.clock_s, poll.received_s)
     finished_runs = _read_ends(executor, poll, find_occurrence)
     found, orphans = [], []
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -189,16 +189,19 @@
         """Remove an executor whose incarnation has ended, with its runs."""
         if executor_id not in self.executors:
             return []
-        finished_runs = self.expire_executor(executor_id, now_s)
+        finished_runs = self._end_runs(executor_id, _Cause.LOST, now_s)
         self._index.remove(self.executors.pop(executor_id))
         self._unrecorded.pop(executor_id, None)
         return finished_runs
 
     def expire_executor(self, executor_id, now_s):
         """End all runs of an executor whose leases have expired."""
+        return self._end_runs(executor_id, _Cause.LAPSED, now_s)
+
+    def _end_runs(self, executor_id, cause, now_s):
         executor = self.executors[executor_id]
         finished_runs = [
-            run_tracking.FinishedRun(run, _Cause.LAPSED, run.checkpoint)
+            run_tracking.FinishedRun(run, cause, run.checkpoint)
             for run in list(executor.runs.values())
         ]
         for ended in finished_runs:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import departures
 from hawthorndeal_jobs import executor_health
 from hawthorndeal_jobs import executors as executors_module
 from hawthorndeal_platform import executor_orders
@@ -62,7 +63,7 @@
                 await self._poll()
             except executor_orders.ExecutorGone:
                 self._owner.tracker.remove(
-                    self._executor, 'another executor answers at its address'
+                    self._executor, departures.Departure.ADDRESS_TAKEN
                 )
                 return
             except executor_orders.ExecutorFenced:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
@@ -2,8 +2,14 @@
 
 import asyncio
 
+from hawthorndeal_jobs import departures
+from hawthorndeal_jobs import executors as executors_module
+
 from . import executor_agent
 
+_Cause = executors_module.EndCause
+_Departure = departures.Departure
+
 
 class ExecutorTracker:
     """Runs an agent for each executor, and ends executors that are gone.
@@ -78,12 +84,12 @@
         """Process the answer to a poll, and return the runs that ended."""
         executor_id = executor.executor_id
         for other in self._scheduler.superseded_executors(executor_id, look):
-            self.remove(other, 'its host runs a newer executor')
+            self.remove(other, _Departure.REPLACED)
         ended_runs = self._scheduler.handle_poll(
             executor_id, look, self._owner.now_s()
         )
         for ended in ended_runs:
-            self._log_end(ended)
+            self._log_end(executor, ended)
         if ended_runs or self._scheduler.has_orphans:
             self._owner.wake()
         return ended_runs
@@ -97,10 +103,13 @@
         if executor.executor_id in self._agents:
             self._agents[executor.executor_id][1].poll_soon()
 
-    def _log_end(self, ended):
+    def _log_end(self, executor, ended):
         run = ended.run
         cause = ended.cause.value if ended.cause else 'never_began'
         self._metrics.note_end(cause)
+        fields = {}
+        if ended.cause is _Cause.LOST:
+            fields['survival_s'] = _rounded(executor.survival_s(run))
         self._events.write(
             'run_over',
             task=str(run.task_id),
@@ -108,6 +117,7 @@
             executor=run.executor_id,
             cause=cause,
             failures=run.task.failures,
+            **fields,
         )
 
     def check_lease_expiry(self, executor):
@@ -124,12 +134,10 @@
             for ended in self._scheduler.expire_executor(
                 executor.executor_id, now_s
             ):
-                self._log_end(ended)
+                self._log_end(executor, ended)
             self._owner.wake()
         if executor.missing_since_s is not None:
-            self.remove(
-                executor, 'its entry was removed and its leases have expired'
-            )
+            self.remove(executor, _Departure.EXPIRED)
             return True
         return False
 
@@ -138,22 +146,36 @@
         for executor in list(self._without_agent.values()):
             self.check_lease_expiry(executor)
 
-    def remove(self, executor, why):
-        """Remove an executor that has ended, and end all its runs."""
+    def remove(self, executor, departure):
+        """Remove an executor that has ended, and end all its runs.
+
+        :param departure: a :class:`departures.Departure`
+        """
         self._ended_executor_ids.add(executor.executor_id)
         self._without_agent.pop(executor.executor_id, None)
+        now_s = self._owner.now_s()
         ended_runs = self._scheduler.remove_executor(
-            executor.executor_id, self._owner.now_s()
+            executor.executor_id, now_s
         )
+        kind = departures.kind_of(executor, departure)
+        self._metrics.note_departure(kind.value)
         self._events.write(
             'executor_gone',
             executor=executor.executor_id,
+            host=executor.entry.host,
+            rack=executor.entry.rack,
             runs=len(ended_runs),
-            why=why,
+            departure=kind.value,
+            why=departure.value,
+            unanswered_s=round(now_s - executor.last_answer_s, 3),
         )
         for ended in ended_runs:
-            self._log_end(ended)
+            self._log_end(executor, ended)
         held = self._agents.pop(executor.executor_id, None)
         if held is not None and held[0] is not asyncio.current_task():
             held[0].cancel()
         self._owner.wake()
+
+
+def _rounded(seconds):
+    return None if seconds is None else round(seconds, 3)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
@@ -6,6 +6,7 @@
 
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import capacity
+from hawthorndeal_jobs import departures
 from hawthorndeal_jobs import late_work
 
 from . import host_inventory
@@ -171,6 +172,7 @@
         await self._order_sender.send_order(
             move.host,
             'host_moved',
+            departures.Departure.MOVED,
             lambda holder: self._parts.hosts.move(
                 move.host, move.to_pool, holder
             ),
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from hawthorndeal_jobs import departures
 from hawthorndeal_platform import host_orders
 
 LIST_PERIOD_S = 1.0
@@ -104,7 +105,7 @@
         }
         for executor_id in sorted(unlisted & self._unlisted):
             self._owner.tracker.remove(
-                known[executor_id], 'not on any listed host'
+                known[executor_id], departures.Departure.UNLISTED
             )
         self._unlisted = unlisted
 
@@ -138,6 +139,22 @@
         executor = self.executor_on(host)
         if executor is not None:
             executor.is_reserved = host in self.draining
+            if self._is_listed_up(host, executor):
+                executor.is_ordered_away = False
+
+    def _is_listed_up(self, host, executor):
+        entry = self.entries.get(host)
+        return (
+            entry is not None
+            and entry.state is _State.UP
+            and entry.executor_id == executor.executor_id
+        )
+
+    def note_ordered_away(self, host):
+        """Record that the executor of a host may end by an order."""
+        executor = self.executor_on(host)
+        if executor is not None:
+            executor.is_ordered_away = True
 
     def is_stable(self, host):
         """Return whether a host is up and runs the executor last listed."""
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_order_sender.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_order_sender.py
@@ -43,6 +43,7 @@
                 host, self._owner.now_s() + left_s
             )
             self._inventory.reserve(host)
+            self._inventory.note_ordered_away(host)
 
     def is_waiting_for_lease(self, host):
         """Return whether a previous owner's order is too recent."""
@@ -98,10 +99,13 @@
             await asyncio.sleep(self._pace.reserve(self._owner.now_s()))
             await send(target)
 
-    async def send_order(self, host, event, call, fields, on_success):
+    async def send_order(
+        self, host, event, departure, call, fields, on_success
+    ):
         """Send one order whose intent is stored, if the term permits it.
 
         :param event: name of the event to log
+        :param departure: how the order ends the executor of the host
         :param call: sends the order, given the holder
         :param fields: reasons for the order, as fields of the event
         :param on_success: called once the order has been acknowledged
@@ -113,11 +117,12 @@
         if is_busy or not may_order:
             self.withdraw(host)
             return
+        self._inventory.note_ordered_away(host)
         outcome = await self._call_host_service(host, call)
         if outcome == 'done':
             on_success()
             if executor is not None:
-                owner.tracker.remove(executor, event)
+                owner.tracker.remove(executor, departure)
             self._inventory.list_soon()
         self._parts.metrics.note_host_order(event)
         owner.events.write(
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/metrics.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/metrics.py
@@ -43,6 +43,12 @@
             ['cause'],
             registry=self._registry,
         )
+        self._departures = prometheus_client.Counter(
+            'hawthorndeal_executor_departures',
+            'Executors that have ended, by kind.',
+            ['kind'],
+            registry=self._registry,
+        )
         self._host_orders = prometheus_client.Counter(
             'hawthorndeal_host_orders',
             'Orders to hosts, by kind.',
@@ -110,6 +116,10 @@
         """Count one run that has ended."""
         self._ends.labels(cause).inc()
 
+    def note_departure(self, kind):
+        """Count one executor that has ended."""
+        self._departures.labels(kind).inc()
+
     def note_page(self, topic, records, behind):
         """Count one page read from the store.
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
@@ -5,6 +5,7 @@
 
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import call_window
+from hawthorndeal_jobs import departures
 from hawthorndeal_jobs import executors as executors_module
 from hawthorndeal_jobs import run_tracking
 from hawthorndeal_platform import executor_orders
@@ -86,6 +87,7 @@
             self._metrics.note_unanswered_call('start')
         if clock_s is not None:
             executor.update_clock(clock_s, owner.now_s())
+            executor.note_answer(owner.now_s())
         self._log_start(run, executor, answer)
         self._handle_start_answer(run, executor, answer)
 
@@ -110,9 +112,7 @@
         if answer is _Answer.FENCED:
             owner.lose_ownership('an executor has seen a newer epoch')
         elif answer is _Answer.GONE:
-            owner.tracker.remove(
-                executor, 'another executor answers at its address'
-            )
+            owner.tracker.remove(executor, departures.Departure.ADDRESS_TAKEN)
         else:
             owner.scheduler.handle_start_answer(run, answer, owner.now_s())
             owner.tracker.poll_soon(executor)
@@ -217,9 +217,7 @@
                 target_of(executor), task_id, number, owner.epoch
             )
         except executor_orders.ExecutorGone:
-            owner.tracker.remove(
-                executor, 'another executor answers at its address'
-            )
+            owner.tracker.remove(executor, departures.Departure.ADDRESS_TAKEN)
             return False
         except errors.PlatformError:
             # The stop is repeated until it is answered or the run has ended.
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from hawthorndeal_jobs import departures
 from hawthorndeal_jobs import journal
 from hawthorndeal_jobs import scheduler as scheduler_module
 from hawthorndeal_jobs import wave_planning
@@ -168,6 +169,7 @@
         await self._order_sender.send_order(
             host,
             'host_maintenance_begun',
+            departures.Departure.MAINTAINED,
             lambda holder: self._parts.hosts.begin_maintenance(
                 host, wave.number, holder
             ),
