Add failing tests of tasks that crash each executor that starts them

Callers: a job with such a task runs for ever, and crashes executors for ever.

The fakes crash an executor some time after the start of such a task, refuse connections while its host is down, as the platform does, and record a violation when such a task is started three times more after three crashes.

--- a/features/fakes/task_executors.py
+++ b/features/fakes/task_executors.py
@@ -106,6 +106,8 @@
         self.runs.clear()
 
     def _check(self, epoch):
+        if self.is_gone and not self._world.is_host_up(self.entry.host):
+            raise errors.PlatformUnavailable('connection refused')
         if self.is_gone:
             raise executor_orders.ExecutorGone(self.entry.executor_id)
         self.advance()
@@ -121,6 +123,8 @@
             return _Answer.GONE, None
         except executor_orders.ExecutorFenced:
             return _Answer.FENCED, self.clock_s()
+        except errors.PlatformUnavailable:
+            return _Answer.UNHEALTHY, None
         return self._start(order), self.clock_s()
 
     def _start(self, order):
@@ -142,6 +146,7 @@
         )
         self.runs[key] = run
         self._world.check_start(self, run)
+        self._world.begin_crash(self, run)
         return _Answer.ACCEPTED
 
     def stop(self, task_id, number, epoch):
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -47,6 +47,8 @@
     'processor_count': 4,
     'link_mbps': 100.0,
 }
+# Time for which a host is down after a task has crashed its executor.
+CRASH_DOWN_S = 3.2
 # Events that docs/OPERATIONS.md need not list.
 UNDOCUMENTED_EVENTS = frozenset({'advice_taken'})
 
@@ -387,6 +389,24 @@
         self.loop.call_later(4.5, self._drop_entry, executor)
         self.loop.call_later(down_s, self.bring_up_host, host, entry.pool)
 
+    def is_host_up(self, host):
+        """Return whether an executor may run on a host."""
+        return self.hosts.entries[host].state is host_orders.HostState.UP
+
+    def begin_crash(self, executor, run):
+        """Crash an executor some time after a task that does so began."""
+        delay_s = self.crash_delays_s.get(run.task_id)
+        if delay_s is not None:
+            self.loop.call_later(delay_s, self._crash_by, executor, run)
+
+    def _crash_by(self, executor, run):
+        executor.advance()
+        if not executor.is_gone and (run.task_id, run.number) in executor.runs:
+            self.crashed_executors[run.task_id].append(
+                executor.entry.executor_id
+            )
+            self.crash_executor(executor, CRASH_DOWN_S)
+
     def find_record(self, key):
         """Return the newest stored job record with a key, or None."""
         return self.store.find(JOBS, key)
--- a/features/stage/run_checker.py
+++ b/features/stage/run_checker.py
@@ -11,6 +11,10 @@
 
 # Upper bound on the time until all daemons know of a cancellation.
 CANCEL_SLACK_S = 3.0
+# A task under which so many executors have crashed may be started only
+# MAX_STARTS_AFTER times more.
+CRASHES_BEFORE_LIMIT = 3
+MAX_STARTS_AFTER = 2
 
 
 class RunChecker:
@@ -26,6 +30,9 @@
     :ivar done: tasks with a successful run, and whether a daemon has
         acknowledged its end
     :ivar starts: number of starts by task
+    :ivar crash_delays_s: time from the start of a task to the crash of its
+        executor, for tasks that crash each executor that starts them
+    :ivar crashed_executors: the executors that each such task has crashed
     """
 
     def __init__(self, rng):
@@ -38,6 +45,9 @@
         self.violations = []
         self.done = {}
         self.starts = collections.Counter()
+        self.crash_delays_s = {}
+        self.crashed_executors = collections.defaultdict(list)
+        self._starts_after_limit = collections.Counter()
         self._completed_ends = {}
 
     def now_s(self):
@@ -80,6 +90,7 @@
     def check_start(self, executor, run):
         """Check the invariants that apply to the start of a run."""
         self.starts[run.task_id] += 1
+        self._check_crashes(run.task_id)
         task_id, name = run.task_id, str(run.task_id)
         for other in self.executors.values():
             other.advance()
@@ -142,6 +153,19 @@
         if not quotas.is_within(used, quota):
             self.record_violation('quota exceeded', task=str(task_id))
 
+    def begin_crash(self, executor, run):
+        """Begin the crash of an executor if a task crashes it."""
+
+    def _check_crashes(self, task_id):
+        if len(self.crashed_executors[task_id]) < CRASHES_BEFORE_LIMIT:
+            return
+        self._starts_after_limit[task_id] += 1
+        if self._starts_after_limit[task_id] > MAX_STARTS_AFTER:
+            self.record_violation(
+                'a task that crashes executors was started again',
+                task=str(task_id),
+            )
+
     def record_end(self, executor, run, cause):
         """Record the end of a run."""
         if cause is executors_module.EndCause.DONE:
