--- a/features/fakes/task_executors.py
+++ b/features/fakes/task_executors.py
@@ -99,6 +99,16 @@
             number, self._max_rejected.get(task_id, 0)
         )
 
+    def break_gang(self, task_id, number):
+        """End the runs of a gang of which another member has ended."""
+        self.advance()
+        for run in list(self.runs.values()):
+            if run.number == number and (
+                run.task_id.job_id == task_id.job_id
+                and run.task_id.step == task_id.step
+            ):
+                self._end(run, _Cause.GANG_BROKEN)
+
     def crash(self):
         """End this executor and all its runs without a report."""
         self.advance()
@@ -147,6 +157,8 @@
         self.runs[key] = run
         self._world.check_start(self, run)
         self._world.begin_crash(self, run)
+        if self.is_gone:
+            raise errors.OutcomeUnknown('the connection was lost')
         return _Answer.ACCEPTED
 
     def stop(self, task_id, number, epoch):
--- a/features/jobs_crashes.feature
+++ b/features/jobs_crashes.feature
@@ -4,7 +4,7 @@
   Two executors may crash under a task before it is given up, and innocent
   tasks beside it must not be.
 
-  Scenario Outline: A task that crashes executors is started again without end, seed <seed>
+  Scenario Outline: A task that crashes executors isn't started again without end, seed <seed>
     Given simulated daemons with seed <seed>
     When 6 jobs of 4 and 4 tasks are submitted
     And job "bad" of 4 tasks, one of which crashes its executor after 0.01 s, is submitted
@@ -20,10 +20,209 @@
       | 701  |
       | 702  |
 
-  Scenario: A successor forgets the executors that crashed under a task
+  Scenario: A successor doesn't forget the executors that crashed under a task
     Given simulated daemons with seed 703
     When job "bad" of 4 tasks, one of which crashes its executor after 0.01 s, is submitted
     And the owner is killed after each crash, for 30 seconds
     Then job "bad" is reported as failed by every daemon
     And at most 3 executors have crashed under it
     And no invariant was violated
+
+  Scenario Outline: No kind of work is started again without end: <kind>
+    Given simulated daemons with seed 704
+    When 4 jobs of 4 and 4 tasks are submitted
+    And job "bad" is submitted, a task of which crashes its executor: <kind>
+    And 4 jobs of 4 and 4 tasks are submitted
+    And 40 seconds pass
+    Then job "bad" is reported as failed by every daemon
+    And at most <most> executors have crashed under it
+    And every other job is reported as completed
+    And no invariant was violated
+
+    Examples:
+      | kind                            | most |
+      | a gang                          | 2    |
+      | long-running tasks              | 2    |
+      | occurrences of a scheduled job  | 4    |
+      | checkpointing tasks             | 2    |
+      | a second step                   | 2    |
+      | a start that is never answered  | 2    |
+      | one second after the start      | 3    |
+
+  Scenario: Long-running tasks of a job that was given up serve until it is cancelled
+    Given simulated daemons with seed 712
+    When job "bad" is submitted, a task of which crashes its executor: long-running tasks
+    And 20 seconds pass
+    Then job "bad" is reported as failed by every daemon
+    And 2 tasks of "bad" run
+    When the owner is killed
+    And 15 seconds pass
+    Then 2 tasks of "bad" run
+    When job "bad" is cancelled at a daemon that lives
+    And 3 seconds pass
+    Then 0 tasks of "bad" run
+    And no invariant was violated
+
+  Scenario: A host service that is away keeps no task from being given up
+    Given simulated daemons with seed 705
+    When the host service is away
+    And job "bad" of 4 tasks, one of which crashes its executor after 0.01 s, is submitted
+    And 60 seconds pass
+    Then job "bad" is reported as failed by every daemon
+    And at most 3 executors have crashed under it
+    And no invariant was violated
+
+  Scenario Outline: Innocent tasks beside many that crash executors aren't given up, seed <seed>
+    Given simulated daemons with seed <seed>, and 8 hosts in each pool
+    When 40 jobs of 4 and 4 tasks arrive in 16 s, of every 5th of which a task crashes executors
+    And 40 seconds pass
+    Then each job with such a task has failed, and at most 3 executors have crashed under it
+    And every other job is reported as completed
+    And no invariant was violated
+
+    Examples:
+      | seed |
+      | 706  |
+      | 707  |
+      | 708  |
+
+  Scenario: A rack that is lost again and again blames no task
+    Given simulated daemons with seed 709, and 8 hosts in each pool
+    When job "l" of 6 long-running tasks, 1 unavailable at most, starts
+    And 12 jobs of 4 and 4 tasks are submitted
+    And every executor of rack "r0" crashes 4 times, 3 s apart, for 1 s
+    And 12 jobs of 4 and 4 tasks are submitted
+    And 25 seconds pass
+    Then every job but "l" is reported as completed
+    And 6 tasks of "l" run
+    And no task was given up
+    And no invariant was violated
+
+  Scenario: An executor that is only cut off has not crashed
+    Given simulated daemons with seed 710
+    When 6 jobs of 4 and 4 tasks are submitted
+    And each executor is cut off for 6 s
+    And 40 seconds pass
+    Then every job is reported as completed
+    And no executor was taken for crashed
+    And no invariant was violated
+
+  Scenario: An executor that is cut off until its entry is gone has not crashed
+    Given simulated daemons with seed 713
+    When job "l" of 3 long-running tasks, 1 unavailable at most, starts
+    And each second executor is cut off, and its entry is removed
+    And 25 seconds pass
+    Then 3 tasks of "l" run on executors that can be reached
+    And no executor was taken for crashed
+
+  Scenario: Hosts that were ordered away without an answer have not crashed
+    Given simulated daemons with seed 711
+    When job "l" of 3 long-running tasks, 1 unavailable at most, starts
+    And the answers to half of all host orders are lost
+    And a wave over its pool is requested, 2 at once, within 20 seconds
+    And 30 seconds pass
+    Then every host of the wave was maintained
+    And no executor was taken for crashed
+    And no invariant was violated
+
+  Scenario Outline: Blame for a crash: <case>
+    When an executor with these runs crashes<how>: <runs>
+    Then the suspects are "<suspects>"
+    And given up are "<given up>"
+
+    # A run is written as JOB SURVIVAL, then its probation in seconds and the
+    # number of earlier crashes, where there are any.
+    Examples:
+      | case                                       | how            | runs                            | suspects | given up |
+      | a first crash                              |                | a 0.01; b 0.5; c 5              | a b      |          |
+      | a start that was not answered              |                | a ?; b 5                        | a        |          |
+      | the only run on probation                  |                | a 0.01 0.2 1; b 0.3             | a        | a        |
+      | beside a run that has only just started    |                | a 0.01 0.2 1; b 0.01            | a        | a        |
+      | two jobs on probation                      |                | a 0.01 0.2 1; b 0.05 0.2 1      | a b      |          |
+      | two tasks of a job on probation            |                | a 0.01 0.2 1; a 0.05 0.2 1      | a a      | a a      |
+      | a run that has outlasted its probation     |                | a 0.3 0.2 1; b 0.01             | a b      |          |
+      | a run that was only beside a crash before  |                | a 0.1 0 1; b 0.0                | a b      |          |
+      | a task that crashes after a second         |                | a 1.0 1.5 2; b 4                | a        | a        |
+      | the fourth crash, never alone              |                | a 0.01 0.2 3; b 0.01 0.2 1      | a b      | a        |
+      | a rack that is lost                        | with its rack  | a 0.01 0.2 1; b 0.5             | a b      |          |
+      | a rack that is lost, for the fourth time   | with its rack  | a 0.01 0.2 3; b 0.5             | a b      | a        |
+
+  Scenario: Suspects of a crash start apart from each other and from other work
+    Given a scheduler with executors "x0"
+    When jobs "a, b" of 1 task start, and "x0" crashes at once
+    And an executor "x1" is added, and a job "new" of 1 task
+    Then the next starts are of "a"
+    And the next starts are of ""
+    When 0.3 s pass, and "x1" is polled
+    Then the next starts are of "b"
+    And the next starts are of ""
+    When 0.3 s pass, and "x1" is polled
+    Then the next starts are of "new"
+
+  Scenario: An executor is held for a suspect until what has just started there is proven
+    Given a scheduler with executors "x0"
+    When jobs "a" of 1 task start, and "x0" crashes at once
+    And an executor "x1" is added, on which a job "fresh" of 2 tasks has just started
+    And a job "new" of 1 task is added
+    Then the next starts are of ""
+    When 0.3 s pass, and "x1" is polled
+    Then the next starts are of "a"
+
+  Scenario: An executor that waits for no suspect any more takes other work
+    Given a scheduler with executors "x0"
+    When jobs "a" of 1 task start, and "x0" crashes at once
+    And an executor "x1" is added, on which a job "fresh" of 2 tasks has just started
+    Then the next starts are of ""
+    When job "a" is cancelled, and 1.1 s pass
+    And a job "new" of 1 task is added
+    Then the next starts are of "new"
+
+  Scenario Outline: A suspect is cleared by a run that <ending>
+    Given a scheduler with executors "x0"
+    When jobs "a" of 1 task start, and "x0" crashes at once
+    And an executor "x1" is added
+    Then the next starts are of "a"
+    And 1 executor has crashed under "a"
+    When its run on "x1" <ending>
+    Then 0 executors have crashed under "a"
+
+    Examples:
+      | ending                    |
+      | lasts 0.3 s               |
+      | ends as failed after 0 s  |
+
+  Scenario: A crash that shows only after the leases have expired is counted
+    Given a scheduler with executors "x0"
+    When jobs "a" of 1 task start, and the leases on "x0" expire
+    Then 0 executors have crashed under "a"
+    When "x0" turns out to have crashed
+    Then 1 executor has crashed under "a"
+    When an executor "x1" is added
+    Then the next starts are of "a"
+    And it is on probation
+
+  Scenario: An executor that is reached again after the leases have expired has not crashed
+    Given a scheduler with executors "x0"
+    When jobs "a" of 1 task start, and the leases on "x0" expire
+    And "x0" answers a poll that lists nothing
+    And "x0" turns out to have crashed
+    Then 0 executors have crashed under "a"
+
+  Scenario Outline: Crashes with a common cause blame no task: <case>
+    Given a scheduler with executors "<executors>" of one rack
+    When each runs a job, of which those on "<crashing>" are on probation
+    And "<crashing>" crash, <apart> s one after the other
+    Then <count> jobs are given up
+
+    Examples:
+      | case                             | executors      | crashing   | apart | count |
+      | one of four                      | x0, x1, x2, x3 | x0         | 0.1   | 1     |
+      | all of four                      | x0, x1, x2, x3 | x0, x1, x2 | 0.1   | 0     |
+      | most of four, at different times | x0, x1, x2, x3 | x0, x1, x2 | 2     | 3     |
+      | two of four at once              | x0, x1, x2, x3 | x0, x1     | 0.1   | 2     |
+
+  Scenario: The crashes under a task are stored, and read by a successor
+    When the progress of a job with crashes under a task is stored and read
+    Then the crashes are those that were stored
+    And a record without crashes is read, too
+    And a record with unreadable crashes is rejected
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -396,16 +396,20 @@
     def begin_crash(self, executor, run):
         """Crash an executor some time after a task that does so began."""
         delay_s = self.crash_delays_s.get(run.task_id)
-        if delay_s is not None:
+        if delay_s == 0.0:
+            self._crash_by(executor, run)
+        elif delay_s is not None:
             self.loop.call_later(delay_s, self._crash_by, executor, run)
 
     def _crash_by(self, executor, run):
         executor.advance()
-        if not executor.is_gone and (run.task_id, run.number) in executor.runs:
-            self.crashed_executors[run.task_id].append(
-                executor.entry.executor_id
-            )
-            self.crash_executor(executor, CRASH_DOWN_S)
+        if executor.is_gone or (run.task_id, run.number) not in executor.runs:
+            return
+        self.crashed_executors[run.task_id].append(executor.entry.executor_id)
+        self.crash_executor(executor, CRASH_DOWN_S)
+        if self._spec(run.task_id).is_gang:
+            for other in list(self.executors.values()):
+                other.break_gang(run.task_id, run.number)
 
     def find_record(self, key):
         """Return the newest stored job record with a key, or None."""
--- a/features/stage/scheduler_harness.py
+++ b/features/stage/scheduler_harness.py
@@ -44,26 +44,38 @@
         self.replica = replica.Replica()
         self.scheduler = scheduler.Scheduler(self.replica, CONFIGURATION)
 
-    def add_executor(self, name):
+    def add_executor(self, name, rack=''):
         """Register an executor and report an empty first poll."""
-        self.register_executor(name)
+        self.register_executor(name, rack=rack)
         self.poll(name)
 
-    def register_executor(self, name, host='', pool=POOL):
+    def register_executor(self, name, host='', pool=POOL, rack=''):
         """Register an executor, or update its entry."""
         entry = executors.ExecutorEntry(
-            name, f'{name}:1', pool, 'z', CAPACITY, host=host
+            name, f'{name}:1', pool, 'z', CAPACITY, rack=rack, host=host
         )
         self.scheduler.update_executor(entry, self.now_s)
 
     def add_job(self, job_id, spec):
         """Add an accepted job."""
+        job = self._new_job(job_id, spec)
+        self.scheduler.add_job(job, self.now_s, self.now_s)
+        return job
+
+    def _new_job(self, job_id, spec):
         job = jobs.Job(job_id, POOL, POOL, self.now_s, spec)
         job.occurrence(0)
         self.replica.jobs[job_id] = job
-        self.scheduler.add_job(job, self.now_s, self.now_s)
         return job
 
+    def inherit_job(self, job_id, spec, executor_id, crashed_executors=()):
+        """Add a job that a previous owner has started on an executor."""
+        job = self._new_job(job_id, spec)
+        for task in job.occurrence(0).tasks[0]:
+            task.crashed_executors = crashed_executors
+        self.assign_all_tasks(job_id, executor_id)
+        self.scheduler.add_job(job, self.now_s, self.now_s)
+
     def assign_all_tasks(self, job_id, executor_id):
         """Mark all tasks of a job as assigned by a previous owner."""
         for step in self.replica.jobs[job_id].occurrences[0].tasks:
@@ -82,6 +94,17 @@
         )
         return self.scheduler.handle_poll(name, answer, self.now_s)
 
+    def poll_runs(self, name):
+        """Report the answer to a poll that lists all runs."""
+        runs = self.scheduler.executors[name].runs.values()
+        return self.poll(
+            name,
+            [
+                executors.ReportedRun(run.task_id, run.number, '', 0)
+                for run in runs
+            ],
+        )
+
     def plan(self, max_starts=None, is_idle=True):
         """Return the decisions of one scheduling cycle."""
         self.now_s += 0.01
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/crash_blame.py
@@ -0,0 +1,125 @@
+"""Decide which tasks are to blame when an executor crashes.
+
+A crash tells nothing of its cause, and an executor runs many tasks at once.
+Most tasks that crash executors do so soon after their start. So a crash makes
+those tasks suspects that had only just started, and their next starts are on
+probation: apart from other suspects and from all that has only just started.
+If the executor crashes again, one task is left to blame; if the run lasts, its
+task is cleared. Tasks that crash executors some seconds after their start are
+found by a third crash.
+"""
+
+import attrs
+
+from . import executors as executors_module
+from . import jobs
+
+# A run that lasted this long did not crash its executor by being started.
+PROVING_S = 0.2
+# A run that lasted this long has nothing to do with a crash.
+MAX_BLAMED_S = 3.0
+# A probation lasts longer than the task's last run by this factor.
+PROBATION_FACTOR = 1.5
+# Number of crashes from which a task is on probation, if none of its runs
+# ended right after its start.
+CRASHES_BEFORE_PROBATION = 2
+# A task under which so many executors have crashed is given up even if it was
+# never the only suspect.
+MAX_CRASHES = 4
+
+_Phase = executors_module.RunPhase
+
+
+@attrs.frozen
+class Suspect:
+    """A task that may have crashed an executor.
+
+    :ivar run: the run that it had there
+    :ivar survival_s: how long the run is known to have lasted
+    :ivar is_blamed: whether the task is to be given up
+    """
+
+    run: executors_module.Run
+    survival_s: float
+    is_blamed: bool
+
+
+def probation_s(task):
+    """Return how long the next run of a task is on probation; 0 if not."""
+    if not task.crashed_executors:
+        return 0.0
+    is_early = task.crash_survival_s < PROVING_S
+    if not is_early and len(task.crashed_executors) < CRASHES_BEFORE_PROBATION:
+        return 0.0
+    return max(PROVING_S, PROBATION_FACTOR * task.crash_survival_s)
+
+
+def is_proven(executor, run):
+    """Return whether a run has lasted long enough to be above suspicion."""
+    survival_s = executor.survival_s(run)
+    return survival_s is not None and survival_s >= max(
+        PROVING_S, run.probation_s
+    )
+
+
+def is_cleared(executor, run):
+    """Return whether a run shows that earlier crashes had other causes."""
+    survival_s = executor.survival_s(run)
+    needed_s = run.probation_s or MAX_BLAMED_S
+    return survival_s is not None and survival_s >= needed_s
+
+
+def judge(executor, runs, is_shared=False):
+    """Return the suspects of the crash of an executor.
+
+    Runs on probation are suspected first. If they all belong to one job, they
+    are to blame, and their neighbours are not suspected.
+
+    :param runs: the runs that may have been executing
+    :param is_shared: whether other executors crashed for the same cause
+    :rtype: list[Suspect]
+    """
+    unproven = [run for run in runs if not is_proven(executor, run)]
+    on_probation = [run for run in unproven if run.probation_s]
+    job_ids = {run.task_id.job_id for run in on_probation}
+    if len(job_ids) == 1 and not is_shared:
+        return [
+            _suspect(executor, run, bool(run.task.crashed_executors))
+            for run in on_probation
+        ]
+    return [
+        _suspect(executor, run, run in unproven and _is_last_crash(run))
+        for run in runs
+        if (executor.survival_s(run) or 0.0) < MAX_BLAMED_S
+    ]
+
+
+def _suspect(executor, run, is_blamed):
+    return Suspect(run, executor.survival_s(run) or 0.0, is_blamed)
+
+
+def _is_last_crash(run):
+    return len(run.task.crashed_executors) + 1 >= MAX_CRASHES
+
+
+def may_be_responsible(run):
+    """Return whether a run may have been executing a task that goes on."""
+    return (
+        run.phase is not _Phase.PLANNED
+        and not run.occurrence.job.is_terminal
+        and run.task.state in (jobs.TaskState.PENDING, jobs.TaskState.ASSIGNED)
+    )
+
+
+def note_crash(suspect):
+    """Record a crash in the state of a suspected task."""
+    task, executor_id = suspect.run.task, suspect.run.executor_id
+    if executor_id not in task.crashed_executors:
+        task.crashed_executors += (executor_id,)
+        task.crash_survival_s = suspect.survival_s
+
+
+def clear(task):
+    """Forget the crashes under a task."""
+    task.crashed_executors = ()
+    task.crash_survival_s = 0.0
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -19,6 +19,10 @@
 # may take that waits for an end, and shorter than planned operations must
 # take notice of a task that is not at work.
 MAX_POLL_AGE_S = 2.5
+# Time that a long-running task takes at least until it is at work.
+LASTING_STARTUP_S = 0.25
+# Lower bound on the ratio of actual to declared run times.
+MIN_RUN_TIME_FACTOR = 0.25
 # Time for an executor to kill its runs after their lease has expired.
 LEASE_EXPIRY_MARGIN_S = 0.3
 
@@ -78,6 +82,8 @@
     :ivar ticket: permission from the advice service, if its queue needs one
     :ivar planned_s: when the run was planned
     :ivar second_choice: executor ranked second at placement, if any
+    :ivar probation_s: time for which it starts apart from other runs, since
+        its task may crash executors; 0 if it doesn't
     :ivar place: sorts the runs of a partition by executor and age there
     :ivar index: the index that the run is in, if any
     """
@@ -100,6 +106,7 @@
     started_s: float | None = None
     planned_s: float = 0.0
     second_choice: str = ''
+    probation_s: float = 0.0
     _pace_percent: int = 100
     pace_changed_s: float = 0.0
     ticket: str = ''
@@ -162,6 +169,25 @@
         """The persistent state of the task."""
         return self.occurrence.task(self.task_id)
 
+    @property
+    def worked_s(self):
+        """Least time for which it has worked, by its progress.
+
+        A run of a previous owner may have lasted longer than it is known.
+        """
+        if self.step.is_lasting:
+            return LASTING_STARTUP_S if self.percent >= 100 else 0.0
+        if self.step.is_checkpointing:
+            # It may have begun with the progress of an earlier run.
+            return 0.0
+        work_s = self.step.estimate_s * MIN_RUN_TIME_FACTOR
+        return work_s * self.percent / 100
+
+    @property
+    def is_suspect(self):
+        """Whether its task may have crashed executors."""
+        return self.probation_s > 0.0 or bool(self.task.crashed_executors)
+
     @functools.cached_property
     def key(self):
         """Key that identifies the run on its executor."""
@@ -234,6 +260,9 @@
         entry
     :ivar run_index: the runs of all executors of the partition
     :ivar runs: runs by :func:`run_key`
+    :ivar suspect_runs: runs whose tasks may crash executors, by the same key
+    :ivar expired_runs: runs that have ended with their leases, since when it
+        was not reached
     :ivar free: capacity not reserved by any run
     :ivar is_fenced: whether it has seen this owner's epoch
     :ivar fenced_since_s: time by which it had seen the epoch
@@ -244,7 +273,9 @@
     :ivar is_closed_to_lasting: whether no long-running task is placed here
     :ivar suspended_until_s: no new runs are placed here before this time
     :ivar polled_s: when the last answer to a poll arrived
+    :ivar held_until_s: until when no runs start here but those of suspects
     :ivar last_answer_s: when the last answer to any call arrived
+    :ivar unanswered_since_s: when a poll first failed after that, or None
     :ivar is_ordered_away: whether an order that ends it was sent to its host,
         and may have taken effect
     """
@@ -259,6 +290,8 @@
     )
     _run_numbers: itertools.count = attrs.Factory(itertools.count)
     runs: dict = attrs.Factory(dict)
+    suspect_runs: dict = attrs.Factory(dict)
+    expired_runs: list = attrs.Factory(list)
     step_counts: collections.Counter = attrs.Factory(collections.Counter)
     is_fenced: bool = False
     fenced_since_s: float = 0.0
@@ -269,7 +302,9 @@
     lease_expires_s: float = 0.0
     last_contact_s: float = 0.0
     polled_s: float = 0.0
+    held_until_s: float = 0.0
     last_answer_s: float = 0.0
+    unanswered_since_s: float | None = None
     is_reserved: bool = False
     is_ordered_away: bool = False
     is_closed_to_lasting: bool = False
@@ -295,6 +330,15 @@
             self.is_closed_to_lasting = True
             self.version += 1
 
+    def exposed_runs(self):
+        """Return the runs that may have been executing when it ended.
+
+        Runs whose leases expired while it was not reached may have ended with
+        it before.
+        """
+        runs = {run.key: run for run in self.expired_runs}
+        return list({**runs, **self.runs}.values())
+
     def lasting_runs(self):
         """Return the runs of long-running tasks."""
         return [run for run in self.runs.values() if run.step.is_lasting]
@@ -325,6 +369,8 @@
             run.place = replaced.place
             self.run_index.remove(replaced)
         self.runs[run.key] = run
+        if run.is_suspect:
+            self.suspect_runs[run.key] = run
         self.run_index.add(run)
         self.free = self.free - run.reserved
         self.step_counts[_step_key(run.task_id)] += 1
@@ -335,6 +381,7 @@
         removed = self.runs.pop(run.key, None)
         if removed is None:
             return
+        self.suspect_runs.pop(run.key, None)
         self.run_index.remove(removed)
         self.free = self.free + run.reserved
         self.step_counts[_step_key(run.task_id)] -= 1
@@ -353,11 +400,17 @@
         """
         if run.started_s is None:
             return None
-        return max(0.0, self.last_answer_s - run.started_s)
+        return max(run.worked_s, self.last_answer_s - run.started_s)
 
     def note_answer(self, now_s):
         """Record that the executor answered a call."""
         self.last_answer_s = max(self.last_answer_s, now_s)
+        self.unanswered_since_s = None
+
+    def note_unanswered(self, now_s):
+        """Record that a poll of the executor failed."""
+        if self.unanswered_since_s is None:
+            self.unanswered_since_s = now_s
 
     def update_clock(self, clock_s, now_s):
         """Record the executor's clock; older readings are ignored."""
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
@@ -21,6 +21,14 @@
         """Whether the job has ended."""
         return self not in (JobState.QUEUED, JobState.RUNNING)
 
+    @property
+    def may_have_runs(self):
+        """Whether a cancellation may have something to end.
+
+        Long-running tasks of a failed job may still serve.
+        """
+        return not self.is_final or self is JobState.FAILED
+
 
 class TaskState(enum.IntEnum):
     """State of a task."""
@@ -53,6 +61,9 @@
     :ivar executor: executor incarnation of the last planned run
     :ivar failures: number of failed runs
     :ivar checkpoint: where the next run resumes; empty to start over
+    :ivar crashed_executors: executors that crashed under the task, since one
+        of its runs showed that the cause was another
+    :ivar crash_survival_s: how long its run had lasted at the last crash
     """
 
     state: TaskState = TaskState.PENDING
@@ -60,6 +71,8 @@
     executor: str = ''
     failures: int = 0
     checkpoint: str = ''
+    crashed_executors: tuple[str, ...] = ()
+    crash_survival_s: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -100,6 +113,14 @@
         """Whether a run of any task was planned."""
         return any(task.run for step in self.tasks for task in step)
 
+    def numbered_tasks(self):
+        """Return each task with its id."""
+        return [
+            (TaskId(self.job.job_id, self.number, step, index), task)
+            for step, tasks in enumerate(self.tasks)
+            for index, task in enumerate(tasks)
+        ]
+
     def task(self, task_id):
         """Return a task, or None if it does not exist."""
         try:
@@ -151,6 +172,17 @@
         """Whether no more tasks of the job may start."""
         return self.is_cancelled or self.is_failed or self.is_done
 
+    def must_end_runs_of(self, step):
+        """Return whether the runs of a step have to end.
+
+        Long-running tasks of a failed job serve their users until it is
+        cancelled, as far as their availability budget asks for it.
+        """
+        if self.is_cancelled or self.is_done:
+            return True
+        is_protected = step.is_lasting and step.max_unavailable is not None
+        return self.is_failed and not is_protected
+
     @property
     def is_done(self):
         """Whether every occurrence is done."""
@@ -163,6 +195,20 @@
         """Whether a run of any task was planned."""
         return any(o.has_started for o in self.occurrences.values())
 
+    def failure_reason(self):
+        """Return why the job has failed, or an empty string."""
+        if not self.is_failed:
+            return ''
+        return next(
+            (
+                _failure_reason(task_id, task)
+                for occurrence in self.occurrences.values()
+                for task_id, task in occurrence.numbered_tasks()
+                if task.state is TaskState.FAILED
+            ),
+            '',
+        )
+
     def state(self):
         """Return the state derived from the job's tasks and flags."""
         if self.is_done:
@@ -172,3 +218,10 @@
         if self.is_cancelled:
             return JobState.CANCELLED
         return JobState.RUNNING if self.has_started else JobState.QUEUED
+
+
+def _failure_reason(task_id, task):
+    if task.crashed_executors:
+        names = ', '.join(task.crashed_executors)
+        return f'executors crashed under task {task_id}: {names}'
+    return f'task {task_id} failed {task.failures} times'
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -113,12 +113,15 @@
 
     :ivar digest: digest of the declared job; see :func:`spec_digest`
     :ivar workspace: workspace that may see the job; empty for any
+    :ivar reason: why the job has failed; empty if it hasn't, and in records
+        of earlier versions
     """
 
     queue: str
     digest: str
     state: jobs.JobState = jobs.JobState.QUEUED
     workspace: str = ''
+    reason: str = ''
 
     def is_visible_to(self, workspace):
         """Return whether callers of a workspace may see the job."""
@@ -179,6 +182,19 @@
         for step in occurrence.tasks
     ]
     value = {'f': int(occurrence.job.is_failed), 't': tasks}
+    crashes = [
+        [
+            task_id.step,
+            task_id.index,
+            round(task.crash_survival_s, 3),
+            *task.crashed_executors,
+        ]
+        for task_id, task in occurrence.numbered_tasks()
+        if task.crashed_executors
+    ]
+    # Earlier versions ignore this field, but can't read longer rows of tasks.
+    if crashes:
+        value['c'] = crashes
     key = f'{PROGRESS}/{occurrence.job.job_id}/{occurrence.number}'
     return Record(key, json.dumps(value, separators=(',', ':')).encode())
 
@@ -276,7 +292,15 @@
         plain = json.loads(value)
         tasks = [[_decode_task(row) for row in step] for step in plain['t']]
         is_failed = bool(plain['f'])
-    except (ValueError, TypeError, KeyError, RecursionError) as error:
+        for row in plain.get('c', ()):
+            _restore_crashes(tasks, *row)
+    except (
+        ValueError,
+        TypeError,
+        LookupError,
+        AttributeError,
+        RecursionError,
+    ) as error:
         raise errors.InvalidRecord(
             f'cannot decode {value!r:.80}: {error!r}'
         ) from error
@@ -303,6 +327,12 @@
     )  # fmt: skip
 
 
+def _restore_crashes(tasks, step, index, survival_s, *executor_ids):
+    task = tasks[int(step)][int(index)]
+    task.crashed_executors = tuple(map(str, executor_ids))
+    task.crash_survival_s = max(0.0, float(survival_s))
+
+
 def _encode(value):
     plain = _converter.unstructure(value)
     return json.dumps(plain, separators=(',', ':')).encode()
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
@@ -17,6 +17,7 @@
 
 import attrs
 
+from . import crash_blame
 from . import jobs
 
 # A job loses its value this many times its objective after it was due.
@@ -53,6 +54,7 @@
     :ivar unplaced_since_s: since when no task of the step could be placed
     :ivar placed_s: when a task of the step was last placed
     :ivar number: increases with each step of the partition
+    :ivar suspects: indexes of pending tasks that may crash executors
     """
 
     occurrence: jobs.Occurrence
@@ -65,6 +67,7 @@
     unplaced_since_s: float | None = None
     placed_s: float | None = None
     number: int = 0
+    suspects: set[int] = attrs.Factory(set)
 
     @property
     def key(self):
@@ -81,6 +84,23 @@
         """Whether a task of the step, or one that it waits for, has begun."""
         return len(self.pending) < self.spec.count or bool(self.spec.after)
 
+    @property
+    def waits_apart(self):
+        """Whether all pending tasks are suspects of crashes."""
+        return bool(self.pending) and len(self.suspects) == len(self.pending)
+
+    def note_pending(self, index):
+        """Record that a task waits for a run, and whether it is a suspect."""
+        if crash_blame.probation_s(self.occurrence.tasks[self.step][index]):
+            self.suspects.add(index)
+        else:
+            self.suspects.discard(index)
+
+    def take(self, index):
+        """Record that a task got a run."""
+        self.pending.remove(index)
+        self.suspects.discard(index)
+
     def is_late(self, now_s):
         """Return whether the job can't be in time any more."""
         return now_s > self.objective_s - self.remaining_path_s
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
@@ -3,6 +3,8 @@
 import heapq
 import itertools
 
+from . import crash_blame
+
 # Weights of the placement cost; the executor with the lowest cost is chosen.
 REMOTE_RACK_COST = 4.0
 COLOCATION_COST = 1.0
@@ -44,6 +46,37 @@
     )
 
 
+def is_apart(executor, now_s):
+    """Return True if only suspects of crashes may start on an executor."""
+    return executor.held_until_s > now_s or has_probation(executor)
+
+
+def has_probation(executor):
+    """Return True if a run on an executor is on probation."""
+    return any(
+        run.probation_s and not crash_blame.is_proven(executor, run)
+        for run in executor.suspect_runs.values()
+    )
+
+
+def may_share_probation(executor, job_id):
+    """Return True if no other job has a run on probation on an executor."""
+    return all(
+        run.task_id.job_id == job_id
+        or not run.probation_s
+        or crash_blame.is_proven(executor, run)
+        for run in executor.suspect_runs.values()
+    )
+
+
+def is_quiet(executor, job_id):
+    """Return True if no run of another job has only just started there."""
+    return all(
+        run.task_id.job_id == job_id or crash_blame.is_proven(executor, run)
+        for run in executor.runs.values()
+    )
+
+
 def can_place(executor, step, task_id):
     """Return True if an executor may run a task and has room for it."""
     return has_room(executor, step) and is_below_limit(executor, step, task_id)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
@@ -5,12 +5,18 @@
 """
 
 import heapq
+import math
 
 from . import placement
 
 # Changes and kinds of step that are remembered before all ranks are dropped.
 MAX_CHANGES = 1000
 MAX_KINDS = 200
+# An executor that is held for a suspect of a crash takes no other runs for
+# this long. Runs that have only just started there are proven sooner.
+HOLD_S = 1.0
+# Share of the executors of a pool that are held at once.
+MAX_APART_SHARE = 0.3
 
 
 class PoolPlacement:
@@ -18,6 +24,10 @@
 
     def __init__(self):
         self._usable = {}
+        # Executors on which only suspects of crashes may start.
+        self._apart = {}
+        # Jobs with suspects that found no executor in this cycle.
+        self._waiting_jobs = set()
         self._versions = {}
         self._rankings = {}
         # Numbers of the executors that have changed, in order of time.
@@ -26,7 +36,7 @@
     @property
     def has_usable(self):
         """Whether new runs may be placed anywhere in the pool."""
-        return bool(self._usable)
+        return bool(self._usable or self._apart)
 
     def update(self, executors, now_s):
         """Record what has changed since the last cycle.
@@ -37,11 +47,14 @@
             self._rankings.clear()
             self._changed.clear()
         before = self._versions
-        self._usable = {
-            executor.number: executor
-            for executor in executors
-            if placement.is_usable(executor, now_s)
-        }
+        self._usable, self._apart = {}, {}
+        self._waiting_jobs.clear()
+        for executor in executors:
+            if not placement.is_usable(executor, now_s):
+                continue
+            is_apart = placement.is_apart(executor, now_s)
+            group = self._apart if is_apart else self._usable
+            group[executor.number] = executor
         self._versions = {
             number: executor.version
             for number, executor in self._usable.items()
@@ -81,10 +94,86 @@
             executors = self._usable_of(allowed_ids)
         return placement.choose_gang(executors, step, task_ids)
 
+    def has_room_apart(self, step):
+        """Return True if a suspect of a crash may have room."""
+        return self.has_room(step) or any(
+            placement.has_room(executor, step)
+            for executor in self._apart.values()
+        )
+
+    def choose_apart(self, step, task_id, now_s, allowed_ids=None):
+        """Return an executor for a suspect of a crash, or None.
+
+        No run of another job has only just started there, so that a further
+        crash has no other suspect. Of those, the one with the fewest runs is
+        chosen, since its runs may be lost. If there is none, an executor is
+        held until its runs are proven.
+        """
+        job_id = task_id.job_id
+        candidates = [
+            executor
+            for executor in self._for_suspects(job_id, allowed_ids)
+            if placement.can_place(executor, step, task_id)
+        ]
+        quiet = [e for e in candidates if placement.is_quiet(e, job_id)]
+        if quiet:
+            return min(quiet, key=_by_runs)
+        self._waiting_jobs.add(job_id)
+        others = [e for e in candidates if e.number not in self._apart]
+        if others and self._may_hold(len(candidates) - len(others)):
+            self._hold(min(others, key=_by_runs), now_s)
+        return None
+
+    def _may_hold(self, held_count):
+        """Return whether another executor may be held.
+
+        :param held_count: number of executors held for the same tasks
+        """
+        known = len(self._usable) + len(self._apart)
+        limit = math.ceil(known * MAX_APART_SHARE)
+        return held_count < len(self._waiting_jobs) and (
+            len(self._apart) < limit
+        )
+
+    def choose_gang_apart(self, step, task_ids, now_s, allowed_ids=None):
+        """Return an executor for each task of a gang of suspects, or None."""
+        job_id = task_ids[0].job_id
+        candidates = self._for_suspects(job_id, allowed_ids)
+        quiet = [e for e in candidates if placement.is_quiet(e, job_id)]
+        chosen = placement.choose_gang(quiet, step, task_ids)
+        if chosen is None:
+            held = placement.choose_gang(candidates, step, task_ids) or ()
+            for executor in {e.number: e for e in held}.values():
+                self._hold(executor, now_s)
+        return chosen
+
+    def _for_suspects(self, job_id, allowed_ids):
+        return [
+            executor
+            for executor in (*self._usable.values(), *self._apart.values())
+            if placement.may_share_probation(executor, job_id)
+            and (allowed_ids is None or executor.executor_id in allowed_ids)
+        ]
+
+    def _hold(self, executor, now_s):
+        executor.held_until_s = now_s + HOLD_S
+        self._set_apart(executor)
+
+    def _set_apart(self, executor):
+        """Start no other runs on an executor in this cycle."""
+        if self._usable.pop(executor.number, None) is not None:
+            self._versions.pop(executor.number, None)
+            self._changed.append(executor.number)
+        self._apart[executor.number] = executor
+
     def note_placed(self, executor):
         """Record that a run was added to an executor in this cycle."""
-        self._versions[executor.number] = executor.version
-        self._changed.append(executor.number)
+        if placement.has_probation(executor):
+            executor.held_until_s = 0.0
+            self._set_apart(executor)
+        if executor.number in self._usable:
+            self._versions[executor.number] = executor.version
+            self._changed.append(executor.number)
 
     def _usable_of(self, executor_ids):
         if not executor_ids:
@@ -104,6 +193,10 @@
         return ranking
 
 
+def _by_runs(executor):
+    return len(executor.runs), executor.number
+
+
 class _Ranking:
     """The executors with room for one kind of step, lowest cost first.
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -204,7 +204,7 @@
             for index, task in enumerate(occurrence.tasks[step])
             if task.state is jobs.TaskState.PENDING
         ]
-        self._steps[key] = ordering.ReadyStep(
+        ready_step = self._steps[key] = ordering.ReadyStep(
             occurrence,
             step,
             pending,
@@ -214,7 +214,9 @@
             ordering.remaining_path_s(job.spec, step),
             number=next(self._numbers),
         )
-        self._note_pending(self._steps[key])
+        for index in pending:
+            ready_step.note_pending(index)
+        self._note_pending(ready_step)
         self.pools_to_schedule.add(queue.pool)
 
     def complete_step(self, occurrence, step, now_s):
@@ -253,6 +255,7 @@
         ready_step = self._steps.get(key)
         if ready_step is not None:
             ready_step.pending.append(task_id.index)
+            ready_step.note_pending(task_id.index)
             if ready_step not in self.quota_waits:
                 self._note_pending(ready_step)
             self.pools_to_schedule.add(self.pool_of(job))
@@ -269,6 +272,14 @@
                 for index in ready_step.pending
                 if tasks[index].state is not jobs.TaskState.DONE
             ]
+            ready_step.suspects &= set(ready_step.pending)
+
+    def note_suspected(self, task_id):
+        """Process a new suspicion of a task that may be pending."""
+        key = task_id.job_id, task_id.occurrence, task_id.step
+        ready_step = self._steps.get(key)
+        if ready_step is not None and task_id.index in ready_step.pending:
+            ready_step.note_pending(task_id.index)
 
     def backlog_host_s(self, ready_step, capacity):
         """Return the pending work of a step, in host-seconds."""
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
@@ -1,5 +1,6 @@
 """Apply the ends of runs to their tasks, steps and jobs."""
 
+from . import crash_blame
 from . import executor_health
 from . import executors
 from . import jobs
@@ -36,7 +37,8 @@
         self._steps.remove_job(job)
         self._tickets.discard_job(job.job_id)
         for run in self._run_index.runs_of_job(job.job_id):
-            run.is_stop_requested = True
+            if job.must_end_runs_of(run.step):
+                run.is_stop_requested = True
 
     def finish(self, executor, ended, now_s):
         """Remove a run that has ended from its executor."""
@@ -48,6 +50,9 @@
         if not was_current:
             self._finish_superseded(ended, now_s)
             return
+        if ended.cause in (_Cause.DONE, _Cause.FAILED):
+            # Its executor has survived it.
+            crash_blame.clear(task)
         if ended.checkpoint and run.step.is_checkpointing:
             task.checkpoint = ended.checkpoint
         self._changed[run.occurrence] = None
@@ -108,17 +113,21 @@
         for run in self._run_index.runs_of_task(ended_run.task_id):
             run.is_stop_requested = True
 
+    def give_up(self, run):
+        """Fail the job of a task that must not start again."""
+        self._changed[run.occurrence] = None
+        run.task.state = jobs.TaskState.FAILED
+        run.occurrence.job.is_failed = True
+        self.stop_job(run.occurrence.job)
+
     def _mark_failed(self, run):
         occurrence, step = run.occurrence, run.task_id.step
         run.task.failures += 1
         failures = run.task.failures
         if run.step.is_gang:
             failures = sum(t.failures for t in occurrence.tasks[step])
-        job = occurrence.job
-        if failures >= self._steps.queue_of(job).max_attempts:
-            run.task.state = jobs.TaskState.FAILED
-            job.is_failed = True
-            self.stop_job(job)
+        if failures >= self._steps.queue_of(occurrence.job).max_attempts:
+            self.give_up(run)
         else:
             self._mark_pending(run)
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
@@ -26,6 +26,7 @@
 
 import attrs
 
+from . import crash_blame
 from . import executors
 from . import jobs
 
@@ -99,6 +100,7 @@
     executor.mark_fenced(poll.received_s)
     executor.last_contact_s = executor.polled_s = poll.received_s
     executor.note_answer(poll.received_s)
+    executor.expired_runs.clear()
     executor.update_clock(poll.clock_s, poll.received_s)
     finished_runs = _read_ends(executor, poll, find_occurrence)
     found, orphans = [], []
@@ -142,9 +144,8 @@
     if run is None:
         return None
     # Only the run that the task currently refers to may continue.
-    run.is_stop_requested = run.occurrence.job.is_terminal or not is_current(
-        run
-    )
+    must_end = run.occurrence.job.must_end_runs_of(run.step)
+    run.is_stop_requested = must_end or not is_current(run)
     executor.add(run)
     return run
 
@@ -163,6 +164,7 @@
         spec.reserved,
         _Phase.RUNNING,
         poll.received_s,
+        probation_s=crash_blame.probation_s(occurrence.task(row.task_id)),
     )
 
 
@@ -278,6 +280,7 @@
         # Polls carry the new epoch, which fences the requests of previous
         # owners.
         start_blocked_since_s=since_s,
+        probation_s=crash_blame.probation_s(occurrence.task(task_id)),
     )
     executor.add(run)
     return run
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -3,6 +3,8 @@
 import attrs
 
 from . import arrival_shares
+from . import crash_blame
+from . import departures
 from . import executor_health
 from . import executor_index
 from . import executors as executors_module
@@ -15,6 +17,7 @@
 from . import run_endings
 from . import run_index
 from . import run_tracking
+from . import shared_crashes
 from . import specs
 from . import start_planning
 from . import start_shares
@@ -24,6 +27,18 @@
 _Answer = run_tracking.StartAnswer
 
 
+@attrs.frozen
+class ExecutorEnd:
+    """The end of an executor.
+
+    :ivar finished_runs: its runs
+    :ivar suspects: tasks that may have crashed it
+    """
+
+    finished_runs: list[run_tracking.FinishedRun]
+    suspects: list[crash_blame.Suspect]
+
+
 @attrs.frozen
 class SchedulingPlan:
     """The decisions of one scheduling cycle.
@@ -69,6 +84,7 @@
         )
         self._unrecorded = {}
         self._orphans = {}
+        self._crashes = shared_crashes.SharedCrashes()
         self._endings = run_endings.RunEndings(
             self.steps, self.tickets, self._run_index
         )
@@ -91,7 +107,8 @@
         self.steps.add_job(job, now_s, wall_s, age_s, capacity)
 
     def cancel_job(self, job):
-        """Stop all runs of a cancelled job."""
+        """Cancel a job, and stop all its runs."""
+        job.is_cancelled = True
         self._endings.stop_job(job)
 
     def has_runs(self, job_id):
@@ -185,17 +202,45 @@
         """Return the known incarnations of the executor of a host."""
         return self._index.on_host(host) if host else []
 
-    def remove_executor(self, executor_id, now_s):
-        """Remove an executor whose incarnation has ended, with its runs."""
-        if executor_id not in self.executors:
-            return []
+    def remove_executor(
+        self, executor_id, now_s, kind=departures.DepartureKind.PLANNED
+    ):
+        """Remove an executor whose incarnation has ended, with its runs.
+
+        :param kind: whether it was expected to end
+        :rtype: ExecutorEnd
+        """
+        executor = self.executors.get(executor_id)
+        if executor is None:
+            return ExecutorEnd([], [])
+        suspects = []
+        if kind is departures.DepartureKind.CRASHED:
+            suspects = self._find_suspects(executor, now_s)
         finished_runs = self._end_runs(executor_id, _Cause.LOST, now_s)
         self._index.remove(self.executors.pop(executor_id))
         self._unrecorded.pop(executor_id, None)
-        return finished_runs
+        for suspect in suspects:
+            if suspect.is_blamed:
+                self._endings.give_up(suspect.run)
+        return ExecutorEnd(finished_runs, suspects)
+
+    def _find_suspects(self, executor, now_s):
+        """Record a crash in the state of the tasks that may be to blame."""
+        others = [e for e in self.executors.values() if e is not executor]
+        is_shared = self._crashes.is_shared(executor, others, now_s)
+        self._crashes.note(executor, now_s)
+        runs = filter(crash_blame.may_be_responsible, executor.exposed_runs())
+        suspects = crash_blame.judge(executor, list(runs), is_shared)
+        for suspect in suspects:
+            crash_blame.note_crash(suspect)
+            self._endings.note_changed([suspect.run.occurrence])
+            self.steps.note_suspected(suspect.run.task_id)
+        return suspects
 
     def expire_executor(self, executor_id, now_s):
         """End all runs of an executor whose leases have expired."""
+        executor = self.executors[executor_id]
+        executor.expired_runs += executor.runs.values()
         return self._end_runs(executor_id, _Cause.LAPSED, now_s)
 
     def _end_runs(self, executor_id, cause, now_s):
@@ -222,7 +267,7 @@
                     run = run_tracking.inherit(
                         executor, (task_id, task.run), occurrence, now_s
                     )
-                    run.is_stop_requested = job.is_terminal
+                    run.is_stop_requested = job.must_end_runs_of(run.step)
 
     def _get_or_add_executor(self, executor_id, now_s):
         executor = self.executors.get(executor_id)
@@ -245,6 +290,7 @@
         if executor.last_processed_end > executor.last_recorded_end:
             self._unrecorded[executor_id] = executor
         self._run_index.note_pace_input(executor_id)
+        self._clear_suspects(executor)
         self._orphans.update(
             {(s.executor_id, s.task_id, s.number): s for s in outcome.orphans}
         )
@@ -258,6 +304,15 @@
             self.steps.pools_to_schedule.add(executor.entry.pool)
         return outcome.finished_runs
 
+    def _clear_suspects(self, executor):
+        """Forget the crashes under tasks whose runs have lasted."""
+        for run in list(executor.suspect_runs.values()):
+            if crash_blame.is_cleared(executor, run):
+                del executor.suspect_runs[run.key]
+                crash_blame.clear(run.task)
+                self._endings.note_changed([run.occurrence])
+                self.steps.pools_to_schedule.add(executor.entry.pool)
+
     def _expected_s(self, run):
         factor = self.steps.estimates.factor(run.occurrence.job.queue)
         return run.step.estimate_s * factor
@@ -331,6 +386,7 @@
         starts = self._planner.plan(pools, now_s, shares)
         if not shares.left:
             self.steps.pools_to_schedule |= stale
+        self.steps.pools_to_schedule |= self._planner.waiting_pools
         self._endings.note_changed(run.occurrence for run in starts)
         return starts
 
@@ -423,11 +479,8 @@
 
 
 def _assigned_tasks(occurrence):
-    for step, tasks in enumerate(occurrence.tasks):
-        for index, task in enumerate(tasks):
-            if task.state is jobs.TaskState.ASSIGNED:
-                job_id = occurrence.job.job_id
-                yield (
-                    jobs.TaskId(job_id, occurrence.number, step, index),
-                    task,
-                )
+    return [
+        (task_id, task)
+        for task_id, task in occurrence.numbered_tasks()
+        if task.state is jobs.TaskState.ASSIGNED
+    ]
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from . import crash_blame
 from . import executors as executors_module
 from . import jobs
 from . import ordering
@@ -27,6 +28,8 @@
     :param tickets: permissions for steps of queues that need advice
     :param ledger: what the runs of each workspace use
     :ivar holding_pools: pools that start no work that is late
+    :ivar waiting_pools: pools in which suspects of crashes wait for an
+        executor on which nothing has only just started
     """
 
     def __init__(self, steps, tickets, ledger):
@@ -35,6 +38,7 @@
         self._ledger = ledger
         self._pools = collections.defaultdict(pool_placement.PoolPlacement)
         self.holding_pools = frozenset()
+        self.waiting_pools = set()
         self._held_gang = None
 
     def plan(self, pools, now_s, shares):
@@ -43,6 +47,7 @@
         :param pools: the executors of each pool to look at, sorted by pool
         :param shares: the starts that may be planned
         """
+        self.waiting_pools.clear()
         waiting, full = self._find_candidates(pools, now_s)
         waiting.sort(key=lambda candidate: self._order(candidate, now_s))
         starts, reached = self._plan_steps(waiting, now_s, shares)
@@ -66,7 +71,7 @@
             if not pool_executors.has_usable:
                 continue
             for ready_step in self._steps_to_start(pool, now_s):
-                if pool_executors.has_room(ready_step.spec):
+                if _may_have_room(pool_executors, ready_step):
                     group = waiting
                 elif ready_step.unplaced_since_s is None:
                     group = full
@@ -118,15 +123,25 @@
         if ready_step.unplaced_since_s is None:
             ready_step.unplaced_since_s = now_s
         # Steps that were placed before may have taken the room.
-        if not candidate.executors.has_room(ready_step.spec):
+        if not _may_have_room(candidate.executors, ready_step):
             return []
         if ready_step.spec.is_gang:
-            return self._plan_gang(
+            starts = self._plan_gang(
                 ready_step, candidate.executors, now_s, shares
             )
-        return self._plan_tasks(
-            ready_step, candidate.executors, now_s, shares.limit(ready_step)
-        )
+        else:
+            starts = self._plan_tasks(
+                ready_step,
+                candidate.executors,
+                now_s,
+                shares.limit(ready_step),
+            )
+        if ready_step.suspects:
+            self.waiting_pools.add(candidate.pool)
+        if ready_step.waits_apart:
+            # These tasks don't lack room on a host.
+            ready_step.unplaced_since_s = None
+        return starts
 
     def _may_use_quota(self, ready_step):
         """Return whether a step may start a task; set it aside if not.
@@ -161,49 +176,87 @@
     def _plan_tasks(self, ready_step, pool_executors, now_s, limit):
         starts = []
         step_tickets = self._valid_tickets(ready_step, now_s)
-        while ready_step.pending and len(starts) < limit:
+        for index in _starting_order(ready_step):
+            if len(starts) == limit:
+                break
             if not self._admits(ready_step):
                 self._wait_for_quota(ready_step)
                 return starts
-            index = ready_step.pending[0]
-            task_id = _task_id(ready_step, index)
-            task = ready_step.occurrence.task(task_id)
-            executor, second = pool_executors.choose(
-                ready_step.spec, task_id, task, step_tickets
+            is_suspect = index in ready_step.suspects
+            run = self._plan_task(
+                ready_step, index, pool_executors, step_tickets, now_s
             )
-            if executor is None:
+            if run is not None:
+                starts.append(run)
+            elif not is_suspect:
                 break
-            ready_step.pending.pop(0)
-            ready_step.unplaced_since_s = now_s if ready_step.pending else None
-            ready_step.placed_s = now_s
-            run = _plan_run(ready_step, task_id, executor, task.run + 1, now_s)
-            pool_executors.note_placed(executor)
-            run.second_choice = second.executor_id if second else ''
-            run.ticket = (step_tickets or {}).get(executor.executor_id, '')
-            starts.append(run)
         if len(starts) == limit:
             # The rest waits for other starts, not for room.
             ready_step.unplaced_since_s = None
         return starts
 
+    def _plan_task(
+        self, ready_step, index, pool_executors, step_tickets, now_s
+    ):
+        """Return the planned run of a task, or None without an executor."""
+        spec, task_id = ready_step.spec, _task_id(ready_step, index)
+        task = ready_step.occurrence.task(task_id)
+        if index in ready_step.suspects:
+            second = None
+            executor = pool_executors.choose_apart(
+                spec, task_id, now_s, step_tickets
+            )
+        else:
+            executor, second = pool_executors.choose(
+                spec, task_id, task, step_tickets
+            )
+        if executor is None:
+            return None
+        ready_step.take(index)
+        ready_step.unplaced_since_s = now_s if ready_step.pending else None
+        ready_step.placed_s = now_s
+        run = _plan_run(
+            ready_step,
+            task_id,
+            executor,
+            task.run + 1,
+            now_s,
+            crash_blame.probation_s(task),
+        )
+        pool_executors.note_placed(executor)
+        run.second_choice = second.executor_id if second else ''
+        run.ticket = (step_tickets or {}).get(executor.executor_id, '')
+        return run
+
     def _plan_gang(self, ready_step, pool_executors, now_s, shares):
         tasks = ready_step.occurrence.tasks[ready_step.step]
         if len(ready_step.pending) < len(tasks):
             return []
         ids = [_task_id(ready_step, index) for index in range(len(tasks))]
         step_tickets = self._valid_tickets(ready_step, now_s)
-        chosen = pool_executors.choose_gang(ready_step.spec, ids, step_tickets)
+        if ready_step.suspects:
+            chosen = pool_executors.choose_gang_apart(
+                ready_step.spec, ids, now_s, step_tickets
+            )
+        else:
+            chosen = pool_executors.choose_gang(
+                ready_step.spec, ids, step_tickets
+            )
         if chosen is None or not shares.admits_gang(ready_step):
             return []
         ready_step.pending.clear()
+        ready_step.suspects.clear()
         ready_step.unplaced_since_s = None
         ready_step.placed_s = now_s
         number = max(task.run for task in tasks) + 1
         checkpoint = next((t.checkpoint for t in tasks if t.checkpoint), '')
         for task in tasks:
             task.checkpoint = checkpoint
+        probation_s = max(map(crash_blame.probation_s, tasks))
         runs = [
-            _plan_run(ready_step, task_id, executor, number, now_s)
+            _plan_run(
+                ready_step, task_id, executor, number, now_s, probation_s
+            )
             for task_id, executor in zip(ids, chosen)
         ]
         for run, executor in zip(runs, chosen):
@@ -229,7 +282,25 @@
     return bool(ready_step.pending) and ready_step.unplaced_since_s is None
 
 
-def _plan_run(ready_step, task_id, executor, number, now_s):
+def _may_have_room(pool_executors, ready_step):
+    if ready_step.suspects:
+        return pool_executors.has_room_apart(ready_step.spec)
+    return pool_executors.has_room(ready_step.spec)
+
+
+def _starting_order(ready_step):
+    """Return the indexes of pending tasks, suspects of crashes first.
+
+    Other tasks that had only just started would keep them waiting.
+    """
+    if not ready_step.suspects:
+        return list(ready_step.pending)
+    return sorted(
+        ready_step.pending, key=lambda index: index not in ready_step.suspects
+    )
+
+
+def _plan_run(ready_step, task_id, executor, number, now_s, probation_s):
     occurrence = ready_step.occurrence
     task = occurrence.task(task_id)
     task.state = jobs.TaskState.ASSIGNED
@@ -238,7 +309,7 @@
     run = executors_module.Run(
         task_id, number, occurrence, executor.executor_id,
         ready_step.spec.reserved, executors_module.RunPhase.PLANNED, now_s,
-        planned_s=now_s,
+        planned_s=now_s, probation_s=probation_s,
     )  # fmt: skip
     executor.add(run)
     return run
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -272,7 +272,7 @@
         status = await self.find(access, job_id)
         if status is None:
             return False
-        if not status.state.is_final:
+        if status.state.may_have_runs:
             await self._append(job_id, journal.cancel_record(job_id), access)
             self._parts.note_cancelled(job_id)
         return True
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers_app.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers_app.py
@@ -82,7 +82,10 @@
 def _state_answer(status):
     if status is None:
         return response.json({}, 410)
-    return response.json({'state': status.state.value})
+    answer = {'state': status.state.value}
+    if status.reason:
+        answer['reason'] = status.reason
+    return response.json(answer)
 
 
 def _log_aborted_request(request, took_s, parts):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/cycle_journal.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/cycle_journal.py
@@ -98,5 +98,11 @@
     def publish_state(self, job, state):
         """Publish the state of a job."""
         if state.is_final and self.dropper.finished.add(job):
-            self._parts.events.write('job_ended', job=job.job_id, state=state)
+            reason = job.failure_reason()
+            self._parts.events.write(
+                'job_ended',
+                job=job.job_id,
+                state=state,
+                **({'why': reason} if reason else {}),
+            )
         self._publisher.publish(job, state)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
@@ -6,6 +6,7 @@
 from hawthorndeal_jobs import departures
 from hawthorndeal_jobs import executor_health
 from hawthorndeal_jobs import executors as executors_module
+from hawthorndeal_jobs import placement
 from hawthorndeal_platform import executor_orders
 
 from . import run_orders
@@ -20,6 +21,8 @@
 # that time, since a full link makes many starts unknown at once.
 UNKNOWN_RUN_POLL_WAIT_S = 0.05
 UNKNOWN_RUN_POLL_WAIT_SHARE = 0.5
+# Applies while an executor runs a suspect of a crash, or is held for one.
+APART_POLL_WAIT_S = 0.1
 # Consecutive failed polls after which an executor counts as unreachable.
 UNREACHABLE_FAILURES = 2
 # Runs tend to end in groups, which one poll then reports together.
@@ -86,6 +89,7 @@
             )
             await asyncio.sleep(RETRY_S)
         self._failures += 1
+        self._executor.note_unanswered(self._owner.now_s())
         self._owner.tracker.note_unanswered_poll()
         if self._failures < UNREACHABLE_FAILURES:
             return False
@@ -127,7 +131,11 @@
         executor = self._executor
         if self._failures or not executor.is_fenced:
             return 0.0
-        return poll_wait_s(executor.runs.values(), self._owner.now_s())
+        wait_s = poll_wait_s(executor.runs.values(), self._owner.now_s())
+        if placement.is_apart(executor, self._owner.now_s()):
+            # Suspects of crashes wait until the runs are known to last.
+            return min(wait_s, APART_POLL_WAIT_S)
+        return wait_s
 
     async def _wait_for_ends_stored(self):
         await asyncio.sleep(POLL_PAUSE_S)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
@@ -120,6 +120,20 @@
             **fields,
         )
 
+    def _log_suspect(self, suspect):
+        run = suspect.run
+        if suspect.is_blamed:
+            self._metrics.note_task_given_up()
+        self._events.write(
+            'crash_suspect',
+            task=str(run.task_id),
+            run=run.number,
+            executor=run.executor_id,
+            survival_s=round(suspect.survival_s, 3),
+            crashed_executors=len(run.task.crashed_executors),
+            is_given_up=suspect.is_blamed,
+        )
+
     def check_lease_expiry(self, executor):
         """End the runs of an executor whose leases have expired.
 
@@ -154,23 +168,25 @@
         self._ended_executor_ids.add(executor.executor_id)
         self._without_agent.pop(executor.executor_id, None)
         now_s = self._owner.now_s()
-        ended_runs = self._scheduler.remove_executor(
-            executor.executor_id, now_s
-        )
         kind = departures.kind_of(executor, departure)
+        end = self._scheduler.remove_executor(
+            executor.executor_id, now_s, kind
+        )
         self._metrics.note_departure(kind.value)
         self._events.write(
             'executor_gone',
             executor=executor.executor_id,
             host=executor.entry.host,
             rack=executor.entry.rack,
-            runs=len(ended_runs),
+            runs=len(end.finished_runs),
             departure=kind.value,
             why=departure.value,
             unanswered_s=round(now_s - executor.last_answer_s, 3),
         )
-        for ended in ended_runs:
+        for ended in end.finished_runs:
             self._log_end(executor, ended)
+        for suspect in end.suspects:
+            self._log_suspect(suspect)
         held = self._agents.pop(executor.executor_id, None)
         if held is not None and held[0] is not asyncio.current_task():
             held[0].cancel()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/metrics.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/metrics.py
@@ -49,6 +49,11 @@
             ['kind'],
             registry=self._registry,
         )
+        self._tasks_given_up = prometheus_client.Counter(
+            'hawthorndeal_tasks_given_up',
+            'Tasks that were given up for crashing executors.',
+            registry=self._registry,
+        )
         self._host_orders = prometheus_client.Counter(
             'hawthorndeal_host_orders',
             'Orders to hosts, by kind.',
@@ -120,6 +125,10 @@
         """Count one executor that has ended."""
         self._departures.labels(kind).inc()
 
+    def note_task_given_up(self):
+        """Count one task that was given up for crashing executors."""
+        self._tasks_given_up.inc()
+
     def note_page(self, topic, records, behind):
         """Count one page read from the store.
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -435,9 +435,8 @@
             if self._parts.board.is_stored_final(job_id):
                 self._journal.dropper.drop_cancellation(job_id)
             return
-        job.is_cancelled = True
-        self._journal.note_cancelled(job)
         self.scheduler.cancel_job(job)
+        self._journal.note_cancelled(job)
         self.wake()
 
     def handle_configuration(self, configuration):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
@@ -49,7 +49,9 @@
         if last is not None and (last.state is state or last.state.is_final):
             return
         digest = last.digest if last else journal.spec_digest(job.spec)
-        status = journal.JobStatus(job.queue, digest, state, job.workspace)
+        status = journal.JobStatus(
+            job.queue, digest, state, job.workspace, job.failure_reason()
+        )
         self._last_published[job.job_id] = status
         self._statuses[job.job_id] = status
         self._wake.set()
