Notice the crash of an executor with runs after half a second

Callers: what an executor ran when it crashed started elsewhere only after 1.9 s in the median, since hosts are listed once a second and an executor has to be absent from two lists and unreached for a second.

Cause: the second of silence guards against lists that lag behind a new executor. An executor that a list has shown needs no such guard.

Change: hosts are listed every 0.3 s while an executor with runs has only just fallen silent, for 2 s; one that a list has shown has ended when two lists don't show it and it was not reached for 0.4 s. One that is only silent or cut off stays listed, so that its runs go on.

--- a/features/steps/jobs_host_inventory.py
+++ b/features/steps/jobs_host_inventory.py
@@ -3,16 +3,19 @@
 import asyncio
 import types
 
+import attrs
 from behave import given
 from behave import then
 from behave import when
 
+from hawthorndeal_jobs import departures
 from hawthorndeal_jobs import executors
 from hawthorndeal_jobs import specs
 from hawthorndeal_platform import host_orders
 from hawthorndeal_scheduler import host_inventory
 from stage import scheduler_harness
 
+POLL_PERIOD_S = 0.2
 CYCLE_S = 0.1
 CAPACITY = specs.Resources(4000, 16384)
 
@@ -24,11 +27,13 @@
         self.harness = scheduler_harness.Harness()
         self.scheduler = self.harness.scheduler
         self.tracker = types.SimpleNamespace(remove=self._remove)
+        self.ended = {}
 
     def now_s(self):
         return self.harness.now_s
 
     def _remove(self, executor, why):
+        self.ended[executor.executor_id] = departures.kind_of(executor, why)
         self.scheduler.remove_executor(executor.executor_id, self.now_s())
 
 
@@ -107,3 +112,74 @@
     now_s = context.owner.now_s()
     found = context.inventory.arriving(pool, now_s)
     assert found == count, found
+
+
+@given(
+    'an inventory of {count:d} hosts in pool "{pool}", whose executors run '
+    'tasks'
+)
+def make_busy_inventory(context, count, pool):
+    make_inventory(context, count, pool)
+    harness = context.owner.harness
+    for host, entry in context.entries.items():
+        harness.register_executor(entry.executor_id, host, pool)
+        harness.inherit_job(
+            f'on-{host}', scheduler_harness.steps(2), entry.executor_id
+        )
+    _pass_time(context, 2.0)
+
+
+def _pass_time(context, seconds, silent_ids=()):
+    """Let the executors but some answer polls, and refresh the inventory."""
+    harness = context.owner.harness
+    end_s, poll_due_s = harness.now_s + seconds, harness.now_s
+    while harness.now_s < end_s:
+        if harness.now_s >= poll_due_s:
+            poll_due_s += POLL_PERIOD_S
+            for executor in list(harness.scheduler.executors.values()):
+                if executor.executor_id in silent_ids:
+                    executor.note_unanswered(harness.now_s)
+                else:
+                    harness.poll_runs(executor.executor_id)
+        harness.now_s += CYCLE_S
+        asyncio.run(context.inventory.refresh())
+
+
+@when('the executor of one host crashes')
+def crash_one(context):
+    entry = context.entries['h1']
+    context.silent_ids = [entry.executor_id]
+    context.entries['h1'] = attrs.evolve(
+        entry, state=host_orders.HostState.DOWN, executor_id=''
+    )
+
+
+@when('the executor of one host is silent for {seconds:g} seconds')
+def silence_one(context, seconds):
+    _pass_time(context, seconds, [context.entries['h1'].executor_id])
+
+
+@when('a new executor that no list shows is silent for {seconds:g} seconds')
+def silence_new(context, seconds):
+    harness = context.owner.harness
+    harness.register_executor('new', 'h1')
+    harness.inherit_job('on-new', scheduler_harness.steps(2), 'new')
+    harness.poll_runs('new')
+    _pass_time(context, seconds, ['new'])
+
+
+@then('it is known to have ended within {seconds:g} seconds')
+def check_noticed(context, seconds):
+    _pass_time(context, seconds, context.silent_ids)
+    assert list(context.owner.ended) == context.silent_ids
+
+
+@then('it is known to have crashed')
+def check_crashed(context):
+    kinds = set(context.owner.ended.values())
+    assert kinds == {departures.DepartureKind.CRASHED}, kinds
+
+
+@then('no executor is known to have ended')
+def check_none_ended(context):
+    assert not context.owner.ended, context.owner.ended
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
@@ -6,13 +6,16 @@
 from hawthorndeal_platform import host_orders
 
 LIST_PERIOD_S = 1.0
-# Hosts are listed earlier after an order, to learn its outcome.
+# Hosts are listed earlier after an order, to learn its outcome, and while an
+# executor with runs has only just fallen silent, since it may have crashed.
 EARLY_LIST_DELAY_S = 0.3
+SILENCE_WATCH_S = 2.0
 # A host that takes longer to reach its new pool no longer counts as arriving.
 ARRIVAL_TIMEOUT_S = 4.0
 # Absence from a list ends an executor only if it was not reached for this
-# long.
+# long. Lists lag, so that one which no list has shown may have begun since.
 MIN_UNREACHED_S = 1.0
+MIN_UNREACHED_LISTED_S = 0.4
 
 _State = host_orders.HostState
 
@@ -39,6 +42,8 @@
         self._list_due_s = 0.0
         self._moving = {}
         self._unlisted = set()
+        # Ids of the known executors that a list has shown.
+        self._ever_listed = set()
         # Hosts with an order of unknown outcome, and the time after which a
         # list shows the outcome.
         self._unconfirmed_orders = {}
@@ -53,7 +58,7 @@
     async def refresh(self):
         """List the hosts if a new list is due."""
         sent_s = self._owner.now_s()
-        if sent_s < self._list_due_s:
+        if sent_s < self._list_due_s and not self._is_list_needed(sent_s):
             return
         entries = await self._parts.hosts.list()
         self._listed_s = sent_s
@@ -64,6 +69,17 @@
             self._clear_unconfirmed_order(entry, sent_s)
         self._end_unlisted_executors(entries, sent_s)
 
+    def _is_list_needed(self, now_s):
+        """Return whether an executor may have crashed since the last list."""
+        if now_s - self._listed_s < EARLY_LIST_DELAY_S:
+            return False
+        return any(
+            executor.runs
+            and executor.unanswered_since_s is not None
+            and now_s - executor.unanswered_since_s < SILENCE_WATCH_S
+            for executor in self._owner.scheduler.executors.values()
+        )
+
     def list_soon(self):
         """Request an early list of the hosts.
 
@@ -97,18 +113,28 @@
             if entry.state is not _State.DOWN
         }
         known = self._owner.scheduler.executors
+        self._ever_listed = (self._ever_listed | listed) & known.keys()
         unlisted = {
             executor_id
             for executor_id, executor in known.items()
-            if executor_id not in listed
-            and sent_s - executor.last_contact_s > MIN_UNREACHED_S
+            if executor_id not in listed and executor.last_contact_s < sent_s
         }
-        for executor_id in sorted(unlisted & self._unlisted):
+        ended = {
+            executor_id
+            for executor_id in unlisted & self._unlisted
+            if self._is_unreached(known[executor_id], sent_s)
+        }
+        for executor_id in sorted(ended):
             self._owner.tracker.remove(
                 known[executor_id], departures.Departure.UNLISTED
             )
         self._unlisted = unlisted
 
+    def _is_unreached(self, executor, now_s):
+        is_listed = executor.executor_id in self._ever_listed
+        min_s = MIN_UNREACHED_LISTED_S if is_listed else MIN_UNREACHED_S
+        return now_s - executor.last_contact_s > min_s
+
     # Executors
 
     def executor_on(self, host):
