Give up a task only after crashes under runs that have started

Cause: a start without an answer counted as a start.

Change: a crash under a run that is not known to have started makes its task a suspect, but is counted apart; a task is given up after two crashes under runs that were acknowledged or listed. Five crashes give it up in any case. That a suspect has started is stored at once, so that a successor can tell, too.

--- a/features/fakes/task_executors.py
+++ b/features/fakes/task_executors.py
@@ -11,6 +11,9 @@
 from hawthorndeal_platform import executor_orders
 
 STOP_DURATION_S = 0.1
+# A capacity that has shrunk binds this much later: the time in which a daemon
+# has to learn of it, and one heartbeat.
+SHRINK_NOTICE_S = 4.5
 # Sizes of messages: without rows or payload, and of a row of a poll.
 MESSAGE_BYTES = 300
 ROW_BYTES = 60
@@ -61,6 +64,24 @@
         self._ends = []
         self._sequence = 0
         self._max_rejected = {}
+        # Earlier capacities, and until when each counts.
+        self._former_capacities = []
+
+    def resize(self, capacity):
+        """Change the capacity; the next heartbeat tells it."""
+        until_s = self._world.now_s() + SHRINK_NOTICE_S
+        self._former_capacities.append((until_s, self.entry.capacity))
+        self.entry = attrs.evolve(self.entry, capacity=capacity)
+
+    def binding_capacity(self):
+        """Return the largest capacity that daemons may rely on."""
+        now_s = self._world.now_s()
+        recent = [
+            c for until_s, c in self._former_capacities if until_s > now_s
+        ]
+        return specs.Resources(
+            *map(max, zip(*map(attrs.astuple, [self.entry.capacity, *recent])))
+        )
 
     def clock_s(self):
         """Return the time of the executor's monotonic clock."""
--- a/features/jobs_crashes.feature
+++ b/features/jobs_crashes.feature
@@ -46,7 +46,7 @@
       | occurrences of a scheduled job  | 4    |
       | checkpointing tasks             | 2    |
       | a second step                   | 2    |
-      | a start that is never answered  | 2    |
+      | a start that is never answered  | 5    |
       | one second after the start      | 3    |
 
   Scenario: Long-running tasks of a job that was given up serve until it is cancelled
@@ -54,10 +54,10 @@
     When job "bad" is submitted, a task of which crashes its executor: long-running tasks
     And 20 seconds pass
     Then job "bad" is reported as failed by every daemon
-    And 2 tasks of "bad" run
+    And 3 tasks of "bad" run
     When the owner is killed
     And 15 seconds pass
-    Then 2 tasks of "bad" run
+    Then 3 tasks of "bad" run
     When job "bad" is cancelled at a daemon that lives
     And 3 seconds pass
     Then 0 tasks of "bad" run
@@ -135,7 +135,7 @@
     Examples:
       | case                                       | how            | runs                            | suspects | given up |
       | a first crash                              |                | a 0.01; b 0.5; c 5              | a b      |          |
-      | a start that was not answered              |                | a ?; b 5                        | a        |          |
+      | a start without an answer                  |                | a ?; b 5                        | a        |          |
       | the only run on probation                  |                | a 0.01 0.2 1; b 0.3             | a        | a        |
       | beside a run that has only just started    |                | a 0.01 0.2 1; b 0.01            | a        | a        |
       | two jobs on probation                      |                | a 0.01 0.2 1; b 0.05 0.2 1      | a b      |          |
@@ -143,7 +143,9 @@
       | a run that has outlasted its probation     |                | a 0.3 0.2 1; b 0.01             | a b      |          |
       | a run that was only beside a crash before  |                | a 0.1 0 1; b 0.0                | a b      |          |
       | a task that crashes after a second         |                | a 1.0 1.5 2; b 4                | a        | a        |
+      | a start on probation without an answer     |                | a ? 0.2 1                       | a        |          |
       | the fourth crash, never alone              |                | a 0.01 0.2 3; b 0.01 0.2 1      | a b      | a        |
+      | the fifth crash, two starts not answered   |                | a ? 0.2 4                       | a        | a        |
       | a rack that is lost                        | with its rack  | a 0.01 0.2 1; b 0.5             | a b      |          |
       | a rack that is lost, for the fourth time   | with its rack  | a 0.01 0.2 3; b 0.5             | a b      | a        |
 
--- a/features/stage/fault_search.py
+++ b/features/stage/fault_search.py
@@ -5,6 +5,8 @@
 import attrs
 
 from fakes import links
+from hawthorndeal_jobs import jobs
+from hawthorndeal_jobs import specs
 from stage import job_world
 from stage import virtual_time
 
@@ -15,6 +17,7 @@
 # Time without new faults before the final state is checked.
 RECOVERY_S = 32.0
 FAULT_DURATION_S = (0.5, 5.0)
+DEADLY_DELAY_S = 0.01
 
 
 @attrs.define
@@ -23,6 +26,8 @@
 
     :ivar violations: violated invariants
     :ivar unfinished: accepted jobs that have not ended, and their state
+    :ivar given_up: jobs that have failed though no task of theirs crashes
+        executors
     :ivar faults: injected faults, as time and kind
     :ivar event_log_text: event log as text
     """
@@ -30,6 +35,7 @@
     seed: int
     violations: list
     unfinished: list
+    given_up: list
     faults: list
     event_log_text: str
 
@@ -47,6 +53,8 @@
         self._kinds = kinds
         self.faults = []
         self.accepted = {}
+        # Jobs with a task that crashes executors.
+        self.deadly = []
 
     async def run(self):
         """Run, and return the violations and the unfinished jobs."""
@@ -111,6 +119,12 @@
             (job_id, state)
             for job_id, state in states.items()
             if state not in ('completed', 'failed')
+            or (state == 'completed' and job_id in self.deadly)
+        ]
+        self.given_up = [
+            job_id
+            for job_id, state in states.items()
+            if state == 'failed' and job_id not in self.deadly
         ]
         if len(world.running('lasting')) != 2:
             not_done.append(('lasting', dict(world.running('lasting'))))
@@ -242,9 +256,38 @@
                 duration_s, lambda: setattr(executor, 'is_cut', False)
             )
 
+    async def _do_resize_executor(self, duration_s):
+        """Shrink an executor, at times to nothing, and let it grow again."""
+        executor = self._choose_executor()
+        if executor is None:
+            return
+        share = self._rng.choice((0.0, 0.2, 0.6))
+        whole = executor.entry.capacity
+        executor.resize(
+            specs.Resources(
+                int(whole.cpu_millicores * share),
+                int(whole.memory_mb * share),
+            )
+        )
+        self._call_after(duration_s, lambda: executor.resize(whole))
+
+    async def _do_submit_deadly(self, duration_s):
+        """Submit a job, a task of which crashes each executor."""
+        job_id = f'bad{len(self.deadly):02}'
+        self.deadly.append(job_id)
+        task_id = jobs.TaskId(job_id, 0, 0, 0)
+        self.world.crash_delays_s[task_id] = DEADLY_DELAY_S
+        spec = self._make_spec()
+        pool = self._rng.choice(('web', 'ci'))
+        asyncio.create_task(self._submit(job_id, pool, spec))
+
 
+CAPACITY_KINDS = ('resize_executor',)
+DEADLY_KINDS = ('submit_deadly',)
 ALL_KINDS = tuple(
-    name.removeprefix('_do_') for name in vars(_FaultRun) if name[:4] == '_do_'
+    name.removeprefix('_do_')
+    for name in vars(_FaultRun)
+    if name[:4] == '_do_' and name[4:] not in (*CAPACITY_KINDS, *DEADLY_KINDS)
 )
 
 
@@ -264,6 +307,7 @@
             seed,
             violations,
             unfinished,
+            fault_run.given_up,
             fault_run.faults,
             fault_run.world.event_log_text(),
         )
--- a/features/stage/run_checker.py
+++ b/features/stage/run_checker.py
@@ -109,7 +109,7 @@
             same_step_run_count += (
                 key[0].job_id == task_id.job_id and key[0].step == task_id.step
             )
-        if not used.is_within(executor.entry.capacity):
+        if not used.is_within(executor.binding_capacity()):
             self.record_violation('executor capacity exceeded', task=name)
         if (
             spec.max_per_executor
--- a/features/steps/jobs_crashes.py
+++ b/features/steps/jobs_crashes.py
@@ -475,6 +475,7 @@
             executor_id,
             ('earlier',) if executor_id in crashing.split(', ') else (),
         )
+    for executor_id in harness.scheduler.executors:
         harness.poll_runs(executor_id)
 
 
@@ -514,7 +515,8 @@
     occurrence = jobs.Job('a', POOL, POOL, 0.0, spec).occurrence(0)
     task = occurrence.tasks[0][1]
     task.run, task.crashed_executors = 2, ('x1', 'x7')
-    task.crash_survival_s = 0.25
+    task.crash_survival_s, task.unconfirmed_crashes = 0.25, 1
+    task.started_run = 2
     context.stored = occurrence
     context.record = journal.progress_record(occurrence)
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/crash_blame.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/crash_blame.py
@@ -7,6 +7,10 @@
 If the executor crashes again, one task is left to blame; if the run lasts, its
 task is cleared. Tasks that crash executors some seconds after their start are
 found by a third crash.
+
+A start that was not answered may never have taken effect. It makes its task a
+suspect, but a task is given up only after two crashes under runs that are
+known to have started, or after more crashes than chance explains.
 """
 
 import attrs
@@ -23,9 +27,13 @@
 # Number of crashes from which a task is on probation, if none of its runs
 # ended right after its start.
 CRASHES_BEFORE_PROBATION = 2
+# Confirmed crashes from which a task may be given up.
+CRASHES_BEFORE_GIVING_UP = 2
 # A task under which so many executors have crashed is given up even if it was
-# never the only suspect.
+# never the only suspect, and one more even if it is not known to have started
+# on them.
 MAX_CRASHES = 4
+MAX_UNCONFIRMED_CRASHES = 5
 
 _Phase = executors_module.RunPhase
 
@@ -46,10 +54,10 @@
 
 def probation_s(task):
     """Return how long the next run of a task is on probation; 0 if not."""
-    if not task.crashed_executors:
+    if not task.crash_count:
         return 0.0
     is_early = task.crash_survival_s < PROVING_S
-    if not is_early and len(task.crashed_executors) < CRASHES_BEFORE_PROBATION:
+    if not is_early and task.crash_count < CRASHES_BEFORE_PROBATION:
         return 0.0
     return max(PROVING_S, PROBATION_FACTOR * task.crash_survival_s)
 
@@ -84,24 +92,29 @@
     job_ids = {run.task_id.job_id for run in on_probation}
     if len(job_ids) == 1 and not is_shared:
         return [
-            _suspect(executor, run, bool(run.task.crashed_executors))
+            _suspect(executor, run, CRASHES_BEFORE_GIVING_UP)
             for run in on_probation
         ]
     return [
-        _suspect(executor, run, run in unproven and _is_last_crash(run))
+        _suspect(executor, run, MAX_CRASHES)
         for run in runs
         if (executor.survival_s(run) or 0.0) < MAX_BLAMED_S
     ]
 
 
-def _suspect(executor, run, is_blamed):
+def _suspect(executor, run, limit):
+    """Return a suspect that is to blame from a number of crashes on."""
+    task, is_confirmed = run.task, run.is_known_to_have_started
+    crashes = task.crash_count + 1
+    confirmed = len(task.crashed_executors) + is_confirmed
+    is_blamed = not is_proven(executor, run) and (
+        crashes >= MAX_UNCONFIRMED_CRASHES
+        or crashes >= limit
+        and confirmed >= CRASHES_BEFORE_GIVING_UP
+    )
     return Suspect(run, executor.survival_s(run) or 0.0, is_blamed)
 
 
-def _is_last_crash(run):
-    return len(run.task.crashed_executors) + 1 >= MAX_CRASHES
-
-
 def may_be_responsible(run):
     """Return whether a run may have been executing a task that goes on."""
     return (
@@ -114,12 +127,17 @@
 def note_crash(suspect):
     """Record a crash in the state of a suspected task."""
     task, executor_id = suspect.run.task, suspect.run.executor_id
-    if executor_id not in task.crashed_executors:
+    if executor_id in task.crashed_executors:
+        return
+    task.crash_survival_s = suspect.survival_s
+    if suspect.run.is_known_to_have_started:
         task.crashed_executors += (executor_id,)
-        task.crash_survival_s = suspect.survival_s
+    else:
+        task.unconfirmed_crashes += 1
 
 
 def clear(task):
     """Forget the crashes under a task."""
     task.crashed_executors = ()
+    task.unconfirmed_crashes = task.started_run = 0
     task.crash_survival_s = 0.0
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -169,6 +169,13 @@
         """The persistent state of the task."""
         return self.occurrence.task(self.task_id)
 
+    @property
+    def is_known_to_have_started(self):
+        """Whether it is certain that the run has started."""
+        return self.started_s is not None or (
+            self.task.started_run == self.number
+        )
+
     @property
     def worked_s(self):
         """Least time for which it has worked, by its progress.
@@ -186,7 +193,7 @@
     @property
     def is_suspect(self):
         """Whether its task may have crashed executors."""
-        return self.probation_s > 0.0 or bool(self.task.crashed_executors)
+        return self.probation_s > 0.0 or self.task.crash_count > 0
 
     @functools.cached_property
     def key(self):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
@@ -63,7 +63,11 @@
     :ivar checkpoint: where the next run resumes; empty to start over
     :ivar crashed_executors: executors that crashed under the task, since one
         of its runs showed that the cause was another
+    :ivar unconfirmed_crashes: number of further executors that crashed when
+        it was not known whether the task had started there
     :ivar crash_survival_s: how long its run had lasted at the last crash
+    :ivar started_run: number of the last run that is known to have started,
+        if executors may have crashed under the task before
     """
 
     state: TaskState = TaskState.PENDING
@@ -72,7 +76,14 @@
     failures: int = 0
     checkpoint: str = ''
     crashed_executors: tuple[str, ...] = ()
+    unconfirmed_crashes: int = 0
     crash_survival_s: float = 0.0
+    started_run: int = 0
+
+    @property
+    def crash_count(self):
+        """Number of executors that may have crashed under the task."""
+        return len(self.crashed_executors) + self.unconfirmed_crashes
 
 
 @attrs.define(eq=False)
@@ -221,7 +232,10 @@
 
 
 def _failure_reason(task_id, task):
-    if task.crashed_executors:
+    if task.crash_count:
         names = ', '.join(task.crashed_executors)
-        return f'executors crashed under task {task_id}: {names}'
+        return (
+            f'{task.crash_count} executors crashed under task {task_id}: '
+            f'{names}'
+        )
     return f'task {task_id} failed {task.failures} times'
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -187,10 +187,12 @@
             task_id.step,
             task_id.index,
             round(task.crash_survival_s, 3),
+            task.unconfirmed_crashes,
+            task.started_run,
             *task.crashed_executors,
         ]
         for task_id, task in occurrence.numbered_tasks()
-        if task.crashed_executors
+        if task.crash_count
     ]
     # Earlier versions ignore this field, but can't read longer rows of tasks.
     if crashes:
@@ -327,9 +329,13 @@
     )  # fmt: skip
 
 
-def _restore_crashes(tasks, step, index, survival_s, *executor_ids):
+def _restore_crashes(
+    tasks, step, index, survival_s, unconfirmed, started_run, *executor_ids
+):
     task = tasks[int(step)][int(index)]
     task.crashed_executors = tuple(map(str, executor_ids))
+    task.unconfirmed_crashes = max(0, int(unconfirmed))
+    task.started_run = int(started_run)
     task.crash_survival_s = max(0.0, float(survival_s))
 
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -290,7 +290,7 @@
         if executor.last_processed_end > executor.last_recorded_end:
             self._unrecorded[executor_id] = executor
         self._run_index.note_pace_input(executor_id)
-        self._clear_suspects(executor)
+        self._check_suspects(executor)
         self._orphans.update(
             {(s.executor_id, s.task_id, s.number): s for s in outcome.orphans}
         )
@@ -304,9 +304,18 @@
             self.steps.pools_to_schedule.add(executor.entry.pool)
         return outcome.finished_runs
 
-    def _clear_suspects(self, executor):
+    def _note_started(self, run):
+        """Store that a suspect has started, for a crash after a takeover."""
+        task = run.task
+        is_news = run.started_s is not None and task.started_run < run.number
+        if is_news and run.is_suspect and run_tracking.is_current(run):
+            task.started_run = run.number
+            self._endings.note_changed([run.occurrence])
+
+    def _check_suspects(self, executor):
         """Forget the crashes under tasks whose runs have lasted."""
         for run in list(executor.suspect_runs.values()):
+            self._note_started(run)
             if crash_blame.is_cleared(executor, run):
                 del executor.suspect_runs[run.key]
                 crash_blame.clear(run.task)
@@ -331,6 +340,7 @@
         if executor is None:
             return
         ended = run_tracking.apply_start_answer(run, answer, now_s)
+        self._note_started(run)
         if answer is _Answer.UNHEALTHY:
             executor_health.suspend(executor, now_s)
         if answer is _Answer.BAD_TICKET:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
@@ -130,7 +130,8 @@
             run=run.number,
             executor=run.executor_id,
             survival_s=round(suspect.survival_s, 3),
-            crashed_executors=len(run.task.crashed_executors),
+            crashes=run.task.crash_count,
+            confirmed=len(run.task.crashed_executors),
             is_given_up=suspect.is_blamed,
         )
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
@@ -116,7 +116,12 @@
         else:
             owner.scheduler.handle_start_answer(run, answer, owner.now_s())
             owner.tracker.poll_soon(executor)
-            if answer is not _Answer.ACCEPTED or self._may_start_others():
+            # That a suspect of a crash has started is stored at once.
+            if (
+                answer is not _Answer.ACCEPTED
+                or run.is_suspect
+                or self._may_start_others()
+            ):
                 owner.wake()
 
     def _may_start_others(self):
