Start nothing by a capacity that is old, unreadable or has shrunk since

Callers: tasks could start on an executor that had no room for them any more (LIMIT), or that was leaving (DRAIN).

Causes, each with a test that failed before: - A planned start waits until its record is stored; with a slow store an executor that shrank or began to leave meanwhile still got it. The start is checked again right before it is sent, and withdrawn. - An entry with a negative capacity, a text in place of a number or invalid JSON was rejected as a whole, so that the larger capacity before it stayed in force. An unreadable capacity now offers no room, nor does an executor whose newest entry can't be read. - Where only the partition of the entries can't be read, an owner went on by entries of any age. It starts nothing if they were last read over 3 s ago. - A shrunk executor counted as a whole host, so that its pool asked for none in its place; where all had shrunk to nothing, work was measured as 0 hosts.

Executors whose capacity doesn't change count as before.

--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -39,6 +39,7 @@
     :ivar append_s: time to process an append; those of a partition are
         serialized
     :ivar read_s: latency of a read, besides the wait for records
+    :ivar unreadable: names of partitions that can't be read
     """
 
     def __init__(self):
@@ -47,6 +48,7 @@
         self.appends = 0
         self.append_s = 0.0
         self.read_s = 0.0
+        self.unreadable = set()
 
     async def wait_for_read(self, partition, offset, wait_s):
         """Wait for a record at an offset, then for the read latency."""
@@ -103,9 +105,14 @@
         if self.is_down:
             raise keyed_log.Overloaded('the store is down')
 
+    def _check_readable(self, partition):
+        self._check_available()
+        if partition.name in self.unreadable:
+            raise keyed_log.Overloaded('the partition is down')
+
     def read(self, partition, offset, limit_bytes=paging.MAX_PAGE_BYTES):
         """Return a page of the records from an offset on."""
-        self._check_available()
+        self._check_readable(partition)
         state = self._partitions[partition]
         if offset < state.first_offset:
             raise errors.OffsetExpired(offset, state.first_offset)
@@ -120,7 +127,7 @@
 
     def newest(self, partition, after_key=''):
         """Return a page of the newest records of the keys after a key."""
-        self._check_available()
+        self._check_readable(partition)
         state = self._partitions[partition]
         stored = [
             record
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/capacity.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/capacity.py
@@ -45,7 +45,7 @@
 class PoolLoad:
     """The load of one pool.
 
-    :ivar hosts: usable hosts in the pool
+    :ivar hosts: usable hosts in the pool; a shrunk one counts in part
     :ivar arriving: hosts that are being moved to the pool
     :ivar lasting_hosts: hosts that long-running tasks use or wait for
     :ivar rate_hosts: hosts kept busy by arriving work
@@ -59,7 +59,7 @@
 
     pool: str
     is_standby: bool = False
-    hosts: int = 0
+    hosts: float = 0
     arriving: int = 0
     lasting_hosts: float = 0.0
     rate_hosts: float = 0.0
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -271,6 +271,7 @@
     :ivar expired_runs: runs that have ended with their leases, since when it
         was not reached
     :ivar free: capacity not reserved by any run
+    :ivar whole_capacity: the largest capacity that it has told
     :ivar is_fenced: whether it has seen this owner's epoch
     :ivar fenced_since_s: time by which it had seen the epoch
     :ivar last_recorded_end: sequence of the last end that is stored
@@ -289,6 +290,7 @@
 
     entry: ExecutorEntry
     free: specs.Resources
+    whole_capacity: specs.Resources = attrs.field(init=False)
     discovered_s: float = 0.0
     number: int = 0
     version: int = 0
@@ -325,8 +327,17 @@
         """Identity of this incarnation."""
         return self.entry.executor_id
 
+    def __attrs_post_init__(self):
+        self.whole_capacity = self.entry.capacity
+
+    @property
+    def whole_share(self):
+        """What is left of its capacity, as a fraction of the largest."""
+        return self.entry.capacity.smallest_share(self.whole_capacity)
+
     def replace_entry(self, entry):
         """Replace the entry by a newer one."""
+        self.whole_capacity = self.whole_capacity.at_least(entry.capacity)
         self.free = self.free + (entry.capacity - self.entry.capacity)
         self.entry = entry
         self.version += 1
@@ -337,6 +348,17 @@
             self.is_closed_to_lasting = True
             self.version += 1
 
+    def may_start(self, run):
+        """Return whether a planned run may still start here.
+
+        The executor may have shrunk, or begun to leave, since it was planned.
+        """
+        need, free = run.reserved, self.free
+        return not self.entry.is_leaving and all(
+            left >= 0 or not needed
+            for needed, left in zip(attrs.astuple(need), attrs.astuple(free))
+        )
+
     def exposed_runs(self):
         """Return the runs that may have been executing when it ended.
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_loads.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_loads.py
@@ -29,7 +29,7 @@
     return capacity_module.PoolLoad(
         pool.name,
         pool.is_standby,
-        len(usable),
+        sum(executor.whole_share for executor in usable),
         arriving,
         _lasting_hosts(executors, waiting, capacity),
         meter.rate(now_s),
@@ -54,11 +54,23 @@
     :param executors: the known executors of the pool
     :param all_executors: all known executors, by id
     """
-    known = executors or all_executors.values()
+    return (
+        _largest(executors)
+        or _largest(all_executors.values())
+        or specs.Resources()
+    )
+
+
+def _largest(executors):
+    """Return the largest capacity, or None without one that has room."""
     return max(
-        (executor.entry.capacity for executor in known),
+        (
+            executor.entry.capacity
+            for executor in executors
+            if executor.entry.capacity.cpu_millicores
+        ),
         key=lambda capacity: capacity.cpu_millicores,
-        default=specs.Resources(),
+        default=None,
     )
 
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/specs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/specs.py
@@ -39,6 +39,27 @@
             _fraction(self.gpus, other.gpus),
         )
 
+    def at_least(self, other):
+        """Return the larger amount of each resource."""
+        return Resources(
+            max(self.cpu_millicores, other.cpu_millicores),
+            max(self.memory_mb, other.memory_mb),
+            max(self.gpus, other.gpus),
+        )
+
+    def smallest_share(self, other):
+        """Return the fraction of the scarcest resource that this has."""
+        shares = [
+            amount / whole
+            for amount, whole in (
+                (self.cpu_millicores, other.cpu_millicores),
+                (self.memory_mb, other.memory_mb),
+                (self.gpus, other.gpus),
+            )
+            if whole
+        ]
+        return min(shares, default=1.0)
+
     def is_within(self, other):
         """Return True if every resource fits into another amount."""
         return (
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
@@ -4,10 +4,13 @@
 jobs and the executors' entries.
 """
 
+import attrs
+
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import journal
 from hawthorndeal_jobs import ownership
 from hawthorndeal_jobs import replica as replica_module
+from hawthorndeal_jobs import specs
 from hawthorndeal_jobs import status_board
 
 
@@ -272,7 +275,18 @@
         try:
             entry = self._formats.decode_entry(record.key, record.value)
         except ValueError as error:
+            self._note_unreadable(record)
             raise errors.InvalidRecord(str(error)) from error
+        self._note_entry(record, entry)
+
+    def _note_unreadable(self, record):
+        """Let nothing start on an executor whose newest entry is invalid."""
+        entry = self.entries.get(record.key)
+        if entry is not None:
+            no_room = attrs.evolve(entry, capacity=specs.Resources())
+            self._note_entry(record, no_room)
+
+    def _note_entry(self, record, entry):
         self.entries[record.key] = entry
         self.offsets[record.key] = record.offset
         if self.on_entry is not None:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -36,6 +36,9 @@
 # No task is started if the jobs were last read to their end longer ago: some
 # may have been cancelled.
 MAX_JOBS_AGE_S = 1.5
+# No task is started if the executors' entries were last read to their end
+# longer ago: some may have shrunk, or be leaving.
+MAX_ENTRIES_AGE_S = 3.0
 # An owner that can store its records, but can't read the jobs for this long,
 # gives up the ownership.
 GIVE_UP_JOBS_AGE_S = 4.0
@@ -299,7 +302,9 @@
         now_s = self.now_s()
         self.tracker.check_without_agent()
         window = self._orders.starts
-        may_start = self._knows_cancellations(now_s)
+        may_start = (
+            self._knows_cancellations(now_s) and self._knows_executors()
+        )
         turn = self.scheduler.plan(
             now_s,
             parts.clock.now_s(),
@@ -330,6 +335,12 @@
             self.lose_ownership('the jobs could not be read')
         return age_s <= MAX_JOBS_AGE_S
 
+    def _knows_executors(self):
+        """Return whether the entries have been read recently enough."""
+        follower = self._parts.entries_follower
+        age_s = self._parts.clock.boot_s() - follower.confirmed_boot_s
+        return age_s <= MAX_ENTRIES_AGE_S
+
     def _begin_storing_host_records(self):
         # Starts don't wait for these records.
         records = self.hosts.take_records()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
@@ -50,7 +50,8 @@
         executor = owner.scheduler.executors.get(run.executor_id)
         if executor is None or run.key not in executor.runs:
             return
-        if run.is_stop_requested or not owner.may_renew_leases():
+        may_start = owner.may_renew_leases() and executor.may_start(run)
+        if run.is_stop_requested or not may_start:
             owner.scheduler.withdraw_run(run, owner.now_s())
             owner.wake()
             return
