Take no crashes for one cause whose times are not known

Cause: a new owner polls all executors at once, so that those that had crashed before seemed to have fallen silent together, like a rack that is lost.

Change: only executors that have answered the present owner count.

--- a/features/jobs_crashes.feature
+++ b/features/jobs_crashes.feature
@@ -213,15 +213,17 @@
   Scenario Outline: Crashes with a common cause blame no task: <case>
     Given a scheduler with executors "<executors>" of one rack
     When each runs a job, of which those on "<crashing>" are on probation
+    And <unknown> of them have not answered this owner
     And "<crashing>" crash, <apart> s one after the other
     Then <count> jobs are given up
 
     Examples:
-      | case                             | executors      | crashing   | apart | count |
-      | one of four                      | x0, x1, x2, x3 | x0         | 0.1   | 1     |
-      | all of four                      | x0, x1, x2, x3 | x0, x1, x2 | 0.1   | 0     |
-      | most of four, at different times | x0, x1, x2, x3 | x0, x1, x2 | 2     | 3     |
-      | two of four at once              | x0, x1, x2, x3 | x0, x1     | 0.1   | 2     |
+      | case                             | executors      | crashing   | apart | unknown | count |
+      | one of four                      | x0, x1, x2, x3 | x0         | 0.1   | none    | 1     |
+      | all of four                      | x0, x1, x2, x3 | x0, x1, x2 | 0.1   | none    | 0     |
+      | most of four, at different times | x0, x1, x2, x3 | x0, x1, x2 | 2     | none    | 3     |
+      | two of four at once              | x0, x1, x2, x3 | x0, x1     | 0.1   | none    | 2     |
+      | all of four before a takeover    | x0, x1, x2, x3 | x0, x1, x2 | 0.1   | all     | 3     |
 
   Scenario: The crashes under a task are stored, and read by a successor
     When the progress of a job with crashes under a task is stored and read
--- a/features/steps/jobs_crashes.py
+++ b/features/steps/jobs_crashes.py
@@ -479,6 +479,12 @@
         harness.poll_runs(executor_id)
 
 
+@when('{which} of them have not answered this owner')
+def forget_answers(context, which):
+    for executor in context.harness.scheduler.executors.values():
+        executor.is_fenced = which != 'all'
+
+
 @when('"{crashing}" crash, {apart:g} s one after the other')
 def crash_in_turn(context, crashing, apart):
     harness = context.harness
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/shared_crashes.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/shared_crashes.py
@@ -1,4 +1,8 @@
-"""Tell crashes that have a common cause, such as the loss of a rack."""
+"""Tell crashes that have a common cause, such as the loss of a rack.
+
+Only executors that have answered the present owner count, since it is not
+known when the others fell silent.
+"""
 
 import collections
 
@@ -32,15 +36,18 @@
         """Record the crash of an executor."""
         while self._recent and self._recent[0][0] < now_s - RETENTION_S:
             self._recent.popleft()
-        self._recent.append((now_s, _silence_of(executor, now_s)))
+        if executor.is_fenced:
+            self._recent.append((now_s, _silence_of(executor, now_s)))
 
     def is_shared(self, executor, executors, now_s):
         """Return whether a rack or a zone was lost with an executor.
 
         :param executors: the other executors that have not ended
         """
+        if not executor.is_fenced:
+            return False
         own = _silence_of(executor, now_s)
-        busy = [other for other in executors if other.runs]
+        busy = [other for other in executors if other.runs and other.is_fenced]
         silent = [
             _silence_of(other, now_s)
             for other in busy
