Pass a request that crashes endpoints on to no third one

Callers of the product's own interface: an idempotent request that crashes the endpoint that runs it was passed on to three endpoints, and to three more at each repeat; a non-idempotent one crashed an endpoint with each new id.

Cause: the same class as for tasks (docs/incidents): a lost answer counts for one call only, and nothing remembers which request it was.

Change: after a connection that broke, the entry host looks whether anything still listens at the endpoint's address. A request under which two endpoints have crashed is refused at once, as unknown (endpoints_crashed) where this entry host has sent it, otherwise as not run (request_quarantined), with the time left as Retry-After. An endpoint that is only cut off refuses no connection, and doesn't count.

What remains: each entry host remembers for itself, so that as many entry hosts as a caller's repeats reach lose two endpoints each.

--- a/features/fakes/raw_endpoint.py
+++ b/features/fakes/raw_endpoint.py
@@ -9,6 +9,9 @@
 )
 
 
+DEADLY_BODY = b'crashes the endpoint'
+
+
 class Fault(enum.Enum):
     """What goes wrong with a request."""
 
@@ -17,6 +20,7 @@
     SHUTTING_DOWN = 'says that it leaves'
     ERROR = 'answers an error at once'
     ABORT_BEFORE = 'breaks off before running'
+    CRASH = 'crashes by the request'
     ABORT_AFTER = 'breaks off after running'
     TRUNCATE = 'truncates its answer'
     NO_LENGTH = 'tells no length'
@@ -32,12 +36,14 @@
 class RawEndpoint:
     """Serves requests on one address and counts those that ran.
 
+    :ivar crashes: how often a request crashed it
     :ivar last_silent_connection: number, counted from 1, of the last
         connection that gets no response
     """
 
     def __init__(self):
         self.fault = Fault.NONE
+        self.crashes = 0
         self.delay_s = 0.0
         self.runs = collections.Counter()
         self.finished = collections.Counter()
@@ -48,9 +54,10 @@
         self._server = None
 
     async def start(self):
-        """Start to listen on a free port."""
+        """Start to listen, on the port of an earlier start if any."""
+        port = int(self.address.rpartition(':')[2] or 0)
         self._server = await asyncio.start_server(
-            self._serve, '127.0.0.1', 0, backlog=512
+            self._serve, '127.0.0.1', port, backlog=512
         )
         ip, port = self._server.sockets[0].getsockname()
         self.address = f'{ip}:{port}'
@@ -92,6 +99,10 @@
             return
         if self.fault is Fault.ABORT_BEFORE:
             raise ConnectionResetError
+        if self.fault is Fault.CRASH and body == DEADLY_BODY:
+            self.crashes += 1
+            await self.stop()
+            raise ConnectionResetError
         self.runs[request_id] += 1
         await asyncio.sleep(self.delay_s)
         self.finished[request_id] += 1
--- a/features/requests_faults.feature
+++ b/features/requests_faults.feature
@@ -57,6 +57,32 @@
       | refuses             | false      | not_run | endpoint_refused | 0    | 0   |
       | says that it leaves | false      | not_run | no_endpoint      | 0    | 0   |
 
+  @invariant_not_run
+  Scenario Outline: A request that crashes endpoints is passed on to no third one, idempotent: <idempotent>
+    Given both endpoints crashes by the request
+    When a request that crashes endpoints is sent <times> times, with idempotent <idempotent>
+    Then 2 endpoints have crashed
+    When both endpoints are up again
+    And the request that crashes endpoints is sent again
+    Then its outcome is <outcome> with <reason>
+    When the content that crashes endpoints is sent in another request
+    Then its outcome is not_run with request_quarantined
+    And 2 endpoints have crashed
+    When a request with idempotent true is sent
+    Then its outcome is answered with 200
+
+    Examples:
+      | idempotent | times | outcome | reason            |
+      | true       | 1     | unknown | endpoints_crashed |
+      | false      | 2     | not_run | request_quarantined |
+
+  Scenario: A request whose connections break is not taken for one that crashes endpoints
+    Given both endpoints breaks off before running
+    When a request with idempotent true is sent
+    And both endpoints work again
+    And a request with idempotent true is sent
+    Then its outcome is answered with 200
+
   @invariant_whole_answer
   Scenario Outline: A connection is not used again after: <event>
     Given a connection to the near endpoint that has served
--- a/features/stage/request_bench.py
+++ b/features/stage/request_bench.py
@@ -130,6 +130,7 @@
         deadline_s=2.0,
         urgency=None,
         ticket='',
+        body=BODY,
     ):
         """Send a request; return its outcome, its reason and the answer.
 
@@ -143,7 +144,7 @@
             deadline_s=time.time() + deadline_s,
             is_idempotent=is_idempotent,
             urgency=urgency or calls.Urgency.INTERACTIVE,
-            body=BODY,
+            body=body,
             ticket=ticket,
         )
         try:
--- a/features/steps/requests_faults.py
+++ b/features/steps/requests_faults.py
@@ -94,6 +94,63 @@
     context.got = await context.entry.send(ID, _is_true(idempotent), SHORT_S)
 
 
+@when(
+    'a request that crashes endpoints is sent {times:d} times, with '
+    'idempotent {idempotent:w}'
+)
+@on_bench
+async def send_deadly(context, times, idempotent):
+    context.is_idempotent = _is_true(idempotent)
+    for number in range(times):
+        context.deadly_id = f'deadly-{number}'
+        await _send_deadly(context, context.deadly_id)
+
+
+async def _send_deadly(context, request_id):
+    context.got = await context.entry.send(
+        request_id,
+        context.is_idempotent,
+        body=raw_endpoint.DEADLY_BODY,
+    )
+
+
+@when('both endpoints are up again')
+@on_bench
+async def restart_both(context):
+    for endpoint in (context.bench.near, context.bench.far):
+        await endpoint.start()
+    # The pauses after failures have ended.
+    context.entry.router._loads.clear()
+
+
+@when('both endpoints work again')
+def repair_both(context):
+    for endpoint in (context.bench.near, context.bench.far):
+        endpoint.fault = raw_endpoint.Fault.NONE
+
+
+@when('the request that crashes endpoints is sent again')
+@on_bench
+async def send_deadly_again(context):
+    request_id = context.deadly_id
+    if not context.is_idempotent:
+        # Its claim is used up; only a new request may run.
+        request_id = 'deadly-again'
+    await _send_deadly(context, request_id)
+
+
+@when('the content that crashes endpoints is sent in another request')
+@on_bench
+async def send_deadly_content(context):
+    await _send_deadly(context, 'deadly-content')
+
+
+@then('{count:d} endpoints have crashed')
+def check_crashes(context, count):
+    near, far = context.bench.near, context.bench.far
+    assert near.crashes + far.crashes == count, (near.crashes, far.crashes)
+
+
 @then('its outcome is {outcome:w} with {reason:w}')
 def check_outcome(context, outcome, reason):
     assert context.got[:2] == (outcome, reason), context.got
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/dispatcher.py
@@ -10,6 +10,7 @@
 from hawthorndeal_fleet import errors
 from hawthorndeal_fleet import health
 from hawthorndeal_fleet import records
+from hawthorndeal_fleet import request_crashes
 from hawthorndeal_fleet import retries
 from hawthorndeal_fleet import tickets
 
@@ -69,6 +70,7 @@
         self._rng = rng
         self._quotas = admission.QuotaTable()
         self._retry_budget = retries.RetryBudget()
+        self._crashes = request_crashes.RequestCrashes()
         self._running = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -170,6 +172,7 @@
     async def _check_and_serve(self, request):
         with self._track_running():
             self._check(request)
+            self._check_crashes(request)
             return await self._serve_within_quota(request)
 
     async def _serve_within_quota(self, request):
@@ -235,6 +238,24 @@
                 f'{service.max_deadline_s} s'
             )
 
+    def _check_crashes(self, request):
+        """Refuse a request that must not be passed on to an endpoint.
+
+        :raises errors.EndpointsCrashed: if it was sent to one that crashed
+        :raises errors.RequestQuarantined: if its content crashes endpoints
+        """
+        now_s = self._clock.monotonic_s()
+        blocked_s = self._crashes.blocked_s(request, now_s)
+        if not blocked_s:
+            return
+        kind = errors.RequestQuarantined
+        if self._crashes.was_sent(request, now_s):
+            kind = errors.EndpointsCrashed
+        raise kind(
+            'endpoints crashed while they ran this request',
+            retry_after_s=blocked_s,
+        )
+
     def _remaining_s(self, request):
         return request.deadline_s - self._clock.now_s()
 
@@ -268,6 +289,7 @@
             try:
                 return await self._attempt(request, attempts)
             except errors.RequestFailed as failure:
+                self._check_crashes(request)
                 if not attempts.allows_retry(
                     request,
                     failure,
@@ -296,12 +318,27 @@
         except errors.RequestFailed as failure:
             outcome = _outcome_of_failure(failure)
             attempts.note(failure, name)
+            if isinstance(failure, errors.ConnectionBroken):
+                await self._note_if_crashed(request, name)
             raise
         finally:
             self._gate.release_endpoint(
                 request.service, request.urgency, name, outcome, took_s
             )
 
+    async def _note_if_crashed(self, request, name):
+        """Record that an endpoint crashed, if nothing listens there now."""
+        endpoint = self._follower.state.fleet.endpoints.get(name)
+        if endpoint is None:
+            return
+        if await self._endpoints.is_refusing(endpoint.address):
+            _log.warning(
+                'Endpoint %s crashed while it ran request %s.',
+                name,
+                request.key,
+            )
+            self._crashes.note(request, name, self._clock.monotonic_s())
+
     async def _send(self, request, name):
         # Checks the deadline again: this daemon may have been paused since
         # the last check, and a claim is valid only until the deadline.
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/endpoints.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/endpoints.py
@@ -114,6 +114,22 @@
                 silence_timer.cancel()
             await self._release(channel)
 
+    async def is_refusing(self, address):
+        """Return whether nothing listens at an address.
+
+        An endpoint that is only cut off refuses no connection.
+        """
+        ip, _, port = address.rpartition(':')
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(ip, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, ValueError, asyncio.TimeoutError):
+            return False
+        writer.transport.abort()
+        return False
+
     def _channel(self, name, address):
         channel = self._channels.get(name)
         if channel is None or channel.address != address:
@@ -181,7 +197,9 @@
             raise errors.AnswerLate(
                 f'{name}: no answer before the deadline'
             ) from error
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except (aiohttp.ClientError, OSError) as error:
+            raise errors.ConnectionBroken(f'{name}: {error!r:.200}') from error
+        except ValueError as error:
             raise errors.AnswerLost(f'{name}: {error!r:.200}') from error
 
     async def _read_answer(self, response, request, name):
--- a/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
+++ b/packages/hawthorndeal-fleet/hawthorndeal_fleet/errors.py
@@ -284,6 +284,12 @@
     reason = 'endpoint_leaving'
 
 
+class RequestQuarantined(NotRun):
+    """Raised for content under which endpoints have crashed before."""
+
+    reason = 'request_quarantined'
+
+
 class TooManyConnections(NotRun):
     """A connection exceeds the connection limit of this entry host."""
 
@@ -305,6 +311,16 @@
     reason = 'answer_lost'
 
 
+class ConnectionBroken(AnswerLost):
+    """Raised when a connection broke before the whole answer."""
+
+
+class EndpointsCrashed(UnknownOutcome):
+    """Raised for a request under which endpoints have crashed."""
+
+    reason = 'endpoints_crashed'
+
+
 class AnswerLate(UnknownOutcome):
     """An answer did not arrive before the deadline."""
 
