Put off the starts of a step that are rejected each time

Cause: the same class as for crashes: the path back to the queue counted nothing. Suspending the executor, as for one that rejects all work, would let one bad job take a pool out of service.

Change: the step waits 0.05 s, twice as long after each further rejection in a row, 5 s at most; an accepted start ends it. Other steps start meanwhile.

--- a/features/jobs_crashes.feature
+++ b/features/jobs_crashes.feature
@@ -230,3 +230,23 @@
     Then the crashes are those that were stored
     And a record without crashes is read, too
     And a record with unreadable crashes is rejected
+
+  Scenario Outline: A start that is rejected each time isn't repeated in each cycle: <answer>
+    Given a scheduler with executors "x0, x1"
+    When a job "a" of 1 task is added, all of whose starts are answered <answer>, for 5 s
+    Then it was started 5 to 12 times
+    When 6 s pass, and "x0" is polled
+    Then the next starts are of "a"
+
+    Examples:
+      | answer     |
+      | invalid    |
+      | old_run    |
+      | too_late   |
+      | bad_ticket |
+
+  Scenario: A job whose starts are rejected keeps no other from starting
+    Given a scheduler with executors "x0, x1"
+    When a job "a" of 1 task is added, all of whose starts are answered invalid, for 5 s
+    And a job "new" of 1 task is added
+    Then the next starts include "new"
--- a/features/steps/jobs_crashes.py
+++ b/features/steps/jobs_crashes.py
@@ -16,6 +16,7 @@
 from hawthorndeal_jobs import executors
 from hawthorndeal_jobs import jobs
 from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import run_tracking
 from hawthorndeal_jobs import specs
 from stage import job_world
 from stage import scheduler_harness
@@ -465,6 +466,35 @@
     assert runs and all(run.probation_s for run in runs), runs
 
 
+@when(
+    'a job "{name}" of 1 task is added, all of whose starts are answered '
+    '{answer}, for {seconds:g} s'
+)
+def reject_starts(context, name, answer, seconds):
+    harness = context.harness
+    harness.add_job(name, scheduler_harness.steps(1))
+    context.rejected = 0
+    end_s = harness.now_s + seconds
+    while harness.now_s < end_s:
+        for run in harness.plan().starts:
+            run.phase = executors.RunPhase.SENT
+            harness.scheduler.handle_start_answer(
+                run, run_tracking.StartAnswer(answer), harness.now_s
+            )
+            context.rejected += 1
+
+
+@then('it was started {least:d} to {most:d} times')
+def check_rejected(context, least, most):
+    assert least <= context.rejected <= most, context.rejected
+
+
+@then('the next starts include "{name}"')
+def check_starts_include(context, name):
+    found = [run.task_id.job_id for run in context.harness.start_all()]
+    assert name in found, found
+
+
 @when('each runs a job, of which those on "{crashing}" are on probation')
 def start_on_each(context, crashing):
     harness = context.harness
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
@@ -22,6 +22,10 @@
 
 # A job loses its value this many times its objective after it was due.
 CUTOFF_FACTOR = 3.0
+# Wait after a start was rejected for reasons that another executor would not
+# change; doubles with each further one in a row.
+REJECTED_WAIT_S = 0.05
+MAX_REJECTED_WAIT_S = 5.0
 # Time from the end of a job until the daemons of its callers know of it.
 PUBLICATION_S = 0.2
 
@@ -55,6 +59,9 @@
     :ivar placed_s: when a task of the step was last placed
     :ivar number: increases with each step of the partition
     :ivar suspects: indexes of pending tasks that may crash executors
+    :ivar rejections: number of starts in a row that were rejected for reasons
+        that another executor would not change
+    :ivar put_off_until_s: no task of the step starts before
     """
 
     occurrence: jobs.Occurrence
@@ -68,6 +75,8 @@
     placed_s: float | None = None
     number: int = 0
     suspects: set[int] = attrs.Factory(set)
+    rejections: int = 0
+    put_off_until_s: float = 0.0
 
     @property
     def key(self):
@@ -101,6 +110,12 @@
         self.pending.remove(index)
         self.suspects.discard(index)
 
+    def note_rejected(self, now_s):
+        """Record that a start was rejected, and put off the next one."""
+        wait_s = min(MAX_REJECTED_WAIT_S, REJECTED_WAIT_S * 2**self.rejections)
+        self.put_off_until_s = now_s + wait_s
+        self.rejections += 1
+
     def is_late(self, now_s):
         """Return whether the job can't be in time any more."""
         return now_s > self.objective_s - self.remaining_path_s
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -260,6 +260,17 @@
                 self._note_pending(ready_step)
             self.pools_to_schedule.add(self.pool_of(job))
 
+    def note_start_answer(self, task_id, is_rejected, now_s):
+        """Put off a step whose starts are rejected."""
+        key = task_id.job_id, task_id.occurrence, task_id.step
+        ready_step = self._steps.get(key)
+        if ready_step is None:
+            return
+        if is_rejected:
+            ready_step.note_rejected(now_s)
+        else:
+            ready_step.rejections = 0
+
     def drop_done_tasks(self, occurrence, step):
         """Remove the done tasks of a step from its pending tasks."""
         ready_step = self._steps.get(
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -25,6 +25,13 @@
 
 _Cause = executors_module.EndCause
 _Answer = run_tracking.StartAnswer
+# Answers that concern the start, not the executor.
+_REJECTIONS = (
+    _Answer.OLD_RUN,
+    _Answer.TOO_LATE,
+    _Answer.BAD_TICKET,
+    _Answer.INVALID,
+)
 
 
 @attrs.frozen
@@ -341,6 +348,10 @@
             return
         ended = run_tracking.apply_start_answer(run, answer, now_s)
         self._note_started(run)
+        if answer is _Answer.ACCEPTED or answer in _REJECTIONS:
+            self.steps.note_start_answer(
+                run.task_id, answer in _REJECTIONS, now_s
+            )
         if answer is _Answer.UNHEALTHY:
             executor_health.suspend(executor, now_s)
         if answer is _Answer.BAD_TICKET:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -28,8 +28,8 @@
     :param tickets: permissions for steps of queues that need advice
     :param ledger: what the runs of each workspace use
     :ivar holding_pools: pools that start no work that is late
-    :ivar waiting_pools: pools in which suspects of crashes wait for an
-        executor on which nothing has only just started
+    :ivar waiting_pools: pools in which steps wait for a time, or suspects of
+        crashes for an executor on which nothing has only just started
     """
 
     def __init__(self, steps, tickets, ledger):
@@ -82,13 +82,12 @@
 
     def _steps_to_start(self, pool, now_s):
         pending = self._steps.pending_in(pool)
+        due = [step for step in pending if step.put_off_until_s <= now_s]
+        if len(due) < len(pending):
+            self.waiting_pools.add(pool)
         if pool not in self.holding_pools:
-            return pending
-        return [
-            ready_step
-            for ready_step in pending
-            if not ready_step.gives_way(now_s)
-        ]
+            return due
+        return [step for step in due if not step.gives_way(now_s)]
 
     def _order(self, candidate, now_s):
         ready_step, held = candidate.ready_step, self._held_gang
