--- a/features/fakes/task_executors.py
+++ b/features/fakes/task_executors.py
@@ -6,6 +6,7 @@
 
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import executors as executors_module
+from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import run_tracking
 from hawthorndeal_jobs import specs
 from hawthorndeal_platform import executor_orders
@@ -19,7 +20,7 @@
 ROW_BYTES = 60
 
 _Answer = run_tracking.StartAnswer
-_Cause = executors_module.EndCause
+_Cause = run_state.EndCause
 
 
 @attrs.define(eq=False)
@@ -109,7 +110,7 @@
         self._reject_up_to(run.task_id, run.number)
         self._sequence += 1
         self._ends.append(
-            executors_module.ReportedEnd(
+            run_state.ReportedEnd(
                 self._sequence, run.task_id, run.number, cause, ''
             )
         )
@@ -205,7 +206,7 @@
         self._world.check_acknowledged_ends(self, last_recorded_end)
         now_s = self._world.now_s()
         running = tuple(
-            executors_module.ReportedRun(
+            run_state.ReportedRun(
                 run.task_id, run.number, '', self._percent(run, now_s)
             )
             for run in self.runs.values()
@@ -302,7 +303,7 @@
                 MESSAGE_BYTES + ROW_BYTES * (len(result[0]) + len(result[1]))
             ),
         )
-        return executors_module.ExecutorPoll(
+        return run_state.ExecutorPoll(
             sent_s, self._world.now_s(), clock_s, running, ended
         )
 
--- a/features/stage/loaded_partition.py
+++ b/features/stage/loaded_partition.py
@@ -9,6 +9,7 @@
 from hawthorndeal_jobs import jobs
 from hawthorndeal_jobs import queues
 from hawthorndeal_jobs import replica
+from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import run_tracking
 from hawthorndeal_jobs import scheduler
 from hawthorndeal_jobs import specs
@@ -152,7 +153,7 @@
         """Run a scheduling cycle, and report each start as accepted."""
         starts = self.plan().starts
         for run in starts:
-            run.phase = executors.RunPhase.SENT
+            run.phase = run_state.RunPhase.SENT
             self.scheduler.handle_start_answer(
                 run, run_tracking.StartAnswer.ACCEPTED, self.now_s
             )
@@ -168,11 +169,11 @@
         """Return a poll response that lists all runs that have not ended."""
         ended_keys = {(end.task_id, end.number) for end in ended}
         running = [
-            executors.ReportedRun(run.task_id, run.number, '', percent, 50)
+            run_state.ReportedRun(run.task_id, run.number, '', percent, 50)
             for run in self.scheduler.executors[executor_id].runs.values()
             if (run.task_id, run.number) not in ended_keys
         ]
-        return executors.ExecutorPoll(
+        return run_state.ExecutorPoll(
             self.now_s, self.now_s + 0.01, self.now_s, tuple(running),
             tuple(ended),
         )  # fmt: skip
@@ -191,7 +192,7 @@
     def end_of(self, run, cause):
         """Return the poll response that reports the end of a run."""
         known = self.scheduler.executors[run.executor_id]
-        end = executors.ReportedEnd(
+        end = run_state.ReportedEnd(
             known.last_processed_end + 1, run.task_id, run.number, cause, ''
         )
         return self.answer(run.executor_id, [end])
--- a/features/stage/queue_load.py
+++ b/features/stage/queue_load.py
@@ -16,6 +16,7 @@
 from hawthorndeal_jobs import jobs
 from hawthorndeal_jobs import queues
 from hawthorndeal_jobs import replica
+from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import run_tracking
 from hawthorndeal_jobs import scheduler
 from hawthorndeal_jobs import specs
@@ -182,7 +183,7 @@
     def _run_cycle(self):
         self._is_cycle_due = False
         for run in self._scheduler.plan(self.now_s, self.now_s).starts:
-            run.phase = executors.RunPhase.SENT
+            run.phase = run_state.RunPhase.SENT
             self._at(self.now_s + START_S, self._begin, run)
 
     def _begin(self, run):
@@ -196,11 +197,11 @@
 
     def _end(self, run):
         name = run.executor_id
-        row = executors.ReportedEnd(
+        row = run_state.ReportedEnd(
             next(self._ends[name]),
             run.task_id,
             run.number,
-            executors.EndCause.DONE,
+            run_state.EndCause.DONE,
             '',
         )
         self._report(name, (row,))
@@ -210,7 +211,7 @@
         self._wake()
 
     def _report(self, name, ended):
-        poll = executors.ExecutorPoll(
+        poll = run_state.ExecutorPoll(
             self.now_s, self.now_s, self.now_s, (), ended, is_whole=False
         )
         self._scheduler.handle_poll(name, poll, self.now_s)
--- a/features/stage/run_checker.py
+++ b/features/stage/run_checker.py
@@ -3,10 +3,10 @@
 import collections
 import json
 
-from hawthorndeal_jobs import executors as executors_module
 from hawthorndeal_jobs import jobs
 from hawthorndeal_jobs import journal
 from hawthorndeal_jobs import quotas
+from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import specs
 
 # Upper bound on the time until all daemons know of a cancellation.
@@ -168,7 +168,7 @@
 
     def record_end(self, executor, run, cause):
         """Record the end of a run."""
-        if cause is executors_module.EndCause.DONE:
+        if cause is run_state.EndCause.DONE:
             self.done.setdefault(run.task_id, 'ended')
             row = executor.entry.executor_id, executor._sequence
             self._completed_ends[row] = run.task_id
--- a/features/stage/scheduler_harness.py
+++ b/features/stage/scheduler_harness.py
@@ -4,6 +4,7 @@
 from hawthorndeal_jobs import jobs
 from hawthorndeal_jobs import queues
 from hawthorndeal_jobs import replica
+from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import run_tracking
 from hawthorndeal_jobs import scheduler
 from hawthorndeal_jobs import specs
@@ -89,7 +90,7 @@
         """Report the answer to a poll that took 10 ms, or longer."""
         sent_s = self.now_s if sent_s is None else sent_s
         self.now_s += 0.01
-        answer = executors.ExecutorPoll(
+        answer = run_state.ExecutorPoll(
             sent_s, self.now_s, self.now_s, tuple(running), tuple(ended)
         )
         return self.scheduler.handle_poll(name, answer, self.now_s)
@@ -100,7 +101,7 @@
         return self.poll(
             name,
             [
-                executors.ReportedRun(run.task_id, run.number, '', 0)
+                run_state.ReportedRun(run.task_id, run.number, '', 0)
                 for run in runs
             ],
         )
@@ -114,7 +115,7 @@
         """Run one scheduling cycle and report each start as accepted."""
         starts = self.plan().starts
         for run in starts:
-            run.phase = executors.RunPhase.SENT
+            run.phase = run_state.RunPhase.SENT
             self.scheduler.handle_start_answer(
                 run, run_tracking.StartAnswer.ACCEPTED, self.now_s
             )
--- a/features/stage/scheduler_model.py
+++ b/features/stage/scheduler_model.py
@@ -10,10 +10,10 @@
 import attrs
 
 from fakes import task_executors
-from hawthorndeal_jobs import executors as executors_module
 from hawthorndeal_jobs import journal
 from hawthorndeal_jobs import ownership
 from hawthorndeal_jobs import replica as replica_module
+from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import run_tracking
 from hawthorndeal_jobs import scheduler as scheduler_module
 from hawthorndeal_platform import executor_orders
@@ -335,7 +335,7 @@
         if run.is_stop_requested:
             self._scheduler.withdraw_run(run, self._now_s)
             return
-        run.phase = executors_module.RunPhase.SENT
+        run.phase = run_state.RunPhase.SENT
         run.phase_changed_s = self._now_s
         order = executor_orders.StartOrder(
             run.task_id,
@@ -393,7 +393,7 @@
             return
         self._unreachable.discard(known.executor_id)
         running, ended, clock_s = answer
-        poll = executors_module.ExecutorPoll(
+        poll = run_state.ExecutorPoll(
             sent_s, self._now_s, clock_s, running, ended
         )
         self._scheduler.handle_poll(known.executor_id, poll, self._now_s)
--- a/features/steps/jobs_call_window.py
+++ b/features/steps/jobs_call_window.py
@@ -8,7 +8,7 @@
 from behave import when
 
 from hawthorndeal_jobs import call_window
-from hawthorndeal_jobs import executors
+from hawthorndeal_jobs import run_state
 from hawthorndeal_platform import executor_orders
 from hawthorndeal_scheduler import executor_agent
 from stage import scheduler_harness
@@ -241,7 +241,7 @@
     harness.add_executor('a')
     harness.add_job('j', scheduler_harness.steps(2))
     run, other = harness.start_all()
-    run.phase = executors.RunPhase.UNKNOWN
+    run.phase = run_state.RunPhase.UNKNOWN
     run.phase_changed_s = harness.now_s
     context.wait_s = executor_agent.poll_wait_s(
         [run, other], harness.now_s + age
--- a/features/steps/jobs_capacity_changes.py
+++ b/features/steps/jobs_capacity_changes.py
@@ -10,7 +10,7 @@
 from behave import when
 
 from hawthorndeal_fleet import errors
-from hawthorndeal_jobs import executors
+from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import specs
 from hawthorndeal_platform import keyed_log
 from hawthorndeal_scheduler import log_readers
@@ -118,15 +118,15 @@
     known = harness.scheduler.executors[executor_id]
     (run,) = [r for r in known.runs.values() if r.task_id.job_id == name]
     others = [
-        executors.ReportedRun(r.task_id, r.number, '', 50)
+        run_state.ReportedRun(r.task_id, r.number, '', 50)
         for r in known.runs.values()
         if r is not run
     ]
-    end = executors.ReportedEnd(
+    end = run_state.ReportedEnd(
         known.last_processed_end + 1,
         run.task_id,
         run.number,
-        executors.EndCause.DONE,
+        run_state.EndCause.DONE,
         '',
     )
     harness.poll(executor_id, others, [end])
--- a/features/steps/jobs_crashes.py
+++ b/features/steps/jobs_crashes.py
@@ -16,6 +16,7 @@
 from hawthorndeal_jobs import executors
 from hawthorndeal_jobs import jobs
 from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import run_tracking
 from hawthorndeal_jobs import specs
 from stage import job_world
@@ -301,13 +302,13 @@
     task = job.occurrence(0).task(task_id)
     task.state, task.run = jobs.TaskState.ASSIGNED, number
     task.crashed_executors = tuple(f'earlier-{n}' for n in range(crashes))
-    return executors.Run(
+    return run_state.Run(
         task_id,
         number,
         job.occurrence(0),
         'x1',
         specs.Resources(1000),
-        executors.RunPhase.RUNNING,
+        run_state.RunPhase.RUNNING,
         0.0,
         started_s=None if survival == '?' else 100.0 - float(survival),
         probation_s=probation_s,
@@ -443,8 +444,8 @@
 def let_run_fail(context, executor_id):
     harness = context.harness
     (run,) = harness.scheduler.executors[executor_id].runs.values()
-    end = executors.ReportedEnd(
-        1, run.task_id, run.number, executors.EndCause.FAILED, ''
+    end = run_state.ReportedEnd(
+        1, run.task_id, run.number, run_state.EndCause.FAILED, ''
     )
     harness.poll(executor_id, ended=[end])
 
@@ -477,7 +478,7 @@
     end_s = harness.now_s + seconds
     while harness.now_s < end_s:
         for run in harness.plan().starts:
-            run.phase = executors.RunPhase.SENT
+            run.phase = run_state.RunPhase.SENT
             harness.scheduler.handle_start_answer(
                 run, run_tracking.StartAnswer(answer), harness.now_s
             )
--- a/features/steps/jobs_decisions.py
+++ b/features/steps/jobs_decisions.py
@@ -19,6 +19,7 @@
 from hawthorndeal_jobs import ownership
 from hawthorndeal_jobs import pacing
 from hawthorndeal_jobs import queues
+from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import specs
 from hawthorndeal_jobs import wave_planning
 from hawthorndeal_platform import hedging
@@ -121,13 +122,13 @@
 
 def _make_run(step, **fields):
     job = jobs.Job('j', 'q', 'p', 0.0, specs.JobSpec('', (step,)))
-    run = executors.Run(
+    run = run_state.Run(
         jobs.TaskId('j', 0, 0, 0),
         1,
         job.occurrence(0),
         'x',
         step.reserved,
-        executors.RunPhase.RUNNING,
+        run_state.RunPhase.RUNNING,
         0.0,
     )
     for name, value in fields.items():
@@ -347,7 +348,7 @@
 @when('a start of a stored run is queued but not yet sent')
 def queue_start(context):
     run = _make_run(specs.StepSpec(1, specs.Resources(1000, 1000), 1.0))
-    run.phase = executors.RunPhase.PLANNED
+    run.phase = run_state.RunPhase.PLANNED
     context.executor.add(run)
     owner = _OwnerStub(context.executor)
     run_orders.RunOrders(owner, None, None).send_start(run)
--- a/features/steps/jobs_scheduler.py
+++ b/features/steps/jobs_scheduler.py
@@ -6,8 +6,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from hawthorndeal_jobs import executors
 from hawthorndeal_jobs import jobs
+from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import run_tracking
 from stage import scheduler_harness
 from stage import scheduler_model
@@ -48,8 +48,8 @@
 
 @when('"{name}" reports that the run completed before the lease expired')
 def report_completed_run(context, name):
-    row = executors.ReportedEnd(
-        1, context.run.task_id, context.run.number, executors.EndCause.DONE, ''
+    row = run_state.ReportedEnd(
+        1, context.run.task_id, context.run.number, run_state.EndCause.DONE, ''
     )
     context.harness.poll(name, ended=[row])
 
@@ -122,7 +122,7 @@
 def answer_poll(context, name, when):
     harness = context.harness
     sent_s = harness.now_s + (0.1 if when == 'after' else -0.1)
-    poll = executors.ExecutorPoll(sent_s, sent_s + 0.5, 7.0, (), ())
+    poll = run_state.ExecutorPoll(sent_s, sent_s + 0.5, 7.0, (), ())
     context.ended = harness.scheduler.superseded_executors(name, poll)
 
 
@@ -140,7 +140,7 @@
     spec = scheduler_harness.steps(count, is_lasting=True, max_unavailable=1)
     harness.add_job('j', spec)
     context.rows = [
-        executors.ReportedRun(jobs.TaskId('j', 0, 0, index), 1, '', 100)
+        run_state.ReportedRun(jobs.TaskId('j', 0, 0, index), 1, '', 100)
         for index in range(count)
     ]
     harness.assign_all_tasks('j', 'a')
@@ -176,7 +176,7 @@
     harness.add_executor(name)
     harness.add_job('j', scheduler_harness.steps(1, is_lasting=True))
     (context.run,) = harness.plan().starts
-    context.run.phase = executors.RunPhase.SENT
+    context.run.phase = run_state.RunPhase.SENT
     harness.scheduler.handle_start_answer(
         context.run, run_tracking.StartAnswer.UNKNOWN, harness.now_s
     )
@@ -190,7 +190,7 @@
 @when('"{name}" answers {poll}')
 def answer_poll_of_unknown(context, name, poll):
     harness, run = context.harness, context.run
-    row = executors.ReportedRun(run.task_id, run.number, '', 100)
+    row = run_state.ReportedRun(run.task_id, run.number, '', 100)
     if poll == 'a poll that lists it':
         harness.poll(name, running=[row])
     elif poll == 'a poll that omits it':
--- a/features/steps/jobs_scheduler_cost.py
+++ b/features/steps/jobs_scheduler_cost.py
@@ -6,10 +6,10 @@
 from behave import then
 from behave import when
 
-from hawthorndeal_jobs import executors
 from hawthorndeal_jobs import finished_jobs
 from hawthorndeal_jobs import jobs
 from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import status_board
 from stage import loaded_partition
 
@@ -18,7 +18,7 @@
 # More than the executors of any pool, each of which has room for one.
 GANG_TASKS = 400
 
-_Cause = executors.EndCause
+_Cause = run_state.EndCause
 
 
 @given(
--- a/features/steps/jobs_workspaces.py
+++ b/features/steps/jobs_workspaces.py
@@ -13,12 +13,12 @@
 from behave import when
 
 from hawthorndeal_fleet import errors
-from hawthorndeal_jobs import executors
 from hawthorndeal_jobs import jobs
 from hawthorndeal_jobs import journal
 from hawthorndeal_jobs import key_check
 from hawthorndeal_jobs import queues
 from hawthorndeal_jobs import quotas
+from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import run_tracking
 from hawthorndeal_jobs import specs
 from hawthorndeal_jobs import workspaces
@@ -475,7 +475,7 @@
 @when('{count:d} task of "{name}" ends')
 def end_tasks(context, name, count=1):
     runs = [run for run in context.running if run.workspace == name]
-    _end(context, runs[:count], executors.EndCause.DONE)
+    _end(context, runs[:count], run_state.EndCause.DONE)
 
 
 @when(
@@ -489,7 +489,7 @@
 
 @when('the cancelled runs have ended')
 def end_cancelled(context):
-    _end(context, list(context.running), executors.EndCause.STOPPED)
+    _end(context, list(context.running), run_state.EndCause.STOPPED)
 
 
 @given(
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/crash_blame.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/crash_blame.py
@@ -15,8 +15,8 @@
 
 import attrs
 
-from . import executors as executors_module
 from . import jobs
+from . import run_state
 
 # A run that lasted this long did not crash its executor by being started.
 PROVING_S = 0.2
@@ -35,7 +35,7 @@
 MAX_CRASHES = 4
 MAX_UNCONFIRMED_CRASHES = 5
 
-_Phase = executors_module.RunPhase
+_Phase = run_state.RunPhase
 
 
 @attrs.frozen
@@ -47,7 +47,7 @@
     :ivar is_blamed: whether the task is to be given up
     """
 
-    run: executors_module.Run
+    run: run_state.Run
     survival_s: float
     is_blamed: bool
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executor_health.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executor_health.py
@@ -7,7 +7,7 @@
 
 import statistics
 
-from . import executors as executors_module
+from . import run_state
 
 # Consecutive failed runs before an executor is suspended.
 FAILURES_BEFORE_SUSPENSION = 2
@@ -75,7 +75,7 @@
 
 def _is_measurable(run, now_s):
     return (
-        run.phase is executors_module.RunPhase.RUNNING
+        run.phase is run_state.RunPhase.RUNNING
         and not run.step.is_lasting
         and not run.step.is_filler
         and not run.is_stop_requested
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
@@ -2,11 +2,11 @@
 
 from . import crash_blame
 from . import executor_health
-from . import executors
 from . import jobs
+from . import run_state
 from . import run_tracking
 
-_Cause = executors.EndCause
+_Cause = run_state.EndCause
 
 
 class RunEndings:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
@@ -27,13 +27,13 @@
 import attrs
 
 from . import crash_blame
-from . import executors
 from . import jobs
+from . import run_state
 
 STOP_RETRY_S = 0.4
 
-_Phase = executors.RunPhase
-_Cause = executors.EndCause
+_Phase = run_state.RunPhase
+_Cause = run_state.EndCause
 
 
 class StartAnswer(enum.Enum):
@@ -63,8 +63,8 @@
     :ivar cause: None if the run never started
     """
 
-    run: executors.Run
-    cause: executors.EndCause | None
+    run: run_state.Run
+    cause: run_state.EndCause | None
     checkpoint: str = ''
 
 
@@ -87,7 +87,7 @@
     """
 
     finished_runs: list[FinishedRun]
-    found: list[executors.Run]
+    found: list[run_state.Run]
     orphans: list[OrphanRun]
 
 
@@ -106,7 +106,7 @@
     found, orphans = [], []
     listed = set()
     for row in poll.running:
-        key = executors.run_key(row.task_id, row.number)
+        key = run_state.run_key(row.task_id, row.number)
         listed.add(key)
         run = executor.runs.get(key)
         if run is None:
@@ -129,7 +129,7 @@
         if end.sequence <= executor.last_processed_end:
             continue
         executor.last_processed_end = end.sequence
-        run = executor.runs.get(executors.run_key(end.task_id, end.number))
+        run = executor.runs.get(run_state.run_key(end.task_id, end.number))
         if run is None and end.cause is _Cause.DONE:
             # The run finished before its lease expired and was written off;
             # its result is still valid.
@@ -156,7 +156,7 @@
     if occurrence is None or occurrence.task(row.task_id) is None:
         return None
     spec = occurrence.job.spec.steps[row.task_id.step]
-    return executors.Run(
+    return run_state.Run(
         row.task_id,
         row.number,
         occurrence,
@@ -205,7 +205,7 @@
 
 
 def _missing_runs(executor, poll, listed):
-    ended = {executors.run_key(end.task_id, end.number) for end in poll.ended}
+    ended = {run_state.run_key(end.task_id, end.number) for end in poll.ended}
     return [
         FinishedRun(run, _cause_of_missing_run(run), run.checkpoint)
         for key, run in executor.runs.items()
@@ -269,7 +269,7 @@
     """Add a run requested by a previous owner to its executor."""
     task_id, number = run_key
     spec = occurrence.job.spec.steps[task_id.step]
-    run = executors.Run(
+    run = run_state.Run(
         task_id,
         number,
         occurrence,
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -4,6 +4,7 @@
 
 from . import arrival_shares
 from . import crash_blame
+from . import crash_tracking
 from . import departures
 from . import executor_health
 from . import executor_index
@@ -16,14 +17,14 @@
 from . import ready_steps as ready_steps_module
 from . import run_endings
 from . import run_index
+from . import run_state
 from . import run_tracking
-from . import shared_crashes
 from . import specs
 from . import start_planning
 from . import start_shares
 from . import tickets as tickets_module
 
-_Cause = executors_module.EndCause
+_Cause = run_state.EndCause
 _Answer = run_tracking.StartAnswer
 # Answers that concern the start, not the executor.
 _REJECTIONS = (
@@ -56,8 +57,8 @@
     :ivar paces: changes of pace to send now
     """
 
-    starts: list[executors_module.Run]
-    stops: list[executors_module.Run]
+    starts: list[run_state.Run]
+    stops: list[run_state.Run]
     orphans: list[run_tracking.OrphanRun]
     paces: list[pacing.PaceChange]
 
@@ -91,11 +92,12 @@
         )
         self._unrecorded = {}
         self._orphans = {}
-        self._crashes = shared_crashes.SharedCrashes()
         self._endings = run_endings.RunEndings(
             self.steps, self.tickets, self._run_index
         )
 
+        self._crashes = crash_tracking.CrashTracking(self.steps, self._endings)
+
     # Jobs
 
     def add_job(self, job, now_s, wall_s, age_s=None):
@@ -222,7 +224,8 @@
             return ExecutorEnd([], [])
         suspects = []
         if kind is departures.DepartureKind.CRASHED:
-            suspects = self._find_suspects(executor, now_s)
+            others = [e for e in self.executors.values() if e is not executor]
+            suspects = self._crashes.note_crash(executor, others, now_s)
         finished_runs = self._end_runs(executor_id, _Cause.LOST, now_s)
         self._index.remove(self.executors.pop(executor_id))
         self._unrecorded.pop(executor_id, None)
@@ -231,19 +234,6 @@
                 self._endings.give_up(suspect.run)
         return ExecutorEnd(finished_runs, suspects)
 
-    def _find_suspects(self, executor, now_s):
-        """Record a crash in the state of the tasks that may be to blame."""
-        others = [e for e in self.executors.values() if e is not executor]
-        is_shared = self._crashes.is_shared(executor, others, now_s)
-        self._crashes.note(executor, now_s)
-        runs = filter(crash_blame.may_be_responsible, executor.exposed_runs())
-        suspects = crash_blame.judge(executor, list(runs), is_shared)
-        for suspect in suspects:
-            crash_blame.note_crash(suspect)
-            self._endings.note_changed([suspect.run.occurrence])
-            self.steps.note_suspected(suspect.run.task_id)
-        return suspects
-
     def expire_executor(self, executor_id, now_s):
         """End all runs of an executor whose leases have expired."""
         executor = self.executors[executor_id]
@@ -297,7 +287,8 @@
         if executor.last_processed_end > executor.last_recorded_end:
             self._unrecorded[executor_id] = executor
         self._run_index.note_pace_input(executor_id)
-        self._check_suspects(executor)
+        if self._crashes.clear_suspects(executor):
+            self.steps.pools_to_schedule.add(executor.entry.pool)
         self._orphans.update(
             {(s.executor_id, s.task_id, s.number): s for s in outcome.orphans}
         )
@@ -311,24 +302,6 @@
             self.steps.pools_to_schedule.add(executor.entry.pool)
         return outcome.finished_runs
 
-    def _note_started(self, run):
-        """Store that a suspect has started, for a crash after a takeover."""
-        task = run.task
-        is_news = run.started_s is not None and task.started_run < run.number
-        if is_news and run.is_suspect and run_tracking.is_current(run):
-            task.started_run = run.number
-            self._endings.note_changed([run.occurrence])
-
-    def _check_suspects(self, executor):
-        """Forget the crashes under tasks whose runs have lasted."""
-        for run in list(executor.suspect_runs.values()):
-            self._note_started(run)
-            if crash_blame.is_cleared(executor, run):
-                del executor.suspect_runs[run.key]
-                crash_blame.clear(run.task)
-                self._endings.note_changed([run.occurrence])
-                self.steps.pools_to_schedule.add(executor.entry.pool)
-
     def _expected_s(self, run):
         factor = self.steps.estimates.factor(run.occurrence.job.queue)
         return run.step.estimate_s * factor
@@ -347,7 +320,7 @@
         if executor is None:
             return
         ended = run_tracking.apply_start_answer(run, answer, now_s)
-        self._note_started(run)
+        self._crashes.note_started(run)
         if answer is _Answer.ACCEPTED or answer in _REJECTIONS:
             self.steps.note_start_answer(
                 run.task_id, answer in _REJECTIONS, now_s
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -5,10 +5,10 @@
 import attrs
 
 from . import crash_blame
-from . import executors as executors_module
 from . import jobs
 from . import ordering
 from . import pool_placement
+from . import run_state
 from . import specs
 
 
@@ -305,9 +305,9 @@
     task.state = jobs.TaskState.ASSIGNED
     task.run = number
     task.executor = executor.executor_id
-    run = executors_module.Run(
+    run = run_state.Run(
         task_id, number, occurrence, executor.executor_id,
-        ready_step.spec.reserved, executors_module.RunPhase.PLANNED, now_s,
+        ready_step.spec.reserved, run_state.RunPhase.PLANNED, now_s,
         planned_s=now_s, probation_s=probation_s,
     )  # fmt: skip
     executor.add(run)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
@@ -5,13 +5,13 @@
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import departures
 from hawthorndeal_jobs import executor_health
-from hawthorndeal_jobs import executors as executors_module
 from hawthorndeal_jobs import placement
+from hawthorndeal_jobs import run_state
 from hawthorndeal_platform import executor_orders
 
 from . import run_orders
 
-_Phase = executors_module.RunPhase
+_Phase = run_state.RunPhase
 
 POLL_WAIT_S = 1.0
 # Applies while tasks run that end by themselves: a lost answer delays the
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
@@ -3,11 +3,11 @@
 import asyncio
 
 from hawthorndeal_jobs import departures
-from hawthorndeal_jobs import executors as executors_module
+from hawthorndeal_jobs import run_state
 
 from . import executor_agent
 
-_Cause = executors_module.EndCause
+_Cause = run_state.EndCause
 _Departure = departures.Departure
 
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
@@ -6,7 +6,7 @@
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import call_window
 from hawthorndeal_jobs import departures
-from hawthorndeal_jobs import executors as executors_module
+from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import run_tracking
 from hawthorndeal_platform import executor_orders
 
@@ -55,7 +55,7 @@
             owner.scheduler.withdraw_run(run, owner.now_s())
             owner.wake()
             return
-        run.phase = executors_module.RunPhase.SENT
+        run.phase = run_state.RunPhase.SENT
         run.phase_changed_s = owner.now_s()
         # Grants the lease before the call: a run in phase SENT without a lease
         # counts as lapsed.
