Tell a lost rack from several tasks that crash executors at once

Of 150 crashes only 48 gave a task up.

Cause: executors that come back together get starts in the same cycle and crash together, which was taken for a lost rack.

Change: a crash has a common cause if another executor of the rack, or two of the zone, fell silent at the same time though nothing had only just started there. Those on which something had are explained by it.

--- a/features/jobs_crashes.feature
+++ b/features/jobs_crashes.feature
@@ -211,19 +211,19 @@
     Then 0 executors have crashed under "a"
 
   Scenario Outline: Crashes with a common cause blame no task: <case>
-    Given a scheduler with executors "<executors>" of one rack
-    When each runs a job, of which those on "<crashing>" are on probation
+    Given a scheduler with executors "x0, x1, x2, x3" of one rack
+    When each runs a job, those on "<probation>" on probation, the others for 2 s
     And <unknown> of them have not answered this owner
     And "<crashing>" crash, <apart> s one after the other
     Then <count> jobs are given up
 
     Examples:
-      | case                             | executors      | crashing   | apart | unknown | count |
-      | one of four                      | x0, x1, x2, x3 | x0         | 0.1   | none    | 1     |
-      | all of four                      | x0, x1, x2, x3 | x0, x1, x2 | 0.1   | none    | 0     |
-      | most of four, at different times | x0, x1, x2, x3 | x0, x1, x2 | 2     | none    | 3     |
-      | two of four at once              | x0, x1, x2, x3 | x0, x1     | 0.1   | none    | 2     |
-      | all of four before a takeover    | x0, x1, x2, x3 | x0, x1, x2 | 0.1   | all     | 3     |
+      | case                           | probation  | crashing   | apart | unknown | count |
+      | one crashes                    | x0         | x0         | 0.1   | none    | 1     |
+      | the rack is lost               | x0         | x1, x0, x2 | 0.1   | none    | 0     |
+      | others crash at other times    | x0         | x1, x0, x2 | 2     | none    | 1     |
+      | each crashes under a suspect   | x0, x1, x2 | x0, x1, x2 | 0.1   | none    | 3     |
+      | all crashed before a takeover  | x0         | x1, x0, x2 | 0.1   | all     | 1     |
 
   Scenario: The crashes under a task are stored, and read by a successor
     When the progress of a job with crashes under a task is stored and read
--- a/features/steps/jobs_crashes.py
+++ b/features/steps/jobs_crashes.py
@@ -496,17 +496,25 @@
     assert name in found, found
 
 
-@when('each runs a job, of which those on "{crashing}" are on probation')
-def start_on_each(context, crashing):
+@when(
+    'each runs a job, those on "{names}" on probation, the others for '
+    '{seconds:g} s'
+)
+def start_on_each(context, names, seconds):
     harness = context.harness
+    suspects = names.split(', ')
     for executor_id in list(harness.scheduler.executors):
         harness.inherit_job(
             f'on-{executor_id}',
             scheduler_harness.steps(1),
             executor_id,
-            ('earlier',) if executor_id in crashing.split(', ') else (),
+            ('earlier',) if executor_id in suspects else (),
         )
-    for executor_id in harness.scheduler.executors:
+    others = [x for x in harness.scheduler.executors if x not in suspects]
+    for executor_id in others:
+        harness.poll_runs(executor_id)
+    harness.now_s += seconds
+    for executor_id in (*others, *suspects):
         harness.poll_runs(executor_id)
 
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/shared_crashes.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/shared_crashes.py
@@ -1,5 +1,9 @@
 """Tell crashes that have a common cause, such as the loss of a rack.
 
+Tasks that crash executors may crash several at once, but only those on which
+a run has only just started. Where another executor of the rack or zone fell
+silent at the same time without such a run, the cause is a common one.
+
 Only executors that have answered the present owner count, since it is not
 known when the others fell silent.
 """
@@ -8,18 +12,19 @@
 
 import attrs
 
+from . import crash_blame
+
 # Executors that fell silent within this time may have a common cause.
 SAME_TIME_S = 0.5
-# Fewer executors that crash at once are taken for a coincidence.
-MIN_EXECUTORS = 3
-# Share of the busy executors of a rack or zone that has to crash at once.
-MIN_SHARE = 0.5
+# Number of other executors that show that a rack or a zone was lost.
+MIN_IN_RACK = 1
+MIN_IN_ZONE = 2
 RETENTION_S = 10.0
 
 
 @attrs.frozen
 class _Silence:
-    """When an executor that has crashed fell silent."""
+    """When an executor fell silent on which nothing had only just started."""
 
     rack: str
     zone: str
@@ -27,7 +32,7 @@
 
 
 class SharedCrashes:
-    """Remembers recent crashes."""
+    """Remembers recent crashes that no run explains."""
 
     def __init__(self):
         self._recent = collections.deque()
@@ -36,7 +41,7 @@
         """Record the crash of an executor."""
         while self._recent and self._recent[0][0] < now_s - RETENTION_S:
             self._recent.popleft()
-        if executor.is_fenced:
+        if executor.is_fenced and not _has_unproven_run(executor):
             self._recent.append((now_s, _silence_of(executor, now_s)))
 
     def is_shared(self, executor, executors, now_s):
@@ -47,33 +52,29 @@
         if not executor.is_fenced:
             return False
         own = _silence_of(executor, now_s)
-        busy = [other for other in executors if other.runs and other.is_fenced]
         silent = [
             _silence_of(other, now_s)
-            for other in busy
-            if other.unanswered_since_s is not None
+            for other in executors
+            if other.is_fenced
+            and other.unanswered_since_s is not None
+            and not _has_unproven_run(other)
         ]
         silent += [silence for _, silence in self._recent]
-        return any(
-            self._is_lost(own, silent, busy, place_of)
-            for place_of in (_rack_of, _zone_of)
-        )
-
-    @staticmethod
-    def _is_lost(own, silent, busy, place_of):
-        place = place_of(own)
-        if not place:
-            return False
-        lost = 1 + sum(
-            place_of(other) == place
-            and abs(other.since_s - own.since_s) <= SAME_TIME_S
+        at_once = [
+            other
             for other in silent
-        )
-        answering = sum(
-            place_of(other.entry) == place and other.unanswered_since_s is None
-            for other in busy
-        )
-        return lost >= max(MIN_EXECUTORS, MIN_SHARE * (lost + answering))
+            if abs(other.since_s - own.since_s) <= SAME_TIME_S
+        ]
+        in_rack = sum(bool(o.rack) and o.rack == own.rack for o in at_once)
+        in_zone = sum(bool(o.zone) and o.zone == own.zone for o in at_once)
+        return in_rack >= MIN_IN_RACK or in_zone >= MIN_IN_ZONE
+
+
+def _has_unproven_run(executor):
+    return any(
+        not crash_blame.is_proven(executor, run)
+        for run in executor.runs.values()
+    )
 
 
 def _silence_of(executor, now_s):
@@ -83,11 +84,3 @@
         executor.entry.zone,
         now_s if since_s is None else since_s,
     )
-
-
-def _rack_of(place):
-    return place.rack
-
-
-def _zone_of(place):
-    return place.zone
