--- a/features/jobs_adapter.feature
+++ b/features/jobs_adapter.feature
@@ -97,6 +97,11 @@
     Then it is sorted by time across both daemons
     And it notes a run without an end, and 3 unreadable lines
 
+  Scenario: The timeline of a job leads to the executors that crashed under it
+    Given logs of a job under which an executor crashed
+    When the timeline of "j1" is built
+    Then it tells that executor "x" is gone, but nothing of "y"
+
   Scenario Outline: Settings of a scheduling daemon with <field>: <value> are refused
     Given settings of a scheduling daemon with <field>: <value>
     Then they are refused, and the message names "<field>"
--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -432,12 +432,36 @@
     assert listed == exported, listed ^ exported
 
 
+def _log_line(time_s, daemon, event, **fields):
+    plain = {'time_s': time_s, 'daemon': daemon, 'event': event}
+    return 'prefix ' + json.dumps({**plain, **fields})
+
+
+@given('logs of a job under which an executor crashed')
+def write_crash_logs(context):
+    context.texts = [
+        _log_line(1.0, 'a', 'job_accepted', job='j1'),
+        _log_line(2.0, 'a', 'executor_gone', executor='x'),
+        _log_line(2.0, 'a', 'executor_gone', executor='y'),
+        _log_line(2.1, 'a', 'crash_suspect', task='j1.0.0.0', executor='x'),
+        _log_line(2.1, 'a', 'crash_suspect', task='j2.0.0.0', executor='y'),
+    ]
+
+
+@then('it tells that executor "{name}" is gone, but nothing of "{other}"')
+def check_crash_timeline(context, name, other):
+    gone = [
+        line.fields['executor']
+        for line in context.timeline.lines
+        if line.event == 'executor_gone'
+    ]
+    assert gone == [name], gone
+    assert all(other not in str(line) for line in context.timeline.lines)
+
+
 @given("logs of two daemons with {count:d} unreadable lines")
 def write_logs(context, count):
-    def line(time_s, daemon, event, **fields):
-        plain = {'time_s': time_s, 'daemon': daemon, 'event': event}
-        return 'prefix ' + json.dumps({**plain, **fields})
-
+    line = _log_line
     context.texts = [
         line(3.0, 'b', 'run_started', task='j1.0.0.0', run=1, executor='x'),
         line(1.0, 'a', 'job_accepted', job='j1'),
--- a/packages/hawthorndeal-cli/hawthorndeal_cli/log_timeline.py
+++ b/packages/hawthorndeal-cli/hawthorndeal_cli/log_timeline.py
@@ -66,6 +66,7 @@
             unreadable += bool(text.strip())
     lines.sort(key=lambda line: line.time_s)
     matching = [line for line in lines if _mentions(line, entity_id)]
+    matching = _with_crashes(matching, lines)
     selected = _with_context(matching, lines)
     return Timeline(
         tuple(selected), tuple(_find_missing(matching)), unreadable
@@ -90,6 +91,25 @@
     )
 
 
+def _with_crashes(matching, lines):
+    """Add the ends of the executors that crashed under the runs."""
+    crashed = {
+        line.fields.get('executor')
+        for line in matching
+        if line.event == 'crash_suspect'
+    }
+    chosen = set(map(id, matching))
+    return [
+        line
+        for line in lines
+        if id(line) in chosen
+        or (
+            line.event == 'executor_gone'
+            and line.fields.get('executor') in crashed
+        )
+    ]
+
+
 def _with_context(matching, lines):
     if not matching:
         return []
