--- a/features/jobs_crashes.feature
+++ b/features/jobs_crashes.feature
@@ -28,6 +28,15 @@
     And at most 3 executors have crashed under it
     And no invariant was violated
 
+  Scenario: An owner that was cut off when an executor crashed starts its tasks no more
+    Given simulated daemons with seed 714
+    When job "bad" of 4 tasks, one of which crashes its executor after 0.01 s, is submitted
+    And the owner is cut off from all as soon as an executor has crashed, for 6 s
+    And 25 seconds pass
+    Then job "bad" is reported as failed by every daemon
+    And at most 5 executors have crashed under it
+    And no invariant was violated
+
   Scenario Outline: No kind of work is started again without end: <kind>
     Given simulated daemons with seed 704
     When 4 jobs of 4 and 4 tasks are submitted
@@ -250,3 +259,9 @@
     When a job "a" of 1 task is added, all of whose starts are answered invalid, for 5 s
     And a job "new" of 1 task is added
     Then the next starts include "new"
+
+  @search
+  Scenario: Random faults beside tasks that crash executors give up no innocent job
+    When simulations with random faults and such tasks of seeds 3000 to 3011 run
+    Then no simulation violated an invariant or left a job unfinished
+    And in none of them an innocent job was given up
--- a/features/steps/jobs_crashes.py
+++ b/features/steps/jobs_crashes.py
@@ -19,6 +19,7 @@
 from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import run_tracking
 from hawthorndeal_jobs import specs
+from stage import fault_search
 from stage import job_world
 from stage import scheduler_harness
 
@@ -130,6 +131,48 @@
     context.runner.run(play())
 
 
+@when(
+    'the owner is cut off from all as soon as an executor has crashed, for '
+    '{seconds:g} s'
+)
+def cut_owner_at_crash(context, seconds):
+    world = context.world
+    crashes = world.crashed_executors[context.deadly_tasks[0]]
+
+    async def play():
+        assert await world.wait_for(lambda: crashes, 5.0)
+        owner = world.owner
+        for link in (owner.link, owner.hosts_link):
+            link.is_cut = True
+        await asyncio.sleep(seconds)
+        for link in (owner.link, owner.hosts_link):
+            link.is_cut = False
+
+    context.runner.run(play())
+
+
+@when(
+    'simulations with random faults and such tasks of seeds {first:d} to '
+    '{last:d} run'
+)
+def run_simulations(context, first, last):
+    kinds = (
+        fault_search.ALL_KINDS
+        + fault_search.DEADLY_KINDS * 8
+        + fault_search.CAPACITY_KINDS * 2
+    )
+    context.verdicts = [
+        fault_search.run_with_faults(seed, kinds)
+        for seed in range(first, last + 1)
+    ]
+
+
+@then('in none of them an innocent job was given up')
+def check_none_innocent(context):
+    given_up = [(v.seed, v.given_up) for v in context.verdicts if v.given_up]
+    assert not given_up, given_up
+
+
 @when('the host service is away')
 def cut_host_service(context):
     for daemon in context.world.daemons:
