Keep the submissions of simulated callers from garbage collection

The event loop refers to tasks only weakly, so that a submission of the fault search or of the lossy store could vanish before it was answered.

--- a/features/stage/fault_search.py
+++ b/features/stage/fault_search.py
@@ -53,6 +53,7 @@
         self._kinds = kinds
         self.faults = []
         self.accepted = {}
+        self._submissions = []
         # Jobs with a task that crashes executors.
         self.deadly = []
 
@@ -79,7 +80,13 @@
             await asyncio.sleep(self._rng.uniform(0.05, 0.8))
             spec = self._make_spec()
             pool = self._rng.choice(('web', 'ci'))
-            asyncio.create_task(self._submit(f'j{number:03}', pool, spec))
+            self._begin_submission(f'j{number:03}', pool, spec)
+
+    def _begin_submission(self, job_id, pool, spec):
+        # The event loop refers to tasks only weakly.
+        self._submissions.append(
+            asyncio.create_task(self._submit(job_id, pool, spec))
+        )
 
     def _make_spec(self):
         rng = self._rng
@@ -279,7 +286,7 @@
         self.world.crash_delays_s[task_id] = DEADLY_DELAY_S
         spec = self._make_spec()
         pool = self._rng.choice(('web', 'ci'))
-        asyncio.create_task(self._submit(job_id, pool, spec))
+        self._begin_submission(job_id, pool, spec)
 
 
 CAPACITY_KINDS = ('resize_executor',)
--- a/features/steps/jobs_world_troubles.py
+++ b/features/steps/jobs_world_troubles.py
@@ -157,6 +157,8 @@
 def submit_evenly(context, count, tasks):
     world = context.world
     context.submitted_s = {}
+    # The event loop refers to tasks only weakly.
+    context.submissions = []
 
     async def submit(job_id):
         spec = job_world.one_step(tasks, estimate_s=0.5)
@@ -170,7 +172,7 @@
         for number in range(count):
             job_id = f'even{number}'
             context.submitted_s[job_id] = world.now_s()
-            context.submitting = asyncio.create_task(submit(job_id))
+            context.submissions.append(asyncio.create_task(submit(job_id)))
             await asyncio.sleep(5.0 / count)
 
     context.runner.run(submit_spread())
