Show from the logs why jobs were late and what hosts were used for

The lines of the daemons couldn't tell: no line told the objective of a job, when an owner started nothing, which host an executor ran on, or which pool is on standby.

job_accepted tells objective, declared work and pool, executor_found the host, starts_halted and starts_resumed the reason, pool_load whether a pool is on standby. 'hawthorndeal losses' divides the lateness of each job along its longest chain of runs, and host-seconds by use. The reading of lines is parted from the timeline of an id. No decision is changed.

--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -532,6 +532,10 @@
         And an unreadable configuration is written
         And jobs of a workspace with a quota of 1 core arrive
         And 1 seconds pass
+        And the store goes down
+        And 3 seconds pass
+        And the store comes back
+        And 3 seconds pass
     """)
 
 
--- a/packages/hawthorndeal-cli/hawthorndeal_cli/command.py
+++ b/packages/hawthorndeal-cli/hawthorndeal_cli/command.py
@@ -1,5 +1,7 @@
 """Base class of all commands, and helpers that they share."""
 
+import sys
+
 from hawthorndeal_fleet import checks
 from hawthorndeal_fleet import yamltext
 from hawthorndeal_platform import files
@@ -41,6 +43,14 @@
     return document
 
 
+def read_lines(paths):
+    """Yield the lines of log files; ``-`` stands for standard input."""
+    # Invalid UTF-8 must make only the affected line unreadable.
+    for path in paths:
+        data = sys.stdin.buffer.read() if path == '-' else files.read(path)
+        yield from data.decode(errors='replace').splitlines()
+
+
 def make_client(options):
     """Return a client configured by the ``--settings`` file.
 
--- a/packages/hawthorndeal-cli/hawthorndeal_cli/commands.py
+++ b/packages/hawthorndeal-cli/hawthorndeal_cli/commands.py
@@ -1,15 +1,13 @@
 """All commands of the command line."""
 
 import datetime
-import sys
 import urllib.parse
 
-from hawthorndeal_platform import files
-
 from . import applying
 from . import command
 from . import failures
 from . import log_timeline
+from . import losses
 from . import planning
 
 SHORT_ID_CHARS = 12
@@ -103,7 +101,7 @@
         if options.logs:
             return log_timeline.rows(
                 log_timeline.build_timeline(
-                    options.id, _read_lines(options.logs)
+                    options.id, command.read_lines(options.logs)
                 )
             )
         path = f'/v1/explain/{urllib.parse.quote(options.id, safe="")}'
@@ -122,13 +120,6 @@
         ]
 
 
-def _read_lines(paths):
-    # Invalid UTF-8 must make only the affected line unreadable.
-    for path in paths:
-        data = sys.stdin.buffer.read() if path == '-' else files.read(path)
-        yield from data.decode(errors='replace').splitlines()
-
-
 class Audit(command.Command):
     """Show who changed what, and what was refused."""
 
@@ -167,5 +158,6 @@
     Status(),
     Waves(),
     Explain(),
+    losses.Losses(),
     Audit(),
 )
--- a/packages/hawthorndeal-cli/hawthorndeal_cli/log_timeline.py
+++ b/packages/hawthorndeal-cli/hawthorndeal_cli/log_timeline.py
@@ -1,9 +1,9 @@
 """Builds the timeline of one id from the log lines of all daemons."""
 
-import json
-
 import attrs
 
+from . import log_lines
+
 # Events of the daemons themselves are included up to this long before the
 # first and after the last line that mentions the id.
 CONTEXT_S = 2.0
@@ -21,23 +21,9 @@
         'lines_left_out',
     }
 )
-_COLUMN_FIELDS = ('time_s', 'daemon', 'event')
 _REFUSAL_EVENTS = frozenset({'request_refused', 'request_failed'})
 
 
-@attrs.frozen
-class Line:
-    """One parsed log line.
-
-    :ivar time_s: wall-clock time of the host that wrote the line
-    """
-
-    time_s: float
-    daemon: str
-    event: str
-    fields: dict
-
-
 @attrs.frozen
 class Timeline:
     """Log lines about an id.
@@ -47,24 +33,18 @@
     :ivar unreadable: number of lines that could not be parsed as events
     """
 
-    lines: tuple[Line, ...]
+    lines: tuple[log_lines.Line, ...]
     missing: tuple[str, ...]
     unreadable: int
 
 
-def build_timeline(entity_id, log_lines):
+def build_timeline(entity_id, texts):
     """Return the timeline of an id.
 
     :param entity_id: id of a job, of a task, of an executor or of a host
-    :param log_lines: log lines of any daemons, in any order
+    :param texts: log lines of any daemons, in any order
     """
-    lines, unreadable = [], 0
-    for text in log_lines:
-        try:
-            lines.append(_parse_line(text))
-        except (ValueError, TypeError, KeyError, RecursionError):
-            unreadable += bool(text.strip())
-    lines.sort(key=lambda line: line.time_s)
+    lines, unreadable = log_lines.parse(texts)
     matching = [line for line in lines if _mentions(line, entity_id)]
     matching = _with_crashes(matching, lines)
     selected = _with_context(matching, lines)
@@ -73,15 +53,6 @@
     )
 
 
-def _parse_line(text):
-    # Log collectors may prepend a prefix to each line.
-    record = json.loads(text[text.index('{') :])
-    fields = {k: v for k, v in record.items() if k not in _COLUMN_FIELDS}
-    return Line(
-        float(record['time_s']), record['daemon'], record['event'], fields
-    )
-
-
 def _mentions(line, entity_id):
     return any(
         value == entity_id
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/specs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/specs.py
@@ -162,6 +162,14 @@
             return 0.0
         return self.first_due_s + number * self.interval_s
 
+    def finite_work_core_s(self):
+        """Return the declared work of all steps that end by themselves."""
+        return sum(
+            step.count * step.reserved.cpu_millicores / 1000 * step.estimate_s
+            for step in self.steps
+            if not step.is_lasting
+        )
+
     def critical_path_s(self):
         """Return the declared run time of the critical path."""
         finish_s = []
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -107,6 +107,8 @@
         """Accept a job.
 
         :param access: what the caller may do; see :meth:`authorize`
+        :returns: the declared job
+        :rtype: specs.JobSpec
         :raises errors.RequestFailed: if it is not accepted
         """
         queue = access.queue
@@ -123,7 +125,7 @@
             workspace=access.workspace,
         )
         if self._is_known(access, job_id, status):
-            return
+            return spec
         self._check_quota(access, spec)
         if self._is_store_unavailable() or not parts.status_follower.is_loaded:
             raise errors.NotReady('the store is away', RETRY_AFTER_S)
@@ -143,6 +145,7 @@
             if not self._is_known(access, job_id, status):
                 raise
         parts.board.note_accepted(job_id, status)
+        return spec
 
     def _check_load(self, access, spec):
         """Refuse a job that could not be of use any more.
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers_app.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers_app.py
@@ -8,6 +8,7 @@
 
 from hawthorndeal_daemon import web
 from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import ordering
 
 
 def make_app(interface, parts):
@@ -48,13 +49,15 @@
     :param parts: shared components of the daemon
     """
     host_name = request.headers.get('host', '')
+    spec_fields = {}
     try:
         queue, job_id = interface.find_queue(host_name, request.path)
         access = interface.authorize(
             queue, request.headers.get(interface.key_header)
         )
         if request.method == 'POST':
-            await interface.submit(access, job_id, request.body)
+            spec = await interface.submit(access, job_id, request.body)
+            spec_fields = _spec_fields(queue, spec)
             answer = response.json({'state': 'queued'})
         elif request.method == 'DELETE':
             is_found = await interface.cancel(access, job_id)
@@ -75,10 +78,20 @@
             status=answer.status,
             version=parts.configuration_reader.configuration.version,
             waiting=parts.board.waiting(queue.name),
+            **spec_fields,
         )
     return answer
 
 
+def _spec_fields(queue, spec):
+    return {
+        'pool': queue.pool,
+        'objective_s': round(ordering.objective_s(queue, spec), 3),
+        'work_core_s': round(spec.finite_work_core_s(), 3),
+        'is_lasting': any(step.is_lasting for step in spec.steps),
+    }
+
+
 def _state_answer(status):
     if status is None:
         return response.json({}, 410)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
@@ -62,6 +62,13 @@
         # read again after the log was truncated, and may be stored late.
         if entry.executor_id in self._ended_executor_ids:
             return None
+        if entry.executor_id not in self._scheduler.executors:
+            self._events.write(
+                'executor_found',
+                executor=entry.executor_id,
+                host=entry.host,
+                pool=entry.pool,
+            )
         return self._scheduler.update_executor(entry, now_s)
 
     def mark_missing(self, executor_id):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
@@ -140,7 +140,10 @@
         for load in loads:
             hosts = sum(entry.pool == load.pool for entry in entries)
             self._owner.events.write(
-                'pool_load', hosts=hosts, **_load_fields(load)
+                'pool_load',
+                hosts=hosts,
+                is_standby=load.is_standby,
+                **_load_fields(load),
             )
 
     def _load(self, pool, now_s):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -107,6 +107,8 @@
             parts.events, parts.metrics
         )
         self._is_storing_host_records = False
+        # Why no task may start at present; empty while tasks may.
+        self._halted_why = ''
 
     def _make_writer(self, follower, confirms_term=False):
         parts = self._parts
@@ -302,9 +304,7 @@
         now_s = self.now_s()
         self.tracker.check_without_agent()
         window = self._orders.starts
-        may_start = (
-            self._knows_cancellations(now_s) and self._knows_executors()
-        )
+        may_start = self._may_start(now_s)
         turn = self.scheduler.plan(
             now_s,
             parts.clock.now_s(),
@@ -327,6 +327,21 @@
         for run in turn.starts:
             self._orders.send_start(run)
 
+    def _may_start(self, now_s):
+        why = ''
+        if not self._knows_cancellations(now_s):
+            why = 'the jobs were not read'
+        elif not self._knows_executors():
+            why = 'the executors were not read'
+        if why != self._halted_why:
+            self._halted_why = why
+            self.events.write(
+                'starts_halted' if why else 'starts_resumed',
+                epoch=self.epoch,
+                **({'why': why} if why else {}),
+            )
+        return not why
+
     def _knows_cancellations(self, now_s):
         """Return whether the jobs have been read recently enough to start."""
         age_s = now_s - self._parts.jobs_reader.last_read_s
