Keep long-running tasks on few hosts, and release what a pool doesn't need

Cause: such tasks are displaced by waves, or restarted, while the other hosts are busy, and were placed by how full a host is, so that each landed on another one. A host that runs one of them never becomes idle.

The stop of a task that has to move is shared with the waves.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/capacity.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/capacity.py
@@ -17,6 +17,9 @@
 MIN_IDLE_S = 0.3
 # Idle time after which standby saves more than the two moves cost.
 STANDBY_IDLE_S = 1.2
+# Idle time after which a host is released though its pool would keep it for a
+# load that rises again.
+LONG_IDLE_S = 3.0
 # Idle capacity that each pool keeps for unexpected work.
 HEADROOM_HOSTS = 0.5
 # Surplus that a pool keeps before it releases a host.
@@ -162,16 +165,26 @@
     standby = next((p for p, load in by_pool.items() if load.is_standby), '')
     if not standby:
         return []
-    surplus = {pool: host_surplus(load) for pool, load in by_pool.items()}
+    left = dict(by_pool)
     moves = []
     for host in sorted(idle_hosts, key=lambda host: -host.idle_s):
-        if host.idle_s < STANDBY_IDLE_S or surplus[host.pool] < 1:
-            continue
-        surplus[host.pool] -= 1
-        moves.append(Move(host.host, host.pool, standby, by_pool[host.pool]))
+        load = left[host.pool]
+        if _may_release(load, host.idle_s):
+            left[host.pool] = attrs.evolve(load, hosts=load.hosts - 1)
+            moves.append(
+                Move(host.host, host.pool, standby, by_pool[host.pool])
+            )
     return moves
 
 
+def _may_release(load, idle_s):
+    if idle_s < STANDBY_IDLE_S:
+        return False
+    if host_surplus(load) >= 1:
+        return True
+    return idle_s >= LONG_IDLE_S and may_spare_host(load)
+
+
 def host_deficit(load):
     """Return how many more hosts a pool needs."""
     if load.is_standby:
@@ -182,6 +195,12 @@
     return max(0, deficit - load.arriving)
 
 
+def may_spare_host(load):
+    """Return whether a pool with one host less would ask for none."""
+    left = attrs.evolve(load, hosts=load.hosts - 1)
+    return not load.is_standby and not host_deficit(left)
+
+
 def host_surplus(load):
     """Return how many hosts a pool can release."""
     if load.is_standby or load.starved_hosts or load.late_starved_hosts:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -65,6 +65,7 @@
     :ivar lease_expires_s: time by which every lease granted has certainly
         expired, on the local monotonic clock
     :ivar is_closed_to_lasting: whether no long-running task is placed here
+    :ivar finite_ended_s: when a run that ends by itself was last removed
     :ivar suspended_until_s: no new runs are placed here before this time
     :ivar polled_s: when the last answer to a poll arrived
     :ivar held_until_s: until when no runs start here but those of suspects
@@ -103,6 +104,7 @@
     is_reserved: bool = False
     is_ordered_away: bool = False
     is_closed_to_lasting: bool = False
+    finite_ended_s: float = 0.0
     suspended_until_s: float = 0.0
     consecutive_failures: int = 0
     idle_since_s: float = 0.0
@@ -134,6 +136,12 @@
             self.is_closed_to_lasting = True
             self.version += 1
 
+    def open_to_lasting(self):
+        """Place long-running tasks here again."""
+        if self.is_closed_to_lasting:
+            self.is_closed_to_lasting = False
+            self.version += 1
+
     def may_start(self, run):
         """Return whether a planned run may still start here.
 
@@ -201,6 +209,8 @@
         self.free = self.free + run.reserved
         self.step_counts[_step_key(run.task_id)] -= 1
         self.version += 1
+        if not run.step.is_lasting:
+            self.finite_ended_s = now_s
         if not self.runs:
             self.idle_since_s = now_s
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
@@ -9,6 +9,8 @@
 REMOTE_RACK_COST = 4.0
 COLOCATION_COST = 1.0
 PACKING_WEIGHT = 1.0
+# Exceeds the difference in packing of any two executors.
+LASTING_APART_COST = 2.0
 
 
 def choose(executors, step, task_id, task):
@@ -109,6 +111,9 @@
             other.step.is_filler != step.is_filler
             for other in executor.runs.values()
         )
+    if step.is_lasting and not executor.lasting_runs():
+        # A host that runs nothing else can't be released while it lasts.
+        total += LASTING_APART_COST
     # Packing tasks leaves other executors idle, so that their hosts can be
     # moved to other pools.
     capacity = executor.entry.capacity
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
@@ -9,6 +9,7 @@
 from hawthorndeal_jobs import departures
 from hawthorndeal_jobs import late_work
 
+from . import consolidator
 from . import host_inventory
 from . import host_order_sender
 from . import wave_controller
@@ -40,6 +41,7 @@
         self._waves = wave_controller.WaveController(
             parts, owner, self._inventory, self._order_sender
         )
+        self._consolidator = consolidator.Consolidator(owner)
         self._late_work = late_work.LateWorkHolds()
         self._load_log_due_s = 0.0
 
@@ -119,6 +121,7 @@
         ]
         self._log_loads(loads, now_s)
         self._owner.publish_loads(loads)
+        self._consolidator.update(loads)
         moves = capacity.plan_moves(loads, idle)
         self._hold_late_work(loads, moves, now_s)
         return moves
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
@@ -10,6 +10,8 @@
 from hawthorndeal_jobs import wave_planning
 from hawthorndeal_platform import host_orders
 
+from . import displacer as displacer_module
+
 
 class WaveController:
     """Advances maintenance waves host by host.
@@ -25,6 +27,7 @@
         self._owner = owner
         self._inventory = inventory
         self._order_sender = order_sender
+        self._displacer = displacer_module.Displacer(owner)
         self._blocked = collections.defaultdict(list)
         self._changed_waves = set()
         # Newer than what the board has read back from the store.
@@ -129,34 +132,18 @@
                 executor.is_reserved = True
             executor.close_to_lasting()
             for run in executor.lasting_runs():
-                if not run.is_stop_requested:
-                    self._displace_if_allowed(run)
+                if not self._displacer.displace(run):
+                    self._note_blocked(run)
 
-    def _displace_if_allowed(self, run):
-        scheduler = self._owner.scheduler
+    def _note_blocked(self, run):
         step = run.step
-        if not scheduler.can_run_elsewhere(run, self._owner.now_s()):
-            pool = scheduler.steps.pool_of(run.occurrence.job)
-            blocked = wave_planning.BlockedTask(
-                scheduler_module.step_key(run.task_id),
-                step.max_per_executor,
-                step.max_unavailable,
-            )
-            self._blocked[pool].append(blocked)
-            return
-        tasks = run.occurrence.tasks[run.task_id.step]
-        at_work = scheduler.count_serving_peers(run, self._owner.now_s())
-        if wave_planning.may_stop_lasting(
-            at_work, len(tasks) - 1, run.step.max_unavailable
-        ):
-            run.is_stop_requested = True
-            self._owner.events.write(
-                'run_displaced',
-                task=str(run.task_id),
-                executor=run.executor_id,
-                others_at_work=at_work,
-                max_unavailable=run.step.max_unavailable,
-            )
+        pool = self._owner.scheduler.steps.pool_of(run.occurrence.job)
+        blocked = wave_planning.BlockedTask(
+            scheduler_module.step_key(run.task_id),
+            step.max_per_executor,
+            step.max_unavailable,
+        )
+        self._blocked[pool].append(blocked)
 
     async def _begin_maintenance(self, host, wave):
         def on_success():
