Go on at once when the store answers again

Callers: after an outage of 4.2 s nothing started for 1.8 s more, daemons refused jobs since "the owner has not read all submissions for 7 s", and an owner that was alive lost its ownership.

Cause: each reader and each append waits on its own, longer after each silence, since the store may only be slow. Daemons read again 0.4 to 1.3 s after the return; the owner's append paused while another daemon, which had read again first, waited 1.2 s and claimed.

Change: the first answer after a silence of 0.6 s counts for all calls; what was sent before is sent again beside it, and pauses end. A small read every 0.2 s finds the return. A daemon refuses for an owner that is behind only since it could read the store itself. A slow store is no silence while any of its answers come.

--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -8,6 +8,7 @@
 from hawthorndeal_platform import hedging
 from hawthorndeal_platform import keyed_log
 from hawthorndeal_platform import paging
+from hawthorndeal_platform import reachability
 
 APPEND_LATENCY_S = 0.003
 # Limits of one page of newest records.
@@ -193,6 +194,9 @@
         self._link = link
         self._append_latency = hedging.LatencyEstimate()
         self._read_latency = hedging.LatencyEstimate()
+        self.reachability = reachability.Reachability(
+            asyncio.get_running_loop().time
+        )
         self._page_size = paging.PageSize()
         self.is_cut = False
 
@@ -232,6 +236,7 @@
             keyed_log.APPEND_TIMEOUT_S,
             asyncio.get_running_loop().time,
             self._read_latency.delay_s,
+            self.reachability,
         )
 
     async def read(self, partition, offset, wait_s):
@@ -253,18 +258,24 @@
             self._page_size.note_transfer(page_bytes, transfer_s)
             return page, latency_s
 
-        return await hedging.read(send, self._read_latency, wait_s)
+        return await hedging.read(
+            send, self._read_latency, wait_s, self.reachability
+        )
 
     async def end(self, partition, offset):
         """Return the end offset of a partition."""
-        return await self._call(lambda: self._store.end(partition))
+        end = await self._call(lambda: self._store.end(partition))
+        self.reachability.note_answer()
+        return end
 
     async def newest(self, partition, after_key=''):
         """Return the newest record of each key."""
-        return await self._call(
+        page = await self._call(
             lambda: self._store.newest(partition, after_key),
             response_bytes=lambda page: (
                 size_bytes(page.records) * NEWEST_ENCODING_FACTOR
             ),
             is_idle_timeout=True,
         )
+        self.reachability.note_answer()
+        return page
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -166,6 +166,7 @@
             for part in (
                 parts.operators_follower,
                 parts.status_follower,
+                parts.log_probe,
                 parts.submitter,
                 self.candidate,
                 self.offerer,
--- /dev/null
+++ b/features/steps/jobs_store_return.py
@@ -0,0 +1,112 @@
+"""Steps for what happens when the store answers again."""
+
+import asyncio
+
+from behave import then
+from behave import when
+
+from stage import job_world
+
+STEPS = 3
+TASKS = 2
+RETURN_WAIT_S = 3.0
+
+
+@when('{count:d} jobs of three steps are submitted')
+def submit_jobs(context, count):
+    world = context.world
+    spec = job_world.chain(*[TASKS] * STEPS, estimate_s=1.0)
+
+    async def submit():
+        await asyncio.sleep(2.0)
+        for number in range(count):
+            job_id = f'chain{number}'
+            daemon = world.daemons[number % len(world.daemons)]
+            assert await world.submit(daemon, 'web', job_id, spec) is None
+        await asyncio.sleep(0.5)
+
+    context.runner.run(submit())
+
+
+def _set_silent(world, is_silent):
+    for daemon in world.daemons:
+        daemon.parts.log.is_cut = is_silent
+
+
+def _set_refusing(world, is_refusing):
+    world.store.is_down = is_refusing
+
+
+@when('the store {kind} for {away_s:g} seconds')
+def interrupt_store(context, kind, away_s):
+    world = context.world
+    set_away = {'is silent': _set_silent, 'refuses calls': _set_refusing}[kind]
+
+    async def interrupt():
+        set_away(world, True)
+        await asyncio.sleep(away_s)
+        set_away(world, False)
+
+    context.runner.run(interrupt())
+    context.returned_s = world.now_s()
+
+
+@then('a task starts within {limit_s:g} seconds of its return')
+def check_start(context, limit_s):
+    world = context.world
+    context.runner.run(asyncio.sleep(RETURN_WAIT_S))
+    started_s = min(
+        time_s
+        for time_s, _, kind, _ in world.log
+        if kind == 'run_started' and time_s > context.returned_s
+    )
+    assert started_s - context.returned_s <= limit_s, started_s
+
+
+@then('every daemon reads statuses within {limit_s:g} seconds of its return')
+def check_reads(context, limit_s):
+    regained_s = {
+        daemon: time_s
+        for time_s, daemon, kind, fields in context.world.log
+        if kind == 'dependency_regained'
+        and fields['dependency'] == job_world.STATUSES.name
+    }
+    assert len(regained_s) == len(context.world.daemons), regained_s
+    last_s = max(regained_s.values())
+    assert last_s - context.returned_s <= limit_s, last_s
+
+
+@then('a job that comes {after_s:g} seconds after its return is accepted')
+def check_accepted_after(context, after_s):
+    world = context.world
+
+    async def submit():
+        await asyncio.sleep(after_s)
+        spec = job_world.one_step(1)
+        return [
+            await world.submit(daemon, 'web', f'after-{daemon.name}', spec)
+            for daemon in world.daemons
+        ]
+
+    refusals = context.runner.run(submit())
+    assert not any(refusals), refusals
+
+
+@when(
+    "the owner can't read a partition of the submissions for {seconds:g} "
+    'seconds'
+)
+def hide_partition(context, seconds):
+    world = context.world
+    partition = world.daemons[0].parts.submission_partitions[3]
+    world.store.unreadable.add(partition.name)
+    context.runner.run(asyncio.sleep(seconds))
+
+
+@then('a job that comes then is refused as {reason}')
+def check_refused(context, reason):
+    world = context.world
+    spec = job_world.one_step(1)
+    submitted = world.submit(world.daemons[1], 'web', 'late', spec)
+    refusal = context.runner.run(submitted)
+    assert refusal == reason, refusal
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
@@ -133,6 +133,18 @@
             since_s = self.owner_seen_s
         return None if since_s is None else now_s - since_s
 
+    def behind_s(self, now_s):
+        """Return how long the owner may have left submissions unread.
+
+        While this daemon couldn't read the store, the owner couldn't either.
+
+        :returns: None while no owner is known
+        """
+        delay_s = self.delay_s(now_s)
+        if delay_s is None or self.readable_since_s is None:
+            return delay_s
+        return min(delay_s, now_s - self.readable_since_s)
+
     def may_claim(self, now_s, delay_s, strength=hand_over.FULL_STRENGTH):
         """Return True if this daemon should claim the partition now.
 
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
@@ -62,7 +62,12 @@
 
 
 async def call(
-    send, latency, timeout_s, now_s=time.monotonic, min_delay_s=0.0
+    send,
+    latency,
+    timeout_s,
+    now_s=time.monotonic,
+    min_delay_s=0.0,
+    reachability=None,
 ):
     """Return the first answer to a call that may be sent several times.
 
@@ -72,10 +77,12 @@
     :param now_s: returns the monotonic time
     :param min_delay_s: delay before the second attempt at least; another
         attempt doesn't help if all answers of the callee take long
+    :param reachability: a :class:`reachability.Reachability` of the callee;
+        another attempt is sent at once when it answers after a silence
     :raises errors.OutcomeUnknown: at least one attempt may have arrived
     :raises errors.PlatformUnavailable: no attempt was accepted
     """
-    hedged = _HedgedCall(send, latency, now_s)
+    hedged = _HedgedCall(send, latency, now_s, reachability)
     end_s = now_s() + timeout_s
     delay_s = max(min_delay_s, latency.delay_s)
     try:
@@ -94,10 +101,12 @@
 class _HedgedCall:
     """The attempts of one call that are in flight."""
 
-    def __init__(self, send, latency, now_s):
+    def __init__(self, send, latency, now_s, reachability):
         self._send = send
         self._latency = latency
         self._now_s = now_s
+        self._reachability = reachability
+        self._return = None
         self._attempts = set()
         # Whether a failed attempt may have arrived.
         self._is_unknown = False
@@ -110,25 +119,53 @@
         sent_s = self._now_s()
         answer = await self._send()
         self._latency.record_latency(self._now_s() - sent_s)
+        if self._reachability is not None:
+            self._reachability.note_answer()
         return answer
 
     async def wait(self, until_s):
-        """Return the attempt that settles the call, or None at the time limit.
+        """Return the attempt that settles the call, or None.
+
+        None means that another attempt is due: at the time limit, or since the
+        callee answers other calls again.
 
         :raises errors.OutcomeUnknown: no attempt can settle the call any more
         """
-        while self._attempts and self._now_s() < until_s:
-            done, self._attempts = await asyncio.wait(
-                self._attempts,
-                timeout=until_s - self._now_s(),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
+        while self._now_s() < until_s:
+            done = await self._wait_for_any(until_s - self._now_s())
             answered = self._select_result(done)
             if answered is not None:
                 return answered
-        await asyncio.sleep(max(0.0, until_s - self._now_s()))
+            if self._has_returned():
+                return None
         return None
 
+    async def _wait_for_any(self, timeout_s):
+        """Wait for an attempt, or for the return of the callee.
+
+        :returns: the attempts that have ended
+        """
+        if self._reachability is not None and self._return is None:
+            self._return = self._reachability.wait_task()
+        awaited = self._attempts | ({self._return} - {None})
+        if not awaited:
+            await asyncio.sleep(timeout_s)
+            return set()
+        done, _ = await asyncio.wait(
+            awaited,
+            timeout=timeout_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        self._attempts -= done
+        return done - {self._return}
+
+    def _has_returned(self):
+        """Return whether the callee has answered others after a silence."""
+        if self._return is None or not self._return.done():
+            return False
+        self._return = None
+        return True
+
     def _select_result(self, done):
         known = [attempt for attempt in done if not _is_unknown(attempt)]
         self._is_unknown |= len(known) < len(done)
@@ -148,25 +185,33 @@
 
     def cancel_all(self):
         """Cancel the attempts in flight."""
+        if self._return is not None:
+            self._return.cancel()
         for attempt in self._attempts:
             attempt.cancel()
             attempt.add_done_callback(_retrieve_error)
 
 
-async def read(send, latency, wait_s):
+async def read(send, latency, wait_s, reachability=None):
     """Return a page of records from a long poll.
 
     :param send: sends the call, given the longest silence of the callee;
         returns the page and the time until the answer began
     :param latency: latency estimate of the callee's reads
     :param wait_s: how long the callee may wait for records
+    :param reachability: a :class:`reachability.Reachability` of the callee;
+        the call is sent again when it answers others after a silence
     :raises errors.OutcomeUnknown: no answer arrived in time
     """
     try:
-        page, began_after_s = await send(wait_s + latency.delay_s)
+        page, began_after_s = await _send_read(
+            lambda: send(wait_s + latency.delay_s), reachability
+        )
     except errors.OutcomeUnknown:
         latency.record_timeout()
         raise
+    if reachability is not None:
+        reachability.note_answer()
     if not page.records:
         latency.record_latency(max(0.0, began_after_s - wait_s))
     elif not wait_s:
@@ -178,6 +223,39 @@
     return page
 
 
+async def _send_read(send, reachability):
+    """Return the answer to a read, which is sent twice at most."""
+    if reachability is None:
+        return await send()
+    attempts = [asyncio.create_task(send())]
+    returned = reachability.wait_task()
+    try:
+        await asyncio.wait(
+            [*attempts, returned], return_when=asyncio.FIRST_COMPLETED
+        )
+        if not attempts[0].done():
+            attempts.append(asyncio.create_task(send()))
+        return await _first_success(attempts)
+    finally:
+        returned.cancel()
+        for attempt in attempts:
+            attempt.cancel()
+            attempt.add_done_callback(_retrieve_error)
+
+
+async def _first_success(attempts):
+    """Return the first result, or raise the error of the last attempt."""
+    pending = set(attempts)
+    while len(pending) > 1:
+        done, pending = await asyncio.wait(
+            pending, return_when=asyncio.FIRST_COMPLETED
+        )
+        for attempt in done:
+            if attempt.exception() is None:
+                return attempt.result()
+    return await (pending or set(attempts[-1:])).pop()
+
+
 def _is_unknown(attempt):
     return isinstance(attempt.exception(), errors.OutcomeUnknown)
 
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/keyed_log.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/keyed_log.py
@@ -6,6 +6,8 @@
 
 from hawthorndeal_fleet import errors
 
+from . import reachability
+
 
 class Fenced(errors.PlatformError):
     """Raised when the log has already seen a newer epoch."""
@@ -103,8 +105,12 @@
 
     The newest record of each key is kept indefinitely, others for a limited
     time. Acknowledged records are never lost.
+
+    :ivar reachability: whether the log answers
     """
 
+    reachability: reachability.Reachability
+
     async def append(self, partition, records, fence=None, end=None):
         """Append records atomically, and return the offset of the first.
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -159,7 +159,7 @@
         if now_s - view.load_read_s > admission.MAX_REPORT_AGE_S:
             report = None
         refusal = admission.check_owner(
-            view.delay_s(now_s), parts.rng
+            view.behind_s(now_s), parts.rng
         ) or admission.check_pool(
             report, access.queue, access.workspace, spec, parts.rng
         )
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/journal_writer.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/journal_writer.py
@@ -1,7 +1,5 @@
 """Appends the owner's records to the log, exactly once and in order."""
 
-import asyncio
-
 import attrs
 
 from hawthorndeal_fleet import errors
@@ -58,7 +56,9 @@
                 raise
             except errors.PlatformError:
                 # The store accepts each sequence number at most once.
-                await asyncio.sleep(retry_s * self._rng.uniform(0.5, 1.0))
+                await self._log.reachability.pause(
+                    retry_s * self._rng.uniform(0.5, 1.0)
+                )
                 retry_s = min(MAX_RETRY_S, retry_s * 2)
             else:
                 if self._confirms_term:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
@@ -117,7 +117,7 @@
                 self.reload()
             except errors.PlatformError as error:
                 self._note_error(error)
-                await asyncio.sleep(retry_s)
+                await self._log.reachability.pause(retry_s)
                 retry_s = min(MAX_RETRY_S, max(RETRY_S, retry_s * 2))
 
     def _note_error(self, error):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/parts.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/parts.py
@@ -13,6 +13,7 @@
 from . import decision_log
 from . import end_reader
 from . import log_follower
+from . import log_probe
 from . import log_readers
 from . import metrics as metrics_module
 from . import submitter as submitter_module
@@ -104,6 +105,7 @@
         self.entries_follower = self._make_follower(
             keyed_log.Partition(adapter.entries_topic), self.entries_reader
         )
+        self.log_probe = log_probe.LogProbe(self.log, STATUSES)
         self._end_readers = {}
         self.submitter = submitter_module.Submitter(self.log)
         self._owner = None
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -99,6 +99,7 @@
             [
                 parts.operators_follower,
                 parts.status_follower,
+                parts.log_probe,
                 parts.submitter,
                 web.WebServer(
                     'readiness',
