Pass calls on to another daemon while the store can't be reached

Cause: a daemon without the store can accept nothing, though its neighbours can; callers find them only by trying, and half of a zone's daemons may be turned away.

Change: such a daemon passes the call on to another one, whose address is stored among the statuses; what it may have sent to the store itself is the same job. The call names the daemon it is meant for and the version of the configuration that it needs; the answer's version binds the one that asked. Switched on by relay_address.

--- a/features/jobs_consolidation.feature
+++ b/features/jobs_consolidation.feature
@@ -13,6 +13,7 @@
     Then its tasks are on 1 hosts
     And no more than 1 hosts are left in their pool
     And never more than 1 of its tasks were away at once
+    And the log tells which hosts were emptied
     And no invariant was violated
 
     Examples:
--- a/features/jobs_transport.feature
+++ b/features/jobs_transport.feature
@@ -20,3 +20,8 @@
     Given a server that writes 6 of 6 parts 0.2 s apart, then ends
     When it is called with an idle timeout of 0.5 s
     Then the response began within 0.5 s, and took 0.9 to 1.9 s from then on
+
+  Scenario: A call to a host that doesn't take connections is known not to be sent
+    Given a server that takes no more connections
+    When it is called by a client that connects within 0.25 s
+    Then the call is told as not sent within 0.6 s
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -22,10 +22,14 @@
 from hawthorndeal_jobs import workspaces as workspaces_module
 from hawthorndeal_platform import host_orders
 from hawthorndeal_platform import keyed_log
+from hawthorndeal_platform import peer_calls
+from hawthorndeal_scheduler import call_handler
 from hawthorndeal_scheduler import callers
 from hawthorndeal_scheduler import candidate
 from hawthorndeal_scheduler import offerer
 from hawthorndeal_scheduler import parts
+from hawthorndeal_scheduler import peer_client
+from hawthorndeal_scheduler import relay
 from hawthorndeal_scheduler import settings as settings_module
 from stage import run_checker
 from stage import virtual_time
@@ -98,6 +102,30 @@
         return self.objects[body.decode()]
 
 
+class WorldPeers:
+    """Calls of one daemon to others; see :class:`peer_calls.Peers`."""
+
+    def __init__(self, world, link):
+        self._world = world
+        self._link = link
+
+    async def pass_on(self, address, daemon, call, timeout_s):
+        """Return the answer of another daemon to a caller's call."""
+        if self._link.is_cut:
+            await asyncio.sleep(timeout_s)
+            raise errors.OutcomeUnknown('no answer')
+        peer = next((d for d in self._world.daemons if d.name == daemon), None)
+        if peer is None or not peer.is_running:
+            raise errors.PlatformUnavailable(f'{daemon} is not there')
+        if peer.link.is_cut:
+            await asyncio.sleep(timeout_s)
+            raise errors.OutcomeUnknown('no answer')
+        plain = json.loads(json.dumps(peer_client.encode_call(call)))
+        answer = await peer.handler.answer(peer_client.decode_call(plain))
+        plain = json.loads(json.dumps(peer_client.encode_answer(answer)))
+        return peer_client.decode_answer(plain)
+
+
 class Daemon:
     """One daemon without sockets.
 
@@ -127,6 +155,7 @@
             operators_topic=OPERATORS.topic,
             entries_topic=ENTRIES.topic,
             close=None,
+            peers=WorldPeers(world, self.link),
         )
         address = '127.0.0.1:1'
         self.parts = parts.Parts(
@@ -155,6 +184,10 @@
             part._events = self.parts.events
         self.parts.rng = random.Random(world.rng.random())
         self.interface = callers.CallersInterface(self.parts, world.formats)
+        self.handler = call_handler.CallHandler(
+            self.interface, self.parts, relay.Relay(self.parts)
+        )
+        self.announcer = relay.Announcer(self.parts)
         self.candidate = candidate.Candidate(self.parts)
         self.offerer = offerer.Offerer(self.parts, self.interface)
 
@@ -170,9 +203,15 @@
                 parts.submitter,
                 self.candidate,
                 self.offerer,
+                self.announcer,
             )
         ]
 
+    @property
+    def is_running(self):
+        """Whether the tasks of the daemon are running."""
+        return any(not task.done() for task in self._tasks)
+
     async def kill(self):
         """Cancel all tasks, without releasing the ownership."""
         # A wait that completes while it is cancelled may swallow the first
@@ -489,6 +528,22 @@
             return failure.reason
         return None
 
+    async def call(self, daemon, method, pool, job_id, spec=None):
+        """Return the answer of a daemon to a call, as by HTTP."""
+        body = b''
+        if spec is not None:
+            self.specs[job_id] = spec
+            self.queues[job_id] = pool
+            body = self.spec_body(spec)
+        call = peer_calls.CallerCall(
+            method,
+            f'{pool}.example',
+            f'/jobs/{job_id}',
+            self.keys.get(pool),
+            body,
+        )
+        return await daemon.handler.answer(call)
+
     async def state(self, daemon, pool, job_id):
         """Return the state of a job that a daemon reports."""
         queue = daemon.parts.configuration_reader.configuration.queues[pool]
--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -532,10 +532,8 @@
         And an unreadable configuration is written
         And jobs of a workspace with a quota of 1 core arrive
         And 1 seconds pass
-        And the store goes down
-        And 3 seconds pass
-        And the store comes back
-        And 3 seconds pass
+        And the jobs can't be read for 2 seconds
+        And 1 seconds pass
     """)
 
 
@@ -546,6 +544,14 @@
     )
 
 
+@when("the jobs can't be read for {seconds:d} seconds")
+def hide_jobs(context, seconds):
+    unreadable = context.world.store.unreadable
+    unreadable.add(job_world.JOBS.name)
+    context.runner.run(asyncio.sleep(seconds))
+    unreadable.discard(job_world.JOBS.name)
+
+
 @when('jobs of a workspace with a quota of {cores:d} core arrive')
 def submit_limited_jobs(context, cores):
     world = context.world
@@ -594,6 +600,10 @@
 )
 
 
+# Events that the scenarios of a load check: jobs_relay, jobs_consolidation.
+LOAD_EVENTS = frozenset({'call_passed_on', 'host_consolidating'})
+
+
 @then('every event documented for a deployment was logged')
 def check_events(context):
     page = (context.root / 'docs' / 'OPERATIONS.md').read_text()
@@ -603,7 +613,7 @@
     for row in rows:
         listed |= set(re.findall(r'`([a-z_]+)`', row.split('|')[1]))
     written = {kind for _, _, kind, _ in context.world.log}
-    missing = listed - written - PROCESS_EVENTS
+    missing = listed - written - PROCESS_EVENTS - LOAD_EVENTS
     assert not missing, missing
     surplus = written - listed - job_world.UNDOCUMENTED_EVENTS
     assert not surplus, surplus
--- a/features/steps/jobs_consolidation.py
+++ b/features/steps/jobs_consolidation.py
@@ -96,6 +96,16 @@
     assert context.least_running >= context.count - count
 
 
+@then('the log tells which hosts were emptied')
+def check_log(context):
+    emptied = {
+        fields['host']
+        for _, _, kind, fields in context.world.log
+        if kind == 'host_consolidating'
+    }
+    assert len(emptied) == context.count - 1, emptied
+
+
 def _executor_with_tasks(number, row):
     entry = executors.ExecutorEntry(
         f'x{number}', '', 'web', 'z', HOST, host=f'h{number}'
--- a/features/steps/jobs_transport.py
+++ b/features/steps/jobs_transport.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 
 import attrs
@@ -98,3 +99,43 @@
     response = context.response
     assert 0 < response.latency_s <= most_s, response.latency_s
     assert least_s <= response.transfer_s <= longest_s, response.transfer_s
+
+
+@given('a server that takes no more connections')
+def make_full_server(context):
+    server = socket.socket()
+    server.bind(('127.0.0.1', 0))
+    server.listen(0)
+    context.add_cleanup(server.close)
+    context.address = server.getsockname()
+    # The kernel completes a few connections before it drops further ones.
+    for _ in range(3):
+        waiting = socket.socket()
+        waiting.setblocking(False)
+        waiting.connect_ex(context.address)
+        context.add_cleanup(waiting.close)
+
+
+@when('it is called by a client that connects within {timeout_s:g} s')
+def call_full_server(context, timeout_s):
+    client = transport.HttpClient(
+        connect_timeout_s=timeout_s, reuses_connections=False
+    )
+    host, port = context.address
+
+    async def call():
+        begun_s = time.monotonic()
+        try:
+            await client.send('POST', f'http://{host}:{port}/', 2.0, {})
+        except errors.PlatformError as error:
+            return error, time.monotonic() - begun_s
+        finally:
+            await client.close()
+
+    context.error, context.took_s = asyncio.run(call())
+
+
+@then('the call is told as not sent within {limit_s:g} s')
+def check_not_sent(context, limit_s):
+    assert isinstance(context.error, errors.PlatformUnavailable), context.error
+    assert context.took_s <= limit_s, context.took_s
--- a/features/steps/jobs_workspaces.py
+++ b/features/steps/jobs_workspaces.py
@@ -235,7 +235,9 @@
     world.specs['a'] = SPEC
     daemon = world.daemons[1]
     context.answer = context.runner.run(
-        callers_app.answer_request(request, daemon.interface, daemon.parts)
+        callers_app.answer_request(
+            request, daemon.handler, daemon.interface.key_header
+        )
     )
     context.metrics_text = daemon.parts.metrics.exposition().decode()
 
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/web.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/web.py
@@ -37,18 +37,23 @@
     if failure.retry_after_s is not None:
         headers['Retry-After'] = str(math.ceil(failure.retry_after_s))
     return response.json(
-        {
-            'outcome': failure.outcome,
-            'reason': failure.reason,
-            'detail': failure.detail,
-            'request_id': request_id,
-            'retry_after_s': failure.retry_after_s,
-        },
+        failure_body(failure, request_id),
         status=failure.status,
         headers=headers,
     )
 
 
+def failure_body(failure, request_id=''):
+    """Return the body that describes a failure, as plain data."""
+    return {
+        'outcome': failure.outcome,
+        'reason': failure.reason,
+        'detail': failure.detail,
+        'request_id': request_id,
+        'retry_after_s': failure.retry_after_s,
+    }
+
+
 class WebServer:
     """Task that serves an application on one listening socket.
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -24,6 +24,7 @@
 ``wave/N``            progress of a maintenance wave           the owner
 ``hosts``             completed or intended host operations    the owner
 ``load``              what new jobs will have to wait for      the owner
+``daemon/NAME``       where a daemon takes calls of others     the daemon
 ====================  =======================================  ==============
 
 An empty value deletes a key.
@@ -49,6 +50,7 @@
 WAVE = 'wave'
 HOSTS = 'hosts'
 LOAD = 'load'
+DAEMON = 'daemon'
 
 DIGEST_BYTES = 6
 
@@ -147,6 +149,18 @@
     strength: float
 
 
+@attrs.frozen
+class DaemonRecord:
+    """Where a daemon takes the calls that others pass on.
+
+    :ivar address: as ``IP:PORT``
+    :ivar zone: availability zone of its host
+    """
+
+    address: str
+    zone: str
+
+
 @attrs.frozen
 class WaveRecord:
     """Progress of a maintenance wave.
@@ -236,6 +250,11 @@
     return Record(LOAD, _encode(report))
 
 
+def daemon_record(name, daemon):
+    """Return the record of where a daemon takes calls of others."""
+    return Record(f'{DAEMON}/{name}', _encode(daemon))
+
+
 def wave_record(number, progress):
     """Return the record of a wave's progress."""
     return Record(f'{WAVE}/{number}', _encode(progress))
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
@@ -35,6 +35,7 @@
     :ivar offer: the newest offer to take over from an owner, or None
     :ivar wave_records: progress of maintenance waves, by number
     :ivar host_intents: the newest intents of an owner
+    :ivar daemons: where daemons take calls of others, by name
     :ivar load: the newest :class:`admission.LoadReport`, or None
     """
 
@@ -46,6 +47,7 @@
         self.wave_records = {}
         self.host_intents = []
         self.load = None
+        self.daemons = {}
         # What this daemon has appended itself and not read back so far.
         self._local = {}
         self._waiting = collections.Counter()
@@ -101,6 +103,13 @@
         self.load = journal.decode(value, admission.LoadReport)
         return StatusChange(journal.LOAD)
 
+    def _apply_daemon(self, name, value):
+        if value:
+            self.daemons[name] = journal.decode(value, journal.DaemonRecord)
+        else:
+            self.daemons.pop(name, None)
+        return StatusChange(journal.DAEMON)
+
     def retain(self, keys):
         """Drop the statuses whose keys are not among those of a whole load.
 
@@ -166,4 +175,5 @@
         journal.WAVE: _apply_wave,
         journal.HOSTS: _apply_hosts,
         journal.LOAD: _apply_load,
+        journal.DAEMON: _apply_daemon,
     }
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
@@ -13,6 +13,8 @@
 
 from hawthorndeal_fleet import errors
 
+from . import tasks
+
 # Delay before the second attempt, as a multiple of the typical latency.
 TYPICAL_LATENCY_FACTOR = 6.0
 MIN_DELAY_S = 0.25
@@ -189,7 +191,7 @@
             self._return.cancel()
         for attempt in self._attempts:
             attempt.cancel()
-            attempt.add_done_callback(_retrieve_error)
+            attempt.add_done_callback(tasks.retrieve_error)
 
 
 async def read(send, latency, wait_s, reachability=None):
@@ -240,7 +242,7 @@
         returned.cancel()
         for attempt in attempts:
             attempt.cancel()
-            attempt.add_done_callback(_retrieve_error)
+            attempt.add_done_callback(tasks.retrieve_error)
 
 
 async def _first_success(attempts):
@@ -262,9 +264,3 @@
 
 def _is_unavailable(attempt):
     return isinstance(attempt.exception(), errors.PlatformUnavailable)
-
-
-def _retrieve_error(attempt):
-    # Otherwise asyncio logs that the exception was never retrieved.
-    if not attempt.cancelled():
-        attempt.exception()
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/transport.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/transport.py
@@ -77,10 +77,20 @@
     reset, so that delayed bytes of it can't take effect later.
 
     :param max_connections_per_host: further calls to a host wait
+    :param connect_timeout_s: time limit of the connection alone; None for none
+    :param reuses_connections: False to open one for each call, so that a call
+        to a host that can't be reached is known not to have been sent
     """
 
-    def __init__(self, max_connections_per_host=MAX_CONNECTIONS_PER_HOST):
+    def __init__(
+        self,
+        max_connections_per_host=MAX_CONNECTIONS_PER_HOST,
+        connect_timeout_s=None,
+        reuses_connections=True,
+    ):
         self._max_connections_per_host = max_connections_per_host
+        self._connect_timeout_s = connect_timeout_s
+        self._reuses_connections = reuses_connections
         self._session = None
 
     async def send(
@@ -111,16 +121,28 @@
                 json=None if is_bytes else body,
                 params=params,
                 headers=headers,
-                timeout=_client_timeout(timeout_s, is_idle_timeout),
+                timeout=self._client_timeout(timeout_s, is_idle_timeout),
             ) as response:
                 return await _read_response(response, sent_s)
-        except aiohttp.ClientConnectorError as error:
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
             raise errors.PlatformUnavailable(f'{url}: {error}') from error
         except (aiohttp.ClientError, OSError) as error:
             raise errors.OutcomeUnknown(f'{url}: {error!r}') from error
         except asyncio.TimeoutError as error:
             raise errors.OutcomeUnknown(f'{url}: timed out') from error
 
+    def _client_timeout(self, timeout_s, is_idle):
+        if not is_idle:
+            return aiohttp.ClientTimeout(
+                total=timeout_s, sock_connect=self._connect_timeout_s
+            )
+        return aiohttp.ClientTimeout(
+            total=MAX_TRANSFER_S, connect=timeout_s, sock_read=timeout_s
+        )
+
     def _get_session(self):
         if self._session is None:
             self._session = aiohttp.ClientSession(
@@ -128,6 +150,7 @@
                     limit=0,
                     limit_per_host=self._max_connections_per_host,
                     socket_factory=_create_socket,
+                    force_close=not self._reuses_connections,
                 ),
                 skip_auto_headers=('User-Agent', 'Accept-Encoding'),
             )
@@ -148,14 +171,6 @@
     )
 
 
-def _client_timeout(timeout_s, is_idle):
-    if not is_idle:
-        return aiohttp.ClientTimeout(total=timeout_s)
-    return aiohttp.ClientTimeout(
-        total=MAX_TRANSFER_S, connect=timeout_s, sock_read=timeout_s
-    )
-
-
 def _create_socket(address_info):
     family, kind, protocol, *_ = address_info
     sock = socket.socket(family, kind, protocol)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/caller_access.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/caller_access.py
@@ -14,6 +14,10 @@
 _Verdict = key_check.KeyVerdict
 
 
+class StoreUnreachable(errors.NotReady):
+    """Raised when this daemon lacks the store; another one may have it."""
+
+
 class CallerGuard:
     """Decides by the newest configuration that this daemon has read.
 
@@ -58,7 +62,9 @@
             parts.settings.key_revocation_ms / 1000,
         )
         if checked.verdict is _Verdict.UNCERTAIN:
-            raise errors.NotReady('keys can not be checked now', RETRY_AFTER_S)
+            raise StoreUnreachable(
+                'keys can not be checked now', RETRY_AFTER_S
+            )
         if checked.verdict is _Verdict.UNKNOWN:
             shown = workspaces.shown_digest(digest)
             raise errors.UnknownKey(f'no workspace has the key {shown}')
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -6,6 +6,7 @@
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import admission
 from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import queues
 from hawthorndeal_jobs import quotas
 
 from . import caller_access
@@ -18,8 +19,7 @@
 MIN_WAIT_S = 0.001
 # Jobs are not counted if the owner has published nothing for this long.
 MAX_WAITING_AGE_S = 3.0
-# The store counts as unavailable when no read was answered for this long, and
-# a daemon as behind when none has reached the end.
+# A daemon counts as behind when no read has reached the end for this long.
 MAX_ANSWER_AGE_S = 1.2
 RETRY_AFTER_S = caller_access.RETRY_AFTER_S
 
@@ -70,7 +70,7 @@
         )
 
     def _is_store_unavailable(self):
-        return self._is_old(self._parts.status_follower.last_answer_s)
+        return self._parts.log.reachability.is_silent
 
     def _is_behind(self):
         return self._is_old(self._parts.owner_view.last_read_done_s)
@@ -79,6 +79,35 @@
         now_s = self._parts.clock.monotonic_s()
         return time_s is None or now_s - time_s > MAX_ANSWER_AGE_S
 
+    @property
+    def version(self):
+        """Return the version of the configuration in force; 0 for none."""
+        configuration = self._parts.configuration_reader.configuration
+        return configuration.version if configuration is not None else 0
+
+    def require_version(self, version):
+        """Check that the configuration in force is new enough.
+
+        :raises errors.NotReady: if another daemon has a newer one
+        """
+        if self.version < version:
+            raise caller_access.StoreUnreachable(
+                f'version {version} of the configuration was not read',
+                RETRY_AFTER_S,
+            )
+
+    def timeout_s(self, call):
+        """Return how long a caller waits for the answer to a call.
+
+        :param call: a :class:`peer_calls.CallerCall`
+        """
+        configuration = self._parts.configuration_reader.configuration
+        queue = configuration and configuration.find_queue(
+            call.host_name.lower(), call.path
+        )
+        wait_s = queue.timeout_s if queue else queues.CALLER_TIMEOUT_S
+        return self._cap_timeout(wait_s)
+
     def find_queue(self, host_name, path):
         """Return the queue of a request, and the rest of its path.
 
@@ -87,7 +116,9 @@
         """
         configuration = self._parts.configuration_reader.configuration
         if configuration is None:
-            raise errors.NotReady('no configuration yet', RETRY_AFTER_S)
+            raise caller_access.StoreUnreachable(
+                'no configuration yet', RETRY_AFTER_S
+            )
         queue = configuration.find_queue(host_name.lower(), path)
         if queue is None:
             raise errors.UnknownService(f'no queue at {host_name}{path:.80}')
@@ -128,7 +159,9 @@
             return spec
         self._check_quota(access, spec)
         if self._is_store_unavailable() or not parts.status_follower.is_loaded:
-            raise errors.NotReady('the store is away', RETRY_AFTER_S)
+            raise caller_access.StoreUnreachable(
+                'the store is away', RETRY_AFTER_S
+            )
         self._check_load(access, spec)
         submission = journal.Submission(
             queue.name,
@@ -206,7 +239,7 @@
                 access.verify,
             )
         except errors.PlatformUnavailable as error:
-            raise errors.NotReady(
+            raise caller_access.StoreUnreachable(
                 'the store takes nothing now', RETRY_AFTER_S
             ) from error
         except errors.PlatformError as error:
@@ -265,7 +298,9 @@
         )
 
     def _unreadable_jobs(self):
-        return errors.NotReady('jobs can not be read now', RETRY_AFTER_S)
+        return caller_access.StoreUnreachable(
+            'jobs can not be read now', RETRY_AFTER_S
+        )
 
     async def cancel(self, access, job_id):
         """Cancel a job; return whether it exists.
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers_app.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers_app.py
@@ -1,6 +1,7 @@
 """HTTP applications of a scheduling daemon: callers, readiness, metrics."""
 
 import asyncio
+import math
 import time
 
 import sanic
@@ -8,11 +9,18 @@
 
 from hawthorndeal_daemon import web
 from hawthorndeal_fleet import errors
-from hawthorndeal_jobs import ordering
+from hawthorndeal_platform import peer_calls
+from hawthorndeal_platform import strict_json
 
+from . import peer_client
 
-def make_app(interface, parts):
-    """Return the application that serves callers."""
+
+def make_app(interface, handler, parts):
+    """Return the application that serves callers.
+
+    :param interface: a :class:`callers.CallersInterface`
+    :param handler: a :class:`call_handler.CallHandler`
+    """
     app = web.make_app('callers', parts.settings.max_body_bytes)
     metrics = parts.metrics
 
@@ -22,7 +30,9 @@
         if interface.is_draining:
             request.stream.keep_alive = False
         try:
-            answer = await answer_request(request, interface, parts)
+            answer = await answer_request(
+                request, handler, interface.key_header
+            )
         except asyncio.CancelledError:
             _log_aborted_request(request, time.monotonic() - begun_s, parts)
             raise
@@ -41,64 +51,25 @@
     return app
 
 
-async def answer_request(request, interface, parts):
+async def answer_request(request, handler, key_header):
     """Return the response to one request of a caller.
 
     :param request: the request, with its whole body
-    :param interface: a :class:`callers.CallersInterface`
-    :param parts: shared components of the daemon
+    :param handler: a :class:`call_handler.CallHandler`
+    :param key_header: name of the header that carries a key
     """
-    host_name = request.headers.get('host', '')
-    spec_fields = {}
-    try:
-        queue, job_id = interface.find_queue(host_name, request.path)
-        access = interface.authorize(
-            queue, request.headers.get(interface.key_header)
-        )
-        if request.method == 'POST':
-            spec = await interface.submit(access, job_id, request.body)
-            spec_fields = _spec_fields(queue, spec)
-            answer = response.json({'state': 'queued'})
-        elif request.method == 'DELETE':
-            is_found = await interface.cancel(access, job_id)
-            answer = response.json({}, 200 if is_found else 410)
-        elif not job_id:
-            answer = response.json({'waiting': interface.waiting(queue)})
-        else:
-            answer = _state_answer(await interface.find(access, job_id))
-    except errors.RequestFailed as failure:
-        _log_refusal(request, failure, parts)
-        return web.failure_response(failure)
-    if request.method != 'GET':
-        parts.events.write(
-            'job_accepted' if request.method == 'POST' else 'job_cancelled',
-            job=job_id,
-            queue=queue.name,
-            workspace=access.workspace,
-            status=answer.status,
-            version=parts.configuration_reader.configuration.version,
-            waiting=parts.board.waiting(queue.name),
-            **spec_fields,
-        )
-    return answer
-
-
-def _spec_fields(queue, spec):
-    return {
-        'pool': queue.pool,
-        'objective_s': round(ordering.objective_s(queue, spec), 3),
-        'work_core_s': round(spec.finite_work_core_s(), 3),
-        'is_lasting': any(step.is_lasting for step in spec.steps),
-    }
-
-
-def _state_answer(status):
-    if status is None:
-        return response.json({}, 410)
-    answer = {'state': status.state.value}
-    if status.reason:
-        answer['reason'] = status.reason
-    return response.json(answer)
+    call = peer_calls.CallerCall(
+        request.method,
+        request.headers.get('host', ''),
+        request.path,
+        request.headers.get(key_header),
+        request.body,
+    )
+    answer = await handler.answer(call)
+    headers = {}
+    if answer.retry_after_s is not None:
+        headers['Retry-After'] = str(math.ceil(answer.retry_after_s))
+    return response.json(answer.plain, answer.status, headers=headers)
 
 
 def _log_aborted_request(request, took_s, parts):
@@ -111,23 +82,6 @@
     )
 
 
-def _log_refusal(request, failure, parts):
-    parts.metrics.note_refusal(failure.reason)
-    read_s = parts.owner_view.last_read_s
-    age_s = None
-    if read_s is not None:
-        age_s = round(parts.clock.monotonic_s() - read_s, 3)
-    parts.events.write(
-        'request_refused',
-        method=request.method,
-        path=request.path[:80],
-        reason=failure.reason,
-        detail=str(failure.detail)[:160],
-        retry_after_s=failure.retry_after_s,
-        read_age_s=age_s,
-    )
-
-
 def _failure_of(error):
     if isinstance(error, errors.RequestFailed):
         return error
@@ -138,6 +92,33 @@
     return errors.AnswerLost(f'{type(error).__name__}: {error}')
 
 
+def make_relay_app(interface, handler, parts):
+    """Return the application that answers the calls of other daemons.
+
+    :param interface: a :class:`callers.CallersInterface`
+    :param handler: a :class:`call_handler.CallHandler`
+    """
+    # A call takes up to twice its body's size as a JSON text.
+    app = web.make_app('relay', 4 * parts.settings.max_body_bytes)
+
+    @app.post(peer_client.PATH)
+    async def answer(request):
+        is_meant = (
+            request.headers.get(peer_client.NAME_HEADER)
+            == parts.settings.daemon
+        )
+        if interface.is_draining or not is_meant:
+            return response.json({}, peer_client.NOT_HANDLED_STATUS)
+        try:
+            call = peer_client.decode_call(strict_json.loads(request.body))
+        except ValueError:
+            return response.json({}, 400)
+        answered = await handler.answer(call)
+        return response.json(peer_client.encode_answer(answered))
+
+    return app
+
+
 def make_readiness_app(interface):
     """Return the application that serves the readiness check."""
     app = web.make_app('readiness', 1024)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/end_reader.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/end_reader.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from hawthorndeal_platform import tasks
+
 
 class EndReader:
     """Shares reads of a partition's end among callers.
@@ -27,6 +29,7 @@
         """
         if self._next_read is None:
             self._next_read = asyncio.create_task(self._read(offset))
+            self._next_read.add_done_callback(tasks.retrieve_error)
         # A caller that gives up doesn't cancel the read of the others.
         return await asyncio.shield(self._next_read)
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
@@ -100,6 +100,11 @@
         """Return whether the newest record of each key has been read."""
         return self._load is None or self._load.is_complete
 
+    @property
+    def is_available(self):
+        """Return whether the last read was answered."""
+        return not self._is_unavailable
+
     def reload(self):
         """Load again from the first key; a page under way is discarded."""
         self._load = _Load()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
@@ -47,8 +47,8 @@
             self.owner_view.intents_read_s = now_s
         if change.kind == journal.LOAD:
             self.owner_view.load_read_s = now_s
-        # Any daemon may write an offer; all else is written by owners.
-        if change.kind != journal.OFFER:
+        # Any daemon may write these; all else is written by owners.
+        if change.kind not in (journal.OFFER, journal.DAEMON):
             self._note_owner(now_s)
         if change.kind == journal.OWNER:
             self._note_ownership(now_s)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/metrics.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/metrics.py
@@ -84,6 +84,12 @@
             ['reason'],
             registry=self._registry,
         )
+        self._relayed_calls = prometheus_client.Counter(
+            'hawthorndeal_calls_passed_on',
+            'Calls passed on to another daemon, by whether it answered.',
+            ['answered'],
+            registry=self._registry,
+        )
         self._cycle_seconds = prometheus_client.Histogram(
             'hawthorndeal_cycle_duration_seconds',
             'Time of the parts of a scheduling cycle.',
@@ -113,6 +119,10 @@
         """Count one refused request."""
         self._refusals.labels(reason).inc()
 
+    def note_relayed_call(self, is_answered):
+        """Count one call that was passed on to another daemon."""
+        self._relayed_calls.labels(str(is_answered).lower()).inc()
+
     def note_start(self, answer):
         """Count one order to start a run."""
         self._runs.labels(answer).inc()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/parts.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/parts.py
@@ -39,6 +39,7 @@
     :ivar wave_reports: reports the progress of waves to operators
     :ivar operators_topic: topic that operators write to
     :ivar entries_topic: topic of the executors' entries
+    :ivar peers: a :class:`peer_calls.Peers`, or None to pass on no calls
     :ivar close: closes the connections
     """
 
@@ -51,6 +52,7 @@
     operators_topic: str
     entries_topic: str
     close: object
+    peers: object = None
 
 
 class Parts:
@@ -70,6 +72,7 @@
         self.executors = adapter.executors
         self.hosts = adapter.hosts
         self.advice = adapter.advice
+        self.peers = adapter.peers if settings.relay_address else None
         self.wave_reports = adapter.wave_reports
         self.status_reader = log_readers.StatusReader(
             settings.daemon, self.clock, self.events
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -11,12 +11,14 @@
 from hawthorndeal_daemon import web
 from hawthorndeal_fleet import errors
 
+from . import call_handler
 from . import callers
 from . import callers_app
 from . import candidate as candidate_module
 from . import decision_log
 from . import offerer
 from . import parts as parts_module
+from . import relay
 from . import settings as settings_module
 
 SETTINGS_PERIOD_S = 1.0
@@ -92,6 +94,9 @@
         self._adapter = adapter
         self._parts = parts = parts_module.Parts(settings, adapter)
         self._interface = callers.CallersInterface(parts, adapter.formats)
+        handler = call_handler.CallHandler(
+            self._interface, parts, relay.Relay(parts)
+        )
         self._settings_watcher = SettingsWatcher(settings_path, parts)
         self._candidate = candidate_module.Candidate(parts)
         self._supervisor = supervisor.Supervisor(
@@ -113,17 +118,35 @@
                 ),
                 web.WebServer(
                     'callers',
-                    lambda: callers_app.make_app(self._interface, parts),
+                    lambda: callers_app.make_app(
+                        self._interface, handler, parts
+                    ),
                     settings.callers_address,
                     settings.max_callers,
                 ),
                 self._settings_watcher,
                 self._candidate,
                 offerer.Offerer(parts, self._interface),
+                *self._relay_parts(handler),
             ],
             parts.clock,
         )
 
+    def _relay_parts(self, handler):
+        parts = self._parts
+        if not parts.settings.relay_address:
+            return []
+        return [
+            relay.Announcer(parts),
+            web.WebServer(
+                'relay',
+                lambda: callers_app.make_relay_app(
+                    self._interface, handler, parts
+                ),
+                parts.settings.relay_address,
+            ),
+        ]
+
     async def run(self):
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
         self._parts.events.open()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
@@ -24,6 +24,8 @@
     :ivar callers_address: address of the callers' API, as ``IP:PORT``
     :ivar readiness_address: address of the balancer's readiness check
     :ivar metrics_address: address of the metrics endpoint
+    :ivar relay_address: address at which other daemons pass on the calls that
+        they can't answer; empty to take and pass on none
     :ivar store_address: address of the platform's store
     :ivar hosts_address: address of the host service; empty for none
     :ivar advice_address: address of the advice service, which permits
@@ -56,6 +58,7 @@
     store_address: str
     hosts_address: str = ''
     advice_address: str = ''
+    relay_address: str = ''
     longest_lease_ms: float = _positive(10000.0)
     lease_s: float = _positive(4.0)
     host_order_lease_ms: float = _positive(3000.0)
@@ -83,9 +86,10 @@
     :raises errors.InvalidFile: with all problems found
     """
     settings = codec.from_file(yamltext.parse(text, source), Settings, source)
+    optional = ('relay_address',) if settings.relay_address else ()
     problems = [
         errors.Problem(source, field, f'expected IP:PORT, got {address!r}')
-        for field in (*_ADDRESSES, 'store_address')
+        for field in (*_ADDRESSES, 'store_address', *optional)
         for address in [getattr(settings, field)]
         if not checks.is_address(address)
     ]
