--- a/packages/hawthorndeal-cli/hawthorndeal_cli/late_jobs.py
+++ b/packages/hawthorndeal-cli/hawthorndeal_cli/late_jobs.py
@@ -230,11 +230,15 @@
 
 
 def _cause_of_wait(pool, time_s, history):
-    sample = history.sample(pool, time_s)
-    if sample is None:
+    # Hosts that the next sample shows were asked for in between.
+    samples = history.samples_around(pool, time_s)
+    if not samples:
         return Cause.UNKNOWN
-    if sample.arriving:
+    if any(sample.arriving for sample in samples):
         return Cause.HOSTS_ARRIVING
-    standby = [history.sample(name, time_s) for name in history.standby_pools]
-    is_any_left = any(known is not None and known.hosts for known in standby)
+    is_any_left = any(
+        sample.hosts
+        for name in history.standby_pools
+        for sample in history.samples_around(name, time_s)[:1]
+    )
     return Cause.NOT_ASKED if is_any_left else Cause.NO_ROOM
--- a/packages/hawthorndeal-cli/hawthorndeal_cli/log_history.py
+++ b/packages/hawthorndeal-cli/hawthorndeal_cli/log_history.py
@@ -226,11 +226,11 @@
     def _handle_lines_left_out(self, line):
         self.left_out.update(line.fields.get('kinds', {}))
 
-    def sample(self, pool, time_s):
-        """Return what was last known of a pool, or None."""
+    def samples_around(self, pool, time_s):
+        """Return the last sample of a pool before a time, and the next one."""
         samples = self._samples.get(pool, ())
         at = bisect.bisect_right(samples, time_s, key=lambda s: s.time_s)
-        return samples[at - 1] if at else None
+        return samples[max(0, at - 1) : at + 1]
 
     @property
     def standby_pools(self):
