Read another daemon's claim before the second try

Cause: a claimant whose conditional append finds another record tries again without the condition after 0.05 s. Reads took 0.16 s, so that it hadn't read that the record was a claim.

Change: it first reads what had been appended.

--- a/features/jobs_store_return.feature
+++ b/features/jobs_store_return.feature
@@ -32,3 +32,21 @@
     When 20 jobs of three steps are submitted
     And the owner can't read a partition of the submissions for 6 seconds
     Then a job that comes then is refused as not_ready
+
+  Scenario Outline: One of many daemons takes over at once beside a slow store, seed <seed>
+    Given 9 simulated daemons with seed <seed>, whose submissions have 16 partitions
+    When 20 jobs of three steps are submitted
+    And each append takes 0.02 s and each read 0.3 s
+    And the owner is stopped gracefully
+    Then another daemon is at work within 1.2 seconds
+    And it is the only one that has claimed since
+    And no invariant was violated
+
+    Examples:
+      | seed |
+      | 431  |
+      | 432  |
+      | 433  |
+      | 434  |
+      | 435  |
+      | 436  |
--- a/features/steps/jobs_store_return.py
+++ b/features/steps/jobs_store_return.py
@@ -110,3 +110,33 @@
     submitted = world.submit(world.daemons[1], 'web', 'late', spec)
     refusal = context.runner.run(submitted)
     assert refusal == reason, refusal
+
+
+@when('each append takes {append_s:g} s and each read {read_s:g} s')
+def slow_down(context, append_s, read_s):
+    store = context.world.store
+    store.append_s, store.read_s = append_s, read_s
+    context.runner.run(asyncio.sleep(2.0))
+    context.since_s = context.world.now_s()
+
+
+def _since(context, kind):
+    return [
+        (time_s, daemon)
+        for time_s, daemon, logged, _ in context.world.log
+        if logged == kind and time_s > context.since_s
+    ]
+
+
+@then('another daemon is at work within {limit_s:g} seconds')
+def check_successor(context, limit_s):
+    context.runner.run(asyncio.sleep(3.0))
+    released_s = _since(context, 'owner_released')[0][0]
+    at_work_s = _since(context, 'owner_at_work')[0][0]
+    assert at_work_s - released_s <= limit_s, at_work_s - released_s
+
+
+@then('it is the only one that has claimed since')
+def check_claims(context):
+    claims = _since(context, 'owner_claimed')
+    assert len(claims) == 1, claims
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
@@ -91,8 +91,11 @@
             try:
                 owner = await self._claim(end)
                 break
-            except keyed_log.EndMoved:
-                continue
+            except keyed_log.EndMoved as moved:
+                # Another daemon may just have claimed.
+                await follower.wait_for_offset(
+                    moved.end - 1, READ_CLAIM_TIMEOUT_S
+                )
         follower.read_pause_s = STATUS_READ_PAUSE_S
         if owner is None:
             await asyncio.sleep(parts.rng.uniform(*CLAIM_RETRY_PAUSE_S))
