Let no unanswered order to a host keep waves and other pools waiting

Callers and operators: with half of the answers of the host service lost, a wave wasn't finished in its time, and pools got no hosts meanwhile.

Cause: the controller waited for all moves that it had ordered before it planned again; each without an answer takes seconds.

Change: moves are ordered beside the planning. A host with an order under way is in no other plan, and counts as on its way.

--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
@@ -44,6 +44,8 @@
         self._consolidator = consolidator.Consolidator(owner)
         self._late_work = late_work.LateWorkHolds()
         self._load_log_due_s = 0.0
+        # Moves that are being ordered, by host.
+        self._orders = {}
 
     async def run(self):
         """Manage hosts until the ownership term ends."""
@@ -88,7 +90,16 @@
         await self._order_sender.store_intents(hosts)
         if self._owner.now_s() - planned_s > MAX_PLAN_AGE_S:
             moves = self._plan_again(hosts)
-        await self._order_sender.run_paced(self._move, moves)
+        self._begin_moves(moves)
+
+    def _begin_moves(self, moves):
+        # An order without an answer doesn't keep waves and other pools
+        # waiting.
+        for move in moves:
+            self._orders[move.host] = move
+        self._owner.tasks.spawn(
+            self._order_sender.run_paced(self._move, moves)
+        )
 
     def _plan_again(self, hosts):
         """Return the moves of hosts whose intents took long to be stored.
@@ -150,7 +161,9 @@
             )
 
     def _load(self, pool, now_s):
-        arriving = self._inventory.arriving(pool.name, now_s)
+        arriving = self._inventory.arriving(pool.name, now_s) + sum(
+            move.to_pool == pool.name for move in self._orders.values()
+        )
         horizon_s = self._parts.settings.host_move_s + MOVE_MARGIN_S
         load = self._owner.scheduler.load_of(pool, arriving, horizon_s, now_s)
         blocked = self._waves.hosts_for_blocked(pool.name)
@@ -158,9 +171,9 @@
 
     def _movable_idle_s(self, host, entry, now_s, is_held):
         """Return the idle time of a host in a list; empty if it must stay."""
-        if host in self._inventory.draining or not self._inventory.is_stable(
-            host
-        ):
+        if host in self._orders or host in self._inventory.draining:
+            return []
+        if not self._inventory.is_stable(host):
             return []
         if self._order_sender.is_waiting_for_lease(host):
             return []
@@ -175,20 +188,27 @@
         return [now_s - executor.idle_since_s]
 
     async def _move(self, move):
-        await self._order_sender.send_order(
-            move.host,
-            'host_moved',
-            departures.Departure.MOVED,
-            lambda holder: self._parts.hosts.move(
-                move.host, move.to_pool, holder
-            ),
-            {
-                'from_pool': move.from_pool,
-                'to_pool': move.to_pool,
-                **_load_fields(move.load),
-            },
-            lambda: self._inventory.note_moving(move.host, move.to_pool),
-        )
+        def on_success():
+            del self._orders[move.host]
+            self._inventory.note_moving(move.host, move.to_pool)
+
+        try:
+            await self._order_sender.send_order(
+                move.host,
+                'host_moved',
+                departures.Departure.MOVED,
+                lambda holder: self._parts.hosts.move(
+                    move.host, move.to_pool, holder
+                ),
+                {
+                    'from_pool': move.from_pool,
+                    'to_pool': move.to_pool,
+                    **_load_fields(move.load),
+                },
+                on_success,
+            )
+        finally:
+            self._orders.pop(move.host, None)
 
 
 def _load_fields(load):
