--- a/packages/hawthorndeal-platform/hawthorndeal_platform/keyed_log.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/keyed_log.py
@@ -15,8 +15,9 @@
     reason = 'fenced'
 
 
-# The outcome of an append is unknown after this time without an answer.
-APPEND_TIMEOUT_S = 2.0
+# The outcome of an append is unknown after this time without an answer. A slow
+# log takes what waits up to 2 s, and callers wait a little longer.
+APPEND_TIMEOUT_S = 2.6
 
 
 class EndMoved(errors.PlatformError):
