Search for faults while calls are passed on

Callers in the search submit by whole calls, some give up after one or two tries, and a job whose every try was refused must never run. Answers between daemons can be lost.

--- a/features/jobs_relay.feature
+++ b/features/jobs_relay.feature
@@ -86,3 +86,8 @@
     Then "a" tries "b" first, and all others after it
     When "b" has failed
     Then "a" doesn't try "b" for 0.5 seconds
+
+  @search
+  Scenario: Random faults violate no invariant while calls are passed on
+    When simulations with random faults and calls passed on of seeds 7015 to 7024 run
+    Then no simulation violated an invariant or left a job unfinished
--- a/features/stage/fault_search.py
+++ b/features/stage/fault_search.py
@@ -5,6 +5,7 @@
 import attrs
 
 from fakes import links
+from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import jobs
 from hawthorndeal_jobs import specs
 from stage import job_world
@@ -18,6 +19,7 @@
 RECOVERY_S = 32.0
 FAULT_DURATION_S = (0.5, 5.0)
 DEADLY_DELAY_S = 0.01
+MAX_TRIES = 40
 
 
 @attrs.define
@@ -56,6 +58,11 @@
         self._submissions = []
         # Jobs with a task that crashes executors.
         self.deadly = []
+        # Jobs of which a submission may have been stored.
+        self._maybe_stored = set()
+        self._passes_calls = any(
+            'relay_address' in one for one in limits or ()
+        )
 
     async def run(self):
         """Run, and return the violations and the unfinished jobs."""
@@ -72,6 +79,7 @@
         await submitting
         await asyncio.sleep(RECOVERY_S)
         unfinished = await self._unfinished()
+        self._check_not_run()
         await world.stop()
         return world.violations, unfinished
 
@@ -99,23 +107,53 @@
         )
 
     async def _submit(self, job_id, pool, spec):
-        """Retry until a daemon accepts the job, as callers do."""
+        """Retry until a daemon accepts the job, as callers do.
+
+        Some callers give up early, so that a job that was refused each time
+        must never run.
+        """
         world = self.world
         world.specs[job_id] = spec
         world.queues[job_id] = pool
-        body = world.spec_body(spec)
-        for _ in range(40):
+        tries = MAX_TRIES
+        if self._passes_calls:
+            tries = self._rng.choice((1, 2, MAX_TRIES))
+        for _ in range(tries):
             daemon = self._rng.choice(world.daemons)
             try:
-                refusal = await world.submit_body(daemon, pool, job_id, body)
+                refusal = await self._try_submission(daemon, pool, job_id)
             except AttributeError:
                 # The daemon is still starting.
                 refusal = 'not_ready'
             if refusal is None:
                 self.accepted[job_id] = pool
                 return
+            if refusal == errors.AnswerLost.reason:
+                self._maybe_stored.add(job_id)
             await asyncio.sleep(0.5)
 
+    async def _try_submission(self, daemon, pool, job_id):
+        """Submit a job once; return the reason of a refusal, or None."""
+        world = self.world
+        spec = world.specs[job_id]
+        if self._passes_calls:
+            answer = await world.call(daemon, 'POST', pool, job_id, spec)
+            return None if answer.status == 200 else answer.plain['reason']
+        body = world.spec_body(spec)
+        return await world.submit_body(daemon, pool, job_id, body)
+
+    def _check_not_run(self):
+        """Record a violation for each job that ran though it was refused."""
+        started = {
+            fields['task'].split('.')[0]
+            for _, _, kind, fields in self.world.log
+            if kind == 'run_started'
+        }
+        refused = self.world.specs.keys() - self.accepted.keys()
+        for job_id in sorted(refused & started - self._maybe_stored):
+            if job_id != 'lasting':
+                self.world.record_violation('a refused job ran', job=job_id)
+
     async def _unfinished(self):
         world = self.world
         states = {
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -122,9 +122,18 @@
             raise errors.OutcomeUnknown('no answer')
         plain = json.loads(json.dumps(peer_client.encode_call(call)))
         answer = await peer.handler.answer(peer_client.decode_call(plain))
+        if self._is_answer_lost(peer):
+            await asyncio.sleep(timeout_s)
+            raise errors.OutcomeUnknown('no answer')
         plain = json.loads(json.dumps(peer_client.encode_answer(answer)))
         return peer_client.decode_answer(plain)
 
+    def _is_answer_lost(self, peer):
+        if self._link.is_cut or peer.link.is_cut:
+            return True
+        lost_share = max(self._link.lost_share, peer.link.lost_share)
+        return bool(lost_share) and self._world.rng.random() < lost_share
+
 
 class Daemon:
     """One daemon without sockets.
--- a/features/steps/jobs_relay.py
+++ b/features/steps/jobs_relay.py
@@ -15,6 +15,7 @@
 from hawthorndeal_platform import keyed_log
 from hawthorndeal_platform import peer_calls
 from hawthorndeal_scheduler import peer_client
+from stage import fault_search
 from stage import job_world
 from stage import virtual_time
 
@@ -340,3 +341,15 @@
         context.world.call(context.cut[0], 'GET', 'web', 'unknown')
     )
     assert answer.status == status, answer
+
+
+@when(
+    'simulations with random faults and calls passed on of seeds {first:d} to '
+    '{last:d} run'
+)
+def run_searches(context, first, last):
+    limits = [{'relay_address': '127.0.0.1:2'}] * 3
+    context.verdicts = [
+        fault_search.run_with_faults(seed, limits=limits)
+        for seed in range(first, last + 1)
+    ]
