--- a/features/jobs_consolidation.feature
+++ b/features/jobs_consolidation.feature
@@ -4,6 +4,7 @@
   Long-running tasks land on many hosts while the others are busy. After the
   burst others have room for them.
 
+  @invariant_budget
   Scenario Outline: Long-running tasks scattered in a burst come together: seed <seed>
     Given simulated daemons with seed <seed>
     When a burst leaves room for one long-running task on each of 4 hosts
--- a/features/jobs_relay.feature
+++ b/features/jobs_relay.feature
@@ -20,6 +20,7 @@
       | turns away  | 421  |
       | is cut from | 422  |
 
+  @invariant_not_run
   Scenario: A call that no daemon can answer is refused at once, and never runs
     Given 3 simulated daemons that pass calls on, with seed 423
     When the store turns away 3 of the daemons
@@ -44,12 +45,14 @@
     And 4 of the others answer no calls
     Then a job submitted to the first daemon is accepted within 1.5 seconds
 
+  @invariant_not_run
   Scenario: A job whose passing on was not answered isn't told as not run
     Given 3 simulated daemons that pass calls on, with seed 426
     When the store is cut from 1 of the daemons
     And the others answer no calls
     Then a job submitted to the first daemon is answered with 502 within 3 seconds
 
+  @invariant_config_in_force
   Scenario: What a newer configuration decided isn't answered by an older one
     Given 3 simulated daemons that pass calls on, with seed 427
     When the store turns away 1 of the daemons
