Ask for hosts for suspects that find no quiet executor

Callers whose innocent job ran beside a task that crashes executors waited: in simulated time, with 16 hosts a pool, 8 jobs a second and one in 4 with such a task, 16 of 100 suspicions of innocent tasks lasted over 1 s while hosts were on standby, and 1 in 10 innocent jobs lost its value.

Cause: an executor proves the suspects of one job at a time, in about 0.3 s, each crash makes a dozen, and steps of which all pending tasks are suspects never counted as starved. They now do, after 0.3 s; on a host that arrives nothing has only just started. The new scenarios fail without the change.

--- a/features/jobs_crashes.feature
+++ b/features/jobs_crashes.feature
@@ -95,6 +95,21 @@
       | 707  |
       | 708  |
 
+  Scenario Outline: Suspects don't lose their value while hosts are on standby, seed <seed>
+    Given simulated daemons with seed <seed>, and 16 hosts in each pool
+    When 80 jobs of 4 and 4 tasks arrive in 10 s, of every 4th of which a task crashes executors
+    And 20 seconds pass
+    Then every other job is reported as completed
+    And at least 95 of 100 other jobs end before they lose their value
+    And no invariant was violated
+
+    Examples:
+      | seed |
+      | 716  |
+      | 717  |
+      | 718  |
+      | 719  |
+
   Scenario: A rack that is lost again and again blames no task
     Given simulated daemons with seed 709, and 8 hosts in each pool
     When job "l" of 6 long-running tasks, 1 unavailable at most, starts
@@ -179,6 +194,16 @@
     When 0.3 s pass, and "x1" is polled
     Then the next starts are of "a"
 
+  Scenario: Suspects that find no executor ask for hosts soon
+    Given a scheduler with executors "x0"
+    When jobs "a, b" of 1 task start, and "x0" crashes at once
+    And an executor "x1" is added, on which a job "fresh" of 2 tasks has just started
+    Then the next starts are of ""
+    When 0.2 s pass, and the load of the pool is measured
+    Then its starved tasks need 0 hosts
+    When 0.2 s pass, and the load of the pool is measured
+    Then its starved tasks need 2 hosts
+
   Scenario: An executor that waits for no suspect any more takes other work
     Given a scheduler with executors "x0"
     When jobs "a" of 1 task start, and "x0" crashes at once
--- a/features/steps/jobs_crashes.py
+++ b/features/steps/jobs_crashes.py
@@ -16,6 +16,8 @@
 from hawthorndeal_jobs import executors
 from hawthorndeal_jobs import jobs
 from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import ordering
+from hawthorndeal_jobs import queues
 from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import run_tracking
 from hawthorndeal_jobs import specs
@@ -96,11 +98,13 @@
     world = context.world
     spec = job_world.chain(first, second)
     context.deadly_tasks = []
+    context.submitted_s = {}
 
     async def submit_all():
         for number in range(count):
             job_id = f'j{number:03}'
             context.jobs[job_id] = POOL
+            context.submitted_s[job_id] = world.now_s()
             if number % nth == nth - 1:
                 step_number = (number // nth) % 2
                 task_id = jobs.TaskId(job_id, 0, step_number, 0)
@@ -305,6 +309,27 @@
     _check_completed(context, {t.job_id for t in context.deadly_tasks})
 
 
+@then('at least {least:d} of 100 other jobs end before they lose their value')
+def check_value(context, least):
+    world = context.world
+    ended_s = {
+        fields['job']: time_s
+        for time_s, _, kind, fields in world.log
+        if kind == 'job_ended'
+    }
+    deadly = {task.job_id for task in context.deadly_tasks}
+    others = context.submitted_s.keys() - deadly
+    queue = world.configuration.queues[POOL]
+    early = [
+        job_id
+        for job_id in others
+        if ended_s[job_id] - context.submitted_s[job_id]
+        <= ordering.CUTOFF_FACTOR
+        * ordering.objective_s(queue, world.specs[job_id])
+    ]
+    assert len(early) >= least / 100 * len(others), (len(early), len(others))
+
+
 @step('every job but "{job_id}" is reported as completed')
 def check_all_but(context, job_id):
     _check_completed(context, {job_id})
@@ -436,6 +461,14 @@
     context.harness.poll_runs(executor_id)
 
 
+@when('{seconds:g} s pass, and the load of the pool is measured')
+def pass_and_measure(context, seconds):
+    harness = context.harness
+    harness.now_s += seconds
+    pool = queues.Pool(scheduler_harness.POOL)
+    context.load = harness.scheduler.load_of(pool, 0, 2.0, harness.now_s)
+
+
 @when('job "{name}" is cancelled, and {seconds:g} s pass')
 def cancel_in_scheduler(context, name, seconds):
     harness = context.harness
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_loads.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_loads.py
@@ -7,6 +7,9 @@
 # A step counts as starved when none of its tasks could be placed for this
 # long.
 STARVATION_S = 1.0
+# The same for suspects of crashes. They wait for an executor on which nothing
+# has only just started, such as that of a host that arrives.
+SUSPECT_STARVATION_S = 0.3
 
 
 def measure(pool, executors, capacity, ready_steps, arriving, ahead_s, now_s):
@@ -103,7 +106,8 @@
 
 def _is_starved(ready_step, now_s):
     since_s = ready_step.unplaced_since_s
-    return since_s is not None and now_s - since_s >= STARVATION_S
+    wait_s = SUSPECT_STARVATION_S if ready_step.waits_apart else STARVATION_S
+    return since_s is not None and now_s - since_s >= wait_s
 
 
 def _needed(ready_step):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -137,9 +137,6 @@
             )
         if ready_step.suspects:
             self.waiting_pools.add(candidate.pool)
-        if ready_step.waits_apart:
-            # These tasks don't lack room on a host.
-            ready_step.unplaced_since_s = None
         return starts
 
     def _may_use_quota(self, ready_step):
