--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/arrival_shares.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/arrival_shares.py
@@ -1,4 +1,4 @@
-"""Tell which jobs a workspace sends in excess of its share.
+"""Find the jobs that a workspace sends in excess of its share.
 
 The load: one to three workspaces send four to seven times as many jobs as
 usual for some seconds, and fill the hosts that they share with others. A
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/shared_crashes.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/shared_crashes.py
@@ -1,4 +1,4 @@
-"""Tell crashes that have a common cause, such as the loss of a rack.
+"""Detect crashes that have a common cause, such as the loss of a rack.
 
 Tasks that crash executors may crash several at once, but only those on which
 a run has only just started. Where another executor of the rack or zone fell
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -412,7 +412,7 @@
         )
 
     def publish_loads(self, loads):
-        """Tell the daemons what new jobs will have to wait for."""
+        """Publish what new jobs will have to wait for."""
         beyond = self.scheduler.shares.used_up(self.now_s())
         self._publisher.publish_load(admission.forecast(loads, beyond))
 
