--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/crash_blame.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/crash_blame.py
@@ -11,8 +11,8 @@
 A start that was not answered may never have taken effect. It makes its task a
 suspect, but a task is given up only after two crashes under runs that are
 known to have started, or after more crashes than chance explains. The latter
-holds, too, for a run that this owner found running and that lasted on: how long
-it had lasted before is not known.
+holds, too, for a run that this owner found running and that lasted on: how
+long it had lasted before is not known.
 """
 
 import attrs
