Ask the next daemon after 0.1 s when one that a call was passed on to is silent

A caller whose daemon lacks the store waited up to 1.7 s when three of the four daemons that were tried answered nothing: the next one was asked after 0.25, 0.35 and 0.49 s. The delay before the next daemon begins at 0.1 s now, so that the fourth is asked after 0.44 s. Whoever answers, it is the same job.

--- a/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
@@ -33,8 +33,11 @@
 
     A higher sample replaces the estimate at once; lower samples reduce it
     gradually.
+
+    :ivar min_delay_s: an answer is never overdue earlier
     """
 
+    min_delay_s: float = MIN_DELAY_S
     _typical_s: float = INITIAL_LATENCY_S
     _consecutive_timeouts: int = 0
 
@@ -52,7 +55,7 @@
     def usual_delay_s(self):
         """Return that time without regard to unanswered calls."""
         delay_s = self._typical_s * TYPICAL_LATENCY_FACTOR
-        return min(MAX_DELAY_S, max(MIN_DELAY_S, delay_s))
+        return min(MAX_DELAY_S, max(self.min_delay_s, delay_s))
 
     def record_timeout(self):
         """Record a call without an answer; the callee may have become slow."""
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/relay.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/relay.py
@@ -10,6 +10,9 @@
 from hawthorndeal_platform import hedging
 
 MAX_PEERS = 4
+# The next daemon is asked this long after one that doesn't answer at least, so
+# that all of them are asked while the caller waits.
+MIN_NEXT_PEER_DELAY_S = 0.1
 # Time for the answer to come back.
 ANSWER_MARGIN_S = 0.2
 MIN_TIMEOUT_S = 0.1
@@ -31,7 +34,7 @@
     def __init__(self, parts):
         self.seen_version = 0
         self._parts = parts
-        self._latency = hedging.LatencyEstimate()
+        self._latency = hedging.LatencyEstimate(MIN_NEXT_PEER_DELAY_S)
         settings = parts.settings
         self._choice = peer_choice.PeerChoice(settings.daemon, settings.zone)
 
