Check what tasks that crash executors cost others over 16 loads, not over one

'At least 95 of 100 other jobs end before they lose their value' was checked for each of four seeds of 60 such jobs, so three late jobs passed and four failed. The same share is checked over seeds 716 to 731 together now, 960 jobs. That each innocent job ends, and that no invariant is violated, is checked for each seed as before.

--- a/features/jobs_crashes.feature
+++ b/features/jobs_crashes.feature
@@ -102,12 +102,11 @@
     And 20 seconds pass
     Then no innocent suspect waits for 1 s while hosts are on standby
 
-  Scenario Outline: Few innocent jobs lose their value beside tasks that crash executors, seed <seed>
+  Scenario Outline: Innocent jobs end beside tasks that crash executors, seed <seed>
     Given simulated daemons with seed <seed>, and 16 hosts in each pool
     When 80 jobs of 4 and 4 tasks arrive in 10 s, of every 4th of which a task crashes executors
     And 20 seconds pass
     Then every other job is reported as completed
-    And at least 95 of 100 other jobs end before they lose their value
     And no invariant was violated
 
     Examples:
@@ -117,6 +116,10 @@
       | 718  |
       | 719  |
 
+  Scenario: Few innocent jobs lose their value beside tasks that crash executors
+    When loads of 80 jobs of 4 and 4 tasks in 10 s, of every 4th of which a task crashes executors, are played with seeds 716 to 731
+    Then at least 95 of 100 other jobs end before they lose their value
+
   Scenario: A rack that is lost again and again blames no task
     Given simulated daemons with seed 709, and 8 hosts in each pool
     When job "l" of 6 long-running tasks, 1 unavailable at most, starts
