Tell which partition starts wait for, and why a daemon doesn't claim

starts_halted comes after 0.5 s of a cycle's append, and names the partitions. claim_withheld tells what keeps a daemon from claiming, whenever that changes while the owner has written nothing for 1.5 s. losses counts the time until owner_lost as starts halted. No decision changes.

--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -20,6 +20,10 @@
 NEWEST_ENCODING_FACTOR = 4 / 3
 
 
+class Silent(errors.OutcomeUnknown):
+    """Raised at the remote end when a partition answers nothing."""
+
+
 class _Partition:
     """State of one partition."""
 
@@ -41,6 +45,8 @@
         serialized
     :ivar read_s: latency of a read, besides the wait for records
     :ivar unreadable: names of partitions that can't be read
+    :ivar silent: names of partitions that answer nothing
+    :ivar refusing: names of partitions that refuse all calls
     """
 
     def __init__(self):
@@ -50,6 +56,8 @@
         self.append_s = 0.0
         self.read_s = 0.0
         self.unreadable = set()
+        self.silent = set()
+        self.refusing = set()
 
     async def wait_for_read(self, partition, offset, wait_s):
         """Wait for a record at an offset, then for the read latency."""
@@ -71,7 +79,7 @@
         :param end: expected end offset, or None for an unconditional append
         """
         state = self._partitions[partition]
-        self._check_available()
+        self._check_available(partition)
         if fence is not None and fence.epoch < state.epoch:
             raise keyed_log.Fenced(f'epoch {fence.epoch}')
         key = fence and (fence.epoch, fence.sequence)
@@ -102,12 +110,20 @@
             raise errors.PlatformRefused(f'sequence {fence.sequence}')
         state.epoch, state.sequence = fence.epoch, fence.sequence
 
-    def _check_available(self):
-        if self.is_down:
+    def _check_available(self, partition):
+        if self.is_down or partition.name in self.refusing:
             raise keyed_log.Overloaded('the store is down')
+        if partition.name in self.silent:
+            raise Silent('no answer')
+
+    def is_available(self, partition):
+        """Return whether a partition takes appends."""
+        return not self.is_down and not (
+            partition.name in self.refusing | self.silent
+        )
 
     def _check_readable(self, partition):
-        self._check_available()
+        self._check_available(partition)
         if partition.name in self.unreadable:
             raise keyed_log.Overloaded('the partition is down')
 
@@ -123,7 +139,7 @@
 
     def end(self, partition):
         """Return the end offset of a partition."""
-        self._check_available()
+        self._check_available(partition)
         return len(self._partitions[partition].records)
 
     def newest(self, partition, after_key=''):
@@ -213,15 +229,21 @@
         if self.is_cut:
             await asyncio.sleep(timeout_s)
             raise errors.OutcomeUnknown('the store is unreachable')
-        return await self._link.call(
-            operation,
-            wait,
-            timeout_s,
-            sent_bytes,
-            response_bytes,
-            is_idle_timeout,
-            timing,
-        )
+        begun_s = asyncio.get_running_loop().time()
+        try:
+            return await self._link.call(
+                operation,
+                wait,
+                timeout_s,
+                sent_bytes,
+                response_bytes,
+                is_idle_timeout,
+                timing,
+            )
+        except Silent:
+            took_s = asyncio.get_running_loop().time() - begun_s
+            await asyncio.sleep(timeout_s - took_s)
+            raise
 
     async def append(self, partition, records, fence=None, end=None):
         """Append records atomically and return the offset of the first."""
--- a/features/jobs_losses.feature
+++ b/features/jobs_losses.feature
@@ -20,6 +20,8 @@
       | no room, and no host left on standby    | 0        | 0       | start 104; end 105 done; told 105                                  | 1.0   |
       | no owner                                | 0        | 0       | owner b 104; start 104; end 105 done; told 105                     | 1.0   |
       | starts halted                           | 0        | 0       | halted 100; resumed 104; start 104; end 105 done; told 105         | 1.0   |
+      | starts halted                           | 0        | 0       | acts 100; lost 104; owner b 104; start 104; end 105 done; told 105 | 1.0   |
+      | no owner                                | 0        | 0       | acts 100; lost 100; owner b 104; start 104; end 105 done; told 105 | 1.0   |
       | run lost with its executor              | 0        | 0       | start 100; end 103 lost; start 103; end 104 done; told 104         | 1.0   |
       | failed run                              | 0        | 0       | start 100; end 103 failed; start 103; end 104 done; told 104       | 1.0   |
       | run stopped, lapsed or broken           | 0        | 0       | start 100; end 103 lapsed; start 103; end 104 done; told 104       | 1.0   |
--- /dev/null
+++ b/features/jobs_partial_outage.feature
@@ -0,0 +1,17 @@
+@jobs
+Feature: Work goes on while some partitions of the store are away
+
+  A partition of the store answers nothing, or refuses all calls, while the
+  others answer. What needs it may wait; nothing else does.
+
+  Scenario: The owner tells which partition its starts wait for
+    Given 3 simulated daemons with seed 801, whose submissions have 16 partitions
+    When 20 jobs of three steps are submitted
+    And the partition of "the jobs" is silent for 1.5 seconds
+    Then the owner told that it starts nothing, for the partition of "the jobs"
+
+  Scenario: A daemon tells why it doesn't claim while the owner is silent
+    Given 3 simulated daemons with seed 802, whose submissions have 16 partitions
+    When the owner is killed
+    And the partition of "the statuses" is silent for 3 seconds
+    Then a daemon told why it withheld its claim
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -395,7 +395,7 @@
     def _send_heartbeat(self, executor):
         if executor.is_gone:
             return
-        if not executor.is_cut and not self.store.is_down:
+        if not executor.is_cut and self.store.is_available(ENTRIES):
             entry = attrs.evolve(executor.entry, clock_s=executor.clock_s())
             self.store_entry(entry)
         self.loop.call_later(
@@ -418,7 +418,7 @@
         self.loop.call_later(outage_s, self.bring_up_host, entry.host, pool)
 
     def _drop_entry(self, executor):
-        if self.store.is_down:
+        if not self.store.is_available(ENTRIES):
             self.loop.call_later(
                 HEARTBEAT_INTERVAL_S, self._drop_entry, executor
             )
--- a/features/steps/jobs_losses.py
+++ b/features/steps/jobs_losses.py
@@ -31,6 +31,8 @@
         'failed': ('job_ended', {'job': 'j', 'state': 'failed'}),
         'halted': ('starts_halted', {'why': 'x'}),
         'resumed': ('starts_resumed', {}),
+        'acts': ('host_moved', {'outcome': 'done'}),
+        'lost': ('owner_lost', {}),
         'refused': (
             'request_refused',
             {'method': 'POST', 'path': '/jobs/j', 'reason': 'not_ready'},
--- /dev/null
+++ b/features/steps/jobs_partial_outage.py
@@ -0,0 +1,212 @@
+"""Steps for outages of some of the store's partitions."""
+
+import asyncio
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from stage import job_world
+from stage import virtual_time
+
+SUBMISSION_PARTITIONS = 16
+SPARE_PARTITIONS = 2
+TASKS = 2
+ESTIMATE_S = 0.3
+ASK_PERIOD_S = 0.2
+# Time for which jobs are watched after the last one was sent.
+WATCH_S = 6.0
+
+
+@given('{count:d} simulated daemons with seed {seed:d} and spare partitions')
+def start_simulation(context, count, seed):
+    context.runner = asyncio.Runner(loop_factory=virtual_time.VirtualLoop)
+    context.rng = random.Random(seed)
+    context.jobs = {}
+    limits = {
+        'submission_partitions': SUBMISSION_PARTITIONS,
+        'spare_partitions': SPARE_PARTITIONS,
+    }
+
+    async def start():
+        context.world = job_world.World(
+            seed, hosts_per_pool=16, limits=[limits] * count
+        )
+        await context.world.start()
+        await asyncio.sleep(2.0)
+
+    context.add_cleanup(_stop, context)
+    context.runner.run(start())
+
+
+def _stop(context):
+    context.runner.run(context.world.stop())
+    context.runner.close()
+
+
+def _names(context, which):
+    """Return the names of the partitions that a scenario speaks of."""
+    world = context.world
+    parts = world.daemons[0].parts
+    submissions = [p.name for p in parts.submission_partitions]
+    known = {
+        'the jobs': [job_world.JOBS.name],
+        'the statuses': [job_world.STATUSES.name],
+        'the entries': [job_world.ENTRIES.name],
+        'the operators': [job_world.OPERATORS.name],
+        'one of the submissions': submissions[3:4],
+        'half of the submissions': submissions[::2],
+        'the jobs and the statuses': [
+            job_world.JOBS.name,
+            job_world.STATUSES.name,
+        ],
+    }
+    if which in known:
+        return known[which]
+    assert which == 'a third of all', which
+    spares = [p.name for p in parts.status_partitions]
+    others = [job_world.JOBS.name, job_world.OPERATORS.name]
+    every = sorted({*submissions, *spares, *others})
+    return context.rng.sample(every, len(every) // 3)
+
+
+@when('the partition of "{which}" {kind} for {away_s:g} seconds')
+def interrupt(context, which, kind, away_s):
+    _set_away(context, which, kind, True)
+    context.runner.run(asyncio.sleep(away_s))
+    _set_away(context, which, kind, False)
+
+
+def _set_away(context, which, kind, is_away):
+    store = context.world.store
+    away = {'is silent': store.silent, 'refuses calls': store.refusing}[kind]
+    if is_away:
+        context.away_names = _names(context, which)
+        away.update(context.away_names)
+    else:
+        away.difference_update(context.away_names)
+
+
+@when(
+    '{rate:d} jobs a second arrive for {seconds:g} seconds, and from second '
+    '{at_s:g} on the partition of "{which}" {kind} for {away_s:g} seconds'
+)
+def submit_beside_outage(context, rate, seconds, at_s, which, kind, away_s):
+    async def run():
+        outage = asyncio.create_task(
+            _interrupt_later(context, which, kind, at_s, away_s)
+        )
+        await _submit_and_watch(context, rate, seconds)
+        await outage
+
+    context.runner.run(run())
+
+
+async def _interrupt_later(context, which, kind, at_s, away_s):
+    await asyncio.sleep(at_s)
+    context.away_s = context.world.now_s(), context.world.now_s() + away_s
+    _set_away(context, which, kind, True)
+    await asyncio.sleep(away_s)
+    _set_away(context, which, kind, False)
+
+
+async def _submit_and_watch(context, rate, seconds):
+    context.sent_s, context.accepted_s, context.shown_s = {}, {}, {}
+    tasks = []
+    for number in range(int(rate * seconds)):
+        tasks.append(asyncio.create_task(_use_job(context, f'j{number}')))
+        await asyncio.sleep(1 / rate)
+    await asyncio.sleep(WATCH_S)
+    for task in tasks:
+        task.cancel()
+    # An error of a step is one of the scenario.
+    for result in await asyncio.gather(*tasks, return_exceptions=True):
+        if isinstance(result, Exception):
+            raise result
+
+
+async def _use_job(context, job_id):
+    """Submit a job, then ask any daemons for its state until it is done."""
+    world = context.world
+    context.sent_s[job_id] = world.now_s()
+    spec = job_world.chain(TASKS, TASKS, estimate_s=ESTIMATE_S)
+    while True:
+        daemon = context.rng.choice(world.daemons)
+        refusal = await world.submit(daemon, 'web', job_id, spec)
+        if refusal is None:
+            break
+        await asyncio.sleep(0.5)
+    context.accepted_s[job_id] = world.now_s()
+    while True:
+        await asyncio.sleep(ASK_PERIOD_S)
+        daemon = context.rng.choice(world.daemons)
+        if await world.state(daemon, 'web', job_id) == 'completed':
+            context.shown_s[job_id] = world.now_s()
+            return
+
+
+def _share_within(context, times_s, limit_s):
+    in_time = sum(
+        times_s.get(job_id, float('inf')) - sent_s <= limit_s
+        for job_id, sent_s in context.sent_s.items()
+    )
+    return in_time / len(context.sent_s)
+
+
+@then('at least {share:g} of the jobs are accepted within {limit_s:g} s')
+def check_accepted(context, share, limit_s):
+    found = _share_within(context, context.accepted_s, limit_s)
+    assert found >= share, found
+
+
+@then('at least {share:g} are shown as completed within {limit_s:g} s')
+def check_shown(context, share, limit_s):
+    found = _share_within(context, context.shown_s, limit_s)
+    assert found >= share, found
+
+
+@then('during the outage no {limit_s:g} s pass without a start')
+def check_starts(context, limit_s):
+    begin_s, end_s = context.away_s
+    starts = [
+        time_s
+        for time_s, _, kind, _ in context.world.log
+        if kind == 'run_started' and begin_s <= time_s <= end_s + limit_s
+    ]
+    times = sorted([begin_s, *starts, end_s + limit_s])
+    longest_s = max(b - a for a, b in zip(times, times[1:]))
+    assert longest_s < limit_s, longest_s
+
+
+@then('a claim follows within {limit_s:g} seconds of the return')
+def check_claim(context, limit_s):
+    world = context.world
+    returned_s = world.now_s()
+    context.runner.run(asyncio.sleep(limit_s + 4.0))
+    claims = [
+        time_s - returned_s
+        for time_s, _, kind, _ in world.log
+        if kind == 'owner_claimed' and time_s > returned_s
+    ]
+    assert claims and claims[0] <= limit_s, claims
+
+
+@then('a daemon told why it withheld its claim')
+def check_withheld(context):
+    reasons = {
+        fields['why']
+        for _, _, kind, fields in context.world.log
+        if kind == 'claim_withheld'
+    }
+    assert 'the statuses were read too long ago' in reasons, reasons
+
+
+@then('the owner told that it starts nothing, for the partition of "{which}"')
+def check_halt(context, which):
+    named = [
+        fields['partitions']
+        for _, _, kind, fields in context.world.log
+        if kind == 'starts_halted'
+    ]
+    assert _names(context, which) in named, named
--- a/packages/hawthorndeal-cli/hawthorndeal_cli/late_jobs.py
+++ b/packages/hawthorndeal-cli/hawthorndeal_cli/late_jobs.py
@@ -204,12 +204,12 @@
 
 def _waiting(span, pool, history):
     """Yield the parts of a wait, by what held at the time."""
-    for part in _overlaid(span, history.absences, Cause.NO_OWNER):
-        if part.label is Cause.NO_OWNER:
+    for part in _overlaid(span, history.halts, Cause.STARTS_HALTED):
+        if part.label is Cause.STARTS_HALTED:
             yield part
             continue
-        for rest in _overlaid(part, history.halts, Cause.STARTS_HALTED):
-            if rest.label is Cause.STARTS_HALTED:
+        for rest in _overlaid(part, history.absences, Cause.NO_OWNER):
+            if rest.label is Cause.NO_OWNER:
                 yield rest
             else:
                 cause = _cause_of_wait(pool, rest.begin_s, history)
--- a/packages/hawthorndeal-cli/hawthorndeal_cli/log_history.py
+++ b/packages/hawthorndeal-cli/hawthorndeal_cli/log_history.py
@@ -2,7 +2,6 @@
 
 import bisect
 import collections
-import itertools
 
 import attrs
 
@@ -11,6 +10,8 @@
     {'owner_at_work', 'pool_load', 'run_started', 'run_over', 'host_moved'}
 )
 
+_END_EVENTS = frozenset({'owner_lost', 'owner_released', 'stopped'})
+
 
 @attrs.frozen
 class Span:
@@ -134,6 +135,7 @@
         for daemon in list(self._halted):
             self._end_halt(daemon, self.end_s)
         self.absences = list(_find_absences(lines))
+        self.halts += _find_idle_ends(lines)
 
     # Jobs
 
@@ -243,8 +245,30 @@
 
 
 def _find_absences(lines):
-    """Yield the spans between the last act of an owner and the next owner."""
-    acts = (line for line in lines if line.event in _OWNER_EVENTS)
-    for before, after in itertools.pairwise(acts):
-        if after.event == 'owner_at_work':
-            yield Span(before.time_s, after.time_s, 'no owner')
+    """Yield the spans between the end of an owner and the next owner."""
+    for before, end, after in _changes_of_owner(lines):
+        begin_s = before.time_s if end is None else end.time_s
+        yield Span(begin_s, after.time_s, 'no owner')
+
+
+def _find_idle_ends(lines):
+    """Yield the spans between the last act of an owner and its end."""
+    for before, end, _ in _changes_of_owner(lines):
+        if end is not None:
+            yield Span(before.time_s, end.time_s, 'the owner did nothing')
+
+
+def _changes_of_owner(lines):
+    """Yield the last act of each owner, its end, and the next beginning.
+
+    The end is None where no line tells, since the owner was killed.
+    """
+    before = end = None
+    for line in lines:
+        if line.event == 'owner_at_work' and before is not None:
+            yield before, end, line
+        if line.event in _OWNER_EVENTS:
+            before, end = line, None
+        elif line.event in _END_EVENTS and before is not None:
+            if line.daemon == before.daemon:
+                end = line
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
@@ -5,6 +5,7 @@
 :mod:`host_intents`.
 """
 
+import enum
 import math
 
 import attrs
@@ -40,6 +41,16 @@
 LEASE_RENEWAL_WINDOW_S = 8.0
 
 
+class ClaimObstacle(enum.StrEnum):
+    """Why a daemon doesn't claim a partition now."""
+
+    NOT_READ = 'the statuses were never read'
+    READ_TOO_LONG_AGO = 'the statuses were read too long ago'
+    OWNER_HEARD = 'the owner has written within its timeout'
+    SILENCE_NOT_KNOWN = 'the last read doesn\'t show the silence'
+    IS_WEAK = 'stronger daemons go first'
+
+
 @attrs.define
 class OwnerView:
     """One daemon's view of the owner of a partition.
@@ -151,32 +162,38 @@
         return min(delay_s, now_s - self.readable_since_s)
 
     def may_claim(self, now_s, delay_s, strength=hand_over.FULL_STRENGTH):
-        """Return True if this daemon should claim the partition now.
+        """Return True if this daemon should claim the partition now."""
+        return self.claim_obstacle(now_s, delay_s, strength) is None
+
+    def claim_obstacle(self, now_s, delay_s, strength):
+        """Return what keeps this daemon from claiming now, or None.
 
         :param delay_s: this daemon's random share of CLAIM_SPREAD_S
         :param strength: strength of this daemon's host
+        :rtype: ClaimObstacle or None
         """
         if self.last_read_done_s is None:
-            return False
+            return ClaimObstacle.NOT_READ
         if now_s - self.last_read_done_s > MAX_READ_AGE_S + RENEW_PERIOD_S:
-            return False
+            return ClaimObstacle.READ_TOO_LONG_AGO
         if self.is_named or self.is_previous_incarnation:
-            return True
+            return None
         is_weak = hand_over.is_much_stronger(self.strongest_seen, strength)
         if self.is_claimable and not is_weak:
-            return True
+            return None
         silent_since_s = max(self.last_record_s, self.readable_since_s)
         silence_s = now_s - silent_since_s
         if is_weak:
             silence_s -= WEAK_CLAIM_DELAY_S
         if self.is_claimable:
-            return silence_s > 0.0
+            return None if silence_s > 0.0 else ClaimObstacle.IS_WEAK
+        if silence_s <= self.owner_timeout_s + delay_s:
+            return ClaimObstacle.OWNER_HEARD
         # A page that took long holds nothing newer than its request.
         known_silence_s = self.last_read_s - silent_since_s
-        return (
-            silence_s > self.owner_timeout_s + delay_s
-            and known_silence_s > self.owner_timeout_s * KNOWN_SILENCE_SHARE
-        )
+        if known_silence_s <= self.owner_timeout_s * KNOWN_SILENCE_SHARE:
+            return ClaimObstacle.SILENCE_NOT_KNOWN
+        return None
 
     @property
     def owner_timeout_s(self):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
@@ -12,6 +12,9 @@
 from . import owner as owner_module
 
 CHECK_PERIOD_S = 0.05
+# What keeps a daemon from claiming is logged while its owner has written
+# nothing for this long.
+NOTICED_SILENCE_S = 1.5
 READ_CLAIM_TIMEOUT_S = 3.0
 # A read that takes longer is waiting because there are no new records.
 CATCH_UP_TIMEOUT_S = 0.05
@@ -36,6 +39,7 @@
         self._parts = parts
         self._is_stopping = False
         self._owner = None
+        self._logged_obstacle = None
         parts.status_follower.read_pause_s = STATUS_READ_PAUSE_S
         for follower in parts.jobs_followers:
             follower.read_pause_s = JOBS_READ_PAUSE_S
@@ -61,14 +65,30 @@
         while self._is_stopping or not (
             parts.status_follower.is_loaded
             and parts.configuration_reader.configuration is not None
-            and parts.owner_view.may_claim(
-                parts.clock.monotonic_s(),
-                delay_s,
-                offerer.strength(parts.settings),
-            )
+            and self._find_obstacle(delay_s) is None
         ):
             await asyncio.sleep(CHECK_PERIOD_S)
 
+    def _find_obstacle(self, delay_s):
+        """Return what keeps this daemon from claiming, and log a change."""
+        parts = self._parts
+        view, now_s = parts.owner_view, parts.clock.monotonic_s()
+        obstacle = view.claim_obstacle(
+            now_s, delay_s, offerer.strength(parts.settings)
+        )
+        silence_s = now_s - view.last_record_s
+        noticed = obstacle if silence_s > NOTICED_SILENCE_S else None
+        if noticed is not self._logged_obstacle:
+            self._logged_obstacle = noticed
+            if noticed is not None:
+                parts.events.write(
+                    'claim_withheld',
+                    why=noticed.value,
+                    owner_silence_s=round(silence_s, 3),
+                    owner_timeout_s=round(view.owner_timeout_s, 3),
+                )
+        return obstacle
+
     async def _try_claim(self, delay_s):
         """Claim the partition; return the owner to run, or None on failure.
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
@@ -4,6 +4,8 @@
 jobs and the executors' entries.
 """
 
+import math
+
 import attrs
 
 from hawthorndeal_fleet import errors
@@ -131,6 +133,14 @@
             return None
         return min(self._read_s.values())
 
+    def unread_sources(self, since_s):
+        """Return the partitions that were not read to their end since."""
+        return [
+            source
+            for source in self._sources
+            if self._read_s.get(source, -math.inf) < since_s
+        ]
+
     def handle_record(self, source, record):
         """Apply one record of a partition to the replica."""
         applied = self.replica.apply(
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -23,6 +23,7 @@
 from . import offerer
 from . import owner_tasks
 from . import run_orders
+from . import start_gate
 from . import status_publisher
 from . import workspace_log
 
@@ -33,15 +34,6 @@
 # Cycles whose planning takes longer are logged.
 SLOW_CYCLE_S = 0.1
 RELEASE_TIMEOUT_S = 1.5
-# No task is started if the jobs were last read to their end longer ago: some
-# may have been cancelled.
-MAX_JOBS_AGE_S = 1.5
-# No task is started if the executors' entries were last read to their end
-# longer ago: some may have shrunk, or be leaving.
-MAX_ENTRIES_AGE_S = 3.0
-# An owner that can store its records, but can't read the jobs for this long,
-# gives up the ownership.
-GIVE_UP_JOBS_AGE_S = 4.0
 LEASE_MARGIN_S = 0.5
 
 
@@ -107,8 +99,7 @@
             parts.events, parts.metrics
         )
         self._is_storing_host_records = False
-        # Why no task may start at present; empty while tasks may.
-        self._halted_why = ''
+        self._gate = start_gate.StartGate(parts, term, self.lose_ownership)
 
     def _make_writer(self, follower, confirms_term=False):
         parts = self._parts
@@ -304,7 +295,7 @@
         now_s = self.now_s()
         self.tracker.check_without_agent()
         window = self._orders.starts
-        may_start = self._may_start(now_s)
+        may_start = self._gate.may_start(now_s)
         turn = self.scheduler.plan(
             now_s,
             parts.clock.now_s(),
@@ -322,40 +313,12 @@
         records = self._journal.collect_records(now_s)
         if not self._is_storing_host_records:
             self._begin_storing_host_records()
-        ends = await self._journal.store(records)
+        with self._gate.watch_append(parts.jobs_follower.partition):
+            ends = await self._journal.store(records)
         self.tracker.note_ends_stored(ends)
         for run in turn.starts:
             self._orders.send_start(run)
 
-    def _may_start(self, now_s):
-        why = ''
-        if not self._knows_cancellations(now_s):
-            why = 'the jobs were not read'
-        elif not self._knows_executors():
-            why = 'the executors were not read'
-        if why != self._halted_why:
-            self._halted_why = why
-            self.events.write(
-                'starts_halted' if why else 'starts_resumed',
-                epoch=self.epoch,
-                **({'why': why} if why else {}),
-            )
-        return not why
-
-    def _knows_cancellations(self, now_s):
-        """Return whether the jobs have been read recently enough to start."""
-        age_s = now_s - self._parts.jobs_reader.last_read_s
-        confirmed_s = self._parts.clock.boot_s() - self.term.confirmed_s
-        if age_s > GIVE_UP_JOBS_AGE_S > confirmed_s:
-            self.lose_ownership('the jobs could not be read')
-        return age_s <= MAX_JOBS_AGE_S
-
-    def _knows_executors(self):
-        """Return whether the entries have been read recently enough."""
-        follower = self._parts.entries_follower
-        age_s = self._parts.clock.boot_s() - follower.confirmed_boot_s
-        return age_s <= MAX_ENTRIES_AGE_S
-
     def _begin_storing_host_records(self):
         # Starts don't wait for these records.
         records = self.hosts.take_records()
