Don't take a daemon's own blindness for the gap between an owner's records

The first page after a silence holds records that were stored before or during it. Each daemon took the time since the record before them as the owner's gap, before the page counted as a reading, so that the timeout rose to its limit of 5 s; only many records in one page made it decay again.

The gap is counted from when the page was asked for, as it was already for all later records.

--- a/features/jobs_partial_outage.feature
+++ b/features/jobs_partial_outage.feature
@@ -15,3 +15,15 @@
     When the owner is killed
     And the partition of "the statuses" is silent for 3 seconds
     Then a daemon told why it withheld its claim
+
+  Scenario Outline: Records read after a silence don't lengthen the owner's timeout, seed <seed>
+    Given 3 simulated daemons with seed <seed>, whose submissions have 16 partitions
+    When 20 jobs of three steps are submitted
+    And the statuses can't be read for 5 seconds, and the owner dies at once
+    Then a claim follows within 1.5 seconds of the return
+
+    Examples:
+      | seed |
+      | 811  |
+      | 812  |
+      | 813  |
--- a/features/steps/jobs_narrow_links.py
+++ b/features/steps/jobs_narrow_links.py
@@ -56,6 +56,9 @@
         for key in set(self.offsets) - keys:
             del self.offsets[key]
 
+    def note_page(self, sent_s):
+        """Do nothing; only reads that reach the end are recorded."""
+
     def note_read(self, sent_s):
         self.read_to_end_s = sent_s
 
--- a/features/steps/jobs_partial_outage.py
+++ b/features/steps/jobs_partial_outage.py
@@ -17,6 +17,8 @@
 ASK_PERIOD_S = 0.2
 # Time for which jobs are watched after the last one was sent.
 WATCH_S = 6.0
+# An owner stores a few records in this time.
+RECORDS_S = 0.3
 
 
 @given('{count:d} simulated daemons with seed {seed:d} and spare partitions')
@@ -179,6 +181,24 @@
     assert longest_s < limit_s, longest_s
 
 
+@when(
+    "the statuses can't be read for {seconds:g} seconds, and the owner dies "
+    'at once'
+)
+def hide_statuses(context, seconds):
+    world = context.world
+    name = job_world.STATUSES.name
+
+    async def run():
+        world.store.unreadable.add(name)
+        await asyncio.sleep(RECORDS_S)
+        await world.owner.kill()
+        await asyncio.sleep(seconds - RECORDS_S)
+        world.store.unreadable.discard(name)
+
+    context.runner.run(run())
+
+
 @then('a claim follows within {limit_s:g} seconds of the return')
 def check_claim(context, limit_s):
     world = context.world
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ownership.py
@@ -99,12 +99,20 @@
     load_read_s: float = -math.inf
     readable_since_s: float | None = None
 
-    def note_read(self, sent_s, now_s):
-        """Record a read that reached the end of the partition."""
-        self.last_read_done_s = now_s
+    def note_page(self, sent_s):
+        """Record that a read was answered, before its records are processed.
+
+        The time in which this daemon could not read is no gap between the
+        owner's records.
+        """
         last_s = self.last_read_s
         if last_s is None or sent_s - last_s > MAX_READ_GAP_S:
             self.readable_since_s = sent_s
+
+    def note_read(self, sent_s, now_s):
+        """Record a read that reached the end of the partition."""
+        self.note_page(sent_s)
+        self.last_read_done_s = now_s
         self.last_read_s = sent_s
 
     def note_ownership(self, now_s, current, daemon, claimed_epochs):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
@@ -25,6 +25,9 @@
     def note_loaded(self, keys):
         """Record that the newest record of every key has been read."""
 
+    def note_page(self, sent_s):
+        """Prepare for the records of a read that was sent at this time."""
+
     def note_read(self, sent_s):
         """Record that a read sent at this time reached the end."""
 
@@ -172,6 +175,7 @@
             return
         self._note_available()
         self._note_page(page.records, page.end - page.next_offset)
+        self._reader.note_page(sent_s)
         for record in page.records:
             self._deliver(record)
         self.next_offset = max(self.next_offset, page.next_offset)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_readers.py
@@ -100,6 +100,10 @@
             'statuses_loaded', keys=len(keys), jobs=len(self.board.stored)
         )
 
+    def note_page(self, sent_s):
+        """Record that a read sent at this time was answered."""
+        self.owner_view.note_page(sent_s)
+
     def note_read(self, sent_s):
         """Record that a read sent at this time reached the end."""
         self.owner_view.note_read(sent_s, self._clock.monotonic_s())
@@ -183,6 +187,9 @@
         """Process the end of the load."""
         self._jobs_reader.note_loaded(self._source, keys)
 
+    def note_page(self, sent_s):
+        """Do nothing; only reads that reach the end count."""
+
     def note_read(self, sent_s):
         """Record that a read has reached the end."""
         self._jobs_reader.note_read(self._source)
@@ -253,6 +260,9 @@
     def note_loaded(self, keys):
         """Do nothing; deleted records have no effect."""
 
+    def note_page(self, sent_s):
+        """Do nothing; the age of the configuration is not tracked."""
+
     def note_read(self, sent_s):
         """Do nothing; the age of the configuration is not tracked."""
 
@@ -312,5 +322,8 @@
             del self.entries[executor_id]
             self._report_missing(executor_id)
 
+    def note_page(self, sent_s):
+        """Do nothing; entries carry their own time."""
+
     def note_read(self, sent_s):
         """Do nothing; entries carry their own time."""
