Store a submission in another partition while its own doesn't answer

A job belongs to one of 16 partitions of submissions.

'Not stored' is told only if no copy may be stored. Whether there is such a job is answered after reading the ends of all of its partitions. Partitions that the owner can't read come last. Switched on by spare_partitions; an earlier version doesn't look in other partitions.

--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -245,6 +245,14 @@
             await asyncio.sleep(timeout_s - took_s)
             raise
 
+    @property
+    def overdue_s(self):
+        """Time after which the answer to an append is overdue."""
+        return max(
+            self._append_latency.usual_delay_s,
+            self._read_latency.usual_delay_s,
+        )
+
     async def append(self, partition, records, fence=None, end=None):
         """Append records atomically and return the offset of the first."""
         return await hedging.call(
--- a/features/jobs_partial_outage.feature
+++ b/features/jobs_partial_outage.feature
@@ -42,3 +42,34 @@
       | is silent     | 821  |
       | is silent     | 822  |
       | refuses calls | 823  |
+
+  @invariant_not_run
+  Scenario Outline: Submissions go to other partitions while <which> <kind>
+    Given 9 simulated daemons with seed <seed> and spare partitions
+    When 20 jobs a second arrive for 8 seconds, and from second 1 on the partition of "<which>" <kind> for 5 seconds
+    Then at least 0.99 of the jobs are accepted within 1 s
+    And nothing is stored of the submissions that have ended
+    And no invariant was violated
+
+    Examples:
+      | which                   | kind          | seed |
+      | one of the submissions  | is silent     | 831  |
+      | half of the submissions | is silent     | 832  |
+      | half of the submissions | is silent     | 833  |
+      | half of the submissions | refuses calls | 834  |
+
+  @invariant_not_run
+  Scenario Outline: The outcome of a record is told truly: its own partition is <own>, the other one <other>
+    When a record is appended while its own partition is <own>, and the other one <other>
+    Then its outcome is "<outcome>"
+
+    Examples:
+      | own      | other                     | outcome       |
+      | silent   | there                     | stored        |
+      | refusing | there                     | stored        |
+      | refusing | refusing                  | not stored    |
+      | silent   | refusing                  | unknown       |
+      | refusing | silent                    | unknown       |
+      | late     | refusing                  | stored        |
+      | silent   | there, but no more allowed | unknown      |
+      | refusing | there, but no more allowed | not allowed  |
--- a/features/steps/jobs_partial_outage.py
+++ b/features/steps/jobs_partial_outage.py
@@ -1,11 +1,18 @@
 """Steps for outages of some of the store's partitions."""
 
 import asyncio
+import itertools
+import types
 
+import attrs
 from behave import given
 from behave import then
 from behave import when
 
+from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import journal
+from hawthorndeal_platform import keyed_log
+from hawthorndeal_scheduler import submitter
 from stage import job_world
 from stage import virtual_time
 
@@ -235,3 +242,65 @@
         if kind == 'starts_halted'
     ]
     assert _names(context, which) in named, named
+
+
+@attrs.define
+class _ScriptedLog:
+    """Log whose partitions each do what a scenario says.
+
+    :ivar kinds: what each partition does, by number
+    """
+
+    kinds: list[str]
+    overdue_s: float = 0.25
+    reachability: object = types.SimpleNamespace(is_silent=False)
+
+    async def append(self, partition, records):
+        """Append records, or fail as the partition does."""
+        kind = self.kinds[partition.number]
+        if kind == 'refusing':
+            raise keyed_log.Overloaded('refused')
+        if kind == 'silent':
+            await asyncio.sleep(keyed_log.APPEND_TIMEOUT_S)
+            raise errors.OutcomeUnknown('no answer')
+        if kind == 'late':
+            await asyncio.sleep(1.0)
+        return 0
+
+
+@when(
+    'a record is appended while its own partition is {own}, and the other one '
+    '{other}'
+)
+def append_record(context, own, other):
+    other, _, is_withdrawn = other.partition(', but ')
+    allowed = itertools.chain([True], itertools.repeat(not is_withdrawn))
+
+    def verify():
+        if not next(allowed):
+            raise errors.UnknownKey('withdrawn')
+
+    async def append():
+        part = submitter.Submitter(_ScriptedLog([own, other]))
+        running = asyncio.create_task(part.run())
+        partitions = [keyed_log.Partition('records', n) for n in range(2)]
+        record = journal.cancel_record('j')
+        try:
+            await part.append(partitions, record, 4.0, verify)
+        finally:
+            running.cancel()
+
+    try:
+        virtual_time.run(append)
+        context.outcome = 'stored'
+    except errors.RequestFailed:
+        context.outcome = 'not allowed'
+    except errors.PlatformUnavailable:
+        context.outcome = 'not stored'
+    except errors.OutcomeUnknown:
+        context.outcome = 'unknown'
+
+
+@then('its outcome is "{outcome}"')
+def check_outcome(context, outcome):
+    assert context.outcome == outcome, context.outcome
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -290,6 +290,19 @@
     return int.from_bytes(digest.digest()) % count
 
 
+def spare_submission_partitions(number, count, spares):
+    """Return where records of a partition go that doesn't answer.
+
+    :param number: number of the partition
+    :param count: number of partitions
+    :param spares: how many others to return, at most
+    :returns: their numbers, in the order to try them
+    """
+    spares = min(spares, count - 1)
+    stride = max(1, count // (spares + 1))
+    return [(number + i * stride) % count for i in range(1, spares + 1)]
+
+
 def decode(value, kind):
     """Return the object that a record value encodes.
 
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/keyed_log.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/keyed_log.py
@@ -108,9 +108,11 @@
     time. Acknowledged records are never lost.
 
     :ivar reachability: whether the log answers
+    :ivar overdue_s: time after which the answer to an append is overdue
     """
 
     reachability: reachability.Reachability
+    overdue_s: float
 
     async def append(self, partition, records, fence=None, end=None):
         """Append records atomically, and return the offset of the first.
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -191,7 +191,7 @@
         report = parts.board.load
         if now_s - view.load_read_s > admission.MAX_REPORT_AGE_S:
             report = None
-        is_unread = parts.is_unread(parts.submission_partition(job_id))
+        is_unread = all(map(parts.is_unread, parts.submission_choices(job_id)))
         refusal = admission.check_owner(
             view.behind_s(now_s), is_unread, parts.rng
         ) or admission.check_pool(
@@ -234,7 +234,7 @@
             raise errors.ShuttingDown('this daemon stops', RETRY_AFTER_S)
         try:
             await parts.submitter.append(
-                parts.submission_partition(job_id),
+                parts.submission_choices(job_id),
                 record,
                 timeout_s,
                 access.verify,
@@ -276,22 +276,25 @@
         parts = self._parts
         if not parts.status_follower.is_loaded:
             raise self._unreadable_jobs()
-        partition = parts.submission_partition(job_id)
+        partitions = parts.submission_choices(job_id)
         timeout_s = max(0.0, self._cap_timeout(CATCH_UP_TIMEOUT_S))
         deadline_s = parts.clock.monotonic_s() + timeout_s
         try:
             async with asyncio.timeout(timeout_s):
-                end = await parts.end_reader(partition).read(
-                    parts.covered_offset(partition)
-                )
+                ends = await asyncio.gather(*map(self._read_end, partitions))
         except (errors.PlatformError, asyncio.TimeoutError) as error:
             raise self._unreadable_jobs() from error
-        while not self._covers(partition, end):
+        while not all(map(self._covers, partitions, ends)):
             left_s = deadline_s - parts.clock.monotonic_s()
             if left_s < MIN_WAIT_S:
                 raise self._unreadable_jobs()
             await parts.status_follower.wait_for_read(left_s)
 
+    async def _read_end(self, partition):
+        parts = self._parts
+        covered = parts.covered_offset(partition)
+        return await parts.end_reader(partition).read(covered)
+
     def _covers(self, partition, end):
         return (
             self._parts.status_follower.is_loaded
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/parts.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/parts.py
@@ -163,6 +163,23 @@
         number = journal.submission_partition(job_id, count)
         return keyed_log.Partition(SUBMISSIONS_TOPIC, number)
 
+    def submission_choices(self, job_id):
+        """Return the partitions that callers' records of a job may be in.
+
+        The preferred one is first. Those that the owner can't read are last.
+        """
+        own = self.submission_partition(job_id)
+        if own == JOBS:
+            return [JOBS]
+        count = self.owner_view.submission_partitions
+        spares = journal.spare_submission_partitions(
+            own.number,
+            len(self.submission_partitions) if count is None else count,
+            self.settings.spare_partitions,
+        )
+        choices = [own, *(attrs.evolve(own, number=n) for n in spares)]
+        return sorted(choices, key=self.is_unread)
+
     def is_unread(self, partition):
         """Return whether the owner couldn't read a partition of late."""
         return (
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
@@ -47,6 +47,9 @@
         withdrawn
     :ivar submission_partitions: number of partitions over which submissions
         are spread; 0 stores them beside the jobs' progress
+    :ivar spare_partitions: number of other partitions that a record may be
+        stored in while its own doesn't answer; the same on all daemons, and 0
+        while any of them is of an earlier version
     :ivar processor_share: share of a core that this entry host may use, before
         processor_count
     :ivar processor_count: how many cores' speed that share has
@@ -76,6 +79,7 @@
     submission_partitions: int = attrs.field(
         default=0, validator=validators.ge(0)
     )
+    spare_partitions: int = attrs.field(default=0, validator=validators.ge(0))
     processor_share: float = _positive(1.0)
     processor_count: float = _positive(1.0)
     link_mbps: float = _positive(100.0)
