Tell states in another partition while that of the statuses is away

Every daemon follows one partition of statuses.

With spare partitions the owner stores statuses and renewals in a spare one while the first is away; daemons follow all of them with long reads, which cost half a read a second each. A status never goes back, so that one stored late changes nothing. Renewals are numbered. What they tell to be covered counts once all statuses before them were read, wherever they are. Claims stay in the first partition, so that there is one order of owners; a new owner reads the spare ones to their ends before it works. Calls are passed on only while nothing else is answered, as when the store turns one daemon away.

--- a/features/jobs_partial_outage.feature
+++ b/features/jobs_partial_outage.feature
@@ -76,6 +76,23 @@
       | is silent     | 842  |
       | refuses calls | 843  |
 
+  Scenario Outline: States are told while the partition of the statuses <kind>, seed <seed>
+    Given 9 simulated daemons with seed <seed> and spare partitions
+    When 20 jobs a second arrive for 8 seconds, and from second 1 on the partition of "the statuses" <kind> for 5 seconds
+    Then at least 0.99 of the jobs are accepted within 1 s
+    And at least 0.95 are shown as completed within 3 s
+    And during the outage no 0.8 s pass without a start
+    And during the outage every daemon is ready
+    And there was a single owner throughout
+    And nothing is stored of the jobs that have ended
+    And no invariant was violated
+
+    Examples:
+      | kind          | seed |
+      | is silent     | 851  |
+      | is silent     | 852  |
+      | refuses calls | 853  |
+
   @invariant_not_run
   Scenario Outline: The outcome of a record is told truly: its own partition is <own>, the other one <other>
     When a record is appended while its own partition is <own>, and the other one <other>
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -184,7 +184,7 @@
             self.parts.jobs_reader,
             self.parts.configuration_reader,
             self.parts.entries_reader,
-            self.parts.status_follower,
+            *self.parts.status_followers,
             *self.parts.jobs_followers,
             self.parts.operators_follower,
             self.parts.entries_follower,
@@ -207,7 +207,7 @@
             asyncio.create_task(part.run())
             for part in (
                 parts.operators_follower,
-                parts.status_follower,
+                *parts.status_followers,
                 parts.log_probe,
                 parts.submitter,
                 self.candidate,
@@ -469,10 +469,17 @@
 
     def stored_status(self, job_id):
         """Return the stored status of a job, or None."""
-        record = self.store.find(STATUSES, f'{journal.STATUS}/{job_id}')
-        if record is None or not record.value:
-            return None
-        return journal.decode(record.value, journal.JobStatus)
+        key = f'{journal.STATUS}/{job_id}'
+        partitions = self.daemons[0].parts.status_partitions
+        found = [self.store.find(partition, key) for partition in partitions]
+        stored = [
+            journal.decode(record.value, journal.JobStatus)
+            for record in found
+            if record is not None and record.value
+        ]
+        return max(
+            stored, key=lambda status: status.state.progress, default=None
+        )
 
     def check_host_order(self, entry, wave, holder):
         """Check a host order against running tasks, leases and wave limits."""
--- a/features/steps/jobs_partial_outage.py
+++ b/features/steps/jobs_partial_outage.py
@@ -22,6 +22,7 @@
 ESTIMATE_S = 0.3
 ASK_PERIOD_S = 0.2
 RETRY_S = 0.5
+READY_PERIOD_S = 0.1
 # Time for which jobs are watched after the last one was sent.
 WATCH_S = 6.0
 # An owner stores a few records in this time.
@@ -120,7 +121,14 @@
     await asyncio.sleep(at_s)
     context.away_s = context.world.now_s(), context.world.now_s() + away_s
     _set_away(context, which, kind, True)
-    await asyncio.sleep(away_s)
+    context.unready = set()
+    while context.world.now_s() < context.away_s[1]:
+        await asyncio.sleep(READY_PERIOD_S)
+        context.unready.update(
+            daemon.name
+            for daemon in context.world.daemons
+            if not daemon.interface.is_ready
+        )
     _set_away(context, which, kind, False)
 
 
@@ -211,6 +219,11 @@
     context.runner.run(run())
 
 
+@then('during the outage every daemon is ready')
+def check_ready(context):
+    assert not context.unready, context.unready
+
+
 @then('nothing is stored of the jobs that have ended')
 def check_deleted(context):
     world = context.world
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/applied_offsets.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/applied_offsets.py
@@ -19,6 +19,11 @@
         """Return the keys of the records that exist."""
         return self._by_key.keys()
 
+    def retain(self, keys):
+        """Forget the records of other keys, which were deleted."""
+        for key in self._by_key.keys() - keys:
+            del self._by_key[key]
+
     def note(self, key, value, offset):
         """Record that a record was applied; an empty value deletes the key."""
         if value:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
@@ -21,6 +21,13 @@
         """Whether the job has ended."""
         return self not in (JobState.QUEUED, JobState.RUNNING)
 
+    @property
+    def progress(self):
+        """Number that never decreases in the course of a job."""
+        if self.is_final:
+            return 2
+        return int(self is JobState.RUNNING)
+
     @property
     def may_have_runs(self):
         """Whether a cancellation may have something to end.
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -110,6 +110,9 @@
     :ivar unread_partitions: numbers of the partitions of the submissions that
         the owner couldn't read of late
     :ivar delay_s: how long ago the owner had read all others to their ends
+    :ivar number: increases with each record of one owner
+    :ivar status_ends: up to which offset of each partition of the statuses
+        the statuses before this record are stored; empty for one partition
     :ivar strength: strength of the owner's host; see :mod:`hand_over`
     :ivar successor: the daemon that the partition was released to; empty for
         any
@@ -125,6 +128,8 @@
     covered_offsets: tuple[int, ...] = ()
     delay_s: float = 0.0
     unread_partitions: tuple[int, ...] = ()
+    number: int = 0
+    status_ends: tuple[int, ...] = ()
 
 
 @attrs.frozen
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
@@ -66,6 +66,10 @@
         return change
 
     def _store(self, job_id, status):
+        known = self.stored.get(job_id)
+        # Of several partitions, one may hold an older status.
+        if known and known.state.progress > status.state.progress:
+            return
         self.stored[job_id] = status
         local = self._local.get(job_id)
         # A cancellation takes effect here before the owner has read it.
@@ -76,10 +80,9 @@
 
     def _apply_owner(self, _, value):
         ownership = journal.decode(value, journal.Ownership)
-        if self.ownership and ownership.epoch < self.ownership.epoch:
-            raise errors.InvalidRecord(
-                f'epoch {ownership.epoch} is lower than the current epoch'
-            )
+        if self.ownership and _order(ownership) < _order(self.ownership):
+            # Another partition holds a newer record.
+            return None
         self.ownership = ownership
         return StatusChange(journal.OWNER)
 
@@ -110,15 +113,16 @@
             self.daemons.pop(name, None)
         return StatusChange(journal.DAEMON)
 
-    def retain(self, keys):
-        """Drop the statuses whose keys are not among those of a whole load.
+    def retain(self, source, keys):
+        """Drop the statuses that are in no partition after a whole load.
 
+        :param source: name of the partition that was loaded
+        :param keys: the keys that it holds
         :returns: the ids of their jobs
         """
+        self._offsets[source].retain(keys)
         dropped = [
-            job_id
-            for job_id in self.stored
-            if f'{journal.STATUS}/{job_id}' not in keys
+            job_id for job_id in self.stored if not self.sources_of(job_id)
         ]
         for job_id in dropped:
             self._count(job_id, -1)
@@ -126,6 +130,13 @@
             self._count(job_id, 1)
         return dropped
 
+    def sources_of(self, job_id):
+        """Return the names of the partitions that hold the status of a job."""
+        key = f'{journal.STATUS}/{job_id}'
+        return [
+            s for s, offsets in self._offsets.items() if offsets.holds(key)
+        ]
+
     # What callers are told
 
     def find(self, job_id):
@@ -177,3 +188,11 @@
         journal.LOAD: _apply_load,
         journal.DAEMON: _apply_daemon,
     }
+
+
+def _order(ownership):
+    """Return what orders the records of owners, and those of one of them.
+
+    A release is an owner's last record.
+    """
+    return ownership.epoch, ownership.is_released, ownership.number
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/call_handler.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/call_handler.py
@@ -85,7 +85,7 @@
         return (
             parts.log.reachability.is_silent
             or not parts.status_follower.is_loaded
-            or not parts.status_follower.is_available
+            or parts.may_be_turned_away
             or parts.configuration_version < max(1, self._relay.seen_version)
         )
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -79,11 +79,9 @@
         )
 
     def _is_behind(self):
-        return self._is_old(self._parts.owner_view.last_read_done_s)
-
-    def _is_old(self, time_s):
+        read_s = self._parts.status_reader.last_read_s
         now_s = self._parts.clock.monotonic_s()
-        return time_s is None or now_s - time_s > MAX_ANSWER_AGE_S
+        return read_s is None or now_s - read_s > MAX_ANSWER_AGE_S
 
     def require_version(self, version):
         """Check that the configuration in force is new enough.
@@ -288,7 +286,7 @@
             left_s = deadline_s - parts.clock.monotonic_s()
             if left_s < MIN_WAIT_S:
                 raise self._unreadable_jobs()
-            await parts.status_follower.wait_for_read(left_s)
+            await parts.wait_for_statuses(left_s)
 
     async def _read_end(self, partition):
         parts = self._parts
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/candidate.py
@@ -40,7 +40,8 @@
         self._is_stopping = False
         self._owner = None
         self._logged_obstacle = None
-        parts.status_follower.read_pause_s = STATUS_READ_PAUSE_S
+        for follower in parts.status_followers:
+            follower.read_pause_s = STATUS_READ_PAUSE_S
         for follower in parts.jobs_followers:
             follower.read_pause_s = JOBS_READ_PAUSE_S
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/cycle_journal.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/cycle_journal.py
@@ -83,9 +83,11 @@
             return
         self._expiry_due_s = now_s + EXPIRY_PERIOD_S
         retention_s = self._parts.settings.job_retention_s
-        self._publisher.expire(
+        expired = self._publisher.expire(
             now_s, retention_s + RETENTION_MARGIN_S, self.dropper.kept
         )
+        for job_id in expired:
+            self.dropper.drop_spare_statuses(job_id)
 
     async def store_others(self, records):
         """Store further records of the owner without a cycle's.
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/job_dropper.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/job_dropper.py
@@ -24,9 +24,14 @@
         self._is_spread = parts.settings.spare_partitions > 0
         self.cleaner = record_cleaner.RecordCleaner(
             parts.log,
-            self._partitions if self._is_spread else self._partitions[1:],
+            [
+                *self._partitions[0 if self._is_spread else 1 :],
+                *parts.status_partitions[1:],
+            ],
             parts.events,
         )
+        self._board = parts.board
+        self._status_partition = parts.status_follower.partition
         self._jobs_reader = parts.jobs_reader
         self._jobs_partition = parts.jobs_follower.partition
         self._stray_cancellations = []
@@ -36,6 +41,14 @@
         """Containers of the ids of jobs of which records are stored."""
         return self.finished, self.cleaner
 
+    def drop_spare_statuses(self, job_id):
+        """Delete the status of a job where the usual partition is not."""
+        for source in self._board.sources_of(job_id):
+            if source != self._status_partition.name:
+                self.cleaner.add(
+                    job_id, source, [journal.status_deletion_record(job_id)]
+                )
+
     def drop_cancellation(self, job_id):
         """Drop a cancellation of a job that has ended."""
         self._stray_cancellations.append(job_id)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_follower.py
@@ -64,6 +64,8 @@
     :param metrics: counts the pages
     :param wait_s: how long a read waits for new records
     :ivar last_answer_s: when the last page arrived; None before the first
+    :ivar lost_boot_s: when a read last failed after one that was answered, on
+        the clock that counts suspensions
     :ivar confirmed_boot_s: when the last read that reached the end was sent,
         on the clock that counts suspensions; -inf before the first one
     :ivar read_pause_s: pause after a read that returned the last records
@@ -83,6 +85,7 @@
         self.partition = partition
         self.next_offset = 0
         self.last_answer_s = None
+        self.lost_boot_s = -math.inf
         self.confirmed_boot_s = -math.inf
         self.read_pause_s = 0.0
         self._log = log
@@ -108,6 +111,10 @@
         """Return whether the last read was answered."""
         return not self._is_unavailable
 
+    def has_read(self, offset):
+        """Return whether all records before an offset were read."""
+        return self.next_offset >= offset and self.is_loaded
+
     def reload(self):
         """Load again from the first key; a page under way is discarded."""
         self._load = _Load()
@@ -125,8 +132,11 @@
                 self.reload()
             except errors.PlatformError as error:
                 self._note_error(error)
-                await self._log.reachability.pause(retry_s)
-                retry_s = min(MAX_RETRY_S, max(RETRY_S, retry_s * 2))
+                reachability = self._log.reachability
+                await reachability.pause(retry_s)
+                # A partition that alone is away comes back unannounced.
+                limit_s = MAX_RETRY_S if reachability.is_silent else RETRY_S
+                retry_s = min(limit_s, max(RETRY_S, retry_s * 2))
 
     def _note_error(self, error):
         self._metrics.note_failed_read(self.partition.name)
@@ -235,6 +245,7 @@
 
     def _note_unavailable(self, error):
         if not self._is_unavailable:
+            self.lost_boot_s = self._clock.boot_s()
             self._events.write(
                 'dependency_lost',
                 dependency=self.partition.name,
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_probe.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/log_probe.py
@@ -1,6 +1,7 @@
 """Asks a log that answers nothing whether it is back."""
 
 import asyncio
+import itertools
 
 from hawthorndeal_fleet import errors
 
@@ -14,14 +15,14 @@
     may only be slow.
 
     :param log: a :class:`keyed_log.KeyedLog`
-    :param partition: partition whose end is read
+    :param partitions: partitions whose ends are read in turn
     """
 
     name = 'log probe'
 
-    def __init__(self, log, partition):
+    def __init__(self, log, partitions):
         self._log = log
-        self._partition = partition
+        self._partitions = itertools.cycle(partitions)
         self._probes = set()
 
     async def run(self):
@@ -42,7 +43,7 @@
 
     async def _probe(self):
         try:
-            await self._log.end(self._partition, 0)
+            await self._log.end(next(self._partitions), 0)
         except errors.PlatformError:
             # The next probe is sent anyway.
             return
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 import math
 
 import attrs
@@ -85,13 +86,21 @@
         self.tracker = executor_tracker.ExecutorTracker(self, parts.metrics)
         # Claims are stored in the partition of the statuses, so only appends
         # to it confirm that no other daemon has claimed the ownership.
+        self._status_writer = self._make_spread_writer(
+            parts.status_followers, parts.status_followers[:1]
+        )
         self._publisher = status_publisher.StatusPublisher(
-            parts, self, self._make_writer(parts.status_follower, True)
+            parts, self, self._status_writer
         )
         # With spare partitions, a successor fences the partitions of the jobs
         # before it orders hosts, and finds the intents there.
         self._is_spread = parts.settings.spare_partitions > 0
-        jobs_writer = self._make_jobs_writer()
+        followers = parts.jobs_followers
+        jobs_writer = (
+            self._make_spread_writer(followers, followers)
+            if self._is_spread
+            else self._make_spread_writer(followers[:1], ())
+        )
         self._journal = cycle_journal.CycleJournal(
             parts,
             self.scheduler,
@@ -100,6 +109,7 @@
             term.epoch,
         )
         self.is_at_work = False
+        self._record_numbers = itertools.count(1)
         self._intents = intents
         # When all partitions of the jobs fenced earlier owners.
         self._fenced_s = math.inf
@@ -130,18 +140,21 @@
             confirms_term,
         )
 
-    def _make_jobs_writer(self):
-        parts = self._parts
-        followers = parts.jobs_followers
-        if not self._is_spread:
-            followers = followers[:1]
+    def _make_spread_writer(self, followers, confirming):
+        """Return a writer to the first of some partitions that answers.
+
+        :param confirming: followers of the partitions whose appends confirm
+            the ownership
+        """
         choices = [
             spread_writer.Choice(
-                self._make_writer(follower, self._is_spread), follower
+                self._make_writer(follower, follower in confirming), follower
             )
             for follower in followers
         ]
-        return spread_writer.SpreadWriter(choices, parts.log, self.tasks.spawn)
+        return spread_writer.SpreadWriter(
+            choices, self._parts.log, self.tasks.spawn
+        )
 
     @property
     def epoch(self):
@@ -230,8 +243,14 @@
         Returns early, not at work, if the ownership is to be released.
         """
         parts = self._parts
+        reading = [
+            self.tasks.spawn(self._read_to_end(follower))
+            for follower in parts.status_followers[1:]
+        ]
         while not (
-            parts.entries_follower.is_loaded and parts.jobs_reader.is_read
+            parts.entries_follower.is_loaded
+            and parts.jobs_reader.is_read
+            and all(task.done() for task in reading)
         ):
             await asyncio.sleep(CHECK_PERIOD_S / 5)
             self._raise_if_lost()
@@ -265,6 +284,23 @@
             executors=len(self.scheduler.executors),
         )
 
+    async def _read_to_end(self, follower):
+        """Read what earlier owners have stored in a spare partition."""
+        end = None
+        while end is None or not follower.has_read(end):
+            try:
+                if end is None:
+                    end = await self._parts.log.end(
+                        follower.partition, follower.next_offset
+                    )
+            except errors.PlatformError as error:
+                self.events.write(
+                    'takeover_waits',
+                    partition=follower.partition.name,
+                    why=str(error)[:160],
+                )
+            await asyncio.sleep(CHECK_PERIOD_S / 5)
+
     def _add_job(self, job, age_s):
         """Schedule a job, unless it is a late copy of one that has ended."""
         job.home = self._parts.submission_partition(job.job_id).name
@@ -439,6 +475,8 @@
         delay_s = now_s - reader.read_s(read or homes)
         return attrs.evolve(
             ownership,
+            number=next(self._record_numbers),
+            status_ends=self._status_writer.ends if self._is_spread else (),
             covered_offset=jobs,
             covered_offsets=tuple(submissions),
             delay_s=round(max(0.0, delay_s), 2),
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/parts.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/parts.py
@@ -1,5 +1,6 @@
 """Components that the tasks of a scheduling daemon share."""
 
+import asyncio
 import math
 import random
 import uuid
@@ -21,6 +22,9 @@
 JOBS = keyed_log.Partition('hawthorndeal')
 STATUSES = keyed_log.Partition('hawthorndeal', 1)
 SUBMISSIONS_TOPIC = 'hawthorndeal-submissions'
+# Partitions that take statuses while the usual one is away.
+FIRST_SPARE = 2
+SPARE_READ_WAIT_S = 2.0
 # Shorter than the age at which an owner starts nothing any more, with a store
 # that answers slowly.
 SUBMISSIONS_READ_WAIT_S = 0.5
@@ -92,9 +96,8 @@
         self.entries_reader = log_readers.EntriesReader(
             adapter.formats, self.clock, self.events
         )
-        self.status_follower = self._make_follower(
-            STATUSES, self.status_reader
-        )
+        self.status_followers = self._make_status_followers()
+        self.status_follower = self.status_followers[0]
         self.jobs_follower = self._make_jobs_follower(JOBS)
         self.submission_followers = [
             self._make_jobs_follower(partition, SUBMISSIONS_READ_WAIT_S)
@@ -108,11 +111,58 @@
         self.entries_follower = self._make_follower(
             keyed_log.Partition(adapter.entries_topic), self.entries_reader
         )
-        self.log_probe = log_probe.LogProbe(self.log, STATUSES)
+        self.log_probe = log_probe.LogProbe(
+            self.log, [*self.status_partitions, JOBS]
+        )
         self._end_readers = {}
         self.submitter = submitter_module.Submitter(self.log)
         self._owner = None
 
+    def _make_status_followers(self):
+        reader = self.status_reader
+        first = log_readers.FirstStatusPartitionReader(reader, STATUSES.name)
+        followers = [self._make_follower(STATUSES, first)]
+        for number in range(self.settings.spare_partitions):
+            spare = attrs.evolve(STATUSES, number=FIRST_SPARE + number)
+            followers.append(
+                self._make_follower(
+                    spare,
+                    log_readers.SpareStatusPartitionReader(reader, spare.name),
+                    SPARE_READ_WAIT_S,
+                )
+            )
+        reader.followers = {f.partition.name: f for f in followers}
+        return followers
+
+    async def wait_for_statuses(self, timeout_s):
+        """Wait until any partition of the statuses was read, or a timeout."""
+        reads = [
+            asyncio.create_task(follower.wait_for_read(timeout_s))
+            for follower in self.status_followers
+        ]
+        try:
+            await asyncio.wait(reads, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for read in reads:
+                read.cancel()
+
+    @property
+    def may_be_turned_away(self):
+        """Whether the store may serve other daemons, but not this one.
+
+        If it has answered a later read of another partition, the one of the
+        statuses is away for all.
+        """
+        first, *others = [*self.status_followers, self.operators_follower]
+        return not first.is_available and all(
+            other.confirmed_boot_s < first.lost_boot_s for other in others
+        )
+
+    @property
+    def status_partitions(self):
+        """The partitions that may hold statuses, the usual one first."""
+        return [follower.partition for follower in self.status_followers]
+
     def _make_jobs_follower(self, partition, *arguments):
         reader = log_readers.JobsPartitionReader(
             self.jobs_reader, partition.name
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/service.py
@@ -103,7 +103,7 @@
             'daemon',
             [
                 parts.operators_follower,
-                parts.status_follower,
+                *parts.status_followers,
                 parts.log_probe,
                 parts.submitter,
                 web.WebServer(
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
@@ -22,7 +22,7 @@
 
     :param parts: shared components of the daemon
     :param owner: its term is ended if the store fences it
-    :param writer: a :class:`journal_writer.JournalWriter`
+    :param writer: a :class:`spread_writer.SpreadWriter`
     """
 
     def __init__(self, parts, owner, writer):
@@ -80,7 +80,11 @@
 
         :param kept: containers of the ids of jobs of which records are stored
             elsewhere; one that has a record but no status would run again
+        :returns: the ids of the jobs
         """
+        if not self._writer.is_at_first:
+            # A deletion in another partition would have no effect.
+            return []
         since_s = self._parts.status_reader.final_since_s
         self._expiring &= set(since_s)
         expired = [
@@ -92,6 +96,7 @@
         ]
         self._expiring.update(expired)
         self._records += map(journal.status_deletion_record, expired)
+        return expired
 
     async def store(self, records):
         """Store records together with the statuses to publish.
