Search for faults beside partial outages of the store

Random faults now come beside partitions that answer nothing, refuse calls, or store what they were sent when they answer again; and an owner dies while a part of the store is away. Of 16 jobs one still has all of its four among half of the partitions, so that is what the scenario asks for; it asked for 0.99 where the fixed distance happened to avoid the silent ones.

--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -47,6 +47,8 @@
     :ivar unreadable: names of partitions that can't be read
     :ivar silent: names of partitions that answer nothing
     :ivar refusing: names of partitions that refuse all calls
+    :ivar is_late: whether what a silent partition was sent takes effect when
+        it answers again
     """
 
     def __init__(self):
@@ -58,6 +60,8 @@
         self.unreadable = set()
         self.silent = set()
         self.refusing = set()
+        self.is_late = False
+        self._late_appends = []
 
     async def wait_for_read(self, partition, offset, wait_s):
         """Wait for a record at an offset, then for the read latency."""
@@ -79,6 +83,8 @@
         :param end: expected end offset, or None for an unconditional append
         """
         state = self._partitions[partition]
+        if self.is_late and partition.name in self.silent:
+            self._late_appends.append((partition, records, fence, end))
         self._check_available(partition)
         if fence is not None and fence.epoch < state.epoch:
             raise keyed_log.Fenced(f'epoch {fence.epoch}')
@@ -104,6 +110,17 @@
         state.appended = asyncio.Event()
         return offset
 
+    def end_silence(self, names):
+        """Let partitions answer again."""
+        self.silent.difference_update(names)
+        late, self._late_appends = self._late_appends, []
+        for arguments in late:
+            try:
+                self.append(*arguments)
+            except errors.HawthorndealError:
+                # Nobody waits for the answer any more.
+                continue
+
     def _advance_fence(self, state, fence):
         is_newer = fence.epoch > state.epoch
         if not is_newer and fence.sequence != state.sequence + 1:
--- a/features/jobs_partial_outage.feature
+++ b/features/jobs_partial_outage.feature
@@ -43,21 +43,22 @@
       | is silent     | 822  |
       | refuses calls | 823  |
 
+  # Of 16 jobs one has all of its four partitions among half of them.
   @invariant_not_run
   Scenario Outline: Submissions go to other partitions while <which> <kind>
     Given 9 simulated daemons with seed <seed> and spare partitions
     When 20 jobs a second arrive for 8 seconds, and from second 1 on the partition of "<which>" <kind> for 5 seconds
-    Then at least 0.99 of the jobs are accepted within 1 s
-    And at least 0.95 are shown as completed within 3 s
+    Then at least <accepted> of the jobs are accepted within 1 s
+    And at least <shown> are shown as completed within 3 s
     And nothing is stored of the jobs that have ended
     And no invariant was violated
 
     Examples:
-      | which                   | kind          | seed |
-      | one of the submissions  | is silent     | 831  |
-      | half of the submissions | is silent     | 832  |
-      | half of the submissions | is silent     | 833  |
-      | half of the submissions | refuses calls | 834  |
+      | which                   | kind          | seed | accepted | shown |
+      | one of the submissions  | is silent     | 831  | 0.99     | 0.95  |
+      | half of the submissions | is silent     | 832  | 0.93     | 0.93  |
+      | half of the submissions | is silent     | 833  | 0.93     | 0.93  |
+      | half of the submissions | refuses calls | 834  | 0.93     | 0.93  |
 
   @invariant_at_most_once
   Scenario Outline: The owner's records go to another partition while that of the jobs <kind>, seed <seed>
@@ -93,6 +94,50 @@
       | is silent     | 852  |
       | refuses calls | 853  |
 
+  @invariant_at_most_once
+  Scenario Outline: A third of all partitions that <kind> holds up little, seed <seed>
+    Given 9 simulated daemons with seed <seed> and spare partitions
+    When 20 jobs a second arrive for 8 seconds, and from second 1 on the partition of "a third of all" <kind> for 5 seconds
+    Then at least 0.95 of the jobs are accepted within 1 s
+    And at least 0.9 are shown as completed within 3 s
+    And there was a single owner throughout
+    And nothing is stored of the jobs that have ended
+    And no invariant was violated
+
+    Examples:
+      | kind                      | seed |
+      | is silent                 | 861  |
+      | is silent                 | 862  |
+      | is silent and stores late | 863  |
+      | is silent and stores late | 864  |
+      | refuses calls             | 865  |
+      | refuses calls             | 866  |
+
+  @invariant_at_most_once
+  Scenario Outline: An owner that dies while partitions <kind> is followed at their return, seed <seed>
+    Given 9 simulated daemons with seed <seed> and spare partitions
+    When 20 jobs a second arrive for 6 seconds, and from second 1 on the partition of "a third of all" <kind> for 5 seconds
+    And 20 jobs a second arrive for 6 seconds, and the owner dies 2 seconds after the partition of "<which>" <kind> for 4 seconds
+    Then every job is shown as completed 8 seconds later
+    And no task started more than once
+    And nothing is stored of the jobs that have ended
+    And no invariant was violated
+
+    Examples:
+      | which                     | kind                      | seed |
+      | the jobs                  | is silent                 | 871  |
+      | the jobs                  | is silent and stores late | 872  |
+      | the statuses              | is silent and stores late | 873  |
+      | the jobs and the statuses | is silent and stores late | 874  |
+      | half of the submissions   | is silent and stores late | 875  |
+      | a third of all            | is silent and stores late | 876  |
+      | a third of all            | refuses calls             | 877  |
+
+  @invariant_at_most_once @search
+  Scenario: Random faults beside partial outages violate no invariant
+    When simulations with random faults and partial outages of seeds 880 to 889 run
+    Then no simulation violated an invariant or left a job unfinished
+
   @invariant_not_run
   Scenario Outline: The outcome of a record is told truly: its own partition is <own>, the other one <other>
     When a record is appended while its own partition is <own>, and the other one <other>
--- a/features/stage/fault_search.py
+++ b/features/stage/fault_search.py
@@ -19,6 +19,7 @@
 RECOVERY_S = 32.0
 FAULT_DURATION_S = (0.5, 5.0)
 DEADLY_DELAY_S = 0.01
+SILENCED_SHARE = 0.35
 MAX_TRIES = 40
 
 
@@ -242,11 +243,35 @@
             duration_s, lambda: setattr(self.world.store, 'is_down', False)
         )
 
+    async def _do_silence_partitions(self, duration_s):
+        """Let some partitions answer nothing, or refuse all calls."""
+        store, parts = self.world.store, self.world.daemons[0].parts
+        followers = [
+            *parts.status_followers,
+            *parts.jobs_followers,
+            parts.operators_follower,
+            parts.entries_follower,
+        ]
+        names = [
+            follower.partition.name
+            for follower in followers
+            if self._rng.random() < SILENCED_SHARE
+        ]
+        store.is_late = self._rng.random() < 0.5
+        if self._rng.random() < 0.5:
+            store.silent.update(names)
+            self._call_after(duration_s, lambda: store.end_silence(names))
+        else:
+            store.refusing.update(names)
+            self._call_after(
+                duration_s, lambda: store.refusing.difference_update(names)
+            )
+
     async def _do_compact_log(self, duration_s):
         parts = self.world.daemons[0].parts
         for follower in (
-            parts.status_follower,
-            parts.jobs_follower,
+            *parts.status_followers,
+            *parts.jobs_followers,
             parts.entries_follower,
         ):
             self.world.store.compact(follower.partition)
@@ -277,7 +302,7 @@
     async def _do_store_stale_entry(self, duration_s):
         """Store an entry of an executor that no longer exists."""
         ended = [e for e in self.world.executors.values() if e.is_gone]
-        if ended and not self.world.store.is_down:
+        if ended and self.world.store.is_available(job_world.ENTRIES):
             self.world.store_entry(self._rng.choice(ended).entry)
 
     def _choose_executor(self):
@@ -328,11 +353,13 @@
 
 
 CAPACITY_KINDS = ('resize_executor',)
+PARTITION_KINDS = ('silence_partitions',)
 DEADLY_KINDS = ('submit_deadly',)
 ALL_KINDS = tuple(
     name.removeprefix('_do_')
     for name in vars(_FaultRun)
-    if name[:4] == '_do_' and name[4:] not in (*CAPACITY_KINDS, *DEADLY_KINDS)
+    if name[:4] == '_do_'
+    and name[4:] not in (*CAPACITY_KINDS, *DEADLY_KINDS, *PARTITION_KINDS)
 )
 
 
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -565,7 +565,10 @@
 
     async def state(self, daemon, pool, job_id):
         """Return the state of a job that a daemon reports."""
-        queue = daemon.parts.configuration_reader.configuration.queues[pool]
+        configuration = daemon.parts.configuration_reader.configuration
+        if configuration is None:
+            return errors.NotReady.reason
+        queue = configuration.queues[pool]
         try:
             access = daemon.interface.authorize(queue, self.keys.get(pool))
             status = await daemon.interface.find(access, job_id)
--- a/features/steps/jobs_partial_outage.py
+++ b/features/steps/jobs_partial_outage.py
@@ -13,11 +13,12 @@
 from hawthorndeal_jobs import journal
 from hawthorndeal_platform import keyed_log
 from hawthorndeal_scheduler import submitter
+from stage import fault_search
 from stage import job_world
 from stage import virtual_time
 
 SUBMISSION_PARTITIONS = 16
-SPARE_PARTITIONS = 2
+SPARE_PARTITIONS = 3
 TASKS = 2
 ESTIMATE_S = 0.3
 ASK_PERIOD_S = 0.2
@@ -94,12 +95,14 @@
 
 def _set_away(context, which, kind, is_away):
     store = context.world.store
-    away = {'is silent': store.silent, 'refuses calls': store.refusing}[kind]
     if is_away:
         context.away_names = _names(context, which)
+        store.is_late = kind == 'is silent and stores late'
+        away = store.refusing if kind == 'refuses calls' else store.silent
         away.update(context.away_names)
     else:
-        away.difference_update(context.away_names)
+        store.refusing.difference_update(context.away_names)
+        store.end_silence(context.away_names)
 
 
 @when(
@@ -117,6 +120,27 @@
     context.runner.run(run())
 
 
+@when(
+    '{rate:d} jobs a second arrive for {seconds:g} seconds, and the owner '
+    'dies {at_s:g} seconds after the partition of "{which}" {kind} for '
+    '{away_s:g} seconds'
+)
+def submit_beside_death(context, rate, seconds, at_s, which, kind, away_s):
+    async def kill_owner():
+        await asyncio.sleep(1.0 + at_s)
+        await context.world.owner.restart()
+
+    async def run():
+        outage = asyncio.create_task(
+            _interrupt_later(context, which, kind, 1.0, away_s)
+        )
+        death = asyncio.create_task(kill_owner())
+        await _submit_and_watch(context, rate, seconds)
+        await asyncio.gather(outage, death)
+
+    context.runner.run(run())
+
+
 async def _interrupt_later(context, which, kind, at_s, away_s):
     await asyncio.sleep(at_s)
     context.away_s = context.world.now_s(), context.world.now_s() + away_s
@@ -135,13 +159,14 @@
 async def _submit_and_watch(context, rate, seconds):
     context.sent_s, context.accepted_s, context.shown_s = {}, {}, {}
     tasks = []
-    for number in range(int(rate * seconds)):
+    first = len(context.jobs)
+    for number in range(first, first + int(rate * seconds)):
         tasks.append(asyncio.create_task(_use_job(context, f'j{number}')))
         await asyncio.sleep(1 / rate)
     await asyncio.sleep(WATCH_S)
     for task in tasks:
         task.cancel()
-    # An error of a step is one of the scenario.
+
     for result in await asyncio.gather(*tasks, return_exceptions=True):
         if isinstance(result, Exception):
             raise result
@@ -188,6 +213,41 @@
     assert found >= share, found
 
 
+@then('every job is shown as completed {later_s:g} seconds later')
+def check_all_shown(context, later_s):
+    world = context.world
+
+    async def states():
+        await asyncio.sleep(later_s)
+        return {
+            job_id: await world.state(world.daemons[0], 'web', job_id)
+            for job_id in context.jobs
+        }
+
+    others = {
+        job_id: state
+        for job_id, state in context.runner.run(states()).items()
+        if state != 'completed'
+    }
+    assert not others, others
+
+
+@when(
+    'simulations with random faults and partial outages of seeds {first:d} to '
+    '{last:d} run'
+)
+def run_searches(context, first, last):
+    limits = {
+        'submission_partitions': 4,
+        'spare_partitions': SPARE_PARTITIONS,
+    }
+    kinds = fault_search.ALL_KINDS + fault_search.PARTITION_KINDS * 6
+    context.verdicts = [
+        fault_search.run_with_faults(seed, kinds, [limits] * 3)
+        for seed in range(first, last + 1)
+    ]
+
+
 @then('during the outage no {limit_s:g} s pass without a start')
 def check_starts(context, limit_s):
     begin_s, end_s = context.away_s
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -338,21 +338,27 @@
 
     Each repeat lands in the same one, wherever it is sent.
     """
-    digest = hashlib.blake2b(job_id.encode(), digest_size=DIGEST_BYTES)
-    return int.from_bytes(digest.digest()) % count
+    return int.from_bytes(_digest(job_id)) % count
 
 
-def spare_submission_partitions(number, count, spares):
-    """Return where records of a partition go that doesn't answer.
+def _digest(text):
+    return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
+
+
+def spare_submission_partitions(job_id, count, spares):
+    """Return where a job's records go while its own partition is away.
+
+    They differ from job to job, so that no pattern of partitions that are
+    away together hits all jobs of one.
 
-    :param number: number of the partition
     :param count: number of partitions
     :param spares: how many others to return, at most
     :returns: their numbers, in the order to try them
     """
-    spares = min(spares, count - 1)
-    stride = max(1, count // (spares + 1))
-    return [(number + i * stride) % count for i in range(1, spares + 1)]
+    own = submission_partition(job_id, count)
+    others = [number for number in range(count) if number != own]
+    others.sort(key=lambda number: _digest(f'{job_id}/{number}'))
+    return others[:spares]
 
 
 def decode(value, kind):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/parts.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/parts.py
@@ -222,7 +222,7 @@
             return [JOBS]
         count = self.owner_view.submission_partitions
         spares = journal.spare_submission_partitions(
-            own.number,
+            job_id,
             len(self.submission_partitions) if count is None else count,
             self.settings.spare_partitions,
         )
