--- a/features/jobs_transport.feature
+++ b/features/jobs_transport.feature
@@ -25,3 +25,8 @@
     Given a server that takes no more connections
     When it is called by a client that connects within 0.25 s
     Then the call is told as not sent within 0.6 s
+
+  Scenario: Calls to silent partitions of the store keep none to others waiting
+    Given a store whose partitions 0 to 6 of 16 answer nothing
+    When a daemon reads all partitions, and appends twice to each silent one, for 3 s
+    Then appends to partition 9 are answered within 0.5 s meanwhile
--- a/features/steps/jobs_transport.py
+++ b/features/steps/jobs_transport.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import contextlib
+import json
+import re
 import socket
+import struct
 import time
 
 import attrs
@@ -11,9 +14,13 @@
 from behave import when
 
 from hawthorndeal_fleet import errors
+from hawthorndeal_platform import keyed_log
 from hawthorndeal_platform import transport
+from hawthorndeal_site import store as store_adapter
 
 PARTS = 6
+READ_WAIT_S = 0.3
+APPEND_PAUSE_S = 0.05
 PART = b'x' * 1000
 HEAD = f'HTTP/1.1 200 OK\r\nContent-Length: {PARTS * len(PART)}\r\n\r\n'
 
@@ -139,3 +146,85 @@
 def check_not_sent(context, limit_s):
     assert isinstance(context.error, errors.PlatformUnavailable), context.error
     assert context.took_s <= limit_s, context.took_s
+
+
+@attrs.frozen
+class _PartlySilentStore:
+    """Store that answers no calls to its first partitions."""
+
+    silent: int
+
+    async def serve(self, reader, writer):
+        """Serve the calls of one connection until the client closes it."""
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                await self._serve_call(reader, writer)
+        writer.close()
+
+    async def _serve_call(self, reader, writer):
+        head = (await reader.readuntil(b'\r\n\r\n')).decode()
+        length = re.search(r'Content-Length: (\d+)', head)
+        await reader.readexactly(int(length[1]) if length else 0)
+        if int(re.search(r'part=(\d+)', head)[1]) < self.silent:
+            await reader.read()
+            return
+        body = json.dumps({'offset': 0}).encode()
+        if 'log-read' in head:
+            await asyncio.sleep(READ_WAIT_S)
+            body = struct.pack('>QQ', 0, 0)
+        answer = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+        writer.write(answer.encode() + body)
+        await writer.drain()
+
+
+@given('a store whose partitions 0 to {last:d} of {count:d} answer nothing')
+def make_store(context, last, count):
+    context.silent, context.count = last + 1, count
+
+
+@when(
+    'a daemon reads all partitions, and appends twice to each silent one, for '
+    '{seconds:g} s'
+)
+def use_store(context, seconds):
+    context.took_s = asyncio.run(_use_store(context, seconds))
+
+
+async def _use_store(context, seconds):
+    server = _PartlySilentStore(context.silent)
+    listening = await asyncio.start_server(server.serve, '127.0.0.1')
+    host, port = listening.sockets[0].getsockname()
+    client = store_adapter.make_client(context.count, 0)
+    log = store_adapter.Store(client, f'{host}:{port}')
+    partitions = [keyed_log.Partition('x', n) for n in range(context.count)]
+    silent = partitions[: context.silent]
+    busy = [asyncio.create_task(_read(log, p)) for p in partitions]
+    busy += [asyncio.create_task(_append(log, p)) for p in silent * 2]
+    took_s = []
+    end_s = time.monotonic() + seconds
+    while time.monotonic() < end_s:
+        begun_s = time.monotonic()
+        await log.append(partitions[9], [])
+        took_s.append(time.monotonic() - begun_s)
+        await asyncio.sleep(APPEND_PAUSE_S)
+    for task in busy:
+        task.cancel()
+    await client.close()
+    listening.close()
+    return took_s
+
+
+async def _read(log, partition):
+    while True:
+        with contextlib.suppress(errors.PlatformError):
+            await log.read(partition, 0, READ_WAIT_S)
+
+
+async def _append(log, partition):
+    with contextlib.suppress(errors.PlatformError):
+        await log.append(partition, [])
+
+
+@then('appends to partition 9 are answered within {limit_s:g} s meanwhile')
+def check_appends(context, limit_s):
+    assert max(context.took_s) <= limit_s, max(context.took_s)
