Move hosts while the report of a wave is not taken

The report that a wave begins or is completed was awaited in the cycle that moves hosts, and repeated in each one until it was taken: while the operators' partition of reports answered nothing, no host moved and no other wave went on. Reports go beside the cycle now, in order for each wave, and a wave is stored as completed once its report was taken, as before. The scenario failed before: no host moved within a second of a burst.

--- a/features/jobs_partial_outage.feature
+++ b/features/jobs_partial_outage.feature
@@ -138,6 +138,19 @@
     When simulations with random faults and partial outages of seeds 880 to 889 run
     Then no simulation violated an invariant or left a job unfinished
 
+  Scenario: Hosts move and waves go on while reports on waves are not taken
+    Given 3 simulated daemons with seed 891 and spare partitions
+    When reports on waves get no answer
+    And a wave over its pool is requested, 16 at once, within 1 seconds
+    And 8 seconds pass
+    Then every host of the wave was maintained
+    When 60 jobs of 16 tasks are submitted to "ci" at once
+    And 1 seconds pass
+    Then a host was moved to "ci" within this second
+    When reports on waves are taken again
+    And 7 seconds pass
+    Then the wave is reported as completed
+
   @invariant_not_run
   Scenario Outline: The outcome of a record is told truly: its own partition is <own>, the other one <other>
     When a record is appended while its own partition is <own>, and the other one <other>
--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -536,6 +536,8 @@
         And 1 seconds pass
         And the partition of "the statuses" is silent for 3 seconds
         And the partition of "the jobs" is silent for 3 seconds
+        And a wave is not reported at first
+        And an owner takes over while a spare partition is silent
         And 2 seconds pass
     """)
 
@@ -547,6 +549,36 @@
     )
 
 
+@when('a wave is not reported at first')
+def report_late(context):
+    world = context.world
+
+    async def report_wave(number, is_completed):
+        del world.report_wave
+        raise errors.OutcomeUnknown('no answer')
+
+    world.report_wave = report_wave
+    world.add_wave(2, ['web-h0'], 5.0, 1)
+    context.runner.run(asyncio.sleep(1.0))
+
+
+@when('an owner takes over while a spare partition is silent')
+def take_over_beside_silence(context):
+    limits = {'submission_partitions': 2, 'spare_partitions': 1}
+
+    async def run():
+        world = job_world.World(23, limits=[limits] * 2)
+        await world.start()
+        spare = world.daemons[0].parts.status_partitions[1]
+        world.store.silent.add(spare.name)
+        await world.owner.kill()
+        await asyncio.sleep(4.0)
+        await world.stop()
+        return world.log
+
+    context.world.log += context.runner.run(run())
+
+
 @when("the jobs can't be read for {seconds:d} seconds")
 def hide_jobs(context, seconds):
     unreadable = context.world.store.unreadable
--- a/features/steps/jobs_partial_outage.py
+++ b/features/steps/jobs_partial_outage.py
@@ -248,6 +248,30 @@
     ]
 
 
+@when('reports on waves get no answer')
+def block_reports(context):
+    async def report_wave(number, is_completed):
+        await asyncio.sleep(keyed_log.APPEND_TIMEOUT_S)
+        raise errors.OutcomeUnknown('no answer')
+
+    context.world.report_wave = report_wave
+
+
+@when('reports on waves are taken again')
+def take_reports(context):
+    del context.world.report_wave
+
+
+@then('a host was moved to "{pool}" within this second')
+def check_moved(context, pool):
+    since_s = context.world.now_s() - 1.0
+    assert any(
+        kind == 'host_moved' and fields['to_pool'] == pool
+        for time_s, _, kind, fields in context.world.log
+        if time_s >= since_s
+    )
+
+
 @then('during the outage no {limit_s:g} s pass without a start')
 def check_starts(context, limit_s):
     begin_s, end_s = context.away_s
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
@@ -11,6 +11,7 @@
 from hawthorndeal_platform import host_orders
 
 from . import displacer as displacer_module
+from . import wave_reporter
 
 
 class WaveController:
@@ -28,6 +29,9 @@
         self._inventory = inventory
         self._order_sender = order_sender
         self._displacer = displacer_module.Displacer(owner)
+        self._reporter = wave_reporter.WaveReporter(
+            parts.wave_reports, owner.tasks.spawn, parts.events
+        )
         self._blocked = collections.defaultdict(list)
         self._changed_waves = set()
         # Newer than what the board has read back from the store.
@@ -58,12 +62,13 @@
             progress = journal.WaveRecord([], self._parts.clock.now_s())
             self._wave_records[wave.number] = progress
             self._changed_waves.add(wave.number)
-            await self._report_progress(wave.number, False)
+            self._reporter.report(wave.number, False)
         if progress.is_completed:
             return
         gone = set(wave.hosts) - set(self._inventory.entries)
         if wave_planning.is_completed(wave, progress.begun, gone):
-            await self._complete(wave)
+            if self._reporter.report(wave.number, True):
+                self._complete(wave)
             return
         plan = wave_planning.plan_wave(
             self._wave_progress(wave, progress),
@@ -170,14 +175,10 @@
             on_success,
         )
 
-    async def _complete(self, wave):
-        await self._report_progress(wave.number, True)
+    def _complete(self, wave):
         progress = attrs.evolve(
             self._wave_records[wave.number], is_completed=True
         )
         self._wave_records[wave.number] = progress
         self._changed_waves.add(wave.number)
         self._owner.events.write('wave_completed', wave=wave.number)
-
-    async def _report_progress(self, number, is_completed):
-        await self._parts.wave_reports.report_wave(number, is_completed)
