--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -396,8 +396,7 @@
         if executor.is_gone:
             return
         if not executor.is_cut and self.store.is_available(ENTRIES):
-            entry = attrs.evolve(executor.entry, clock_s=executor.clock_s())
-            self.store_entry(entry)
+            self.store_entry(executor.entry)
         self.loop.call_later(
             HEARTBEAT_INTERVAL_S, self._send_heartbeat, executor
         )
--- a/features/stage/scheduler_model.py
+++ b/features/stage/scheduler_model.py
@@ -115,9 +115,7 @@
             replica, scheduler_harness.CONFIGURATION
         )
         for executor in self.hosts:
-            self._scheduler.update_executor(
-                self._current_entry(executor), self._now_s
-            )
+            self._scheduler.update_executor(executor.entry, self._now_s)
         self._scheduler.inherit(
             self._now_s,
             ownership.inherited_lease_expiry_s(self._now_s, LEASE_S),
@@ -141,9 +139,6 @@
         self.executors[entry.executor_id] = executor
         self.hosts[host] = executor
 
-    def _current_entry(self, executor):
-        return attrs.evolve(executor.entry, clock_s=executor.clock_s())
-
     def _tracked_executor(self, executor):
         return self._scheduler.executors.get(executor.entry.executor_id)
 
@@ -305,9 +300,7 @@
         self._start_executor(host)
         executor_id = ended.entry.executor_id
         self._scheduler.remove_executor(executor_id, self._now_s)
-        self._scheduler.update_executor(
-            self._current_entry(self.hosts[host]), self._now_s
-        )
+        self._scheduler.update_executor(self.hosts[host].entry, self._now_s)
 
     # Calls
 
--- a/features/steps/jobs_host_inventory.py
+++ b/features/steps/jobs_host_inventory.py
@@ -95,7 +95,6 @@
             'z',
             CAPACITY,
             host=host,
-            clock_s=1.0,
         )
         context.owner.scheduler.update_executor(entry, context.owner.now_s())
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -26,7 +26,6 @@
 
     :ivar executor_id: identifies one incarnation of the executor on a host
     :ivar host: host that it runs on; empty if unknown
-    :ivar clock_s: the executor's monotonic clock when it wrote the entry
     :ivar remaining_s: minimum time left before it shuts down, if it is leaving
     """
 
@@ -40,7 +39,6 @@
     host: str = ''
     is_leaving: bool = False
     remaining_s: float = 0.0
-    clock_s: float | None = None
 
 
 @attrs.define(eq=False)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -181,8 +181,6 @@
             self._index.replace_entry(executor, entry)
         executor.missing_since_s = None
         executor.last_contact_s = max(executor.last_contact_s, now_s)
-        if entry.clock_s is not None:
-            executor.update_clock(entry.clock_s, now_s)
         self.steps.pools_to_schedule.add(entry.pool)
         return executor
 
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/transport.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/transport.py
@@ -56,7 +56,9 @@
         """
         plain = self.json(path)
         if not isinstance(plain, dict):
-            raise errors.OutcomeUnknown(f'{path}: {plain!r:.80}')
+            raise errors.OutcomeUnknown(
+                f'{path}: expected an object, got a {type(plain).__name__}'
+            )
         return plain
 
     def json_int(self, path, name):
@@ -66,7 +68,9 @@
         """
         number = self.json_object(path).get(name)
         if not isinstance(number, int) or isinstance(number, bool):
-            raise errors.OutcomeUnknown(f'{path}: {name} is {number!r:.80}')
+            raise errors.OutcomeUnknown(
+                f'{path}: {name} is a {type(number).__name__}'
+            )
         return number
 
 
@@ -127,6 +131,10 @@
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
+            # Raised before anything is sent, as are texts that can't be
+            # encoded.
+            aiohttp.InvalidURL,
+            UnicodeError,
         ) as error:
             raise errors.PlatformUnavailable(f'{url}: {error}') from error
         except (aiohttp.ClientError, OSError) as error:
