Ask a partition that alone was away again at the pace of the others

A read of a partition that answered nothing waited longer after each one that failed, as if the whole store had become slow, though other partitions answered. While other calls are answered, the wait follows their latency.

The scenarios of partial outages now also check that no daemon says that an accepted job doesn't exist.

--- a/features/jobs_partial_outage.feature
+++ b/features/jobs_partial_outage.feature
@@ -43,6 +43,20 @@
       | is silent     | 822  |
       | refuses calls | 823  |
 
+  Scenario Outline: The entries of executors are read soon after they were away, seed <seed>
+    Given 9 simulated daemons with seed <seed> and spare partitions
+    When 20 jobs a second arrive for 9 seconds, and from second 1 on the partition of "the entries" <kind> for 5 seconds
+    Then a task starts within 0.3 seconds of the return of the partitions
+    And there was a single owner throughout
+    And no invariant was violated
+
+    Examples:
+      | kind          | seed |
+      | is silent     | 825  |
+      | is silent     | 826  |
+      | is silent     | 827  |
+      | refuses calls | 828  |
+
   # Of 16 jobs one has all of its four partitions among half of them.
   @invariant_not_run
   Scenario Outline: Submissions go to other partitions while <which> <kind>
--- a/features/steps/jobs_partial_outage.py
+++ b/features/steps/jobs_partial_outage.py
@@ -158,6 +158,7 @@
 
 async def _submit_and_watch(context, rate, seconds):
     context.sent_s, context.accepted_s, context.shown_s = {}, {}, {}
+    context.unknown = []
     tasks = []
     first = len(context.jobs)
     for number in range(first, first + int(rate * seconds)):
@@ -170,6 +171,8 @@
     for result in await asyncio.gather(*tasks, return_exceptions=True):
         if isinstance(result, Exception):
             raise result
+    # No daemon may tell that an accepted job doesn't exist.
+    assert not context.unknown, context.unknown
 
 
 async def _use_job(context, job_id):
@@ -188,9 +191,12 @@
     while True:
         await asyncio.sleep(ASK_PERIOD_S)
         daemon = _rng(context).choice(world.daemons)
-        if await world.state(daemon, 'web', job_id) == 'completed':
+        state = await world.state(daemon, 'web', job_id)
+        if state == 'completed':
             context.shown_s[job_id] = world.now_s()
             return
+        if state == 'unknown':
+            context.unknown.append((job_id, daemon.name, world.now_s()))
 
 
 def _share_within(context, times_s, limit_s):
@@ -320,6 +326,19 @@
     assert not kept, kept
 
 
+@then(
+    'a task starts within {limit_s:g} seconds of the return of the partitions'
+)
+def check_resumed(context, limit_s):
+    returned_s = context.away_s[1]
+    started_s = min(
+        time_s
+        for time_s, _, kind, _ in context.world.log
+        if kind == 'run_started' and time_s > returned_s
+    )
+    assert started_s - returned_s <= limit_s, started_s - returned_s
+
+
 @then('a claim follows within {limit_s:g} seconds of the return')
 def check_claim(context, limit_s):
     world = context.world
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
@@ -216,9 +216,13 @@
         the call is sent again when it answers others after a silence
     :raises errors.OutcomeUnknown: no answer arrived in time
     """
+    silence_s = latency.delay_s
+    if reachability is not None and not reachability.is_silent:
+        # Answers to others show that the callee has not become slower.
+        silence_s = latency.usual_delay_s
     try:
         page, began_after_s = await _send_read(
-            lambda: send(wait_s + latency.delay_s), reachability
+            lambda: send(wait_s + silence_s), reachability
         )
     except errors.OutcomeUnknown:
         latency.record_timeout()
