Wait for an answer as long as a slow store takes it, also beside a silent partition

Reads no longer adapted to a store whose reads take 0.4 s or longer: while small probes were answered, each read was given up after 0.25 s, so that half of the submissions were refused (scenarios of jobs_store_return). Now a read that fails lengthens the wait of the next ones unless another read was answered while it waited. The 0.3 s from the return of the entries to the next start are kept.

--- a/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/hedging.py
@@ -35,11 +35,13 @@
     gradually.
 
     :ivar min_delay_s: an answer is never overdue earlier
+    :ivar answers: number of answers so far
     """
 
     min_delay_s: float = MIN_DELAY_S
     _typical_s: float = INITIAL_LATENCY_S
     _consecutive_timeouts: int = 0
+    answers: int = attrs.field(default=0, init=False)
 
     @property
     def delay_s(self):
@@ -64,6 +66,7 @@
     def reset_timeouts(self):
         """Record an answer whose latency is not known."""
         self._consecutive_timeouts = 0
+        self.answers += 1
 
     def record_latency(self, took_s):
         """Record the latency of an answer."""
@@ -216,16 +219,15 @@
         the call is sent again when it answers others after a silence
     :raises errors.OutcomeUnknown: no answer arrived in time
     """
-    silence_s = latency.delay_s
-    if reachability is not None and not reachability.is_silent:
-        # Answers to others show that the callee has not become slower.
-        silence_s = latency.usual_delay_s
+    answers = latency.answers
     try:
         page, began_after_s = await _send_read(
-            lambda: send(wait_s + silence_s), reachability
+            lambda: send(wait_s + latency.delay_s), reachability
         )
     except errors.OutcomeUnknown:
-        latency.record_timeout()
+        # Answers to others meanwhile show that the callee is not slower.
+        if latency.answers == answers:
+            latency.record_timeout()
         raise
     if reachability is not None:
         reachability.note_answer()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/parts.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/parts.py
@@ -24,7 +24,7 @@
 SUBMISSIONS_TOPIC = 'hawthorndeal-submissions'
 # Partitions that take statuses while the usual one is away.
 FIRST_SPARE = 2
-SPARE_READ_WAIT_S = 2.0
+SPARE_READ_WAIT_S = 5.0
 # Shorter than the age at which an owner starts nothing any more, with a store
 # that answers slowly.
 SUBMISSIONS_READ_WAIT_S = 0.5
