Count ends and clocks anew for an executor that begins again under its id

The pages of the platform say that an executor may start again under the id that it had, knowing nothing of before, and that its polls tell its birth. Ends of the new incarnation have low numbers again: an owner took them for processed, told the executor to forget them, missed the runs, and started their tasks again after an end that it had taken note of (at most once). Its clock, too, was taken for an old reading, so that leases were granted too long.

A poll that tells a later birth ends what the earlier incarnation ran, but for the runs that it lists, and starts the counts anew; an earlier birth is an answer that came late. After a failed poll no ends are told to be forgotten. An entry with a later birth keeps tasks away until a poll tells what runs there.

--- a/features/fakes/task_executors.py
+++ b/features/fakes/task_executors.py
@@ -60,6 +60,7 @@
         self.runs = {}
         self._world = world
         self._rate = clock_rate
+        self._clock_begin_s = 0.0
         self._fence_epoch = 0
         self._deadline_s = 0.0
         self._ends = []
@@ -67,6 +68,8 @@
         self._max_rejected = {}
         # Earlier capacities, and until when each counts.
         self._former_capacities = []
+        # Counted like milliseconds, so that a later birth is a higher number.
+        self.born_ms = 1
 
     def resize(self, capacity):
         """Change the capacity; the next heartbeat tells it."""
@@ -86,7 +89,9 @@
 
     def clock_s(self):
         """Return the time of the executor's monotonic clock."""
-        return 1000.0 + self._world.now_s() * self._rate
+        return (
+            1000.0 + (self._world.now_s() - self._clock_begin_s) * self._rate
+        )
 
     def advance(self):
         """Advance all runs to the current time."""
@@ -137,6 +142,18 @@
         self.is_gone = True
         self.runs.clear()
 
+    def restart(self):
+        """Crash, and begin again under the same id, knowing nothing."""
+        self.advance()
+        self.runs.clear()
+        self.born_ms += 1
+        self.entry = attrs.evolve(self.entry, born_ms=self.born_ms)
+        self._fence_epoch = self._sequence = 0
+        self._deadline_s = 0.0
+        self._ends = []
+        self._max_rejected = {}
+        self._clock_begin_s = self._world.now_s()
+
     def _check(self, epoch):
         if self.is_gone and not self._world.is_host_up(self.entry.host):
             raise errors.PlatformUnavailable('connection refused')
@@ -261,12 +278,19 @@
             await asyncio.sleep(timeout_s)
             raise errors.OutcomeUnknown('the executor is unreachable')
 
+        born_ms = executor.born_ms
+
         async def wait_remotely():
             if wait is not None:
                 await wait(executor)
 
+        def operate():
+            if executor.born_ms != born_ms:
+                raise errors.OutcomeUnknown('the connection was lost')
+            return operation(executor)
+
         return await self._link.call(
-            lambda: operation(executor),
+            operate,
             wait_remotely,
             timeout_s,
             sent_bytes,
@@ -291,11 +315,12 @@
     async def poll(self, target, epoch, last_recorded_end, deadline_s, wait_s):
         """Renew the lease of an executor and poll the state of its runs."""
         sent_s = self._world.now_s()
-        running, ended, clock_s = await self._call(
+        running, ended, clock_s, born_ms = await self._call(
             target,
             lambda e: (
                 *e.poll(epoch, last_recorded_end, deadline_s),
                 e.clock_s(),
+                e.born_ms,
             ),
             lambda e: e.wait(last_recorded_end, wait_s),
             wait_s,
@@ -304,7 +329,7 @@
             ),
         )
         return run_state.ExecutorPoll(
-            sent_s, self._world.now_s(), clock_s, running, ended
+            sent_s, self._world.now_s(), clock_s, running, ended, True, born_ms
         )
 
     async def set_pace(self, target, task_id, number, percent, epoch):
@@ -323,4 +348,5 @@
         labels=('a', rack),
         rack=rack,
         host=host,
+        born_ms=1,
     )
--- a/features/jobs_crashes.feature
+++ b/features/jobs_crashes.feature
@@ -132,6 +132,21 @@
     And no task was given up
     And no invariant was violated
 
+  @invariant_at_most_once
+  Scenario Outline: An executor that begins again under its id starts its counts anew, seed <seed>
+    Given simulated daemons with seed <seed>, and 8 hosts in each pool
+    When 8 executors begin again under their ids, 2 s apart, while 40 jobs of 4 and 4 tasks arrive
+    And 12 seconds pass
+    Then every job is reported as completed
+    And no invariant was violated
+
+    Examples:
+      | seed |
+      | 741  |
+      | 742  |
+      | 743  |
+      | 744  |
+
   Scenario: An executor that is only cut off has not crashed
     Given simulated daemons with seed 710
     When 6 jobs of 4 and 4 tasks are submitted
--- a/features/stage/run_checker.py
+++ b/features/stage/run_checker.py
@@ -170,7 +170,8 @@
         """Record the end of a run."""
         if cause is run_state.EndCause.DONE:
             self.done.setdefault(run.task_id, 'ended')
-            row = executor.entry.executor_id, executor._sequence
+            executor_id = executor.entry.executor_id
+            row = executor_id, executor.born_ms, executor._sequence
             self._completed_ends[row] = run.task_id
 
     def check_acknowledged_ends(self, executor, last_end):
@@ -178,9 +179,9 @@
 
         :param last_end: highest acknowledged sequence number
         """
-        for (executor_id, sequence), task_id in self._completed_ends.items():
-            is_own = executor_id == executor.entry.executor_id
-            if not is_own or sequence > last_end:
+        own = executor.entry.executor_id, executor.born_ms
+        for (*incarnation, sequence), task_id in self._completed_ends.items():
+            if tuple(incarnation) != own or sequence > last_end:
                 continue
             if self.done[task_id] != 'acknowledged':
                 self.done[task_id] = 'acknowledged'
--- a/features/steps/jobs_crashes.py
+++ b/features/steps/jobs_crashes.py
@@ -751,3 +751,33 @@
         except errors.InvalidRecord:
             continue
         raise AssertionError(crashes)
+
+
+@when(
+    '{times:d} executors begin again under their ids, {gap_s:g} s apart, '
+    'while {count:d} jobs of {first:d} and {second:d} tasks arrive'
+)
+def restart_executors(context, times, gap_s, count, first, second):
+    world = context.world
+    spec = job_world.chain(first, second)
+
+    async def submit():
+        for number in range(count):
+            job_id = f'r{number:03}'
+            context.jobs[job_id] = POOL
+            refusal = await world.submit(
+                world.daemons[number % 3], POOL, job_id, spec
+            )
+            assert refusal is None, refusal
+            await asyncio.sleep(times * gap_s / count)
+
+    async def play():
+        submitting = asyncio.create_task(submit())
+        for _ in range(times):
+            await asyncio.sleep(gap_s)
+            busy = [e for e in world.executors.values() if e.runs]
+            if busy:
+                world.rng.choice(busy).restart()
+        await submitting
+
+    context.runner.run(play())
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/crash_tracking.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/crash_tracking.py
@@ -17,15 +17,16 @@
         self._endings = endings
         self._shared = shared_crashes.SharedCrashes()
 
-    def note_crash(self, executor, others, now_s):
+    def note_crash(self, executor, exposed, others, now_s):
         """Record the crash of an executor, and return the suspects.
 
+        :param exposed: runs that may have been executing then
         :param others: the other executors that have not ended
         :rtype: list[crash_blame.Suspect]
         """
         is_shared = self._shared.is_shared(executor, others, now_s)
         self._shared.note(executor, now_s)
-        runs = filter(crash_blame.may_be_responsible, executor.exposed_runs())
+        runs = filter(crash_blame.may_be_responsible, exposed)
         suspects = crash_blame.judge(executor, list(runs), is_shared)
         for suspect in suspects:
             crash_blame.note_crash(suspect)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/departures.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/departures.py
@@ -13,6 +13,7 @@
     MOVED = 'its host was moved'
     MAINTAINED = 'maintenance of its host began'
     REPLACED = 'its host runs a newer executor'
+    REBORN = 'another incarnation has begun under its id'
     ADDRESS_TAKEN = 'another executor answers at its address'
     UNLISTED = 'not on any listed host'
     EXPIRED = 'its entry was removed and its leases have expired'
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -26,6 +26,7 @@
 
     :ivar executor_id: identifies one incarnation of the executor on a host
     :ivar host: host that it runs on; empty if unknown
+    :ivar born_ms: when the incarnation began; 0 where executors don't tell
     :ivar remaining_s: minimum time left before it shuts down, if it is leaving
     """
 
@@ -39,6 +40,7 @@
     host: str = ''
     is_leaving: bool = False
     remaining_s: float = 0.0
+    born_ms: int = 0
 
 
 @attrs.define(eq=False)
@@ -58,6 +60,8 @@
     :ivar whole_capacity: the largest capacity that it has told
     :ivar is_fenced: whether it has seen this owner's epoch
     :ivar fenced_since_s: time by which it had seen the epoch
+    :ivar born_ms: when the incarnation began that last answered a poll; 0
+        before the first answer, and where executors don't tell
     :ivar last_recorded_end: sequence of the last end that is stored
     :ivar last_processed_end: sequence of the last end that was processed
     :ivar lease_expires_s: time by which every lease granted has certainly
@@ -89,6 +93,7 @@
     step_counts: collections.Counter = attrs.Factory(collections.Counter)
     is_fenced: bool = False
     fenced_since_s: float = 0.0
+    born_ms: int = 0
     last_recorded_end: int = 0
     last_processed_end: int = 0
     clock_s: float | None = None
@@ -164,6 +169,21 @@
         """Return the runs of long-running tasks."""
         return [run for run in self.runs.values() if run.step.is_lasting]
 
+    def is_followed_by(self, born_ms):
+        """Return whether another incarnation has begun under the same id."""
+        return 0 < self.born_ms < born_ms
+
+    def is_after(self, born_ms):
+        """Return whether an incarnation of the same id has ended."""
+        return 0 < born_ms < self.born_ms
+
+    def begin_incarnation(self):
+        """Forget what the incarnation before has counted and granted."""
+        self.last_recorded_end = self.last_processed_end = 0
+        self.clock_s = None
+        self.expired_runs.clear()
+        self.is_fenced = False
+
     def mark_fenced(self, now_s):
         """Record that the executor has seen this owner's epoch."""
         if not self.is_fenced:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_state.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_state.py
@@ -215,6 +215,8 @@
     :ivar received_s: when the response arrived
     :ivar clock_s: the executor's monotonic clock at the time of the response
     :ivar is_whole: whether every end that the executor retains is listed
+    :ivar born_ms: when the incarnation began, since the epoch, by its own
+        clock; 0 where executors don't tell
     """
 
     sent_s: float
@@ -223,6 +225,7 @@
     running: tuple[ReportedRun, ...]
     ended: tuple[ReportedEnd, ...]
     is_whole: bool = True
+    born_ms: int = 0
 
 
 def run_key(task_id, number):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
@@ -98,6 +98,7 @@
         None
     """
     executor.mark_fenced(poll.received_s)
+    executor.born_ms = max(executor.born_ms, poll.born_ms)
     executor.last_contact_s = executor.polled_s = poll.received_s
     executor.note_answer(poll.received_s)
     executor.expired_runs.clear()
@@ -123,6 +124,13 @@
     return PollOutcome(finished_runs, found, orphans)
 
 
+def unlisted_runs(executor, poll):
+    """Return the runs that a poll lists neither as running nor as ended."""
+    rows = [*poll.running, *poll.ended]
+    listed = {run_state.run_key(row.task_id, row.number) for row in rows}
+    return [run for key, run in executor.runs.items() if key not in listed]
+
+
 def _read_ends(executor, poll, find_occurrence):
     finished_runs = []
     for end in poll.ended:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -177,8 +177,14 @@
         if executor is None:
             executor = self._add_executor(entry)
             executor.discovered_s = executor.idle_since_s = now_s
+        elif executor.is_after(entry.born_ms):
+            # An entry of an incarnation that has ended, stored late.
+            return executor
         else:
             self._index.replace_entry(executor, entry)
+            if executor.is_followed_by(entry.born_ms):
+                # Nothing starts there before a poll tells what it runs.
+                executor.is_fenced = False
         executor.missing_since_s = None
         executor.last_contact_s = max(executor.last_contact_s, now_s)
         self.steps.pools_to_schedule.add(entry.pool)
@@ -230,8 +236,9 @@
             return ExecutorEnd([], [])
         suspects = []
         if kind is departures.DepartureKind.CRASHED:
-            others = [e for e in self.executors.values() if e is not executor]
-            suspects = self._crashes.note_crash(executor, others, now_s)
+            suspects = self._note_crash(
+                executor, executor.exposed_runs(), now_s
+            )
         finished_runs = self._end_runs(executor_id, _Cause.LOST, now_s)
         self._index.remove(self.executors.pop(executor_id))
         self._unrecorded.pop(executor_id, None)
@@ -240,6 +247,38 @@
                 self._endings.give_up(suspect.run)
         return ExecutorEnd(finished_runs, suspects)
 
+    def _note_crash(self, executor, exposed, now_s):
+        others = [e for e in self.executors.values() if e is not executor]
+        return self._crashes.note_crash(executor, exposed, others, now_s)
+
+    def renew_executor(self, executor_id, poll, now_s):
+        """End the runs of an incarnation that another one has followed.
+
+        The new one has the same id. What the poll lists may have been started
+        there, when the owner didn't know of it.
+
+        :returns: the end of the former one, or None if it hasn't ended
+        :rtype: ExecutorEnd or None
+        """
+        executor = self.executors.get(executor_id)
+        if executor is None or not executor.is_followed_by(poll.born_ms):
+            return None
+        lost = run_tracking.unlisted_runs(executor, poll)
+        exposed = [*executor.expired_runs, *lost]
+        suspects = self._note_crash(executor, exposed, now_s)
+        finished_runs = [
+            run_tracking.FinishedRun(run, _Cause.LOST, run.checkpoint)
+            for run in lost
+        ]
+        for ended in finished_runs:
+            self._endings.finish(executor, ended, now_s)
+        executor.begin_incarnation()
+        self._unrecorded.pop(executor_id, None)
+        for suspect in suspects:
+            if suspect.is_blamed:
+                self._endings.give_up(suspect.run)
+        return ExecutorEnd(finished_runs, suspects)
+
     def expire_executor(self, executor_id, now_s):
         """End all runs of an executor whose leases have expired."""
         executor = self.executors[executor_id]
@@ -285,7 +324,7 @@
     def handle_poll(self, executor_id, poll, now_s):
         """Process an executor's poll response and return the finished runs."""
         executor = self.executors.get(executor_id)
-        if executor is None:
+        if executor is None or executor.is_after(poll.born_ms):
             return []
         outcome = run_tracking.process_poll(
             executor, poll, self._find_occurrence
@@ -459,15 +498,20 @@
         return self._endings.pop_changed()
 
     def unrecorded_ends(self):
-        """Return each executor's last processed end that isn't stored yet."""
+        """Return each executor's last processed end that isn't stored yet.
+
+        :returns: its sequence and the birth of the incarnation, by executor
+        """
         in_order = sorted(self._unrecorded.values(), key=lambda e: e.number)
-        return {e.executor_id: e.last_processed_end for e in in_order}
+        return {
+            e.executor_id: (e.last_processed_end, e.born_ms) for e in in_order
+        }
 
     def mark_ends_recorded(self, ends):
         """Record that ends are stored, so that executors may discard them."""
-        for executor_id, sequence in ends.items():
+        for executor_id, (sequence, born_ms) in ends.items():
             executor = self.executors.get(executor_id)
-            if executor is not None:
+            if executor is not None and executor.born_ms == born_ms:
                 executor.last_recorded_end = sequence
                 if executor.last_processed_end <= sequence:
                     self._unrecorded.pop(executor_id, None)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
@@ -114,7 +114,8 @@
         poll = await owner.executors.poll(
             run_orders.target_of(executor),
             owner.epoch,
-            executor.last_recorded_end,
+            # Another incarnation may answer, which counts its ends anew.
+            0 if self._failures else executor.last_recorded_end,
             deadline_s,
             self._poll_wait_s(),
         )
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
@@ -55,6 +55,8 @@
         executor = self._register_entry(entry, now_s)
         if executor is not None:
             self._ensure_agent(executor)
+            if not executor.is_fenced:
+                self.poll_soon(executor)
             self._owner.wake()
 
     def _register_entry(self, entry, now_s):
@@ -92,9 +94,17 @@
         executor_id = executor.executor_id
         for other in self._scheduler.superseded_executors(executor_id, look):
             self.remove(other, _Departure.REPLACED)
-        ended_runs = self._scheduler.handle_poll(
-            executor_id, look, self._owner.now_s()
-        )
+        now_s = self._owner.now_s()
+        end = self._scheduler.renew_executor(executor_id, look, now_s)
+        if end is not None:
+            self._log_executor_end(
+                executor,
+                end,
+                _Departure.REBORN,
+                departures.DepartureKind.CRASHED,
+            )
+            self._owner.wake()
+        ended_runs = self._scheduler.handle_poll(executor_id, look, now_s)
         for ended in ended_runs:
             self._log_end(executor, ended)
         if ended_runs or self._scheduler.has_orphans:
@@ -142,6 +152,24 @@
             is_given_up=suspect.is_blamed,
         )
 
+    def _log_executor_end(self, executor, end, departure, kind):
+        self._metrics.note_departure(kind.value)
+        silent_s = self._owner.now_s() - executor.last_answer_s
+        self._events.write(
+            'executor_gone',
+            executor=executor.executor_id,
+            host=executor.entry.host,
+            rack=executor.entry.rack,
+            runs=len(end.finished_runs),
+            departure=kind.value,
+            why=departure.value,
+            unanswered_s=round(silent_s, 3),
+        )
+        for ended in end.finished_runs:
+            self._log_end(executor, ended)
+        for suspect in end.suspects:
+            self._log_suspect(suspect)
+
     def check_lease_expiry(self, executor):
         """End the runs of an executor whose leases have expired.
 
@@ -180,21 +208,7 @@
         end = self._scheduler.remove_executor(
             executor.executor_id, now_s, kind
         )
-        self._metrics.note_departure(kind.value)
-        self._events.write(
-            'executor_gone',
-            executor=executor.executor_id,
-            host=executor.entry.host,
-            rack=executor.entry.rack,
-            runs=len(end.finished_runs),
-            departure=kind.value,
-            why=departure.value,
-            unanswered_s=round(now_s - executor.last_answer_s, 3),
-        )
-        for ended in end.finished_runs:
-            self._log_end(executor, ended)
-        for suspect in end.suspects:
-            self._log_suspect(suspect)
+        self._log_executor_end(executor, end, departure, kind)
         held = self._agents.pop(executor.executor_id, None)
         if held is not None and held[0] is not asyncio.current_task():
             held[0].cancel()
