Part the takeover, the writers and the records of an ownership from the owner

What a new owner fences and reads, which partitions it writes, and what it tells of itself stand in modules of their own; so do the readers of the statuses.

--- a/features/steps/jobs_statuses.py
+++ b/features/steps/jobs_statuses.py
@@ -12,6 +12,7 @@
 from hawthorndeal_jobs import journal
 from hawthorndeal_platform import keyed_log
 from hawthorndeal_scheduler import log_readers
+from hawthorndeal_scheduler import status_readers
 
 QUEUE = 'web'
 KEY = f'{journal.STATUS}/a'
@@ -44,7 +45,7 @@
 
 @given('a board on which {event}')
 def make_board(context, event):
-    context.reader = log_readers.StatusReader('d', _Clock(), _Events())
+    context.reader = status_readers.StatusReader('d', _Clock(), _Events())
     context.offsets = itertools.count()
     happen(context, event)
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -4,8 +4,6 @@
 """
 
 import asyncio
-import itertools
-import math
 
 import attrs
 
@@ -13,7 +11,6 @@
 from hawthorndeal_jobs import admission
 from hawthorndeal_jobs import hand_over
 from hawthorndeal_jobs import journal
-from hawthorndeal_jobs import ownership
 from hawthorndeal_jobs import scheduler as scheduler_module
 from hawthorndeal_platform import keyed_log
 
@@ -21,27 +18,21 @@
 from . import cycle_journal
 from . import executor_tracker
 from . import host_controller
-from . import journal_writer
-from . import offerer
 from . import owner_tasks
+from . import owner_writers
+from . import ownership_teller
 from . import run_orders
-from . import spread_writer
 from . import start_gate
 from . import status_publisher
+from . import takeover
 from . import workspace_log
 
-CHECK_PERIOD_S = 0.05
 # Delay before a cycle, so that decisions made close together share an append.
 CYCLE_BATCH_DELAY_S = 0.004
 IDLE_CYCLE_S = 0.1
 # Cycles whose planning takes longer are logged.
 SLOW_CYCLE_S = 0.1
 RELEASE_TIMEOUT_S = 1.5
-# A partition of the submissions that wasn't read for longer is published as
-# unread. A read waits up to half a second for records, and a slow store takes
-# more.
-MAX_UNREAD_S = 2.0
-LEASE_MARGIN_S = 0.5
 # Starts whose cycle took longer to be stored are checked again.
 MAX_PLAN_AGE_S = 0.5
 # Longer than the usual time between two renewals of the ownership.
@@ -84,35 +75,24 @@
             parts.configuration_reader.configuration,
         )
         self.tracker = executor_tracker.ExecutorTracker(self, parts.metrics)
-        # Claims are stored in the partition of the statuses, so only appends
-        # to it confirm that no other daemon has claimed the ownership.
-        self._status_writer = self._make_spread_writer(
-            parts.status_followers, parts.status_followers[:1]
+        self._writers = owner_writers.OwnerWriters(
+            parts, term, self.tasks.spawn
         )
-        self._publisher = status_publisher.StatusPublisher(
-            parts, self, self._status_writer
+        self._teller = ownership_teller.OwnershipTeller(
+            parts, term.epoch, self._writers.statuses
         )
-        # With spare partitions, a successor fences the partitions of the jobs
-        # before it orders hosts, and finds the intents there.
-        self._is_spread = parts.settings.spare_partitions > 0
-        followers = parts.jobs_followers
-        jobs_writer = (
-            self._make_spread_writer(followers, followers)
-            if self._is_spread
-            else self._make_spread_writer(followers[:1], ())
+        self._publisher = status_publisher.StatusPublisher(
+            parts, self, self._writers.statuses
         )
         self._journal = cycle_journal.CycleJournal(
             parts,
             self.scheduler,
-            jobs_writer,
+            self._writers.jobs,
             self._publisher,
             term.epoch,
         )
+        self._takeover = takeover.Takeover(parts, self, intents)
         self.is_at_work = False
-        self._record_numbers = itertools.count(1)
-        self._intents = intents
-        # When all partitions of the jobs fenced earlier owners.
-        self._fenced_s = math.inf
         self.hosts = host_controller.HostController(parts, self, intents)
         self._orders = run_orders.RunOrders(
             self, parts.executors, parts.metrics
@@ -127,34 +107,7 @@
             parts.events, parts.metrics
         )
         self._is_storing_host_records = False
-        self._gate = start_gate.StartGate(parts, self, jobs_writer)
-
-    def _make_writer(self, follower, confirms_term=False):
-        parts = self._parts
-        return journal_writer.JournalWriter(
-            parts.log,
-            follower.partition,
-            self.term,
-            parts.clock,
-            parts.rng,
-            confirms_term,
-        )
-
-    def _make_spread_writer(self, followers, confirming):
-        """Return a writer to the first of some partitions that answers.
-
-        :param confirming: followers of the partitions whose appends confirm
-            the ownership
-        """
-        choices = [
-            spread_writer.Choice(
-                self._make_writer(follower, follower in confirming), follower
-            )
-            for follower in followers
-        ]
-        return spread_writer.SpreadWriter(
-            choices, self._parts.log, self.tasks.spawn
-        )
+        self._gate = start_gate.StartGate(parts, self, self._writers.jobs)
 
     @property
     def epoch(self):
@@ -207,7 +160,7 @@
         self.tasks.spawn(self.tasks.run_guarded(self._publisher))
         self._run_in_background(parts.entries_follower)
         try:
-            await self._fence_predecessors()
+            await self._takeover.fence_predecessors(self._journal)
             for follower in parts.jobs_followers:
                 self._run_in_background(follower)
             await self._take_over()
@@ -231,44 +184,19 @@
     def _run_in_background(self, part):
         self.tasks.spawn(self.tasks.run_restarting(part))
 
-    async def _fence_predecessors(self):
-        """Keep earlier owners from storing the progress of jobs."""
-        record = journal.ownership_record(self.ownership())
-        await self._journal.fence(record)
-        self._fenced_s = self._parts.clock.boot_s()
-
     async def _take_over(self):
         """Load the jobs, and go on where the predecessors ended.
 
         Returns early, not at work, if the ownership is to be released.
         """
         parts = self._parts
-        reading = [
-            self.tasks.spawn(self._read_to_end(follower))
-            for follower in parts.status_followers[1:]
-        ]
-        while not (
-            parts.entries_follower.is_loaded
-            and parts.jobs_reader.is_read
-            and all(task.done() for task in reading)
-        ):
-            await asyncio.sleep(CHECK_PERIOD_S / 5)
+        self._takeover.begin_reading()
+        while not self._takeover.has_read_all:
+            await asyncio.sleep(takeover.CHECK_PERIOD_S)
             self._raise_if_lost()
             if self._is_releasing:
                 return
-        now_s = self.now_s()
-        self.tracker.register(parts.entries_reader.entries.values())
-        longest_s = parts.settings.longest_lease_ms / 1000 + LEASE_MARGIN_S
-        self.scheduler.inherit(
-            now_s, ownership.inherited_lease_expiry_s(now_s, longest_s)
-        )
-        replica = parts.jobs_reader.replica
-        replica.is_owned = True
-        replica.find_strays()
-        self._intents.inherit(
-            replica.host_intents, self._fenced_s, self._fenced_s
-        )
-        self.hosts.inherit_waves(replica.wave_records)
+        replica = self._takeover.inherit()
         # Shares are counted in the order in which jobs were accepted.
         for job in sorted(replica.jobs.values(), key=_accepted_s):
             self._add_job(job, None)
@@ -284,23 +212,6 @@
             executors=len(self.scheduler.executors),
         )
 
-    async def _read_to_end(self, follower):
-        """Read what earlier owners have stored in a spare partition."""
-        end = None
-        while end is None or not follower.has_read(end):
-            try:
-                if end is None:
-                    end = await self._parts.log.end(
-                        follower.partition, follower.next_offset
-                    )
-            except errors.PlatformError as error:
-                self.events.write(
-                    'takeover_waits',
-                    partition=follower.partition.name,
-                    why=str(error)[:160],
-                )
-            await asyncio.sleep(CHECK_PERIOD_S / 5)
-
     def _add_job(self, job, age_s):
         """Schedule a job, unless it is a late copy of one that has ended."""
         job.home = self._parts.submission_partition(job.job_id).name
@@ -346,7 +257,7 @@
         if self.tasks.are_running:
             await self.hosts.wait_for_order()
         records = self.hosts.take_records()
-        if self._is_spread:
+        if self._writers.is_spread:
             await self._journal.store_others(records)
             records = []
         offer = self._accepted_offer
@@ -386,9 +297,11 @@
             self._orders.send_pace(order)
         for stray in turn.orphans:
             self._orders.send_stray_stop(stray)
-        host_records = self.hosts.take_records() if self._is_spread else []
+        host_records = (
+            self.hosts.take_records() if self._writers.is_spread else []
+        )
         records = self._journal.collect_records(now_s, host_records)
-        if self._is_spread:
+        if self._writers.is_spread:
             records += self._confirmation()
         elif not self._is_storing_host_records:
             self._begin_storing_host_records()
@@ -456,36 +369,7 @@
 
     def ownership(self):
         """Return the record of this ownership."""
-        settings = self._parts.settings
-        ownership = journal.Ownership(
-            self.epoch,
-            settings.daemon,
-            strength=offerer.strength(settings),
-            submission_partitions=len(self._parts.submission_partitions),
-        )
-        if not self.is_at_work:
-            return ownership
-        jobs, *submissions = [
-            follower.next_offset for follower in self._parts.jobs_followers
-        ]
-        reader, now_s = self._parts.jobs_reader, self.now_s()
-        unread = set(reader.unread_sources(now_s - MAX_UNREAD_S))
-        homes = [home.name for home in self._parts.homes]
-        read = [home for home in homes if home not in unread]
-        delay_s = now_s - reader.read_s(read or homes)
-        return attrs.evolve(
-            ownership,
-            number=next(self._record_numbers),
-            status_ends=self._status_writer.ends if self._is_spread else (),
-            covered_offset=jobs,
-            covered_offsets=tuple(submissions),
-            delay_s=round(max(0.0, delay_s), 2),
-            unread_partitions=tuple(
-                partition.number
-                for partition in self._parts.submission_partitions
-                if partition.name in unread
-            ),
-        )
+        return self._teller.ownership(self.is_at_work)
 
     def publish_loads(self, loads):
         """Publish what new jobs will have to wait for."""
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/parts.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/parts.py
@@ -17,6 +17,7 @@
 from . import log_probe
 from . import log_readers
 from . import metrics as metrics_module
+from . import status_readers
 from . import submitter as submitter_module
 
 JOBS = keyed_log.Partition('hawthorndeal')
@@ -78,7 +79,7 @@
         self.advice = adapter.advice
         self.peers = adapter.peers if settings.relay_address else None
         self.wave_reports = adapter.wave_reports
-        self.status_reader = log_readers.StatusReader(
+        self.status_reader = status_readers.StatusReader(
             settings.daemon, self.clock, self.events
         )
         self.submission_partitions = [
@@ -120,14 +121,18 @@
 
     def _make_status_followers(self):
         reader = self.status_reader
-        first = log_readers.FirstStatusPartitionReader(reader, STATUSES.name)
+        first = status_readers.FirstStatusPartitionReader(
+            reader, STATUSES.name
+        )
         followers = [self._make_follower(STATUSES, first)]
         for number in range(self.settings.spare_partitions):
             spare = attrs.evolve(STATUSES, number=FIRST_SPARE + number)
             followers.append(
                 self._make_follower(
                     spare,
-                    log_readers.SpareStatusPartitionReader(reader, spare.name),
+                    status_readers.SpareStatusPartitionReader(
+                        reader, spare.name
+                    ),
                     SPARE_READ_WAIT_S,
                 )
             )
