Read the partitions of the jobs while a takeover fences them

With spare partitions a new owner appends to 17 partitions instead of one before it loads them. What an earlier owner has stored in a partition stands before the record that fences it there, so a partition may be loaded meanwhile: it is known once that record was read back.

--- a/features/jobs_partial_outage.feature
+++ b/features/jobs_partial_outage.feature
@@ -165,6 +165,19 @@
     And 7 seconds pass
     Then the wave is reported as completed
 
+  Scenario Outline: A new owner fences and reads a slow store at the same time, seed <seed>
+    Given 9 simulated daemons with seed <seed> and spare partitions
+    When each append takes 0.12 s and each read 0.16 s
+    And 100 jobs a second arrive for 4 seconds, and after 2 seconds the owner is stopped
+    Then another daemon is at work within 1.2 seconds
+    And no invariant was violated
+
+    Examples:
+      | seed |
+      | 895  |
+      | 896  |
+      | 897  |
+
   @invariant_not_run
   Scenario Outline: The outcome of a record is told truly: its own partition is <own>, the other one <other>
     When a record is appended while its own partition is <own>, and the other one <other>
--- a/features/steps/jobs_partial_outage.py
+++ b/features/steps/jobs_partial_outage.py
@@ -141,6 +141,24 @@
     context.runner.run(run())
 
 
+@when(
+    '{rate:d} jobs a second arrive for {seconds:g} seconds, and after '
+    '{at_s:g} seconds the owner is stopped'
+)
+def submit_beside_stop(context, rate, seconds, at_s):
+    async def stop_owner():
+        await asyncio.sleep(at_s)
+        context.since_s = context.world.now_s()
+        await context.world.owner.candidate.stop()
+
+    async def run():
+        stopping = asyncio.create_task(stop_owner())
+        await _submit_and_watch(context, rate, seconds)
+        await stopping
+
+    context.runner.run(run())
+
+
 async def _interrupt_later(context, which, kind, at_s, away_s):
     await asyncio.sleep(at_s)
     context.away_s = context.world.now_s(), context.world.now_s() + away_s
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -91,7 +91,9 @@
             self._publisher,
             term.epoch,
         )
-        self._takeover = takeover.Takeover(parts, self, intents)
+        self._takeover = takeover.Takeover(
+            parts, self, intents, self._writers.jobs
+        )
         self.is_at_work = False
         self.hosts = host_controller.HostController(parts, self, intents)
         self._orders = run_orders.RunOrders(
@@ -160,9 +162,9 @@
         self.tasks.spawn(self.tasks.run_guarded(self._publisher))
         self._run_in_background(parts.entries_follower)
         try:
-            await self._takeover.fence_predecessors(self._journal)
             for follower in parts.jobs_followers:
                 self._run_in_background(follower)
+            await self._takeover.fence_predecessors(self._journal)
             await self._take_over()
             if not self.is_at_work:
                 await self._write_release()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/spread_writer.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/spread_writer.py
@@ -84,6 +84,14 @@
             None,
         )
 
+    @property
+    def has_read_back(self):
+        """Whether all that was appended has been read again."""
+        return all(
+            choice.follower.has_read(choice.writer.end)
+            for choice in self._choices
+        )
+
     async def fence(self, records):
         """Append records to all partitions, so that each fences older owners.
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/takeover.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/takeover.py
@@ -18,18 +18,24 @@
     :param parts: shared components of the daemon
     :param owner: the new owner; its scheduler inherits the runs
     :param intents: determines which hosts may be given orders
+    :param jobs_writer: a :class:`spread_writer.SpreadWriter` of the jobs
     """
 
-    def __init__(self, parts, owner, intents):
+    def __init__(self, parts, owner, intents, jobs_writer):
         self._parts = parts
         self._owner = owner
         self._intents = intents
+        self._jobs_writer = jobs_writer
         # When all partitions of the jobs fenced earlier owners.
         self._fenced_s = math.inf
         self._reading = []
 
     async def fence_predecessors(self, cycle_journal):
-        """Keep earlier owners from storing the progress of jobs."""
+        """Keep earlier owners from storing the progress of jobs.
+
+        The partitions are read meanwhile. What an earlier owner has stored in
+        one of them stands before the record that fences it there.
+        """
         record = journal.ownership_record(self._owner.ownership())
         await cycle_journal.fence(record)
         self._fenced_s = self._parts.clock.boot_s()
@@ -71,6 +77,7 @@
         return (
             parts.entries_follower.is_loaded
             and parts.jobs_reader.is_read
+            and self._jobs_writer.has_read_back
             and all(task.done() for task in self._reading)
         )
 
