Open connections to their end, also for calls that are given up

If the opening of a connection is cancelled between its connecting and the return of its transport, the socket closes the descriptor at once, and uvloop's handle closes the same number a moment later. By then another connection may have it: that one is cut without knowing, its number is given to a third one, or libuv aborts the process. Calls are given up all the time, by timeouts and since another copy was answered first; where part of the store is silent, there are more of both.

The caller only stops to wait now; a connection that nobody waits for is closed once it is open.

--- a/features/jobs_transport.feature
+++ b/features/jobs_transport.feature
@@ -30,3 +30,7 @@
     Given a store whose partitions 0 to 6 of 16 answer nothing
     When a daemon reads all partitions, and appends twice to each silent one, for 3 s
     Then appends to partition 9 are answered within 0.5 s meanwhile
+
+  Scenario: Calls given up while they connect end neither the process nor other calls
+    When a process gives up calls while their connections are being opened
+    Then it ends with 0, since all other calls got their own answers
--- a/features/steps/jobs_transport.py
+++ b/features/steps/jobs_transport.py
@@ -6,6 +6,8 @@
 import re
 import socket
 import struct
+import subprocess
+import sys
 import time
 
 import attrs
@@ -21,6 +23,7 @@
 PARTS = 6
 READ_WAIT_S = 0.3
 APPEND_PAUSE_S = 0.05
+PROCESS_TIMEOUT_S = 60.0
 PART = b'x' * 1000
 HEAD = f'HTTP/1.1 200 OK\r\nContent-Length: {PARTS * len(PART)}\r\n\r\n'
 
@@ -228,3 +231,18 @@
 @then('appends to partition 9 are answered within {limit_s:g} s meanwhile')
 def check_appends(context, limit_s):
     assert max(context.took_s) <= limit_s, max(context.took_s)
+
+
+@when('a process gives up calls while their connections are being opened')
+def run_cancelling_process(context):
+    context.process = subprocess.run(
+        [sys.executable, '-m', 'stage.cancelled_connections'],
+        capture_output=True,
+        timeout=PROCESS_TIMEOUT_S,
+    )
+
+
+@then('it ends with 0, since all other calls got their own answers')
+def check_process(context):
+    process = context.process
+    assert process.returncode == 0, (process.returncode, process.stderr[-800:])
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/endpoints.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/endpoints.py
@@ -9,6 +9,7 @@
 
 from hawthorndeal_fleet import calls
 from hawthorndeal_fleet import errors
+from hawthorndeal_platform import connector
 
 REQUEST_ID_HEADER = 'Hd-Request-Id'
 WORKSPACE_HEADER = 'Hd-Workspace'
@@ -246,7 +247,7 @@
             await channel.session.close()
 
 
-class _DeadlineConnector(aiohttp.TCPConnector):
+class _DeadlineConnector(connector.Connector):
     """Connector that fails requests whose deadline has passed.
 
     The daemon may have been paused while it connected, and a claim is valid
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/forwarding.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/forwarding.py
@@ -6,6 +6,7 @@
 
 from hawthorndeal_fleet import calls
 from hawthorndeal_fleet import errors
+from hawthorndeal_platform import connector
 
 from . import callers
 from . import endpoints
@@ -53,7 +54,7 @@
     def _get_session(self):
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
+                connector=connector.Connector(
                     limit=0, socket_factory=endpoints.make_socket
                 ),
                 cookie_jar=aiohttp.DummyCookieJar(),
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/loader.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/loader.py
@@ -9,6 +9,7 @@
 from hawthorndeal_fleet import errors
 from hawthorndeal_fleet import peer_digests
 from hawthorndeal_fleet import statecodec
+from hawthorndeal_platform import connector
 
 from . import logs
 
@@ -49,6 +50,7 @@
 
     async def _from_peers(self, known, needed_offset):
         async with aiohttp.ClientSession(
+            connector=connector.Connector(),
             timeout=aiohttp.ClientTimeout(total=PEER_TIMEOUT_S),
             headers={'Authorization': f'Bearer {self._token}'},
         ) as session:
--- a/packages/hawthorndeal-daemon/hawthorndeal_daemon/peers.py
+++ b/packages/hawthorndeal-daemon/hawthorndeal_daemon/peers.py
@@ -13,6 +13,7 @@
 from hawthorndeal_fleet import errors
 from hawthorndeal_fleet import peer_digests
 from hawthorndeal_fleet import rollup
+from hawthorndeal_platform import connector
 
 from . import logs
 
@@ -67,6 +68,7 @@
     async def run(self):
         """Exchange digests on a jittered period until cancelled."""
         async with aiohttp.ClientSession(
+            connector=connector.Connector(),
             timeout=aiohttp.ClientTimeout(total=self._settings.peer_period_s),
             headers={'Authorization': f'Bearer {self._settings.peer_token}'},
             skip_auto_headers=('User-Agent', 'Accept-Encoding', 'Accept'),
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/transport.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/transport.py
@@ -10,6 +10,7 @@
 
 from hawthorndeal_fleet import errors
 
+from . import connector
 from . import strict_json
 
 HTTP_GONE = 410
@@ -154,7 +155,7 @@
     def _get_session(self):
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
+                connector=connector.Connector(
                     limit=0,
                     limit_per_host=self._max_connections_per_host,
                     socket_factory=_create_socket,
@@ -229,7 +230,8 @@
     def _get_session(self):
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                skip_auto_headers=('User-Agent', 'Accept-Encoding')
+                connector=connector.Connector(),
+                skip_auto_headers=('User-Agent', 'Accept-Encoding'),
             )
         return self._session
 
