Log where the owner's records go while a partition is away

With spare partitions the owner's records go to another partition while the usual one can't be written.

--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -569,7 +569,10 @@
     async def run():
         world = job_world.World(23, limits=[limits] * 2)
         await world.start()
-        spare = world.daemons[0].parts.status_partitions[1]
+        first, spare = world.daemons[0].parts.status_partitions
+        world.store.silent.add(first.name)
+        await asyncio.sleep(1.0)
+        world.store.end_silence({first.name})
         world.store.silent.add(spare.name)
         await world.owner.kill()
         await asyncio.sleep(4.0)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner_writers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner_writers.py
@@ -52,4 +52,6 @@
             )
             for follower in followers
         ]
-        return spread_writer.SpreadWriter(choices, parts.log, self._spawn)
+        return spread_writer.SpreadWriter(
+            choices, parts.log, self._spawn, parts.events
+        )
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/spread_writer.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/spread_writer.py
@@ -42,12 +42,14 @@
     :param choices: the preferred partition first
     :param log: tells when an append is overdue
     :param spawn: runs a coroutine until the ownership term ends
+    :param events: the decision log
     """
 
-    def __init__(self, choices, log, spawn):
+    def __init__(self, choices, log, spawn, events):
         self._choices = choices
         self._log = log
         self._spawn = spawn
+        self._events = events
         self._in_flight = {}
         self._last = choices[0]
         self._lock = asyncio.Lock()
@@ -119,9 +121,18 @@
             done = await self._wait(attempts or others)
             for attempt in done & attempts.keys():
                 attempt.result()
-                self._last = attempts[attempt]
+                self._note_used(attempts[attempt])
                 return
 
+    def _note_used(self, choice):
+        if choice is not self._last:
+            self._events.write(
+                'records_moved',
+                usual=self._choices[0].follower.partition.name,
+                partition=choice.follower.partition.name,
+            )
+        self._last = choice
+
     def _next_choice(self, attempts):
         """Return the next partition to try, or None.
 
