--- a/review/standins/executors.py
+++ b/review/standins/executors.py
@@ -11,6 +11,8 @@
 
 TICK_S = 0.01
 HEARTBEAT_S = 1.5
+# The store drops an entry after three heartbeats of silence.
+ENTRY_EXPIRY_S = 3 * HEARTBEAT_S
 STOP_S = 0.1
 STARTUP_S = 0.2
 MAX_ENDS = 500
@@ -220,6 +222,8 @@
         self.is_permitted = lambda executor, task, ticket: True
         self.events = []
         self._record = record
+        self._numbers = itertools.count()
+        self._expiries = []
 
     def note(self, kind, executor, task, number, detail):
         """Record an event."""
@@ -230,7 +234,7 @@
 
     async def add(self, host, service, zone, rack, cpu=16000):
         """Start an executor on a host."""
-        executor_id = f'i-{host}-{len(self.executors):04x}'
+        executor_id = f'i-{host}-{next(self._numbers):04x}'
         entry = {
             'service': service,
             'zone': zone,
@@ -247,8 +251,33 @@
         await executor.start()
         return executor
 
+    async def crash(self, executor):
+        """End an executor without a word; its entry goes a while later."""
+        del self.executors[executor.executor_id]
+        await executor.stop()
+        expiry = asyncio.get_running_loop().call_later(
+            ENTRY_EXPIRY_S,
+            self.store.put,
+            'servers',
+            executor.executor_id,
+            None,
+        )
+        self._expiries.append(expiry)
+
+    async def revive(self, executor):
+        """Start a new executor on the machine of one that has crashed."""
+        entry = executor.entry
+        await self.add(
+            entry['machine'],
+            entry['service'],
+            entry['zone'],
+            entry['labels'][1],
+        )
+
     async def stop(self):
         """End all executors."""
+        for expiry in self._expiries:
+            expiry.cancel()
         for executor in self.executors.values():
             await executor.stop()
 
--- a/review/standins/serving.py
+++ b/review/standins/serving.py
@@ -9,7 +9,7 @@
     """Serve routes on a free port; return the runner and its address."""
     app = web.Application(client_max_size=1 << 23)
     app.add_routes(routes)
-    runner = web.AppRunner(app, access_log=None)
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.0)
     await runner.setup()
     site = web.TCPSite(runner, HOST, 0)
     await site.start()
