--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,68 +1,95 @@
-"""The owner is killed while an earlier occurrence waits for room."""
+"""A daemon loses the store's answers while a burst fills its pool."""
 
 import asyncio
 import pathlib
-import time
 
+from standins import proxy
 from standins import stage as stage_module
 
 RECORD = pathlib.Path(__file__).with_name('record.txt')
-JOB = 'eeeeeeeeeeee0000'
-SHORT, LONG = 'ffffffffffff0001', 'ffffffffffff0002'
+PREFIX = '/puxa400/'
 HOSTS = 3
-# Run times, counted from the submission: one host becomes free when the
-# first occurrence is late and the second is not, the others much later.
-WORK_S = {SHORT: 4.5, LONG: 10.0, JOB: 5.0}
-FIRST_DUE_S, INTERVAL_S = 1.0, 3.0
-KILL_S, FINISH_S = 6.5, 14.0
+LARGE, WIDTH = 6, 24
+CALLS = 10
+FIRST_CALL_S, GAP_S = 0.55, 0.06
+CUT_S, FINISH_S = 5.5, 14.0
+WORK_S = {'large': 2.0, 'small': 0.5}
 
 
-def make_job(count, **fields):
-    """Return a job each of whose tasks takes a whole host."""
-    step = {'count': count, 'cpu': 16000, 'mem-mb': 64, 'estimated-ms': 1000}
-    return {'task-spec': 'whole host', 'steps': [step], **fields}
+def make_large():
+    """Return a large job, whose tasks leave a little room on each host."""
+    step = {'cpu': 5000, 'mem-mb': 64, 'estimated-ms': 2000}
+    return {'task-spec': 'large', 'steps': [{'count': WIDTH, **step}]}
 
 
-async def play(stage):
-    """Return whether each occurrence has begun, with hosts free."""
-    stage.fleet.behave = lambda task, number, spec: (
-        WORK_S[task.partition('.')[0]],
-        'done',
+def make_small(number):
+    """Return a job that fits beside the large ones."""
+    step = {'count': 1, 'cpu': 100 + number, 'mem-mb': 64}
+    step['estimated-ms'] = 500
+    return {'task-spec': 'small', 'steps': [step]}
+
+
+async def warm_up(stage, daemon):
+    """Let clients submit at a daemon, as they do all day."""
+    await asyncio.gather(
+        *(
+            stage.submit(f'aaaaaaaaaaaa{n:04x}', make_small(n), daemon)
+            for n in range(16)
+        )
     )
-    await stage.start([stage_module.make_route()], hosts=HOSTS)
-    begun_s = time.monotonic()
-    first_run_ms = int((time.time() + FIRST_DUE_S) * 1000)
-    timed = {
-        'repetitions': 2,
-        'first-run-ms': first_run_ms,
-        'interval-ms': int(INTERVAL_S * 1000),
-    }
+    await asyncio.sleep(2.0)
+
+
+async def play(stage):
+    """Return whether nothing runs of a job whose every call was refused."""
+    stage.fleet.behave = lambda task, number, spec: (WORK_S[spec], 'done')
+    await stage.store.start()
+    proxies = [proxy.Proxy(stage.store.address) for _ in range(3)]
+    for one in proxies:
+        await one.start()
+    addresses = [one.address for one in proxies]
+    route = stage_module.make_route()
+    await stage.start([route], HOSTS, store_addresses=addresses)
     owner = stage.owner()
-    other = next(d for d in stage.daemons if d is not owner)
-    for job_id, body in (
-        (SHORT, make_job(1)),
-        (LONG, make_job(HOSTS - 1)),
-        (JOB, make_job(1, **timed)),
-    ):
-        if await stage.submit(job_id, body, other) != 200:
-            raise stage_module.NotRun(f'{job_id} was not accepted')
-    await asyncio.sleep(begun_s + KILL_S - time.monotonic())
-    tasks = {task for _, task, _ in stage.fleet.starts(JOB)}
-    if tasks != {f'{JOB}.1.0.0'}:
-        raise stage_module.NotRun(f'begun before the kill: {tasks}')
+    cut, other = [d for d in stage.daemons if d is not owner]
+    await warm_up(stage, cut)
+    begun_s = stage.now_s()
     if stage_module.is_troubled():
-        await owner.kill()
-        stage.record(f'killed {owner.name}')
-        await stage.await_owner(besides=owner)
-        await owner.start()
-    await asyncio.sleep(begun_s + WORK_S[LONG] + FINISH_S - time.monotonic())
-    state = await stage.state(JOB)
-    tasks = {task for _, task, _ in stage.fleet.starts(JOB)}
-    runs = sum(len(e.runs) for e in stage.fleet.executors.values())
-    late_s = FINISH_S + WORK_S[LONG] - FIRST_DUE_S
-    stage.record(f'{late_s} s after the first was due: {tasks} have begun')
-    stage.record(f'the job is {state}; {runs} tasks run on {HOSTS} hosts')
-    return len(tasks) == 2
+        proxies[stage.daemons.index(cut)].is_cut = True
+        stage.record(f'{cut.name} gets no answers of the store any more')
+    large = [
+        stage.submit(f'bbbbbbbbbbbb{n:04x}', make_large(), other)
+        for n in range(LARGE)
+    ]
+    burst = asyncio.gather(*large)
+    await asyncio.sleep(FIRST_CALL_S)
+    calls = []
+    for number in range(CALLS):
+        job_id = f'cccccccccccc{number:04x}'
+        body = make_small(number)
+        call = stage.call(cut, 'POST', PREFIX + job_id, body)
+        calls.append((job_id, asyncio.create_task(call)))
+        await asyncio.sleep(GAP_S)
+    answers = {job_id: (await call)[0] for job_id, call in calls}
+    await burst
+    await asyncio.sleep(begun_s + CUT_S - stage.now_s())
+    for one in proxies:
+        one.is_cut = False
+    await asyncio.sleep(FINISH_S)
+    for one in proxies:
+        await one.stop()
+    refused = [j for j, status in answers.items() if status in (429, 503)]
+    wrong = [job_id for job_id in refused if stage.fleet.starts(job_id)]
+    for job_id, status in answers.items():
+        starts = len(stage.fleet.starts(job_id))
+        stage.record(f'job {job_id}: answered {status}, {starts} starts')
+    stage.record(
+        f'{len(refused)} of {CALLS} jobs were refused, and not sent again; '
+        f'{len(wrong)} of these have run'
+    )
+    if not refused:
+        raise stage_module.NotRun('no call was refused')
+    return not wrong
 
 
 if __name__ == '__main__':
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,96 +1,75 @@
-"""A daemon loses the store's answers while a burst fills its pool."""
+"""A job that no executor may run, among jobs of a queue with advice."""
 
 import asyncio
 import pathlib
 
-from standins import proxy
 from standins import stage as stage_module
 
 RECORD = pathlib.Path(__file__).with_name('record.txt')
 PREFIX = '/puxa400/'
-HOSTS = 3
-LARGE, WIDTH = 6, 24
-CALLS = 10
-FIRST_CALL_S, GAP_S = 0.55, 0.06
-CUT_S, FINISH_S = 5.5, 14.0
-WORK_S = {'large': 2.0, 'small': 0.5}
+HOSTS = 6
+BEFORE, AFTER = 9, 10
+# The one of twenty jobs that can never be done.
+POISON = 'cccccccccccc0000'
+FINISH_S = 14.0
+GAP_S = 0.3
+ADVICE = {'decision-ms': 20, 'per-worker-ms': 1, 'validity-ms': 3000}
 
 
-def make_large():
-    """Return a large job, whose tasks leave a little room on each host."""
-    step = {'cpu': 5000, 'mem-mb': 64, 'estimated-ms': 2000}
-    return {'task-spec': 'large', 'steps': [{'count': WIDTH, **step}]}
+def allows(step, executor):
+    """Return what the queue's policy says of a step on an executor."""
+    return not step.startswith(POISON)
 
 
-def make_small(number):
-    """Return a job that fits beside the large ones."""
-    step = {'count': 1, 'cpu': 100 + number, 'mem-mb': 64}
-    step['estimated-ms'] = 500
-    return {'task-spec': 'small', 'steps': [step]}
+def make_job():
+    """Return a job of one step."""
+    step = {'count': 2, 'cpu': 1000, 'mem-mb': 256, 'estimated-ms': 500}
+    return {'task-spec': 'sound', 'steps': [step]}
 
 
-async def warm_up(stage, daemon):
-    """Let clients submit at a daemon, as they do all day."""
-    await asyncio.gather(
-        *(
-            stage.submit(f'aaaaaaaaaaaa{n:04x}', make_small(n), daemon)
-            for n in range(16)
-        )
-    )
-    await asyncio.sleep(2.0)
+async def submit_some(stage, job_ids):
+    """Submit jobs at a steady pace; return those that were accepted."""
+    accepted = []
+    for job_id in job_ids:
+        if await stage.submit(job_id, make_job()) == 200:
+            accepted.append(job_id)
+        await asyncio.sleep(GAP_S)
+    return accepted
 
 
 async def play(stage):
-    """Return whether nothing runs of a job whose every call was refused."""
-    stage.fleet.behave = lambda task, number, spec: (WORK_S[spec], 'done')
-    await stage.store.start()
-    proxies = [proxy.Proxy(stage.store.address) for _ in range(3)]
-    for one in proxies:
-        await one.start()
-    addresses = [one.address for one in proxies]
-    route = stage_module.make_route()
-    await stage.start([route], HOSTS, store_addresses=addresses)
-    owner = stage.owner()
-    cut, other = [d for d in stage.daemons if d is not owner]
-    await warm_up(stage, cut)
-    begun_s = stage.now_s()
+    """Return whether every accepted sound job has begun."""
+    advice = stage.advice
+
+    def is_permitted(executor, task, ticket):
+        step = task.rpartition('.')[0]
+        return advice.is_valid(step, executor.executor_id, ticket)
+
+    stage.fleet.is_permitted = is_permitted
+    stage.fleet.behave = lambda task, number, spec: (0.5, 'done')
+    route = stage_module.make_route(advice=ADVICE)
+    await stage.start([route], hosts=HOSTS)
+    sound = [f'dddddddddddd{number:04x}' for number in range(BEFORE + AFTER)]
+    accepted = await submit_some(stage, sound[:BEFORE])
     if stage_module.is_troubled():
-        proxies[stage.daemons.index(cut)].is_cut = True
-        stage.record(f'{cut.name} gets no answers of the store any more')
-    large = [
-        stage.submit(f'bbbbbbbbbbbb{n:04x}', make_large(), other)
-        for n in range(LARGE)
-    ]
-    burst = asyncio.gather(*large)
-    await asyncio.sleep(FIRST_CALL_S)
-    calls = []
-    for number in range(CALLS):
-        job_id = f'cccccccccccc{number:04x}'
-        body = make_small(number)
-        call = stage.call(cut, 'POST', PREFIX + job_id, body)
-        calls.append((job_id, asyncio.create_task(call)))
-        await asyncio.sleep(GAP_S)
-    answers = {job_id: (await call)[0] for job_id, call in calls}
-    await burst
-    await asyncio.sleep(begun_s + CUT_S - stage.now_s())
-    for one in proxies:
-        one.is_cut = False
+        await stage.submit(POISON, make_job())
+    accepted += await submit_some(stage, sound[BEFORE:])
+    if len(accepted) < len(sound):
+        raise stage_module.NotRun('a sound job was not accepted')
     await asyncio.sleep(FINISH_S)
-    for one in proxies:
-        await one.stop()
-    refused = [j for j, status in answers.items() if status in (429, 503)]
-    wrong = [job_id for job_id in refused if stage.fleet.starts(job_id)]
-    for job_id, status in answers.items():
+    states = {job_id: await stage.state(job_id) for job_id in accepted}
+    busy = sum(len(e.runs) for e in stage.fleet.executors.values())
+    stage.record(f'{FINISH_S} s later {busy} tasks run on {HOSTS} hosts')
+    steps = [step for step, _, _ in advice.calls]
+    for job_id, state in states.items():
+        asked = steps.count(f'{job_id}.0.0')
         starts = len(stage.fleet.starts(job_id))
-        stage.record(f'job {job_id}: answered {status}, {starts} starts')
-    stage.record(
-        f'{len(refused)} of {CALLS} jobs were refused, and not sent again; '
-        f'{len(wrong)} of these have run'
-    )
-    if not refused:
-        raise stage_module.NotRun('no call was refused')
-    return not wrong
+        stage.record(f'job {job_id}: {state}, {starts} starts, {asked} asked')
+    stage.record(f'job {POISON}: {steps.count(f"{POISON}.0.0")} asked')
+    lost = [j for j in accepted if not stage.fleet.starts(j)]
+    stage.record(f'{len(lost)} of {len(accepted)} sound jobs never began')
+    return not lost
 
 
 if __name__ == '__main__':
-    stage_module.run_case(stage_module.Stage(RECORD), play)
+    stage_module.run_case(stage_module.Stage(RECORD, allows), play)
--- a/review/standins/daemons.py
+++ b/review/standins/daemons.py
@@ -148,6 +148,12 @@
         user, system = stat.rpartition(') ')[2].split()[11:13]
         return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
 
+    def peak_mb(self):
+        """Return the most memory that the process has used."""
+        status = pathlib.Path(f'/proc/{self._process.pid}/status').read_text()
+        peak_kb = re.search(r'VmHWM:\s+(\d+) kB', status)
+        return int(peak_kb[1]) / 1024
+
     def log_rows(self, event):
         """Return the rows of one kind in its structured log."""
         rows = []
