--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,6 +12,7 @@
 ORDINARY = 12
 FINISH_S = 14.0
 DEADLINE_S = 3.0
+MAX_IDLE_S = 3.0
 WORK_S = {'pipeline': 0.1, 'ordinary': 1.0}
 
 
@@ -66,8 +67,12 @@
     lost = []
     for job_id in accepted:
         begun = len({row[1] for row in stage.fleet.starts(job_id)})
-        stage.record(f'job {job_id}: {begun} of 4 tasks have begun')
-        if begun < 4:
+        idle_s = stage.fleet.idle_s(job_id)
+        stage.record(
+            f'job {job_id}: {begun} of 4 tasks have begun, nothing of it '
+            f'has run for {idle_s:.1f} s'
+        )
+        if begun < 4 and idle_s > MAX_IDLE_S:
             lost.append(job_id)
     asked = accepted[:3]
     unanswered = [j for j in asked if await stage.state(j) is None]
--- a/review/standins/executors.py
+++ b/review/standins/executors.py
@@ -222,6 +222,7 @@
         self.is_permitted = lambda executor, task, ticket: True
         self.events = []
         self._record = record
+        self._begun_s = time.monotonic()
         self._numbers = itertools.count()
         self._expiries = []
 
@@ -281,6 +282,17 @@
         for executor in self.executors.values():
             await executor.stop()
 
+    def idle_s(self, job_id):
+        """Return for how long nothing of a job has begun or ended."""
+        times = [r[0] for r in self.events if r[3].startswith(f'{job_id}.')]
+        is_busy = any(
+            run.task.startswith(f'{job_id}.')
+            for executor in self.executors.values()
+            for run in executor.runs.values()
+        )
+        last_s = max(times, default=self._begun_s)
+        return 0.0 if is_busy else time.monotonic() - last_s
+
     def starts(self, job_id):
         """Return time, task and run of each start of a job."""
         return [
