--- a/review/standins/executors.py
+++ b/review/standins/executors.py
@@ -214,7 +214,7 @@
     :ivar events: rows of time, kind, executor id, task, run and detail
     """
 
-    def __init__(self, store, record, max_hold_s=10.0):
+    def __init__(self, store, record, max_hold_s=10):
         self.store = store
         self.max_hold_s = max_hold_s
         self.executors = {}
