review: a script that can't run ends with 2, and ends its daemons

Cause: without a build a script ended with 1, as if the rule was broken, and one that was terminated left its daemons running.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 PYTHONPATH=target/deps:review PYTHONDONTWRITEBYTECODE=1 \
-    python3 -c 'import standins.stage'
+    python3 -c 'import standins.proxy, standins.stage'
--- a/review/standins/stage.py
+++ b/review/standins/stage.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import time
@@ -183,8 +184,10 @@
             await daemon.kill()
         await self.fleet.stop()
         for service in (self.advice, self.cloud, self.store):
-            await service.stop()
-        await self._session.close()
+            if service.address:
+                await service.stop()
+        if self._session is not None:
+            await self._session.close()
         self._directory.cleanup()
         self._record.close()
 
@@ -232,20 +235,26 @@
         return None
 
 
-def run_case(stage, play):
+def run_case(record_path, play, **options):
     """Play a case, and exit with its verdict.
 
+    :param record_path: where to write what was sent, answered and run
     :param play: coroutine function that returns whether the rule held
+    :param options: further arguments of the :class:`Stage`
     """
     try:
-        code = asyncio.run(_play(stage, play))
-    except Exception:
+        code = asyncio.run(_play(Stage(record_path, **options), play))
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt):
         traceback.print_exc()
         code = NOT_RUN
     sys.exit(code)
 
 
 async def _play(stage, play):
+    # A script that is terminated ends its daemons, too.
+    playing = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, playing.cancel)
     try:
         is_held = await asyncio.wait_for(play(stage), LIMIT_S)
     except (NotRun, asyncio.TimeoutError) as error:
