Refuse a call only if none of its attempts may have stored it

Cause: the answer of one attempt was told as the outcome of the call. A submission has several attempts, appends to partitions and daemons that it is passed on to; a success is true for all of them, a refusal only for the one that gives it.

Change: CallEffect keeps which attempts may have stored something, and a refusal leaves a daemon only when none has. Calls that may be stored are passed on with a mark and settled by storing them again. While the store is silent the caller's daemon stores nothing before the others have answered, so that they can refuse at once. A refusal for the load is checked against what the owner has not read yet.

Why it works: an attempt is noted before anything is sent (begin_append, in the same turn of the event loop as the append), and ruled out only by an answer that nothing was stored.

Two steps of the tests said that the owner can't read the submissions and hid them from every daemon; they hide them from the owner now, and a further check tells what its own daemon answers.

--- a/features/jobs_admission.feature
+++ b/features/jobs_admission.feature
@@ -50,9 +50,11 @@
     When <seconds> seconds pass
     And the owner can't read the partitions of the submissions
     And 5 seconds pass
-    And job "a" of 2 and 2 tasks is submitted to daemon 0
+    And job "a" of 2 and 2 tasks is submitted to daemon 1
     Then it was refused as not_ready
     And the daemons don't tell how many jobs wait
+    When job "b" of 2 and 2 tasks is submitted to the owner's daemon
+    Then it was refused as answer_lost
     When the owner can read all partitions again
     And 2 seconds pass
     And job "a" of 2 and 2 tasks is submitted to daemon 0
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -23,6 +23,7 @@
 from hawthorndeal_platform import host_orders
 from hawthorndeal_platform import keyed_log
 from hawthorndeal_platform import peer_calls
+from hawthorndeal_scheduler import call_effect
 from hawthorndeal_scheduler import call_handler
 from hawthorndeal_scheduler import callers
 from hawthorndeal_scheduler import candidate
@@ -540,12 +541,17 @@
             queue, _ = daemon.interface.find_queue(
                 f'{pool}.example', f'/jobs/{job_id}'
             )
-            access = daemon.interface.authorize(queue, self.keys.get(pool))
+            access = self._authorize(daemon, queue)
             await daemon.interface.submit(access, job_id, body)
         except errors.RequestFailed as failure:
             return failure.reason
         return None
 
+    def _authorize(self, daemon, queue):
+        return daemon.interface.authorize(
+            queue, self.keys.get(queue.name), call_effect.CallEffect()
+        )
+
     async def call(self, daemon, method, pool, job_id, spec=None):
         """Return the answer of a daemon to a call, as by HTTP."""
         body = b''
@@ -569,7 +575,7 @@
             return errors.NotReady.reason
         queue = configuration.queues[pool]
         try:
-            access = daemon.interface.authorize(queue, self.keys.get(pool))
+            access = self._authorize(daemon, queue)
             status = await daemon.interface.find(access, job_id)
         except errors.RequestFailed as failure:
             return failure.reason
@@ -579,7 +585,7 @@
         """Cancel a job; return whether the cancellation was acknowledged."""
         queue = daemon.parts.configuration_reader.configuration.queues[pool]
         try:
-            access = daemon.interface.authorize(queue, self.keys.get(pool))
+            access = self._authorize(daemon, queue)
             exists = await daemon.interface.cancel(access, job_id)
         except errors.RequestFailed:
             return False
--- a/features/steps/jobs_admission.py
+++ b/features/steps/jobs_admission.py
@@ -115,21 +115,33 @@
 
 @when("the owner can't read the partitions of the submissions")
 def block_partitions(context):
-    store = context.world.store
-    blocked = context.world.owner.parts.submission_partitions
-    context.read = store.read
+    owner = context.world.owner.parts
+    blocked = owner.submission_partitions
+    context.hidden_log, context.read = owner.log, owner.log.read
 
-    def read(partition, *arguments):
+    async def read(partition, *arguments):
         if partition in blocked:
             raise errors.OutcomeUnknown('no answer')
-        return context.read(partition, *arguments)
+        return await context.read(partition, *arguments)
+
+    owner.log.read = read
+
 
-    store.read = read
+@when(
+    'job "{job_id}" of {first:d} and {second:d} tasks is submitted to the '
+    "owner's daemon"
+)
+def submit_to_owner(context, job_id, first, second):
+    world = context.world
+    spec = job_world.chain(first, second)
+    context.refusal = context.runner.run(
+        world.submit(world.owner, POOL, job_id, spec)
+    )
 
 
 @when('the owner can read all partitions again')
 def unblock_partition(context):
-    context.world.store.read = context.read
+    context.hidden_log.read = context.read
 
 
 @then("the daemons don't tell how many jobs wait")
--- a/features/steps/jobs_store_return.py
+++ b/features/steps/jobs_store_return.py
@@ -6,6 +6,7 @@
 from behave import then
 from behave import when
 
+from hawthorndeal_fleet import errors
 from stage import job_world
 
 STEPS = 3
@@ -103,10 +104,22 @@
     world = context.world
     partitions = world.daemons[0].parts.submission_partitions
     hidden = partitions if which == 'any' else [partitions[HIDDEN]]
-    world.store.unreadable.update(p.name for p in hidden)
+    _hide(world.owner.parts.log, hidden)
     context.runner.run(asyncio.sleep(seconds))
 
 
+def _hide(log, hidden):
+    """Let a daemon read no record of some partitions."""
+    read = log.read
+
+    async def read_others(partition, *arguments):
+        if partition in hidden:
+            raise errors.OutcomeUnknown('no answer')
+        return await read(partition, *arguments)
+
+    log.read = read_others
+
+
 def _submit_to(context, is_hidden):
     """Submit a job of the hidden partition, or of another one."""
     world = context.world
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/peer_calls.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/peer_calls.py
@@ -4,6 +4,11 @@
 
 import attrs
 
+from hawthorndeal_fleet import errors
+
+_MIN_ERROR_STATUS = 400
+_UNKNOWN_STATUSES = (errors.AnswerLost.status, errors.AnswerLate.status)
+
 
 @attrs.frozen
 class CallerCall:
@@ -14,6 +19,8 @@
     :ivar is_relayed: whether another daemon has passed it on
     :ivar min_version: version of the configuration that has to be in force
         where it is answered
+    :ivar may_be_stored: whether the daemon that passes it on, or another one,
+        may have stored it already; it is not refused for the load then
     """
 
     method: str
@@ -23,6 +30,12 @@
     body: bytes = b''
     is_relayed: bool = False
     min_version: int = 0
+    may_be_stored: bool = False
+
+    @property
+    def is_read(self):
+        """Whether the call changes nothing."""
+        return self.method == 'GET'
 
 
 @attrs.frozen
@@ -39,6 +52,16 @@
     retry_after_s: float | None = None
     version: int = 0
 
+    @property
+    def is_unknown(self):
+        """Whether it leaves open if the call has taken effect."""
+        return self.status in _UNKNOWN_STATUSES
+
+    @property
+    def is_refusal(self):
+        """Whether it tells that the call has no effect."""
+        return self.status >= _MIN_ERROR_STATUS and not self.is_unknown
+
 
 class Peers(typing.Protocol):
     """Calls to other daemons."""
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/call_handler.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/call_handler.py
@@ -8,10 +8,12 @@
 from hawthorndeal_platform import peer_calls
 from hawthorndeal_platform import tasks
 
+from . import call_effect
 from . import caller_access
 
 # How often a call that waits checks whether the store still answers.
 SILENCE_CHECK_S = 0.1
+FIRST_CHECK_S = 0.01
 
 
 class CallHandler:
@@ -33,9 +35,11 @@
         :param call: a :class:`peer_calls.CallerCall`
         :rtype: peer_calls.CallerAnswer
         """
+        effect = call_effect.CallEffect(call.may_be_stored)
         try:
-            return await self._answer_here_or_elsewhere(call)
+            return await self._answer_here_or_elsewhere(call, effect)
         except errors.RequestFailed as failure:
+            failure = _told_failure(call, effect, failure)
             self._log_refusal(call, failure)
             return self._make_answer(
                 failure.status,
@@ -43,39 +47,77 @@
                 failure.retry_after_s,
             )
 
-    async def _answer_here_or_elsewhere(self, call):
+    async def _answer_here_or_elsewhere(self, call, effect):
         if call.is_relayed:
-            return await self._answer_here(call)
-        now_s = self._parts.clock.monotonic_s
-        deadline_s = now_s() + self._interface.timeout_s(call)
-        here = asyncio.create_task(self._answer_here(call))
-        may_be_handled = False
+            return await self._answer_here(call, effect)
+        deadline_s = self._parts.clock.monotonic_s()
+        deadline_s += self._interface.timeout_s(call)
+        holding = self._hold_beside_silence(effect)
+        here = asyncio.create_task(self._answer_here(call, effect))
         try:
             if not await self._has_ended(here):
-                # What was sent to the store may take effect, too: whoever
-                # answers, it is the same job.
-                try:
-                    answer = await self._relay.pass_on(
-                        call, deadline_s - now_s()
-                    )
-                except errors.AnswerLost:
-                    answer, may_be_handled = None, True
+                answer = await self._answer_elsewhere(call, effect, deadline_s)
                 if answer is not None:
                     return answer
+                effect.release()
             return await here
-        except caller_access.StoreUnreachable as failure:
+        except caller_access.StoreUnreachable:
             answer = None
             if self._may_others_answer():
-                answer = await self._relay.pass_on(call, deadline_s - now_s())
-            if answer is not None:
-                return answer
-            if may_be_handled:
-                raise errors.AnswerLost('another daemon may have it') from None
-            raise failure from None
+                answer = await self._answer_elsewhere(call, effect, deadline_s)
+            if answer is None:
+                raise
+            return answer
         finally:
+            if holding is not None:
+                holding.cancel()
             here.cancel()
             here.add_done_callback(tasks.retrieve_error)
 
+    def _hold_beside_silence(self, effect):
+        """Let this daemon store nothing while the store is silent.
+
+        :returns: the task that ends when the store answers, or None
+        """
+        reachability = self._parts.log.reachability
+        if not reachability.is_silent:
+            return None
+        effect.hold()
+        holding = reachability.wait_task()
+        holding.add_done_callback(lambda _: effect.release())
+        return holding
+
+    async def _answer_elsewhere(self, call, effect, deadline_s):
+        """Return another daemon's answer, or None if there is none.
+
+        Whoever answers, it is the same job. So an answer that the call has
+        taken effect is true for all attempts, and a refusal only for the
+        daemon that gives it.
+
+        :raises errors.AnswerLost: if it is refused, but may have taken effect
+        """
+        was_possible = effect.is_possible
+        answer = await self._pass_on(call, effect, deadline_s)
+        if _hides_effect(call, effect, answer) and not was_possible:
+            # An attempt of this daemon has begun meanwhile, which the others
+            # didn't know of.
+            answer = await self._pass_on(call, effect, deadline_s)
+        if _hides_effect(call, effect, answer):
+            raise errors.AnswerLost(
+                f'another daemon refused with status {answer.status} what may '
+                f'have been stored',
+                answer.retry_after_s,
+            )
+        effect.is_refused = answer is not None and answer.is_refusal
+        return answer
+
+    async def _pass_on(self, call, effect, deadline_s):
+        left_s = deadline_s - self._parts.clock.monotonic_s()
+        try:
+            return await self._relay.pass_on(call, effect, left_s)
+        except errors.AnswerLost:
+            return None
+
     def _may_others_answer(self):
         """Return whether other daemons may know or reach more than this one.
 
@@ -94,18 +136,20 @@
 
         :returns: whether it has ended
         """
+        # What needs no store is answered here, also beside a silent one.
+        await asyncio.wait([task], timeout=FIRST_CHECK_S)
         while not task.done():
             if self._parts.log.reachability.is_silent:
                 return False
             await asyncio.wait([task], timeout=SILENCE_CHECK_S)
         return True
 
-    async def _answer_here(self, call):
+    async def _answer_here(self, call, effect):
         interface = self._interface
         min_version = max(call.min_version, self._relay.seen_version)
         interface.require_version(min_version)
         queue, job_id = interface.find_queue(call.host_name, call.path)
-        access = interface.authorize(queue, call.key)
+        access = interface.authorize(queue, call.key, effect)
         spec_fields = {}
         if call.method == 'POST':
             spec = await interface.submit(access, job_id, call.body)
@@ -118,7 +162,7 @@
             status, plain = 200, {'waiting': interface.waiting(queue)}
         else:
             status, plain = _state(await interface.find(access, job_id))
-        if call.method != 'GET':
+        if not call.is_read:
             self._log_accepted(
                 call, queue, access, job_id, status, spec_fields
             )
@@ -163,6 +207,27 @@
         )
 
 
+def _hides_effect(call, effect, answer):
+    """Return whether an answer denies what may have taken effect."""
+    return (
+        answer is not None
+        and answer.is_refusal
+        and not call.is_read
+        and effect.is_possible
+    )
+
+
+def _told_failure(call, effect, failure):
+    """Return the failure that the caller is told."""
+    is_refusal = isinstance(failure, errors.NotRun)
+    if call.is_read or not is_refusal or not effect.is_possible:
+        return failure
+    return errors.AnswerLost(
+        f'refused, but may have been stored: {failure.detail}',
+        failure.retry_after_s,
+    )
+
+
 def _spec_fields(queue, spec):
     return {
         'pool': queue.pool,
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/caller_access.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/caller_access.py
@@ -7,6 +7,8 @@
 from hawthorndeal_jobs import queues
 from hawthorndeal_jobs import workspaces
 
+from . import call_effect
+
 RETRY_AFTER_S = 1
 # Time for an answer to reach its caller.
 ANSWER_MARGIN_S = 0.3
@@ -35,17 +37,19 @@
             and self._parts.operators_follower.confirmed_boot_s >= 0.0
         )
 
-    def authorize(self, queue, key):
+    def authorize(self, queue, key, effect):
         """Return the access that a key gives to a queue.
 
         :param key: the key that the call carries, or None
+        :param effect: the call's :class:`call_effect.CallEffect`
         :raises errors.UnknownKey: if the key is not valid
         :raises errors.NotReady: if that can't be told now
         """
         if queue.is_public:
-            return Access(self, queue)
+            return Access(self, queue, effect)
         digest = workspaces.key_digest(key or '')
-        return Access(self, queue, digest, self.workspace_of(digest))
+        workspace = self.workspace_of(digest)
+        return Access(self, queue, effect, digest, workspace)
 
     def workspace_of(self, digest):
         """Return the workspace of a key's digest.
@@ -76,20 +80,26 @@
     """What a caller may do.
 
     :ivar queue: the queue that was called
+    :ivar effect: what the call may have stored so far
     :ivar workspace: workspace of the caller; empty if the queue is public
     """
 
     _guard: CallerGuard
     queue: queues.Queue
+    effect: call_effect.CallEffect
     _digest: str = ''
     workspace: str = ''
 
-    def verify(self):
-        """Check again that the key is valid.
+    def begin_append(self):
+        """Check the call again, right before something of it is stored.
 
-        :raises errors.RequestFailed: if it is not, or belongs to another
-            workspace now
+        :raises errors.RequestFailed: if the key is not valid any more, or
+            belongs to another workspace now, or the call was refused
         """
+        self._verify_key()
+        self.effect.begin(call_effect.HERE)
+
+    def _verify_key(self):
         if self.queue.is_public:
             return
         if self._guard.workspace_of(self._digest) != self.workspace:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -9,6 +9,7 @@
 from hawthorndeal_jobs import queues
 from hawthorndeal_jobs import quotas
 
+from . import call_effect
 from . import caller_access
 
 # No append is started with less time left before shutdown.
@@ -37,6 +38,7 @@
         self._parts = parts
         self._formats = formats
         self._guard = caller_access.CallerGuard(parts)
+        self._unsettled = call_effect.UnsettledJobs()
         self._drain_deadline_s = math.inf
 
     @property
@@ -122,15 +124,16 @@
             raise errors.UnknownService(f'no queue at {host_name}{path:.80}')
         return queue, path[len(queue.path_prefix) :]
 
-    def authorize(self, queue, key):
+    def authorize(self, queue, key, effect):
         """Return the access that a key gives to a queue.
 
         :param key: the key that the call carries, or None
+        :param effect: the call's :class:`call_effect.CallEffect`
         :rtype: caller_access.Access
         :raises errors.UnknownKey: if the key is not valid
         :raises errors.NotReady: if that can't be told now
         """
-        return self._guard.authorize(queue, key)
+        return self._guard.authorize(queue, key, effect)
 
     async def submit(self, access, job_id, body):
         """Accept a job.
@@ -160,7 +163,14 @@
             raise caller_access.StoreUnreachable(
                 'the store is away', RETRY_AFTER_S
             )
-        self._check_load(access, spec, job_id)
+        refusal = self._find_load_refusal(access, spec, job_id)
+        if refusal is not None and not self._is_repeat(access, job_id):
+            # An earlier call for the job may have come to another daemon.
+            known = await self._read_unread(job_id)
+            if known is None:
+                raise refusal
+            _require_same(access, job_id, known, status)
+            return spec
         submission = journal.Submission(
             queue.name,
             queue.pool,
@@ -178,11 +188,20 @@
         parts.board.note_accepted(job_id, status)
         return spec
 
-    def _check_load(self, access, spec, job_id):
-        """Refuse a job that could not be of use any more.
+    def _is_repeat(self, access, job_id):
+        """Return whether an earlier attempt may have stored the job.
 
-        :raises errors.NotReady: if the owner is behind
-        :raises PoolOverloaded: if the pool has too much work
+        Then a refusal could be untrue, and storing the job again settles it.
+        """
+        now_s = self._parts.clock.monotonic_s()
+        is_unsettled = self._unsettled.includes(job_id, now_s)
+        return access.effect.is_repeat or is_unsettled
+
+    def _find_load_refusal(self, access, spec, job_id):
+        """Return why a job could not be of use any more, or None.
+
+        :returns: errors.NotReady if the owner is behind, PoolOverloaded if
+            the pool has too much work
         """
         parts = self._parts
         view, now_s = parts.owner_view, parts.clock.monotonic_s()
@@ -196,9 +215,46 @@
             report, access.queue, access.workspace, spec, parts.rng
         )
         if refusal is None:
-            return
+            return None
         kind = PoolOverloaded if refusal.is_overload else errors.NotReady
-        raise kind(refusal.detail, refusal.retry_after_s)
+        return kind(refusal.detail, refusal.retry_after_s)
+
+    async def _read_unread(self, job_id):
+        """Return the status of a job that the owner has not read yet, or None.
+
+        :raises errors.AnswerLost: if it can't be read whether there is one
+        """
+        parts = self._parts
+        try:
+            async with asyncio.timeout(
+                max(0.0, self._cap_timeout(CATCH_UP_TIMEOUT_S))
+            ):
+                tails = await asyncio.gather(
+                    *map(self._read_tail, parts.submission_choices(job_id))
+                )
+            value = next((t[job_id] for t in tails if job_id in t), None)
+            if value is None:
+                return parts.board.find(job_id)
+            stored = journal.decode(value, journal.Submission)
+        except (
+            errors.PlatformError,
+            errors.InvalidRecord,
+            asyncio.TimeoutError,
+        ) as error:
+            raise errors.AnswerLost(
+                f'an earlier call may have stored the job: {error!r}',
+                RETRY_AFTER_S,
+            ) from error
+        return journal.JobStatus(
+            stored.queue,
+            journal.spec_digest(stored.spec),
+            workspace=stored.workspace,
+        )
+
+    async def _read_tail(self, partition):
+        parts = self._parts
+        covered = parts.covered_offset(partition)
+        return await parts.tail_reader(partition).read(covered)
 
     def _is_known(self, access, job_id, status):
         """Return whether the same job was accepted before.
@@ -208,12 +264,7 @@
         known = self._parts.board.find(job_id)
         if known is None:
             return False
-        if (
-            not access.may_see(known)
-            or known.queue != status.queue
-            or known.digest != status.digest
-        ):
-            raise JobConflict(f'job {job_id} was submitted differently')
+        _require_same(access, job_id, known, status)
         return True
 
     def _check_quota(self, access, spec):
@@ -230,20 +281,44 @@
         timeout_s = self._cap_timeout(access.timeout_s)
         if timeout_s < MIN_APPEND_TIMEOUT_S:
             raise errors.ShuttingDown('this daemon stops', RETRY_AFTER_S)
+        if access.effect.is_held:
+            timeout_s = await self._wait_until_released(access, timeout_s)
+        is_stored = False
         try:
             await parts.submitter.append(
                 parts.submission_choices(job_id),
                 record,
                 timeout_s,
-                access.verify,
+                access.begin_append,
             )
+            is_stored = True
+        except errors.RequestFailed:
+            access.effect.rule_out(call_effect.HERE)
+            raise
         except errors.PlatformUnavailable as error:
+            access.effect.rule_out(call_effect.HERE)
             raise caller_access.StoreUnreachable(
                 'the store takes nothing now', RETRY_AFTER_S
             ) from error
         except errors.PlatformError as error:
             # The record may have been stored; only a retry can tell.
             raise errors.AnswerLost(str(error)[:200]) from error
+        finally:
+            if access.effect.is_possible and not is_stored:
+                self._unsettled.note(job_id, parts.clock.monotonic_s())
+
+    async def _wait_until_released(self, access, timeout_s):
+        """Wait until this daemon may store a call; return the time left."""
+        now_s = self._parts.clock.monotonic_s
+        deadline_s = now_s() + timeout_s
+        try:
+            async with asyncio.timeout(timeout_s):
+                await access.effect.wait_until_released()
+        except asyncio.TimeoutError as error:
+            raise caller_access.StoreUnreachable(
+                'the store is silent', RETRY_AFTER_S
+            ) from error
+        return deadline_s - now_s()
 
     def _find(self, access, job_id):
         status = self._parts.board.find(job_id)
@@ -264,6 +339,9 @@
         if status is None:
             await self._wait_until_covered(job_id)
             status = self._find(access, job_id)
+        now_s = self._parts.clock.monotonic_s()
+        if status is None and self._unsettled.includes(job_id, now_s):
+            raise self._unreadable_jobs()
         return status
 
     async def _wait_until_covered(self, job_id):
@@ -329,6 +407,19 @@
         return self._parts.board.waiting(queue.name)
 
 
+def _require_same(access, job_id, known, status):
+    """Check that a job that was accepted before is the one that arrives.
+
+    :raises JobConflict: if the id belongs to another job
+    """
+    if (
+        not access.may_see(known)
+        or known.queue != status.queue
+        or known.digest != status.digest
+    ):
+        raise JobConflict(f'job {job_id} was submitted differently')
+
+
 class PoolOverloaded(errors.NotRun):
     """Raised when a job would have lost its value before its end."""
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/parts.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/parts.py
@@ -1,6 +1,7 @@
 """Components that the tasks of a scheduling daemon share."""
 
 import asyncio
+import functools
 import math
 import random
 import uuid
@@ -12,12 +13,13 @@
 
 from . import clock as clock_module
 from . import decision_log
-from . import end_reader
 from . import log_follower
 from . import log_probe
 from . import log_readers
 from . import metrics as metrics_module
+from . import shared_reader
 from . import status_readers
+from . import stored_jobs
 from . import submitter as submitter_module
 
 JOBS = keyed_log.Partition('hawthorndeal')
@@ -30,6 +32,8 @@
 # that answers slowly.
 SUBMISSIONS_READ_WAIT_S = 0.5
 OPERATORS_READ_WAIT_S = 1.0
+# Many submissions are refused at once, each after a look at what is stored.
+TAIL_READ_INTERVAL_S = 0.1
 
 
 @attrs.define(eq=False)
@@ -116,6 +120,7 @@
             self.log, [*self.status_partitions, JOBS]
         )
         self._end_readers = {}
+        self._tail_readers = {}
         self.submitter = submitter_module.Submitter(self.log)
         self._owner = None
 
@@ -252,11 +257,22 @@
     def end_reader(self, partition):
         """Return the reader of a partition's end."""
         if partition not in self._end_readers:
-            self._end_readers[partition] = end_reader.EndReader(
-                self.log, partition
+            self._end_readers[partition] = shared_reader.SharedReader(
+                functools.partial(self.log.end, partition)
             )
         return self._end_readers[partition]
 
+    def tail_reader(self, partition):
+        """Return the reader of a partition's submissions up to its end."""
+        if partition not in self._tail_readers:
+            self._tail_readers[partition] = shared_reader.SharedReader(
+                functools.partial(
+                    stored_jobs.read_submissions, self.log, partition
+                ),
+                TAIL_READ_INTERVAL_S,
+            )
+        return self._tail_readers[partition]
+
     @property
     def board(self):
         """The statuses of jobs, and the owner."""
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/peer_client.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/peer_client.py
@@ -60,6 +60,8 @@
             str(plain['body']).encode(),
             is_relayed=True,
             min_version=int(plain['min_version']),
+            # Daemons of an earlier version don't send it.
+            may_be_stored=bool(plain.get('may_be_stored')),
         )
     except (KeyError, TypeError) as error:
         raise ValueError(f'not a call: {error!r}') from error
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/relay.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/relay.py
@@ -23,6 +23,19 @@
     """Raised when all daemons that may be tried were tried."""
 
 
+class _Refused(errors.PlatformUnavailable):
+    """Raised when a daemon refuses a call.
+
+    Others that were asked before it may still have stored the call.
+
+    :param answer: the :class:`peer_calls.CallerAnswer`
+    """
+
+    def __init__(self, name, answer):
+        self.answer = answer
+        super().__init__(f'{name} refused with status {answer.status}')
+
+
 class Relay:
     """Passes callers' calls on to other daemons.
 
@@ -38,11 +51,13 @@
         settings = parts.settings
         self._choice = peer_choice.PeerChoice(settings.daemon, settings.zone)
 
-    async def pass_on(self, call, timeout_s):
+    async def pass_on(self, call, effect, timeout_s):
         """Return another daemon's answer to a call, or None.
 
-        None means that no daemon that was tried has handled it.
+        None means that no daemon that was tried has handled it. A refusal is
+        returned only if no other daemon that was tried may have handled it.
 
+        :param effect: the call's :class:`call_effect.CallEffect`
         :param timeout_s: how long the caller waits for the answer
         :raises errors.AnswerLost: if one of them may have handled it
         """
@@ -61,27 +76,45 @@
                 # A peer that is slow to answer doesn't keep the call from the
                 # next one; whoever answers, it is the same job.
                 return await hedging.call(
-                    lambda: self._try_next(left, call, deadline_s),
+                    lambda: self._try_next(left, call, effect, deadline_s),
                     self._latency,
                     left_s,
                     now_s,
                 )
             except _NoPeerLeft:
                 return None
+            except _Refused as refused:
+                return refused.answer
             except errors.PlatformUnavailable:
                 continue
             except errors.OutcomeUnknown as error:
-                if call.method == 'GET':
+                if call.is_read:
                     return None
                 raise errors.AnswerLost(str(error)[:200]) from error
         return None
 
-    async def _try_next(self, names, call, deadline_s):
+    async def _try_next(self, names, call, effect, deadline_s):
         name = next(names, None)
         if name is None:
             raise _NoPeerLeft('no other daemon is left')
         left_s = deadline_s - self._parts.clock.monotonic_s()
-        return await self._try_peer(name, call, max(MIN_TIMEOUT_S, left_s))
+        call = attrs.evolve(call, may_be_stored=effect.is_possible)
+        effect.begin(name)
+        try:
+            answer = await self._try_peer(
+                name, call, max(MIN_TIMEOUT_S, left_s)
+            )
+        except errors.PlatformUnavailable:
+            effect.rule_out(name)
+            raise
+        if call.is_read:
+            return answer
+        if answer.is_unknown:
+            raise errors.OutcomeUnknown(f'{name}: status {answer.status}')
+        if answer.is_refusal:
+            effect.rule_out(name)
+            raise _Refused(name, answer)
+        return answer
 
     async def _try_peer(self, name, call, timeout_s):
         """Return the answer of one daemon.
