Keep what a job makes a daemon compute in proportion to its size

Cause: remaining_path_s walked down each path of the graph of steps, on the event loop, when a job was read. The class is work that grows faster than the job. The gravest beside the first: each end of a task encoded all tasks of the job, up to 200 KB, and with long checkpoints more than the store takes.

Change: the graph is walked once a job, ends are counted instead of sought, and the progress of many tasks is stored in parts of 256 tasks, of which only those are stored whose tasks have changed. Earlier versions can't read parts, so the setting splits_progress switches them on.

--- a/features/stage/loaded_partition.py
+++ b/features/stage/loaded_partition.py
@@ -152,13 +152,17 @@
     def start_all(self):
         """Run a scheduling cycle, and report each start as accepted."""
         starts = self.plan().starts
+        self.accept_starts(starts)
+        self.scheduler.pop_changed()
+        return starts
+
+    def accept_starts(self, starts):
+        """Report each start as accepted."""
         for run in starts:
             run.phase = run_state.RunPhase.SENT
             self.scheduler.handle_start_answer(
                 run, run_tracking.StartAnswer.ACCEPTED, self.now_s
             )
-        self.scheduler.pop_changed()
-        return starts
 
     def start_job(self, spec):
         """Start a job of the own pool, and return its runs."""
--- /dev/null
+++ b/features/steps/jobs_declared_shapes.py
@@ -0,0 +1,299 @@
+"""Steps for what a job makes a daemon compute."""
+
+import copy
+import itertools
+
+from behave import given
+from behave import then
+from behave import when
+
+from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import jobs
+from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import replica
+from hawthorndeal_jobs import run_state
+from hawthorndeal_site import submissions
+from stage import job_life
+from stage import loaded_partition
+
+JOB_ID = job_life.JOB_ID
+LAYER = 4
+# Two tasks of this size fit on a host.
+LARGE = {'cpu': 8000, 'mem-mb': 1, 'estimated-ms': 100}
+SMALL = {'cpu': 10, 'mem-mb': 1, 'estimated-ms': 100}
+
+
+def _graph(count, after):
+    return job_life.Shape(
+        [
+            {'count': 1, **SMALL, 'after': list(after(index, count))}
+            for index in range(count)
+        ]
+    )
+
+
+def _layer_before(index, _):
+    first = index // LAYER * LAYER - LAYER
+    return range(max(0, first), first + LAYER)
+
+
+def _last_waits(index, count):
+    return range(index) if index == count - 1 else ()
+
+
+def _one_step(count, **options):
+    return job_life.Shape([{'count': count, **options}])
+
+
+SHAPES = {
+    'steps that each wait for all before': lambda count: _graph(
+        count, lambda index, _: range(index)
+    ),
+    'steps in layers of four': lambda count: _graph(count, _layer_before),
+    'steps that each wait for the one before': lambda count: _graph(
+        count, lambda index, _: range(max(0, index - 1), index)
+    ),
+    'steps that wait for the first': lambda count: _graph(
+        count, lambda index, _: range(min(1, index))
+    ),
+    'steps that the last waits for': lambda count: _graph(count, _last_waits),
+    'tasks of one step': lambda count: _one_step(count, **LARGE),
+    'members of a gang': lambda count: _one_step(
+        count, **SMALL, **{'gang-scheduled': True}
+    ),
+}
+
+
+@given('jobs of {few:d} and {many:d} {shape}')
+def make_shapes(context, few, many, shape):
+    context.shapes = SHAPES[shape](few), SHAPES[shape](many)
+
+
+@when('each of them lives from its submission to its end')
+def count_lives(context):
+    context.costs = [
+        job_life.JobLife(shape).count_instructions() / shape.size
+        for shape in context.shapes
+    ]
+
+
+@then('the large one costs less than {factor:d} times as much for its size')
+def check_costs(context, factor):
+    small, large = context.costs
+    assert large < factor * small, context.costs
+
+
+@when(
+    'a job is submitted whose second step waits {count:d} times for the first'
+)
+def submit_repeated_step(context, count):
+    first = {'count': 1, **SMALL}
+    shape = job_life.Shape([first, {**first, 'after': [0] * count}])
+    context.spec = submissions.decode_job(shape.body)
+
+
+@then('its second step waits for {count:d} step')
+def check_predecessors(context, count):
+    assert len(context.spec.steps[1].after) == count
+
+
+class _StoredJob:
+    """A job, and the records that an owner has stored of its progress."""
+
+    def __init__(self, tasks, checkpoint=''):
+        # Two steps, so that a record may hold tasks of both.
+        counts = tasks // 3, tasks - tasks // 3
+        spec = submissions.decode_job(
+            job_life.Shape([{'count': n, **SMALL} for n in counts]).body
+        )
+        submission = journal.Submission('q', 'p', 1.0, spec)
+        self.submission = journal.submission_record(JOB_ID, submission)
+        self.records = {}
+        self.history = []
+        self.job = _load([self.submission]).jobs[JOB_ID]
+        self.occurrence = self.job.occurrence(0)
+        self._stamps = itertools.count(1)
+        for number in range(spec.tasks):
+            task = self._change(number)
+            task.state = jobs.TaskState.ASSIGNED
+            task.run, task.executor = 1, f'executor-{number % 300}'
+            task.checkpoint = checkpoint
+
+    def _change(self, number):
+        step, index = self.occurrence.place(number)
+        self.occurrence.note_changed(step, index)
+        return self.occurrence.tasks[step][index]
+
+    def end(self, numbers):
+        """Let some tasks end."""
+        for number in numbers:
+            self._change(number).state = jobs.TaskState.DONE
+            self.occurrence.note_done(self.occurrence.place(number)[0], 1)
+
+    def store(self, is_split=True):
+        """Store what has changed, and return the records."""
+        stored = journal.progress_records(
+            self.occurrence, (1, next(self._stamps)), is_split
+        )
+        self.records.update((record.key, record) for record in stored)
+        self.history += stored
+        return stored
+
+
+def _load(records):
+    """Return a replica that has read some records."""
+    read = replica.Replica()
+    for offset, record in enumerate(records):
+        read.apply(record.key, record.value, offset)
+    return read
+
+
+def _check_loaded(stored, records):
+    read = _load([stored.submission, *records]).jobs[JOB_ID]
+    occurrence, own = read.occurrences[0], stored.occurrence
+    assert occurrence.tasks == own.tasks
+    for step in own.steps:
+        assert occurrence.is_step_done(step) == own.is_step_done(step)
+    assert read.has_started
+    assert read.is_done == own.is_done
+
+
+@given(
+    'a job of {tasks:d} tasks with checkpoints of {size:d} bytes, all of them '
+    'running'
+)
+def store_running_job(context, tasks, size):
+    context.stored = _StoredJob(tasks, 'c' * size)
+    context.stored.store()
+
+
+@then('its progress takes records of {limit_bytes:d} bytes or less')
+def check_record_sizes(context, limit_bytes):
+    sizes = [len(r.value) for r in context.stored.records.values()]
+    assert max(sizes) <= limit_bytes, sizes
+
+
+@then('a successor that reads them has the same tasks')
+def check_successor(context):
+    stored = context.stored
+    _check_loaded(stored, sorted(stored.records.values(), key=_key))
+    _check_loaded(stored, stored.history)
+
+
+def _key(record):
+    return record.key
+
+
+@when('{count:d} of its tasks end')
+def end_tasks(context, count):
+    context.stored.end(range(0, count * 700, 700))
+    context.last_stored = context.stored.store()
+
+
+@then('{count:d} records or fewer are stored')
+def check_stored_count(context, count):
+    assert 1 <= len(context.last_stored) <= count
+
+
+@given('a job of {tasks:d} tasks of which {count:d} end after each record')
+def store_history(context, tasks, count):
+    context.stored = stored = _StoredJob(tasks)
+    stored.store()
+    for first in range(0, tasks, count):
+        stored.end(range(first, min(tasks, first + count)))
+        stored.store()
+
+
+@when('a successor reads the records {order}')
+def read_in_order(context, order):
+    history = context.stored.history
+    context.read = {
+        'as they were stored': history,
+        'in reverse': history[::-1],
+        'each of them twice': [*history, *history],
+    }[order]
+
+
+@then('it has the tasks of the newest record of each')
+def check_newest(context):
+    # Offsets tell the newest record of a key within one partition. Records of
+    # several partitions are told apart by their stamps.
+    read = replica.Replica()
+    stored = context.stored
+    read.apply(stored.submission.key, stored.submission.value, 0)
+    for number, record in enumerate(context.read):
+        read.apply(record.key, record.value, 0, f'partition {number}')
+    job = read.jobs[JOB_ID]
+    assert job.occurrences[0].tasks == stored.occurrence.tasks
+    assert job.is_done
+
+
+@given('a job of {tasks:d} tasks whose progress is stored in one record')
+def store_whole(context, tasks):
+    context.stored = _StoredJob(tasks)
+    assert len(context.stored.store(is_split=False)) == 1
+
+
+@when('{count:d} of its tasks end, and their progress is stored in parts')
+def end_and_split(context, count):
+    context.stored.end(range(count))
+    context.stored.store()
+
+
+@then('each record of the job is deleted with it')
+def check_deleted(context):
+    deleted = set(journal.progress_keys(context.stored.job))
+    assert set(context.stored.records) <= deleted, deleted
+
+
+@when('a record "{part}" of {rows:d} tasks of it is read')
+def read_part(context, part, rows):
+    stored = context.stored
+    context.replica = _load([stored.submission, *stored.history])
+    job = context.replica.jobs[JOB_ID]
+    context.before = copy.deepcopy(job.occurrences[0].tasks)
+    value = b'{"f":0,"t":[%b]}' % b','.join([b'[2,9,"x",0,""]'] * rows)
+    try:
+        context.replica.apply(f'progress/{JOB_ID}/{part}', value, 99)
+    except errors.InvalidRecord:
+        context.is_rejected = True
+    else:
+        context.is_rejected = False
+
+
+@then('it is rejected, and the tasks are as before')
+def check_rejected(context):
+    job = context.replica.jobs[JOB_ID]
+    assert context.is_rejected
+    assert list(job.occurrences) == [0]
+    assert job.occurrences[0].tasks == context.before
+
+
+@given('a job of {tasks:d} tasks that all run for the last time')
+def start_last_runs(context, tasks):
+    partition = loaded_partition.LoadedPartition(tasks // 16 + 1)
+    context.partition = partition
+    context.runs = partition.start_job(loaded_partition.job_spec(tasks))
+    assert len(context.runs) == tasks
+    for run in context.runs:
+        run.task.failures = 100
+
+
+@when('all of them fail')
+def fail_all(context):
+    partition, context.costs = context.partition, []
+    for run in context.runs:
+        poll = partition.end_of(run, run_state.EndCause.FAILED)
+        context.costs.append(
+            loaded_partition.count_instructions(
+                lambda poll=poll, run=run: partition.handle(
+                    run.executor_id, poll
+                )
+            )
+        )
+
+
+@then('each failure but the first costs less than half of it')
+def check_failures(context):
+    first, *later = context.costs
+    assert max(later) < first / 2, context.costs
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/admission.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/admission.py
@@ -124,7 +124,7 @@
     is_beyond = workspace in report.beyond_share
     wait_s = waits.beyond_wait_s if is_beyond else waits.wait_s
     cutoff_s = ordering.CUTOFF_FACTOR * ordering.objective_s(queue, spec)
-    late_s = wait_s + spec.critical_path_s() - cutoff_s
+    late_s = wait_s + spec.critical_path_s - cutoff_s
     # A malformed report may hold what isn't a number.
     if not late_s > 0.0:
         return None
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/crash_tracking.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/crash_tracking.py
@@ -30,7 +30,7 @@
         suspects = crash_blame.judge(executor, list(runs), is_shared)
         for suspect in suspects:
             crash_blame.note_crash(suspect)
-            self._endings.note_changed([suspect.run.occurrence])
+            self._endings.note_changed(suspect.run)
             self._steps.note_suspected(suspect.run.task_id)
         return suspects
 
@@ -40,7 +40,7 @@
         is_news = run.started_s is not None and task.started_run < run.number
         if is_news and run.is_suspect and run_tracking.is_current(run):
             task.started_run = run.number
-            self._endings.note_changed([run.occurrence])
+            self._endings.note_changed(run)
 
     def clear_suspects(self, executor):
         """Forget the crashes under tasks whose runs have lasted.
@@ -55,5 +55,5 @@
         for run in cleared:
             del executor.suspect_runs[run.key]
             crash_blame.clear(run.task)
-            self._endings.note_changed([run.occurrence])
+            self._endings.note_changed(run)
         return bool(cleared)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
@@ -1,5 +1,6 @@
 """The state of jobs, their occurrences, steps and tasks."""
 
+import bisect
 import enum
 
 import attrs
@@ -87,6 +88,11 @@
     crash_survival_s: float = 0.0
     started_run: int = 0
 
+    @property
+    def is_open(self):
+        """Whether the task is not done."""
+        return self.state is not TaskState.DONE
+
     @property
     def crash_count(self):
         """Number of executors that may have crashed under the task."""
@@ -97,41 +103,116 @@
 class Occurrence:
     """One execution of a job's steps.
 
-    :ivar tasks: the tasks of each step
-    :ivar done_counts: the number of done tasks of each step
-    :ivar stamp: stamp of the record that the tasks were read from
+    :ivar stamps: stamps of the records that the tasks were read from, by
+        the number of the first task of a record
     """
 
     job: 'Job'
     number: int
-    tasks: list[list[Task]]
-    done_counts: list[int]
-    stamp: tuple[int, int] = (0, 0)
+    _tasks: list[list[Task]] = attrs.field(factory=list, init=False)
+    stamps: dict[int, tuple] = attrs.field(factory=dict, init=False)
+    _changed_tasks: set[int] = attrs.field(factory=set, init=False)
+    # Counted, since each end of a task asks whether its step, its job and what
+    # its successors wait for are done.
+    _open_tasks: list[int] = attrs.field(factory=list, init=False)
+    _open_predecessors: list[int] = attrs.field(factory=list, init=False)
+    _open_steps: int = attrs.field(default=0, init=False)
 
     @classmethod
     def new(cls, job, number):
         """Return an occurrence in which no task has run."""
-        tasks = [[Task() for _ in range(s.count)] for s in job.spec.steps]
-        return cls(job, number, tasks, [0] * len(tasks))
+        steps = job.spec.steps
+        occurrence = cls(job, number)
+        occurrence._tasks = [[Task() for _ in range(s.count)] for s in steps]
+        occurrence._open_tasks = [step.count for step in steps]
+        occurrence._open_predecessors = [len(step.after) for step in steps]
+        occurrence._open_steps = len(steps)
+        return occurrence
+
+    @property
+    def tasks(self):
+        """The tasks of each step."""
+        return self._tasks
+
+    @property
+    def steps(self):
+        """Indexes of the steps."""
+        return range(len(self._tasks))
+
+    def restore(self, first, tasks):
+        """Set the state of some tasks.
+
+        :param first: number of the first one, over all steps
+        """
+        was_done = self.is_done
+        step, index = self.place(first)
+        for task in tasks:
+            if index == len(self._tasks[step]):
+                step, index = step + 1, 0
+            was_open = self._tasks[step][index].is_open
+            self._tasks[step][index] = task
+            self._count_open(step, task.is_open - was_open)
+            index += 1
+        self.job.done_occurrences += self.is_done - was_done
+        self.job.has_started |= any(task.run for task in tasks)
+
+    def _count_open(self, step, change):
+        was_open = bool(self._open_tasks[step])
+        self._open_tasks[step] += change
+        step_change = bool(self._open_tasks[step]) - was_open
+        if not step_change:
+            return
+        self._open_steps += step_change
+        for other in self.job.spec.successors[step]:
+            self._open_predecessors[other] += step_change
+
+    def note_changed(self, step, index):
+        """Record that the state of a task has changed."""
+        self._changed_tasks.add(self.job.spec.first_tasks[step] + index)
+
+    def pop_changed_tasks(self):
+        """Return the numbers of the tasks that changed since the last call.
+
+        Tasks are numbered over all steps.
+        """
+        changed, self._changed_tasks = self._changed_tasks, set()
+        return changed
+
+    def place(self, number):
+        """Return the step and the index of a task numbered over all steps."""
+        first_tasks = self.job.spec.first_tasks
+        step = bisect.bisect_right(first_tasks, number) - 1
+        return step, number - first_tasks[step]
+
+    def tasks_from(self, first, count):
+        """Return up to a number of tasks, from one on, over all steps."""
+        spec = self.job.spec
+        step = bisect.bisect_right(spec.first_tasks, first) - 1
+        found = []
+        while len(found) < count and step < len(self._tasks):
+            begin = max(0, first - spec.first_tasks[step])
+            found += self._tasks[step][begin : begin + count - len(found)]
+            step += 1
+        return found
+
+    def note_done(self, step, count):
+        """Record that a number of tasks of a step have become done."""
+        was_done = self.is_done
+        self._count_open(step, -count)
+        self.job.done_occurrences += self.is_done - was_done
 
     def is_step_done(self, step):
         """Return True if every task of a step is done."""
-        return self.done_counts[step] == len(self.tasks[step])
+        return not self._open_tasks[step]
 
     def is_step_ready(self, step):
         """Return True if all steps that a step depends on are done."""
-        after = self.job.spec.steps[step].after
-        return all(self.is_step_done(other) for other in after)
+        return not self._open_predecessors[step]
 
     @property
     def is_done(self):
         """Whether every task is done."""
-        return all(map(self.is_step_done, range(len(self.tasks))))
-
-    @property
-    def has_started(self):
-        """Whether a run of any task was planned."""
-        return any(task.run for step in self.tasks for task in step)
+        return not self._open_steps
 
     def numbered_tasks(self):
         """Return each task with its id."""
@@ -159,6 +240,8 @@
     :ivar is_beyond_share: whether its workspace sent more jobs than are owed
         to it at that time
     :ivar home: name of the partition that its cancellation is stored in
+    :ivar has_started: whether a run of any task was planned
+    :ivar done_occurrences: number of occurrences of which all tasks are done
     """
 
     job_id: str
@@ -172,6 +255,8 @@
     occurrences: dict[int, Occurrence] = attrs.Factory(dict)
     is_cancelled: bool = False
     is_failed: bool = False
+    has_started: bool = False
+    done_occurrences: int = 0
 
     def occurrence(self, number):
         """Return an occurrence; it is created if missing."""
@@ -208,14 +293,7 @@
     @property
     def is_done(self):
         """Whether every occurrence is done."""
-        return len(self.occurrences) == self.spec.occurrences and all(
-            occurrence.is_done for occurrence in self.occurrences.values()
-        )
-
-    @property
-    def has_started(self):
-        """Whether a run of any task was planned."""
-        return any(o.has_started for o in self.occurrences.values())
+        return self.done_occurrences == self.spec.occurrences
 
     def failure_reason(self):
         """Return why the job has failed, or an empty string."""
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -10,6 +10,7 @@
 ``job/ID``            the submission                           any daemon
 ``cancel/ID``         the cancellation of the job              any daemon
 ``progress/ID/K``     the tasks of one occurrence              the owner
+``progress/ID/K/N``   some of many tasks, from number N on     the owner
 ``owner``             the owner, which fences its predecessor  the owner
 ====================  =======================================  ==============
 
@@ -35,6 +36,7 @@
 """
 
 import hashlib
+import itertools
 import json
 import typing
 
@@ -58,6 +60,8 @@
 DAEMON = 'daemon'
 
 DIGEST_BYTES = 6
+# Tasks whose progress fits into one record of any store.
+TASKS_PER_RECORD = 256
 NO_STAMP = (0, 0)
 
 _DECODE_ERRORS = (
@@ -207,31 +211,57 @@
     return Record(f'{CANCEL}/{job_id}', b'{}')
 
 
-def progress_record(occurrence, stamp=None):
-    """Return the record of an occurrence's tasks.
+def progress_records(occurrence, stamp=None, is_split=False):
+    """Return the records of the tasks that changed since the last call.
+
+    A record of all tasks would cost their number at the end of each task, and
+    may be larger than the store takes.
 
     :param stamp: tells which of several records is newer
+    :param is_split: whether many tasks are stored in several records
     """
-    tasks = [
-        [
-            [t.state.value, t.run, t.executor, t.failures, t.checkpoint]
-            if t.run
-            else []
-            for t in step
-        ]
-        for step in occurrence.tasks
+    changed = occurrence.pop_changed_tasks()
+    if not is_split or occurrence.job.spec.tasks <= TASKS_PER_RECORD:
+        return [progress_record(occurrence, stamp)]
+    return [
+        _partial_record(occurrence, number * TASKS_PER_RECORD, stamp)
+        for number in sorted({task // TASKS_PER_RECORD for task in changed})
     ]
-    value = {'f': int(occurrence.job.is_failed), 't': tasks}
+
+
+def progress_record(occurrence, stamp=None):
+    """Return the record of all tasks of an occurrence.
+
+    :param stamp: tells which of several records is newer
+    """
+    tasks = [list(map(_task_row, step)) for step in occurrence.tasks]
+    numbered = enumerate(itertools.chain.from_iterable(occurrence.tasks))
+    value = _progress_value(occurrence, tasks, numbered, stamp)
+    key = f'{PROGRESS}/{occurrence.job.job_id}/{occurrence.number}'
+    return Record(key, _dump(value))
+
+
+def _partial_record(occurrence, first, stamp):
+    """Return the record of some tasks of an occurrence.
+
+    :param first: number of the first one, over all steps
+    """
+    tasks = occurrence.tasks_from(first, TASKS_PER_RECORD)
+    value = _progress_value(
+        occurrence,
+        list(map(_task_row, tasks)),
+        enumerate(tasks, first),
+        stamp,
+    )
+    key = f'{PROGRESS}/{occurrence.job.job_id}/{occurrence.number}/{first}'
+    return Record(key, _dump(value))
+
+
+def _progress_value(occurrence, rows, numbered_tasks, stamp):
+    value = {'f': int(occurrence.job.is_failed), 't': rows}
     crashes = [
-        [
-            task_id.step,
-            task_id.index,
-            round(task.crash_survival_s, 3),
-            task.unconfirmed_crashes,
-            task.started_run,
-            *task.crashed_executors,
-        ]
-        for task_id, task in occurrence.numbered_tasks()
+        [*occurrence.place(number), *_crash_fields(task)]
+        for number, task in numbered_tasks
         if task.crash_count
     ]
     # Earlier versions ignore further fields, but can't read longer rows.
@@ -239,8 +269,29 @@
         value['c'] = crashes
     if stamp is not None:
         value['s'] = stamp
-    key = f'{PROGRESS}/{occurrence.job.job_id}/{occurrence.number}'
-    return Record(key, json.dumps(value, separators=(',', ':')).encode())
+    return value
+
+
+def _task_row(task):
+    if not task.run:
+        return []
+    return [
+        task.state.value, task.run, task.executor, task.failures,
+        task.checkpoint,
+    ]  # fmt: skip
+
+
+def _crash_fields(task):
+    return (
+        round(task.crash_survival_s, 3),
+        task.unconfirmed_crashes,
+        task.started_run,
+        *task.crashed_executors,
+    )
+
+
+def _dump(plain):
+    return json.dumps(plain, separators=(',', ':')).encode()
 
 
 def stamped_record(record, stamp):
@@ -319,8 +370,14 @@
 
 
 def progress_keys(job):
-    """Return the keys of the progress of a job."""
-    return [f'{PROGRESS}/{job.job_id}/{number}' for number in job.occurrences]
+    """Return the keys of all records that may hold progress of a job."""
+    firsts = range(0, job.spec.tasks, TASKS_PER_RECORD)
+    parts = [''] + [f'/{first}' for first in firsts if len(firsts) > 1]
+    return [
+        f'{PROGRESS}/{job.job_id}/{number}{part}'
+        for number in job.occurrences
+        for part in parts
+    ]
 
 
 def progress_deletion_records(job):
@@ -378,37 +435,41 @@
         ) from error
 
 
-def restore_progress(value, occurrence):
-    """Set the tasks of an occurrence from a progress record.
+def restore_progress(value, occurrence, first=None):
+    """Set tasks of an occurrence from a progress record.
 
     A record that is older than one that was applied changes nothing.
 
+    :param first: number of the first task, over all steps; None for a record
+        of all tasks
     :raises errors.InvalidRecord: if the record cannot be decoded
     """
+    counts = [step.count for step in occurrence.job.spec.steps]
     try:
         plain = json.loads(value)
-        tasks = [[_decode_task(row) for row in step] for step in plain['t']]
         is_failed = bool(plain['f'])
-        for row in plain.get('c', ()):
-            _restore_crashes(tasks, *row)
         stamp = _stamp(plain.get('s', NO_STAMP))
+        rows = plain['t']
+        if first is None:
+            found = [len(step) for step in rows]
+            if found != counts:
+                raise ValueError(f'task counts {found} do not match the job')
+            rows, first = list(itertools.chain.from_iterable(rows)), 0
+        tasks = list(map(_decode_task, rows))
+        for step, index, *fields in plain.get('c', ()):
+            number = occurrence.job.spec.first_tasks[int(step)] + int(index)
+            _restore_crashes(tasks[number - first], *fields)
+        if not 0 <= first <= sum(counts) - len(tasks):
+            raise ValueError(f'{len(tasks)} tasks from number {first}')
     except _DECODE_ERRORS as error:
         raise errors.InvalidRecord(
             f'cannot decode {value!r:.80}: {error!r}'
         ) from error
-    counts = [len(step) for step in tasks]
-    if counts != [step.count for step in occurrence.job.spec.steps]:
-        raise errors.InvalidRecord(
-            f'task counts {counts} do not match the job'
-        )
-    if stamp < occurrence.stamp:
-        return
-    occurrence.stamp = stamp
-    occurrence.tasks = tasks
-    occurrence.done_counts = [
-        sum(task.state is jobs.TaskState.DONE for task in step)
-        for step in tasks
-    ]
+    for begin in range(0, len(tasks), TASKS_PER_RECORD):
+        part = tasks[begin : begin + TASKS_PER_RECORD]
+        if stamp >= occurrence.stamps.get(first + begin, NO_STAMP):
+            occurrence.stamps[first + begin] = stamp
+            occurrence.restore(first + begin, part)
     occurrence.job.is_failed |= is_failed
 
 
@@ -423,9 +484,8 @@
 
 
 def _restore_crashes(
-    tasks, step, index, survival_s, unconfirmed, started_run, *executor_ids
+    task, survival_s, unconfirmed, started_run, *executor_ids
 ):
-    task = tasks[int(step)][int(index)]
     task.crashed_executors = tuple(map(str, executor_ids))
     task.unconfirmed_crashes = max(0, int(unconfirmed))
     task.started_run = int(started_run)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
@@ -142,17 +142,7 @@
 
 def objective_s(queue, spec):
     """Return the time within which a due job should be done."""
-    return queue.stretch * spec.critical_path_s() + queue.latency_target_s
-
-
-def remaining_path_s(spec, step):
-    """Return the declared run time of the critical path from a step."""
-    successors_s = [
-        remaining_path_s(spec, index)
-        for index, other in enumerate(spec.steps)
-        if step in other.after
-    ]
-    return spec.steps[step].estimate_s + max(successors_s, default=0.0)
+    return queue.stretch * spec.critical_path_s + queue.latency_target_s
 
 
 def rank(ready_step, now_s, run_time_factor=1.0):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_loads.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_loads.py
@@ -114,7 +114,7 @@
     """Return what a step needs to go on: room for a task, or for a gang."""
     spec = ready_step.spec
     tasks = len(ready_step.pending) if spec.is_gang else 1
-    return sum([spec.reserved] * tasks, start=specs.Resources())
+    return spec.reserved.times(tasks)
 
 
 def _hosts_to_place(ready_step):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -151,7 +151,8 @@
             self._record_demand(job, capacity, now_s)
         accepted_s = now_s - age_s
         for number in sorted(job.occurrences):
-            self._add_ready_steps(job.occurrences[number], accepted_s)
+            occurrence = job.occurrences[number]
+            self._add_ready_steps(occurrence, occurrence.steps, accepted_s)
         next_number = len(job.occurrences)
         if next_number < job.spec.occurrences:
             scheduled = _ScheduledJob(
@@ -189,12 +190,12 @@
                 self._add_due_time(scheduled)
                 return
             occurrence = job.occurrence(scheduled.next_occurrence)
-            self._add_ready_steps(occurrence, due_since_s)
+            self._add_ready_steps(occurrence, occurrence.steps, due_since_s)
             scheduled.next_occurrence += 1
         del self._not_due[job.job_id]
 
-    def _add_ready_steps(self, occurrence, accepted_s):
-        for step in range(len(occurrence.tasks)):
+    def _add_ready_steps(self, occurrence, steps, accepted_s):
+        for step in steps:
             if occurrence.is_step_ready(step):
                 self._add_ready_step(occurrence, step, accepted_s)
 
@@ -217,7 +218,7 @@
             accepted_s + objective_s,
             accepted_s + ordering.CUTOFF_FACTOR * objective_s,
             queue.priority,
-            ordering.remaining_path_s(job.spec, step),
+            job.spec.remaining_paths_s[step],
             number=next(self._numbers),
         )
         for index in pending:
@@ -241,7 +242,11 @@
             return
         job = occurrence.job
         objective_s = ordering.objective_s(self.queue_of(job), job.spec)
-        self._add_ready_steps(occurrence, done_step.objective_s - objective_s)
+        self._add_ready_steps(
+            occurrence,
+            job.spec.successors[step],
+            done_step.objective_s - objective_s,
+        )
 
     def remove_job(self, job):
         """Remove all steps of a finished job."""
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
@@ -110,16 +110,19 @@
         return AppliedRecord(journal.CANCEL, job_id, job)
 
     def _apply_progress(self, rest, value):
-        job_id, _, number = rest.rpartition('/')
+        job_id, *numbers = rest.split('/')
         job = self.jobs.get(job_id)
         if not value or self.is_owned:
             return AppliedRecord(journal.PROGRESS, job_id, job)
         if job is None:
             self._defer(job_id, Replica._apply_progress, (rest, value))
             return AppliedRecord(journal.PROGRESS, job_id)
-        if not number.isdecimal() or int(number) >= job.spec.occurrences:
+        if not 1 <= len(numbers) <= 2 or not all(map(_is_number, numbers)):
             raise errors.InvalidRecord(f'invalid occurrence {rest!r:.80}')
-        journal.restore_progress(value, job.occurrence(int(number)))
+        number, *first = map(int, numbers)
+        if number >= job.spec.occurrences:
+            raise errors.InvalidRecord(f'invalid occurrence {rest!r:.80}')
+        journal.restore_progress(value, job.occurrence(number), *first)
         return AppliedRecord(journal.PROGRESS, job_id, job)
 
     def _apply_owner(self, _, value):
@@ -173,6 +176,10 @@
     }
 
 
+def _is_number(text):
+    return text.isascii() and text.isdecimal()
+
+
 def job_of(progress_key):
     """Return the id of the job that a key of progress belongs to."""
     return progress_key.split('/')[1]
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
@@ -23,9 +23,10 @@
         self._run_index = run_index
         self._changed = {}
 
-    def note_changed(self, occurrences):
-        """Record that occurrences have changed."""
-        self._changed.update(dict.fromkeys(occurrences))
+    def note_changed(self, run):
+        """Record that the task of a run has changed."""
+        run.occurrence.note_changed(run.task_id.step, run.task_id.index)
+        self._changed[run.occurrence] = None
 
     def pop_changed(self):
         """Return the occurrences that changed since the last call."""
@@ -55,7 +56,7 @@
             crash_blame.clear(task)
         if ended.checkpoint and run.step.is_checkpointing:
             task.checkpoint = ended.checkpoint
-        self._changed[run.occurrence] = None
+        self.note_changed(run)
         if ended.cause is _Cause.DONE and not run.step.is_lasting:
             self._mark_done(run, now_s)
         elif ended.cause is _Cause.FAILED and not run.step.is_lasting:
@@ -72,7 +73,7 @@
             self._mark_done(run, now_s)
         elif ended.cause is _Cause.FAILED:
             run.task.failures += 1
-            self._changed[run.occurrence] = None
+            self.note_changed(run)
 
     def _update_executor_health(self, executor, ended, now_s):
         if ended.cause is _Cause.DONE:
@@ -90,17 +91,27 @@
             )
 
     def _mark_done(self, run, now_s):
+        if run.step.is_gang and run.task.state is jobs.TaskState.DONE:
+            # The end of another member has represented all of them.
+            return
         occurrence, step = run.occurrence, run.task_id.step
-        tasks = [run.task]
+        tasks = {run.task_id.index: run.task}
         if run.step.is_gang:
-            tasks = occurrence.tasks[step]
-        was_pending = any(t.state is jobs.TaskState.PENDING for t in tasks)
-        for task in tasks:
-            # A failed task keeps its state, and so does its job.
-            if task.state not in (jobs.TaskState.DONE, jobs.TaskState.FAILED):
-                task.state = jobs.TaskState.DONE
-                occurrence.done_counts[step] += 1
-        self._changed[occurrence] = None
+            tasks = dict(enumerate(occurrence.tasks[step]))
+        was_pending = any(
+            task.state is jobs.TaskState.PENDING for task in tasks.values()
+        )
+        # A failed task keeps its state, and so does its job.
+        ended = {
+            index: task
+            for index, task in tasks.items()
+            if task.state not in (jobs.TaskState.DONE, jobs.TaskState.FAILED)
+        }
+        for index, task in ended.items():
+            task.state = jobs.TaskState.DONE
+            occurrence.note_changed(step, index)
+        occurrence.note_done(step, len(ended))
+        self.note_changed(run)
         if was_pending:
             self._steps.drop_done_tasks(occurrence, step)
         self._stop_other_runs(run)
@@ -115,10 +126,12 @@
 
     def give_up(self, run):
         """Fail the job of a task that must not start again."""
-        self._changed[run.occurrence] = None
+        self.note_changed(run)
         run.task.state = jobs.TaskState.FAILED
-        run.occurrence.job.is_failed = True
-        self.stop_job(run.occurrence.job)
+        job = run.occurrence.job
+        if not job.is_failed:
+            job.is_failed = True
+            self.stop_job(job)
 
     def _mark_failed(self, run):
         occurrence, step = run.occurrence, run.task_id.step
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -426,7 +426,8 @@
         if not shares.left:
             self.steps.pools_to_schedule |= stale
         self.steps.pools_to_schedule |= self._planner.waiting_pools
-        self._endings.note_changed(run.occurrence for run in starts)
+        for run in starts:
+            self._endings.note_changed(run)
         return starts
 
     def _plan_paces(self, now_s):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/specs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/specs.py
@@ -1,6 +1,7 @@
 """The declaration of a job, as submitted by a client."""
 
 import functools
+import itertools
 
 import attrs
 
@@ -31,6 +32,14 @@
             self.gpus - other.gpus,
         )
 
+    def times(self, count):
+        """Return what a number of tasks require together."""
+        return Resources(
+            self.cpu_millicores * count,
+            self.memory_mb * count,
+            self.gpus * count,
+        )
+
     def dominant_share(self, other):
         """Return the fraction of the dominant resource that this takes."""
         return max(
@@ -80,7 +89,7 @@
     :ivar count: number of tasks
     :ivar request: resources of each task
     :ivar estimate_s: declared run time of a task; often inaccurate
-    :ivar after: indexes of steps that must be done first
+    :ivar after: indexes of steps that must be done first, each of them once
     :ivar is_checkpointing: whether a stopped task can resume elsewhere
     :ivar is_gang: whether the tasks run all at the same time or not at all
     :ivar is_rack_sensitive: whether the tasks are slower across racks
@@ -170,14 +179,45 @@
             if not step.is_lasting
         )
 
+    @functools.cached_property
     def critical_path_s(self):
-        """Return the declared run time of the critical path."""
+        """Declared run time of the critical path."""
         finish_s = []
         for step in self.steps:
             begin_s = max((finish_s[i] for i in step.after), default=0.0)
             finish_s.append(begin_s + step.estimate_s)
         return max(finish_s, default=0.0)
 
+    @functools.cached_property
+    def remaining_paths_s(self):
+        """Declared run time of the critical path from each step on."""
+        following_s = [0.0] * len(self.steps)
+        paths_s = [0.0] * len(self.steps)
+        for index, step in reversed(list(enumerate(self.steps))):
+            paths_s[index] = step.estimate_s + following_s[index]
+            for other in step.after:
+                following_s[other] = max(following_s[other], paths_s[index])
+        return tuple(paths_s)
+
+    @functools.cached_property
+    def first_tasks(self):
+        """Number of the first task of each step, over all steps."""
+        return (0, *itertools.accumulate(step.count for step in self.steps))
+
+    @property
+    def tasks(self):
+        """Number of tasks of all steps, in one occurrence."""
+        return self.first_tasks[-1]
+
+    @functools.cached_property
+    def successors(self):
+        """Indexes of the steps that wait for each step."""
+        found = [[] for _ in self.steps]
+        for index, step in enumerate(self.steps):
+            for other in step.after:
+                found[other].append(index)
+        return tuple(map(tuple, found))
+
 
 def validation_error(spec):
     """Return what is invalid in a declared job, or an empty string."""
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -9,7 +9,6 @@
 from . import ordering
 from . import pool_placement
 from . import run_state
-from . import specs
 
 
 @attrs.frozen(eq=False)
@@ -168,10 +167,7 @@
     def _wait_for_quota(self, ready_step):
         # The step lacks quota, not room on a host.
         ready_step.unplaced_since_s = None
-        request = sum(
-            [ready_step.spec.request] * _started_together(ready_step),
-            start=specs.Resources(),
-        )
+        request = ready_step.spec.request.times(_started_together(ready_step))
         self._steps.wait_for_quota(ready_step, request)
 
     def _plan_tasks(self, ready_step, pool_executors, now_s, limit):
@@ -306,6 +302,7 @@
     task = occurrence.task(task_id)
     task.state = jobs.TaskState.ASSIGNED
     task.run = number
+    occurrence.job.has_started = True
     task.executor = executor.executor_id
     run = run_state.Run(
         task_id, number, occurrence, executor.executor_id,
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/cycle_journal.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/cycle_journal.py
@@ -1,5 +1,7 @@
 """Stores what a scheduling cycle has changed, then publishes it."""
 
+import itertools
+
 from hawthorndeal_jobs import journal
 
 from . import job_dropper
@@ -36,6 +38,7 @@
         self._epoch = epoch
         self._cycles = 0
         self._is_spread = parts.settings.spare_partitions > 0
+        self._splits_progress = parts.settings.splits_progress
 
     async def fence(self, record):
         """Append a record to each partition that may hold the owner's records.
@@ -55,7 +58,9 @@
             don't share their keys
         """
         self._cycles += 1
-        stamp = (self._epoch, self._cycles) if self._is_spread else None
+        stamp = None
+        if self._is_spread or self._splits_progress:
+            stamp = self._epoch, self._cycles
         known = self._parts.jobs_reader.replica.jobs
         changed = [
             occurrence
@@ -71,7 +76,10 @@
         self._ends_being_stored = self._scheduler.unrecorded_ends()
         self._expire_statuses(now_s)
         return [
-            *(journal.progress_record(o, stamp) for o in changed),
+            *itertools.chain.from_iterable(
+                journal.progress_records(o, stamp, self._splits_progress)
+                for o in changed
+            ),
             *(journal.stamped_record(record, stamp) for record in others),
             *self.dropper.drop_finished(
                 self._scheduler.has_runs, self._publisher.forget
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
@@ -50,6 +50,9 @@
     :ivar spare_partitions: number of other partitions that a record may be
         stored in while its own doesn't answer; the same on all daemons, and 0
         while any of them is of an earlier version
+    :ivar splits_progress: whether the progress of a job of many tasks is
+        stored in several records; false while any daemon is of an earlier
+        version
     :ivar processor_share: share of a core that this entry host may use, before
         processor_count
     :ivar processor_count: how many cores' speed that share has
@@ -80,6 +83,7 @@
         default=0, validator=validators.ge(0)
     )
     spare_partitions: int = attrs.field(default=0, validator=validators.ge(0))
+    splits_progress: bool = False
     processor_share: float = _positive(1.0)
     processor_count: float = _positive(1.0)
     link_mbps: float = _positive(100.0)
