Begin each occurrence that has not begun, and a bounded number at once

And a job of 10^9 occurrences that are all due was accepted, and began all of them at once.

Nothing bounded how many were under way.

Change: what has begun is told by each occurrence's own record. Occurrences begin while those under way are no more than the largest job without occurrences, and the rest as these end. More than 100,000 tasks in all (5,000 long-running ones) are refused at once with the limit.

--- a/features/jobs_declared_shapes.feature
+++ b/features/jobs_declared_shapes.feature
@@ -20,11 +20,42 @@
       | steps that the last waits for           | 50  | 100  |
       | tasks of one step                       | 200 | 800  |
       | members of a gang                       | 100 | 400  |
+      | occurrences that are all due            | 100 | 400  |
 
   Scenario: A step that names another one many times waits for it once
     When a job is submitted whose second step waits 10000 times for the first
     Then its second step waits for 1 step
 
+  Scenario Outline: A job that asks for too much in all is refused at once: <repetitions> times <tasks> <kind> tasks
+    When a job is submitted that asks for <repetitions> times <tasks> <kind> tasks
+    Then it is refused with an error that names <limit>
+
+    Examples:
+      | repetitions | tasks | kind         | limit  |
+      | 100001      | 1     | short        | 100000 |
+      | 1000000000  | 1     | short        | 100000 |
+      | 21          | 5000  | short        | 100000 |
+      | 5001        | 1     | long-running | 5000   |
+
+  Scenario: Occurrences that are all due begin as earlier ones end
+    Given a job of 250 occurrences of 2 steps that are all due
+    When its tasks end one after the other
+    Then 50 occurrences are under way at once at most
+    And each occurrence runs once
+
+  Scenario Outline: A successor starts each occurrence that had not begun: <begun> of 5 had
+    Given a job of 5 occurrences that are all due, of which <begun> have begun
+    When a successor reads what is stored of it
+    Then it starts the occurrences <missing>
+    And it completes the job
+
+    Examples:
+      | begun   | missing |
+      | 1       | 0 2 3 4 |
+      | 4       | 0 1 2 3 |
+      | 0 2 4   | 1 3     |
+      | 0       | 1 2 3 4 |
+
   Scenario: The progress of many tasks is stored in records of a limited size
     Given a job of 5000 tasks with checkpoints of 64 bytes, all of them running
     Then its progress takes records of 65536 bytes or less
--- a/features/stage/job_life.py
+++ b/features/stage/job_life.py
@@ -54,31 +54,91 @@
 
     :param shape: a :class:`Shape`
     :param hosts: number of hosts in its pool
+    :ivar starts: the tasks that were started
+    :ivar max_under_way: the most occurrences that were under way at once
     """
 
     def __init__(self, shape, hosts=4):
-        self._shape = shape
+        self.shape = shape
+        self.starts = []
+        self.max_under_way = 0
+        self._hosts = hosts
         self._partition = loaded_partition.LoadedPartition(hosts)
-        self.progress = {}
+        self._records = {}
+        self._job = None
+        self._is_added = False
 
     def count_instructions(self):
         """Return the number of instructions of the whole life."""
         return loaded_partition.count_instructions(self.play)
 
     def play(self):
-        """Submit the job, and end what runs after each cycle."""
-        job = self._submit()
-        partition = self._partition
+        """Submit the job, and end it."""
+        self.submit()
+        self.end_job()
+
+    def submit(self):
+        """Submit the job, and return it."""
+        spec = submissions.decode_job(self.shape.body)
+        ordering.objective_s(QUEUE, spec)
+        journal.spec_digest(spec)
+        submission = journal.Submission(
+            QUEUE.name, QUEUE.pool, self._partition.now_s, spec
+        )
+        record = journal.submission_record(JOB_ID, submission)
+        self._read(record)
+        return self._job
+
+    def _read(self, record):
+        self._records[record.key] = record
+        replica = self._partition.replica
+        replica.apply(record.key, record.value, len(self._records))
+        self._job = replica.jobs[JOB_ID]
+
+    def assign(self, occurrence):
+        """Let an owner have started the tasks of an occurrence."""
+        for task_id, task in occurrence.numbered_tasks():
+            task.state, task.run = jobs.TaskState.ASSIGNED, 1
+            task.executor = next(iter(self._partition.scheduler.executors))
+            occurrence.note_changed(task_id.step, task_id.index)
+        self._note(occurrence)
+
+    def succeed(self):
+        """Return the job as a successor has read it."""
+        successor = JobLife(self.shape, self._hosts)
+        for key in sorted(self._records):
+            successor._read(self._records[key])
+        scheduler = successor._partition.scheduler
+        scheduler.inherit(100.0, 200.0)
+        return successor
+
+    def end_job(self):
+        """End what runs after each cycle, until the job has ended."""
+        scheduler = self._partition.scheduler
         for _ in range(MAX_CYCLES):
-            starts = partition.plan().starts
-            partition.accept_starts(starts)
+            self.start_pending()
             self._store()
-            for executor in list(partition.scheduler.executors.values()):
+            for executor in list(scheduler.executors.values()):
                 self._end_all(executor)
             self._store()
-            if job.state() is jobs.JobState.COMPLETED:
+            if self._job.state() is jobs.JobState.COMPLETED:
                 return
-        raise AssertionError(f'not done: {self._shape}')
+        raise AssertionError(f'not done: {self.shape}')
+
+    def start_pending(self):
+        """Start what waits; return the tasks that were started."""
+        partition = self._partition
+        if not self._is_added:
+            self._is_added = True
+            partition.accept(self._job)
+        starts = partition.plan().starts
+        partition.accept_starts(starts)
+        job = self._job
+        under_way = len(job.occurrences) - job.done_occurrences
+        self.max_under_way = max(self.max_under_way, under_way)
+        started = [run.task_id for run in starts]
+        self.starts += started
+        return started
 
     def _end_all(self, executor):
         ended = [
@@ -91,22 +151,11 @@
         ]
         self._partition.poll(executor.executor_id, ended)
 
-    def _submit(self):
-        spec = submissions.decode_job(self._shape.body)
-        ordering.objective_s(QUEUE, spec)
-        journal.spec_digest(spec)
-        partition = self._partition
-        submission = journal.Submission(
-            QUEUE.name, QUEUE.pool, partition.now_s, spec
-        )
-        record = journal.submission_record(JOB_ID, submission)
-        applied = partition.replica.apply(record.key, record.value, 0)
-        partition.accept(applied.job)
-        return applied.job
-
     def _store(self):
         """Encode the progress of the job, as the owner does."""
-        partition = self._partition
-        for occurrence in partition.scheduler.pop_changed():
-            for record in journal.progress_records(occurrence, (1, 1), True):
-                self.progress[record.key] = record.value
+        for occurrence in self._partition.scheduler.pop_changed():
+            self._note(occurrence)
+
+    def _note(self, occurrence):
+        for record in journal.progress_records(occurrence, (1, 1), True):
+            self._records[record.key] = record
--- a/features/steps/jobs_declared_shapes.py
+++ b/features/steps/jobs_declared_shapes.py
@@ -58,6 +58,9 @@
     ),
     'steps that the last waits for': lambda count: _graph(count, _last_waits),
     'tasks of one step': lambda count: _one_step(count, **LARGE),
+    'occurrences that are all due': lambda count: job_life.Shape(
+        [{'count': 1, **LARGE}], count
+    ),
     'members of a gang': lambda count: _one_step(
         count, **SMALL, **{'gang-scheduled': True}
     ),
@@ -97,6 +100,80 @@
     assert len(context.spec.steps[1].after) == count
 
 
+@when(
+    'a job is submitted that asks for {repetitions:d} times {tasks:d} {kind} '
+    'tasks'
+)
+def submit_large(context, repetitions, tasks, kind):
+    step = {'count': tasks, **SMALL, 'long-running': kind == 'long-running'}
+    try:
+        submissions.decode_job(job_life.Shape([step], repetitions).body)
+    except ValueError as error:
+        context.error = str(error)
+    else:
+        context.error = ''
+
+
+@then('it is refused with an error that names {limit}')
+def check_error(context, limit):
+    assert limit in context.error, context.error
+
+
+@given('a job of {count:d} occurrences of {steps:d} steps that are all due')
+def make_occurrences(context, count, steps):
+    shape = job_life.Shape([{'count': 1, **LARGE}] * steps, count)
+    context.life = job_life.JobLife(shape)
+
+
+@when('its tasks end one after the other')
+def play_life(context):
+    context.life.play()
+
+
+@then('{limit:d} occurrences are under way at once at most')
+def check_under_way(context, limit):
+    assert context.life.max_under_way == limit, context.life.max_under_way
+
+
+@then('each occurrence runs once')
+def check_occurrences(context):
+    starts = context.life.starts
+    assert len(starts) == context.life.shape.tasks
+    assert len(set(starts)) == len(starts)
+
+
+@given(
+    'a job of {count:d} occurrences that are all due, of which {begun} have '
+    'begun'
+)
+def begin_occurrences(context, count, begun):
+    context.life = job_life.JobLife(
+        job_life.Shape([{'count': 1, **LARGE}], count)
+    )
+    job = context.life.submit()
+    for number in map(int, begun.split()):
+        occurrence = job.occurrence(number)
+        context.life.assign(occurrence)
+
+
+@when('a successor reads what is stored of it')
+def take_over(context):
+    context.life = context.life.succeed()
+
+
+@then('it starts the occurrences {missing}')
+def check_started(context, missing):
+    started = sorted(
+        task_id.occurrence for task_id in context.life.start_pending()
+    )
+    assert started == sorted(map(int, missing.split())), started
+
+
+@then('it completes the job')
+def check_completed(context):
+    context.life.end_job()
+
+
 class _StoredJob:
     """A job, and the records that an owner has stored of its progress."""
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
@@ -264,6 +264,12 @@
             self.occurrences[number] = Occurrence.new(self, number)
         return self.occurrences[number]
 
+    @property
+    def is_full(self):
+        """Whether no further occurrence may begin now."""
+        under_way = len(self.occurrences) - self.done_occurrences
+        return under_way >= self.spec.concurrent_occurrences
+
     @property
     def has_assigned_tasks(self):
         """Whether a run of any task may still be executing."""
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -23,13 +23,25 @@
     """A job with occurrences that are not due yet.
 
     :ivar number: increases with each such job
-    :ivar next_occurrence: number of the first occurrence that is not due
+    :ivar is_full: whether the next occurrence is due, but waits until one of
+        those under way has ended
     """
 
     number: int
     job: jobs.Job
-    next_occurrence: int
     accepted_s: float
+    is_full: bool = False
+    _next: int = 0
+
+    def next_occurrence(self):
+        """Return the number of the first one that has not begun, or None.
+
+        An occurrence has begun if the job knows it. A successor knows those
+        whose progress is stored, which need not be the first ones.
+        """
+        while self._next in self.job.occurrences:
+            self._next += 1
+        return self._next if self._next < self.job.spec.occurrences else None
 
 
 class ReadySteps:
@@ -153,17 +165,14 @@
         for number in sorted(job.occurrences):
             occurrence = job.occurrences[number]
             self._add_ready_steps(occurrence, occurrence.steps, accepted_s)
-        next_number = len(job.occurrences)
-        if next_number < job.spec.occurrences:
-            scheduled = _ScheduledJob(
-                next(self._numbers), job, next_number, accepted_s
-            )
+        scheduled = _ScheduledJob(next(self._numbers), job, accepted_s)
+        if scheduled.next_occurrence() is not None:
             self._not_due[job.job_id] = scheduled
             self._add_due_time(scheduled)
 
     def _add_due_time(self, scheduled):
         job = scheduled.job
-        due_s = job.spec.due_s(scheduled.next_occurrence)
+        due_s = job.spec.due_s(scheduled.next_occurrence())
         heapq.heappush(self._due_times, (due_s, scheduled.number, job.job_id))
 
     def _record_demand(self, job, capacity, now_s):
@@ -185,15 +194,24 @@
     def _activate(self, scheduled, now_s, wall_s):
         job, spec = scheduled.job, scheduled.job.spec
         due_since_s = now_s if spec.repetitions else scheduled.accepted_s
-        while scheduled.next_occurrence < spec.occurrences:
-            if spec.due_s(scheduled.next_occurrence) > wall_s:
+        while (number := scheduled.next_occurrence()) is not None:
+            if spec.due_s(number) > wall_s:
                 self._add_due_time(scheduled)
                 return
-            occurrence = job.occurrence(scheduled.next_occurrence)
+            scheduled.is_full = job.is_full
+            if scheduled.is_full:
+                return
+            occurrence = job.occurrence(number)
             self._add_ready_steps(occurrence, occurrence.steps, due_since_s)
-            scheduled.next_occurrence += 1
         del self._not_due[job.job_id]
 
+    def _resume_scheduled(self, job):
+        """Let the next occurrence of a job begin that waited for others."""
+        scheduled = self._not_due.get(job.job_id)
+        if scheduled is not None and scheduled.is_full:
+            scheduled.is_full = False
+            self._add_due_time(scheduled)
+
     def _add_ready_steps(self, occurrence, steps, accepted_s):
         for step in steps:
             if occurrence.is_step_ready(step):
@@ -241,6 +259,8 @@
         if occurrence.job.is_terminal:
             return
         job = occurrence.job
+        if occurrence.is_done:
+            self._resume_scheduled(job)
         objective_s = ordering.objective_s(self.queue_of(job), job.spec)
         self._add_ready_steps(
             occurrence,
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/specs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/specs.py
@@ -8,6 +8,8 @@
 # Larger jobs don't fit into one record of the store.
 MAX_TASKS = 5000
 MAX_STEPS = 100
+# The owner keeps the tasks of all occurrences until the job has ended.
+MAX_TASKS_IN_ALL = 100000
 
 
 @attrs.frozen
@@ -165,6 +167,18 @@
         """Number of times that the steps run."""
         return max(1, self.repetitions)
 
+    @functools.cached_property
+    def concurrent_occurrences(self):
+        """Number of occurrences that may be under way at once.
+
+        Together they are no larger than the largest job without occurrences.
+        Long-running ones never end, so none of them waits for others.
+        """
+        if any(step.is_lasting for step in self.steps):
+            return self.occurrences
+        by_steps = MAX_STEPS // len(self.steps)
+        return max(1, min(by_steps, MAX_TASKS // self.tasks))
+
     def due_s(self, number):
         """Return when an occurrence may start, in seconds since the epoch."""
         if not self.repetitions:
@@ -226,6 +240,16 @@
     tasks = sum(step.count for step in spec.steps)
     if tasks > MAX_TASKS:
         return f'a job has at most {MAX_TASKS} tasks, not {tasks}'
+    if spec.repetitions < 0 or spec.interval_s < 0:
+        return (
+            'a job has neither a negative number of occurrences nor interval'
+        )
+    in_all = tasks * spec.occurrences
+    limit = MAX_TASKS_IN_ALL
+    if any(step.is_lasting for step in spec.steps):
+        limit = MAX_TASKS
+    if in_all > limit:
+        return f'all occurrences have at most {limit} tasks, not {in_all}'
     for index, step in enumerate(spec.steps):
         if step.count < 1:
             return f'step {index} must have at least 1 task, not {step.count}'
