Ask for advice on each step in its turn, and on each executor once

Cause: the requester asked about the waiting step with the earliest objective, and nothing that it learned moved that step from the front: neither an empty answer nor none at all.

Change: AdviceTurns keeps what was asked. A step goes behind those that have been asked about less often; an executor that may not run a step isn't asked about again; a step of which all executors of the pool were asked about waits for another executor; a step without room where it may run is asked about on others. While calls go unanswered, further ones are made beside them, and from the other end of the line. What is known is forgotten with the job, also with one that is done (tickets of these were kept for good).

Why it works: each call on a step without permitted executors puts it behind all others, and there are at most as many as its pool has groups of 30 executors.

--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -168,7 +168,7 @@
         PARTITION, [journal.Record('k', b'v')]
     ),
     'permissions': lambda client: advice.AdviceClient(client, '').advise(
-        ('5c0e7a21d94b36f8', 0, 1), ['i-1']
+        ('5c0e7a21d94b36f8', 0, 1), ['i-1'], 1.0
     ),
 }
 
--- a/features/steps/jobs_decisions.py
+++ b/features/steps/jobs_decisions.py
@@ -272,7 +272,7 @@
     def __init__(self):
         self.permitted = {}
 
-    async def advise(self, step_key, executor_ids):
+    async def advise(self, step_key, executor_ids, timeout_s):
         """Return tickets for the first two executors by id."""
         await asyncio.sleep(0.02)
         permitted = sorted(executor_ids)[:2]
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/advice_turns.py
@@ -0,0 +1,200 @@
+"""Decide which step to request advice on next, and on which executors.
+
+The service handles the calls of a daemon one after the other, so each call
+keeps all steps waiting. The loads: a step that no executor may run, of which
+there may be many, a pool of which the policy permits a few executors, and
+calls on a step that are never answered. No such step keeps the others waiting:
+each one takes its turn behind those that have been asked about less often, no
+executor is asked about twice that may not run a step, and a step is not asked
+about again before its pool has another executor.
+"""
+
+import attrs
+
+from . import placement
+
+# Requests for more executors take longer than they gain.
+MAX_EXECUTORS = 30
+# A step whose tasks have found no room for this long on the executors that may
+# run them is asked about on others, too.
+UNPLACED_S = 0.3
+RETRY_S = 0.2
+MAX_RETRY_S = 20.0
+NO_EXECUTOR = -1
+
+
+@attrs.frozen
+class AdviceRequest:
+    """The next call to make.
+
+    :ivar ready_step: an :class:`ordering.ReadyStep`
+    :ivar queue: its queue
+    :ivar executor_ids: the executors to ask about
+    :ivar failures: calls in a row on the step without an answer
+    """
+
+    ready_step: object
+    queue: object
+    executor_ids: list[str]
+    failures: int = 0
+
+
+@attrs.define
+class _Inquiry:
+    """What was asked about one step.
+
+    :ivar is_open: whether a call on it has no answer yet
+    :ivar refused: ids of executors that may not run it
+    :ivar fruitless: calls in a row that have permitted no executor
+    :ivar failures: calls in a row without an answer
+    :ivar retry_s: no call before
+    :ivar asked_up_to: number of the newest executor of the pool when there
+        was none left to ask about
+    """
+
+    is_open: bool = False
+    refused: set[str] = attrs.Factory(set)
+    fruitless: int = 0
+    failures: int = 0
+    retry_s: float = 0.0
+    asked_up_to: int = NO_EXECUTOR
+
+
+def is_unplaced(ready_step, now_s):
+    """Return whether a step has found no room for some time."""
+    since_s = ready_step.unplaced_since_s
+    return since_s is not None and now_s - since_s >= UNPLACED_S
+
+
+class AdviceTurns:
+    """Chooses calls to the advice service.
+
+    :param tickets: a :class:`tickets.TicketCache`
+    """
+
+    def __init__(self, tickets):
+        self._tickets = tickets
+        self._by_job = {}
+
+    def _inquiry(self, step_key):
+        steps = self._by_job.setdefault(step_key[0], {})
+        return steps.setdefault(step_key, _Inquiry())
+
+    def choose(self, waiting, executors_in, now_s, is_from_end=False):
+        """Return the next call, which is to be made now, or None.
+
+        :param waiting: the steps that need advice, with their queues
+        :param executors_in: returns the executors of a pool
+        :param is_from_end: whether to choose the step that is last in line
+        :rtype: AdviceRequest | None
+        """
+        executors = {}
+        in_line = sorted(waiting, key=self._order, reverse=is_from_end)
+        for ready_step, queue in in_line:
+            inquiry = self._inquiry(ready_step.key)
+            if inquiry.is_open or now_s < inquiry.retry_s:
+                continue
+            if queue.pool not in executors:
+                executors[queue.pool] = executors_in(queue.pool)
+            known = executors[queue.pool]
+            newest = max((e.number for e in known), default=NO_EXECUTOR)
+            if newest <= inquiry.asked_up_to and not self._must_renew(
+                ready_step.key, now_s
+            ):
+                continue
+            executor_ids = self._executors_to_ask(ready_step, known, now_s)
+            if executor_ids:
+                inquiry.is_open = True
+                return AdviceRequest(
+                    ready_step, queue, executor_ids, inquiry.failures
+                )
+            inquiry.asked_up_to = newest
+            inquiry.retry_s = now_s + RETRY_S
+        return None
+
+    def _order(self, item):
+        ready_step, _ = item
+        inquiry = self._inquiry(ready_step.key)
+        return (
+            inquiry.fruitless + inquiry.failures,
+            bool(self._tickets.permitted(ready_step.key)),
+            ready_step.objective_s,
+            ready_step.number,
+        )
+
+    def _must_renew(self, step_key, now_s):
+        """Return whether all tickets of a step have expired."""
+        return bool(
+            self._tickets.permitted(step_key)
+        ) and not self._tickets.valid(step_key, now_s)
+
+    def _executors_to_ask(self, ready_step, known, now_s):
+        """Return the executors to ask about, the most useful ones first."""
+        refused = self._inquiry(ready_step.key).refused
+        valid = self._tickets.valid(ready_step.key, now_s)
+        permitted = self._tickets.permitted(ready_step.key)
+
+        def order(executor):
+            return (
+                not placement.has_room(executor, ready_step.spec),
+                executor.executor_id not in permitted,
+                -executor.free.cpu_millicores,
+            )
+
+        candidates = [
+            executor
+            for executor in known
+            if executor.executor_id not in refused
+            and executor.executor_id not in valid
+            and not executor.entry.is_leaving
+        ]
+        candidates.sort(key=order)
+        return [e.executor_id for e in candidates[:MAX_EXECUTORS]]
+
+    def close(self, request):
+        """Record that a call has ended, with or without an answer."""
+        inquiry = self._known(request)
+        if inquiry is not None:
+            inquiry.is_open = False
+
+    def _known(self, request):
+        """Return what was asked about the step of a call.
+
+        :returns: None if its job has ended meanwhile
+        """
+        key = request.ready_step.key
+        return self._by_job.get(key[0], {}).get(key)
+
+    def note_answer(self, request, good):
+        """Record which of the executors of a call may run its step.
+
+        :returns: whether the step still needs to know
+        """
+        inquiry = self._known(request)
+        if inquiry is None:
+            return False
+        inquiry.refused.update(set(request.executor_ids) - set(good))
+        inquiry.failures = 0
+        inquiry.fruitless = 0 if good else inquiry.fruitless + 1
+        return True
+
+    def note_failed(self, request, now_s):
+        """Record a call without an answer, and put off the next one."""
+        inquiry = self._known(request)
+        if inquiry is None:
+            return
+        wait_s = min(MAX_RETRY_S, RETRY_S * 2**inquiry.failures)
+        inquiry.failures += 1
+        inquiry.retry_s = now_s + wait_s
+
+    def note_lost_ticket(self, step_key):
+        """Record that an executor has refused the ticket of a step.
+
+        The executor may have begun another life, in which it can be asked
+        about again.
+        """
+        self._inquiry(step_key).asked_up_to = NO_EXECUTOR
+
+    def discard_job(self, job_id):
+        """Forget what was asked about the steps of a job."""
+        self._by_job.pop(job_id, None)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
@@ -13,13 +13,13 @@
     """Applies the ends of runs, and keeps which occurrences changed.
 
     :param steps: the steps whose tasks may start
-    :param tickets: tickets of the steps
+    :param forget_advice: forgets what is known of advice on a job's steps
     :param run_index: the runs on all executors
     """
 
-    def __init__(self, steps, tickets, run_index):
+    def __init__(self, steps, forget_advice, run_index):
         self._steps = steps
-        self._tickets = tickets
+        self._forget_advice = forget_advice
         self._run_index = run_index
         self._changed = {}
 
@@ -36,7 +36,7 @@
     def stop_job(self, job):
         """Stop all runs of a job that has ended."""
         self._steps.remove_job(job)
-        self._tickets.discard_job(job.job_id)
+        self._forget_advice(job.job_id)
         for run in self._run_index.runs_of_job(job.job_id):
             if job.must_end_runs_of(run.step):
                 run.is_stop_requested = True
@@ -117,6 +117,8 @@
         self._stop_other_runs(run)
         if occurrence.is_step_done(step):
             self._steps.complete_step(occurrence, step, now_s)
+        if occurrence.job.is_done:
+            self._forget_advice(occurrence.job.job_id)
 
     def _stop_other_runs(self, ended_run):
         if ended_run.step.is_gang:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from . import advice_turns
 from . import arrival_shares
 from . import crash_blame
 from . import crash_tracking
@@ -81,6 +82,7 @@
         self.is_limited = False
         self.steps = ready_steps_module.ReadySteps(configuration)
         self.tickets = tickets_module.TicketCache()
+        self.advice = advice_turns.AdviceTurns(self.tickets)
         self._replica = replica
         self._index = executor_index.ExecutorIndex()
         self._run_index = run_index.RunIndex()
@@ -93,7 +95,7 @@
         self._unrecorded = {}
         self._orphans = {}
         self._endings = run_endings.RunEndings(
-            self.steps, self.tickets, self._run_index
+            self.steps, self._forget_advice, self._run_index
         )
 
         self._crashes = crash_tracking.CrashTracking(self.steps, self._endings)
@@ -374,6 +376,7 @@
             executor_health.suspend(executor, now_s)
         if answer is _Answer.BAD_TICKET:
             self.tickets.discard(step_key(run.task_id), run.executor_id)
+            self.advice.note_lost_ticket(step_key(run.task_id))
         if answer is _Answer.NO_ROOM:
             executor_health.record_no_room(executor, now_s)
         if ended is not None:
@@ -450,9 +453,39 @@
             (step, queue)
             for step in self.steps.pending_advised()
             for queue in [self.steps.queue_of(step.occurrence.job)]
-            if not self.tickets.valid(step.key, now_s)
+            if advice_turns.is_unplaced(step, now_s)
+            or not self.tickets.valid(step.key, now_s)
         ]
 
+    def next_advice_request(self, now_s, is_from_end=False):
+        """Return the next call to the advice service, or None.
+
+        :param is_from_end: whether to choose the step that is last in line
+        :rtype: advice_turns.AdviceRequest | None
+        """
+        return self.advice.choose(
+            self.steps_awaiting_advice(now_s),
+            self.executors_in,
+            now_s,
+            is_from_end,
+        )
+
+    def note_advice(self, request, good, asked_s):
+        """Record the answer to a call to the advice service.
+
+        :param good: ticket texts by executor
+        :param asked_s: when the call was sent
+        """
+        key, queue = request.ready_step.key, request.queue
+        if self.advice.note_answer(request, good) and good:
+            validity_s = queue.advice.validity_s
+            self.tickets.note(key, good, validity_s, asked_s)
+            self.steps.pools_to_schedule.add(queue.pool)
+
+    def _forget_advice(self, job_id):
+        self.tickets.discard_job(job_id)
+        self.advice.discard_job(job_id)
+
     def executors_in(self, pool):
         """Return the executors of a pool."""
         return self._index.in_pool(pool)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/tickets.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/tickets.py
@@ -44,6 +44,13 @@
             if now_s < ticket.expires_s
         }
 
+    def permitted(self, step_key):
+        """Return the ids of executors that may run a step.
+
+        Their tickets may have expired.
+        """
+        return self._held(step_key).keys()
+
     def discard(self, step_key, executor_id):
         """Remove a ticket that was refused."""
         self._held(step_key).pop(executor_id, None)
