Name a pool for a host that moves only when there is one

Cause: the planning of moves listed a pool for each host that is lacking, 40 million of them, and then took as many as there are hosts to move.

Change: the pools are named one by one as hosts are found.

Why it works: each round over the pools names at least one, and ends with the hosts; the cost is bounded by hosts times pools.

Evidence: "The cost of planning hosts doesn't grow with declared work", from a millisecond to 2^53 ms: 20,000 instructions at most for 10 hosts.

--- a/features/jobs_declared_shapes.feature
+++ b/features/jobs_declared_shapes.feature
@@ -43,6 +43,22 @@
     Then 50 occurrences are under way at once at most
     And each occurrence runs once
 
+  Scenario Outline: The cost of planning hosts doesn't grow with declared work: <declared>
+    Given <hosts> idle hosts, and a job of 5000 tasks of 64 cores that each take <declared>
+    When the moves of hosts are planned
+    Then that takes <limit> instructions or fewer
+    And <hosts> hosts are moved to the pool of the job
+
+    Examples:
+      | hosts | declared         | limit  |
+      | 10    | a millisecond    | 20000  |
+      | 10    | a minute         | 20000  |
+      | 10    | a day            | 20000  |
+      | 10    | a year           | 20000  |
+      | 10    | the longest time | 20000  |
+      | 100   | a minute         | 200000 |
+      | 100   | a year           | 200000 |
+
   Scenario Outline: A successor starts each occurrence that had not begun: <begun> of 5 had
     Given a job of 5 occurrences that are all due, of which <begun> have begun
     When a successor reads what is stored of it
--- a/features/steps/jobs_declared_shapes.py
+++ b/features/steps/jobs_declared_shapes.py
@@ -8,8 +8,10 @@
 from behave import when
 
 from hawthorndeal_fleet import errors
+from hawthorndeal_jobs import capacity
 from hawthorndeal_jobs import jobs
 from hawthorndeal_jobs import journal
+from hawthorndeal_jobs import queues
 from hawthorndeal_jobs import replica
 from hawthorndeal_jobs import run_state
 from hawthorndeal_site import submissions
@@ -18,6 +20,14 @@
 
 JOB_ID = job_life.JOB_ID
 LAYER = 4
+YEAR_MS = 365 * 24 * 3600 * 1000
+DECLARED_MS = {
+    'a millisecond': 1,
+    'a minute': 60000,
+    'a day': 24 * 3600 * 1000,
+    'a year': YEAR_MS,
+    'the longest time': 2**53,
+}
 # Two tasks of this size fit on a host.
 LARGE = {'cpu': 8000, 'mem-mb': 1, 'estimated-ms': 100}
 SMALL = {'cpu': 10, 'mem-mb': 1, 'estimated-ms': 100}
@@ -174,6 +184,54 @@
     context.life.end_job()
 
 
+@given(
+    '{hosts:d} idle hosts, and a job of {count:d} tasks of {cores:d} cores '
+    'that each take {declared}'
+)
+def add_long_job(context, hosts, count, cores, declared):
+    partition = loaded_partition.LoadedPartition(1)
+    estimate_ms = DECLARED_MS[declared]
+    step = {'count': count, 'cpu': cores * 1000, 'estimated-ms': estimate_ms}
+    body = job_life.Shape([step]).body
+    partition.add_job(submissions.decode_job(body))
+    partition.plan()
+    # A burst of such jobs would ask for hosts by their rate, too.
+    partition.now_s += 1.0
+    context.partition = partition
+    context.idle = [
+        capacity.IdleHost(f'h{number}', 'off', 10.0) for number in range(hosts)
+    ]
+
+
+@when('the moves of hosts are planned')
+def plan_moves(context):
+    partition = context.partition
+    pools = [
+        queues.Pool(loaded_partition.OWN_POOL),
+        queues.Pool('off', is_standby=True),
+    ]
+
+    def plan():
+        loads = [
+            partition.scheduler.load_of(pool, 0, 2.0, partition.now_s)
+            for pool in pools
+        ]
+        context.moves = capacity.plan_moves(loads, context.idle)
+
+    context.cost = loaded_partition.count_instructions(plan)
+
+
+@then('that takes {limit:d} instructions or fewer')
+def check_cost(context, limit):
+    assert context.cost <= limit, context.cost
+
+
+@then('{count:d} hosts are moved to the pool of the job')
+def check_moves(context, count):
+    moved = [move.to_pool for move in context.moves]
+    assert moved == [loaded_partition.OWN_POOL] * count, moved
+
+
 class _StoredJob:
     """A job, and the records that an owner has stored of its progress."""
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/capacity.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/capacity.py
@@ -9,6 +9,7 @@
 """
 
 import collections
+import itertools
 import math
 
 import attrs
@@ -146,21 +147,27 @@
         # Idle hosts in active pools are taken before hosts on standby.
         key=lambda host: (by_pool[host.pool].is_standby, -host.idle_s),
     )
-    # Pools take turns, so that a large deficit does not starve others.
-    rounds = range(max(deficits.values(), default=0))
-    by_deficit = sorted(deficits, key=lambda name: -deficits[name])
-    recipients = [
-        pool
-        for round_index in rounds
-        for pool in by_deficit
-        if deficits[pool] > round_index
-    ]
     return [
         Move(host.host, host.pool, pool, by_pool[pool])
-        for host, pool in zip(donors, recipients)
+        for host, pool in zip(donors, _recipients(deficits))
     ]
 
 
+def _recipients(deficits):
+    """Yield the pools that get a host each, as long as one lacks hosts.
+
+    Pools take turns, so that a large deficit does not starve others. A pool
+    may lack far more hosts than there are, so none is named before there is a
+    host for it.
+    """
+    by_deficit = sorted(deficits, key=lambda name: -deficits[name])
+    for count in itertools.count():
+        lacking = [pool for pool in by_deficit if deficits[pool] > count]
+        if not lacking:
+            return
+        yield from lacking
+
+
 def _plan_standby(by_pool, idle_hosts):
     standby = next((p for p, load in by_pool.items() if load.is_standby), '')
     if not standby:
