Let no entry that can't be served keep others of its line waiting

Callers and operators would have waited behind one bad entry: deletions that the store refuses as too large were tried again for ever, and nothing else was deleted; one record that it refuses failed all submissions of its append (502); a wave of 0 seconds raised an error that kept all hosts from moving; a gang beyond a lowered quota held up all jobs of its workspace beside a long-running task; a host whose tasks have nowhere to go held up its wave, and a host that can't be emptied all others of its pool.

--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -536,6 +536,7 @@
         And 1 seconds pass
         And the partition of "the statuses" is silent for 3 seconds
         And the partition of "the jobs" is silent for 3 seconds
+        And a wave that can't be planned is requested
         And a wave is not reported at first
         And an owner takes over while a spare partition is silent
         And 2 seconds pass
--- a/features/steps/jobs_workspaces.py
+++ b/features/steps/jobs_workspaces.py
@@ -409,11 +409,11 @@
     )
 
 
-def _add_job(context, workspace, count, cores, estimate_s=1.0):
+def _add_job(context, workspace, count, cores, estimate_s=1.0, **options):
     harness = context.harness
     context.job_count += 1
     step = specs.StepSpec(
-        count, specs.Resources(int(cores * CORE), 1), estimate_s
+        count, specs.Resources(int(cores * CORE), 1), estimate_s, **options
     )
     job = jobs.Job(
         f'{workspace}{context.job_count}',
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/consolidation.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/consolidation.py
@@ -13,16 +13,19 @@
 MIN_QUIET_S = 1.5
 
 
-def choose_host(load, executors, now_s):
+def choose_host(load, executors, now_s, failed=()):
     """Return the executor of the host to empty in a pool, or None.
 
     :param load: :class:`capacity.PoolLoad` of the pool
     :param executors: the executors of the pool on which runs may be placed
+    :param failed: ids of executors that could not be emptied, which are tried
+        after others
     """
     if not capacity.may_spare_host(load):
         return None
     keepers = [e for e in executors if _is_kept(e, now_s)]
-    for executor in sorted(keepers, key=_by_size):
+    keepers.sort(key=lambda e: (e.executor_id in failed, *_by_size(e)))
+    for executor in keepers:
         others = [e for e in executors if e is not executor]
         if _have_room(others, executor.lasting_runs()):
             return executor
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -60,6 +60,8 @@
 DAEMON = 'daemon'
 
 DIGEST_BYTES = 6
+# The length of a key is stored before it.
+KEY_LENGTH_BYTES = 1
 # Tasks whose progress fits into one record of any store.
 TASKS_PER_RECORD = 256
 NO_STAMP = (0, 0)
@@ -83,6 +85,11 @@
     key: str
     value: bytes = b''
 
+    @property
+    def size_bytes(self):
+        """Size of its content in the store."""
+        return KEY_LENGTH_BYTES + len(self.key) + len(self.value)
+
 
 @attrs.frozen
 class Submission:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/quota_waits.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/quota_waits.py
@@ -3,6 +3,10 @@
 A workspace that sends several times its quota may have hundreds of ready
 steps. They are not considered by scheduling cycles until the workspace may use
 what the first of them needs, so they add nothing to the time of a cycle.
+
+A quota may be lowered below what a step needs that was accepted before. Such a
+step waits until its workspace runs nothing. That can't be awaited while the
+workspace has long-running tasks, so the step keeps no other one waiting then.
 """
 
 import attrs
@@ -14,12 +18,15 @@
 class _Waiting:
     """The steps of one workspace.
 
-    :ivar needed: what the workspace has to be able to use
+    :ivar needed: what the workspace has to be able to use; None without steps
     :ivar steps: the steps by number
+    :ivar oversized: steps that can't be admitted while a long-running task of
+        the workspace runs, by number
     """
 
-    needed: specs.Resources
+    needed: specs.Resources | None = None
     steps: dict = attrs.Factory(dict)
+    oversized: dict = attrs.Factory(dict)
 
 
 class QuotaWaits:
@@ -30,7 +37,10 @@
 
     def __contains__(self, ready_step):
         waiting = self._by_workspace.get(ready_step.occurrence.job.workspace)
-        return waiting is not None and ready_step.number in waiting.steps
+        return waiting is not None and (
+            ready_step.number in waiting.steps
+            or ready_step.number in waiting.oversized
+        )
 
     @property
     def workspaces(self):
@@ -42,10 +52,20 @@
 
         :param needed: what the workspace has to be able to use
         """
-        workspace = ready_step.occurrence.job.workspace
-        waiting = self._by_workspace.setdefault(workspace, _Waiting(needed))
+        waiting = self._waiting_of(ready_step)
+        if waiting.needed is None:
+            waiting.needed = needed
         waiting.steps[ready_step.number] = ready_step
 
+    def add_oversized(self, ready_step):
+        """Add a step that keeps no other one waiting."""
+        waiting = self._waiting_of(ready_step)
+        waiting.oversized[ready_step.number] = ready_step
+
+    def _waiting_of(self, ready_step):
+        workspace = ready_step.occurrence.job.workspace
+        return self._by_workspace.setdefault(workspace, _Waiting())
+
     def discard(self, ready_step):
         """Remove a step, if it is known."""
         workspace = ready_step.occurrence.job.workspace
@@ -53,11 +73,16 @@
         if waiting is None:
             return
         waiting.steps.pop(ready_step.number, None)
+        waiting.oversized.pop(ready_step.number, None)
         if not waiting.steps:
+            waiting.needed = None
+        if not waiting.steps and not waiting.oversized:
             del self._by_workspace[workspace]
 
     def needed(self, workspace):
-        """Return what a workspace has to be able to use; None without steps.
+        """Return what a workspace has to be able to use.
+
+        None if no step waits that others have to wait for.
 
         :rtype: specs.Resources | None
         """
@@ -67,9 +92,18 @@
     def pop(self, workspace):
         """Remove and return the steps of a workspace."""
         waiting = self._by_workspace.pop(workspace, None)
-        return list(waiting.steps.values()) if waiting is not None else []
+        if waiting is None:
+            return []
+        return [*waiting.steps.values(), *waiting.oversized.values()]
+
+    def has_oversized(self, workspace):
+        """Return whether a step of a workspace keeps no other one waiting."""
+        waiting = self._by_workspace.get(workspace)
+        return waiting is not None and bool(waiting.oversized)
 
     def count(self, workspace):
         """Return how many steps of a workspace wait."""
         waiting = self._by_workspace.get(workspace)
-        return len(waiting.steps) if waiting is not None else 0
+        if waiting is None:
+            return 0
+        return len(waiting.steps) + len(waiting.oversized)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/quotas.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/quotas.py
@@ -50,21 +50,24 @@
         self.allotments = WholeQuotas({})
         self._used = collections.defaultdict(specs.Resources)
         self._runs = collections.Counter()
+        self._lasting_runs = collections.Counter()
         # Workspaces of which a run has ended since they were asked for.
         self._freed = set()
 
-    def add(self, workspace, request):
-        """Count a run."""
+    def add(self, workspace, step):
+        """Count a run of a declared step."""
         if workspace:
-            self._used[workspace] += request
+            self._used[workspace] += step.request
             self._runs[workspace] += 1
+            self._lasting_runs[workspace] += step.is_lasting
 
-    def remove(self, workspace, request):
+    def remove(self, workspace, step):
         """Stop counting a run that has ended."""
         if not workspace:
             return
-        self._used[workspace] -= request
+        self._used[workspace] -= step.request
         self._runs[workspace] -= 1
+        self._lasting_runs[workspace] -= step.is_lasting
         self._freed.add(workspace)
 
     def used(self, workspace):
@@ -74,20 +77,33 @@
     def admits(self, workspace, request, count=1):
         """Return whether a workspace may start more tasks.
 
-        A single task may always run alone: its job was accepted under a
-        larger quota, and would wait for ever otherwise.
+        What needs more than the quota may always run alone: its job was
+        accepted under a larger quota, and would wait for ever otherwise.
 
         :param request: what each of the tasks uses
         :param count: number of tasks that start together
         """
         limit = self.allotments.limit(workspace)
-        if limit is None:
+        if limit is None or not self._runs[workspace]:
             return True
-        if count == 1 and not self._runs[workspace]:
-            return True
-        wanted = sum([request] * count, start=self.used(workspace))
+        wanted = self.used(workspace) + request.times(count)
         return is_within(wanted, limit)
 
+    def has_lasting_runs(self, workspace):
+        """Return whether a workspace runs long-running tasks."""
+        return self._lasting_runs[workspace] > 0
+
+    def may_admit_later(self, workspace, request, count=1):
+        """Return whether tasks will be admitted once other runs have ended.
+
+        What needs more than the quota is admitted once nothing else runs,
+        which never comes while a long-running task does.
+        """
+        limit = self.allotments.limit(workspace)
+        if limit is None or is_within(request.times(count), limit):
+            return True
+        return not self.has_lasting_runs(workspace)
+
     def pop_freed(self):
         """Return the workspaces of which a run has ended since the last call.
 
@@ -113,7 +129,7 @@
     """
     for index, step in enumerate(spec.steps):
         count = step.count if step.is_gang else 1
-        needed = sum([step.request] * count, start=_NOTHING)
+        needed = step.request.times(count)
         if not is_within(needed, limit):
             kind = 'gang' if step.is_gang else 'task'
             return f'a {kind} of step {index} needs {_describe(needed)}'
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -128,11 +128,15 @@
     def wait_for_quota(self, ready_step, request):
         """Set a step aside until its workspace may use more.
 
-        :param request: what the workspace has to be able to use
+        :param request: what the workspace has to be able to use; None if that
+            can't be awaited
         """
         queue = self.queue_of(ready_step.occurrence.job)
         self._pending.get(queue.name, {}).pop(ready_step.number, None)
-        self.quota_waits.add(ready_step, request)
+        if request is None:
+            self.quota_waits.add_oversized(ready_step)
+        else:
+            self.quota_waits.add(ready_step, request)
 
     def resume_workspace(self, workspace):
         """Make the steps of a workspace that wait for its quota pending."""
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_index.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_index.py
@@ -28,7 +28,7 @@
         if run.step.is_filler:
             self._fillers.setdefault(run.executor_id, {})[run] = None
         run.index = self
-        self.quotas.add(run.workspace, run.step.request)
+        self.quotas.add(run.workspace, run.step)
         self.update(run)
         self.note_pace_input(run.executor_id)
 
@@ -39,7 +39,7 @@
         _discard(self._fillers, run.executor_id, run)
         self._stop_candidates.pop(run, None)
         run.index = None
-        self.quotas.remove(run.workspace, run.step.request)
+        self.quotas.remove(run.workspace, run.step)
         self.note_pace_input(run.executor_id)
 
     def update(self, run):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -415,8 +415,15 @@
     def _resume_workspaces(self):
         """Consider the steps again for which quota has become free."""
         for workspace in self.quotas.pop_freed():
-            needed = self.steps.quota_waits.needed(workspace)
-            if needed is not None and self.quotas.admits(workspace, needed):
+            waits = self.steps.quota_waits
+            needed = waits.needed(workspace)
+            is_admitted = needed is not None and self.quotas.admits(
+                workspace, needed
+            )
+            if is_admitted or (
+                waits.has_oversized(workspace)
+                and not self.quotas.has_lasting_runs(workspace)
+            ):
                 self.steps.resume_workspace(workspace)
 
     def _plan_starts(self, now_s, shares):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -167,8 +167,12 @@
     def _wait_for_quota(self, ready_step):
         # The step lacks quota, not room on a host.
         ready_step.unplaced_since_s = None
-        request = ready_step.spec.request.times(_started_together(ready_step))
-        self._steps.wait_for_quota(ready_step, request)
+        workspace = ready_step.occurrence.job.workspace
+        request, count = ready_step.spec.request, _started_together(ready_step)
+        needed = None
+        if self._ledger.may_admit_later(workspace, request, count):
+            needed = request.times(count)
+        self._steps.wait_for_quota(ready_step, needed)
 
     def _plan_tasks(self, ready_step, pool_executors, now_s, limit):
         starts = []
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/wave_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/wave_planning.py
@@ -8,6 +8,8 @@
 
 from . import journal
 
+# A host that has been draining for this long has tasks that can't leave it.
+MAX_DRAINING_S = 8.0
 # Share of a wave's duration within which all hosts should have started.
 START_SHARE = 0.55
 
@@ -19,12 +21,15 @@
     :ivar runs: number of runs on it
     :ivar is_draining: whether it already gets no new tasks
     :ivar is_up: whether its maintenance may start
+    :ivar is_stuck: whether it has been draining for long; others are drained
+        beside it
     """
 
     host: str
     runs: int
     is_draining: bool
     is_up: bool = True
+    is_stuck: bool = False
 
 
 @attrs.frozen
@@ -68,7 +73,9 @@
         key=lambda host: (host.runs, not host.is_draining, host.host),
     )
     begin = [host.host for host in up if not host.runs][: max(0, slots)]
-    draining = sum(host.is_draining for host in pending_hosts)
+    draining = sum(
+        host.is_draining and not host.is_stuck for host in pending_hosts
+    )
     behind = _hosts_behind_schedule(progress) - len(begin)
     drain_count = max(0, min(behind, slots - len(begin)) - draining)
     empty = [h.host for h in up if h.runs and not h.is_draining][:drain_count]
@@ -76,9 +83,11 @@
 
 
 def _hosts_behind_schedule(progress):
-    share = progress.elapsed_s / (progress.duration_s * START_SHARE)
-    planned = min(progress.total, int(progress.total * share) + 1)
-    return planned - progress.begun
+    start_s = progress.duration_s * START_SHARE
+    planned = progress.total
+    if progress.elapsed_s < start_s:
+        planned = int(progress.total * progress.elapsed_s / start_s) + 1
+    return min(progress.total, planned) - progress.begun
 
 
 def may_stop_lasting(others_at_work, others, max_unavailable):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -179,6 +179,12 @@
             access.workspace,
         )
         record = journal.submission_record(job_id, submission)
+        size_bytes = record.size_bytes
+        if size_bytes > parts.settings.max_record_bytes:
+            raise errors.RequestTooLarge(
+                f'the job takes {size_bytes} bytes to store, more than '
+                f'{parts.settings.max_record_bytes}'
+            )
         try:
             await self._append(job_id, record, access)
         except errors.AnswerLost:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/consolidator.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/consolidator.py
@@ -1,5 +1,7 @@
 """Empties hosts that only a few long-running tasks keep in their pools."""
 
+import collections
+
 from hawthorndeal_jobs import capacity
 from hawthorndeal_jobs import consolidation
 from hawthorndeal_jobs import placement
@@ -24,6 +26,8 @@
         # The executor that is being emptied in each pool, and since when.
         self._emptying = {}
         self._retry_at_s = {}
+        # Ids of the executors in each pool that could not be emptied.
+        self._failed = collections.defaultdict(set)
 
     def update(self, loads):
         """Displace the next long-running tasks.
@@ -41,6 +45,7 @@
                 now_s - since_s > MAX_EMPTYING_S
             ):
                 self._retry_at_s[load.pool] = now_s + RETRY_S
+                self._failed[load.pool].add(executor.executor_id)
                 self._end(load.pool, executor)
             else:
                 self._displace(executor)
@@ -53,9 +58,13 @@
             for executor in self._owner.scheduler.executors_in(load.pool)
             if placement.is_usable(executor, now_s)
         ]
-        executor = consolidation.choose_host(load, executors, now_s)
+        failed = self._failed[load.pool]
+        executor = consolidation.choose_host(load, executors, now_s, failed)
         if executor is None:
             return
+        if executor.executor_id in failed:
+            # Each of the others was tried since.
+            failed.clear()
         self._emptying[load.pool] = executor, now_s
         self._owner.events.write(
             'host_consolidating',
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
@@ -87,7 +87,7 @@
             return
         self._waves.begin_cycle()
         for wave in list(self._parts.configuration_reader.waves.values()):
-            await self._waves.advance(wave)
+            await self._advance(wave)
         moves = self._plan_moves()
         hosts = {move.host for move in moves}
         planned_s = self._owner.now_s()
@@ -96,6 +96,17 @@
             moves = self._plan_again(hosts)
         self._begin_moves(moves)
 
+    async def _advance(self, wave):
+        """Advance a wave; one that fails keeps no others waiting."""
+        try:
+            await self._waves.advance(wave)
+        except errors.PlatformError:
+            raise
+        except Exception as error:
+            self._owner.events.write(
+                'wave_failed', wave=wave.number, why=repr(error)[:160]
+            )
+
     def _begin_moves(self, moves):
         # An order without an answer doesn't keep waves and other pools
         # waiting.
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
@@ -53,6 +53,7 @@
     :ivar splits_progress: whether the progress of a job of many tasks is
         stored in several records; false while any daemon is of an earlier
         version
+    :ivar max_record_bytes: size of the largest record that the store takes
     :ivar processor_share: share of a core that this entry host may use, before
         processor_count
     :ivar processor_count: how many cores' speed that share has
@@ -84,6 +85,7 @@
     )
     spare_partitions: int = attrs.field(default=0, validator=validators.ge(0))
     splits_progress: bool = False
+    max_record_bytes: int = _positive(262144)
     processor_share: float = _positive(1.0)
     processor_count: float = _positive(1.0)
     link_mbps: float = _positive(100.0)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/submitter.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/submitter.py
@@ -167,6 +167,9 @@
             if not sending.done():
                 self._note_overdue(partition, batch)
             offset = await sending
+        except errors.PlatformRefused as error:
+            await self._append_apart(partition, batch, error)
+            return
         except errors.PlatformError as error:
             for entry in batch:
                 self._try_elsewhere(entry)
@@ -179,6 +182,17 @@
         for index, entry in enumerate(batch):
             entry.note_stored(offset + index)
 
+    async def _append_apart(self, partition, batch, error):
+        """Append each record of a refused append by itself.
+
+        One that the store refuses doesn't keep the others from being stored.
+        """
+        if len(batch) == 1:
+            batch[0].note_failed(error)
+            return
+        for entry in batch:
+            await self._append(partition, [entry])
+
     def _note_overdue(self, partition, batch):
         """Try elsewhere what waits for a partition that should have answered.
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
@@ -33,6 +33,7 @@
             parts.wave_reports, owner.tasks.spawn, parts.events
         )
         self._blocked = collections.defaultdict(list)
+        self._draining_since_s = {}
         self._changed_waves = set()
         # Newer than what the board has read back from the store.
         self._wave_records = dict(parts.board.wave_records)
@@ -118,10 +119,19 @@
             runs,
             host in self._inventory.draining,
             is_up and not self._order_sender.is_waiting_for_lease(host),
+            self._is_stuck(host),
         )
 
+    def _is_stuck(self, host):
+        if host not in self._inventory.draining:
+            return False
+        now_s = self._owner.now_s()
+        since_s = self._draining_since_s.get(host, now_s)
+        return now_s - since_s > wave_planning.MAX_DRAINING_S
+
     def _begin_draining(self, host, number):
         self._inventory.draining.add(host)
+        self._draining_since_s[host] = self._owner.now_s()
         self._inventory.reserve(host)
         self._owner.events.write('host_emptying', host=host, wave=number)
 
