Store what a queue promises with each job that it accepts

Cause: the terms of a queue stood in the configuration and in the memory of an owner that had seen it; a successor took default values.

What the configuration says goes first while it holds the queue.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from . import queues
 from . import specs
 
 
@@ -237,6 +238,7 @@
     :ivar accepted_s: when it was accepted, since the epoch
     :ivar pool: pool of its queue when it was accepted
     :ivar workspace: workspace of its caller; empty where the queue is public
+    :ivar terms: what its queue promised when it was accepted
     :ivar is_beyond_share: whether its workspace sent more jobs than are owed
         to it at that time
     :ivar home: name of the partition that its cancellation is stored in
@@ -250,6 +252,7 @@
     accepted_s: float
     spec: specs.JobSpec
     workspace: str = ''
+    terms: queues.QueueTerms = queues.QueueTerms()
     is_beyond_share: bool = False
     home: str = ''
     occurrences: dict[int, Occurrence] = attrs.Factory(dict)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -46,6 +46,7 @@
 from hawthorndeal_fleet import errors
 
 from . import jobs
+from . import queues
 from . import specs
 
 JOB = 'job'
@@ -97,6 +98,8 @@
 
     :ivar workspace: workspace of the caller; empty where the queue is public,
         and in records of earlier versions
+    :ivar terms: what the queue promised; records of earlier versions hold
+        none
     """
 
     queue: str
@@ -104,6 +107,7 @@
     accepted_s: float
     spec: specs.JobSpec
     workspace: str = ''
+    terms: queues.QueueTerms = queues.QueueTerms()
 
 
 @attrs.frozen
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/queues.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/queues.py
@@ -20,6 +20,21 @@
     validity_s: float = 0.0
 
 
+@attrs.frozen
+class QueueTerms:
+    """What a queue promises to the jobs that it accepts.
+
+    They are stored with each job, since the queue may be removed while its
+    jobs go on; see :class:`Queue`.
+    """
+
+    priority: int = 0
+    max_attempts: int = 3
+    stretch: float = 1.0
+    latency_target_s: float = 1.0
+    advice: Advice | None = None
+
+
 @attrs.frozen
 class Queue:
     """A queue that clients submit jobs to.
@@ -48,6 +63,20 @@
     is_public: bool = True
     timeout_s: float = CALLER_TIMEOUT_S
 
+    @property
+    def terms(self):
+        """What the queue promises to the jobs that it accepts."""
+        names = (field.name for field in attrs.fields(QueueTerms))
+        return QueueTerms(**{name: getattr(self, name) for name in names})
+
+    @classmethod
+    def removed(cls, name, pool, terms):
+        """Return a queue that the configuration does not hold any more.
+
+        :param terms: what it promised to a job
+        """
+        return cls(name, pool, **attrs.asdict(terms, recurse=False))
+
 
 @attrs.frozen
 class Pool:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -82,10 +82,14 @@
         )
 
     def queue_of(self, job):
-        """Return the queue of a job, or its last known state if removed."""
+        """Return the queue of a job, or its last known state if removed.
+
+        An owner that has never seen the queue goes by what it promised to the
+        first job that it knows of.
+        """
         queue = self._queues.get(job.queue)
         if queue is None:
-            queue = queues.Queue(job.queue, job.pool)
+            queue = queues.Queue.removed(job.queue, job.pool, job.terms)
             self._queues[job.queue] = queue
         return queue
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
@@ -89,7 +89,7 @@
         accepted = journal.decode(value, journal.Submission)
         job = jobs.Job(
             job_id, accepted.queue, accepted.pool, accepted.accepted_s,
-            accepted.spec, accepted.workspace,
+            accepted.spec, accepted.workspace, accepted.terms,
         )  # fmt: skip
         self.jobs[job_id] = job
         # The initial load returns records in key order, so that others of a
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -177,6 +177,7 @@
             parts.clock.now_s(),
             spec,
             access.workspace,
+            queue.terms,
         )
         record = journal.submission_record(job_id, submission)
         size_bytes = record.size_bytes
