Tell fillers their pace when it is not known

Cause: what an unanswered or a predecessor's call has set was taken for known.

Change: the pace of inherited runs, and of those whose change was not answered, is unknown. They are told a pace, from 0 where they use no processor time and from 100 where they do, adapted to the serving tasks beside them.

Evidence: "A filler is told its pace when it is not known"; without the change an inherited filler is told nothing in any of these cases.

--- a/features/jobs_decisions.feature
+++ b/features/jobs_decisions.feature
@@ -54,6 +54,22 @@
       | over it, shortly after a change | 1.2  | 100     | 0.2   | 100  |
       | below it again for some time    | 0.3  | 40      | 3     | 60   |
 
+  Scenario Outline: A filler is told its pace when it is not known: <case>
+    Given a serving task at <tail> of its target and a filler at 100 percent
+    And <reason> that may have changed its pace, and it uses <usage> millicores
+    When paces are planned <after> seconds after the last change
+    Then the filler's pace is <pace>, and it is told <told>
+
+    Examples:
+      | case                             | tail | reason              | usage | after | pace | told |
+      | stopped, and well below          | 0.3  | an earlier owner    | 0     | 1     | 20   | it   |
+      | stopped, and near the target     | 0.7  | an earlier owner    | 0     | 1     | 0    | it   |
+      | at work, and well below          | 0.3  | an earlier owner    | 800   | 1     | 100  | it   |
+      | at work, and near the target     | 0.9  | an earlier owner    | 800   | 1     | 50   | it   |
+      | at work, and over the target     | 1.2  | an earlier owner    | 800   | 1     | 0    | it   |
+      | stopped, the answer was lost     | 0.3  | an unanswered call  | 0     | 1     | 20   | it   |
+      | only just told                   | 0.3  | an unanswered call  | 0     | 0.2   | 100  | none |
+
   Scenario: A job that can meet its objective goes before one that can't
     Given ready steps "late", 1 second past its objective, and "fresh", in time
     When they are ranked
--- a/features/steps/jobs_decisions.py
+++ b/features/steps/jobs_decisions.py
@@ -150,6 +150,34 @@
     context.runs = [_make_run(serving, usage=int(tail * 1000)), context.filler]
 
 
+@given(
+    '{reason} that may have changed its pace, and it uses {usage:d} millicores'
+)
+def forget_pace(context, reason, usage):
+    filler = context.filler
+    if reason == 'an earlier owner':
+        inherited = attrs.evolve(filler, is_inherited=True)
+        index = context.runs.index(filler)
+        # The default follows from who has started the run.
+        filler = run_state.Run(
+            inherited.task_id, inherited.number, inherited.occurrence,
+            inherited.executor_id, inherited.reserved,
+            run_state.RunPhase.RUNNING, inherited.phase_changed_s,
+            is_inherited=True, pace_changed_s=inherited.pace_changed_s,
+        )  # fmt: skip
+        context.runs[index] = context.filler = filler
+    else:
+        filler.phase = run_state.RunPhase.RUNNING
+        filler.note_pace_lost()
+    filler.usage = usage
+
+
+@then("the filler's pace is {pace:d}, and it is told {told}")
+def check_told(context, pace, told):
+    check_filler_pace(context, pace)
+    assert bool(context.pace_changes) == (told == 'it')
+
+
 @when('paces are planned {after:g} seconds after the last change')
 def plan_pace_changes(context, after):
     context.pace_changes = pacing.plan(context.runs, NOW_S + after)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pacing.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pacing.py
@@ -1,13 +1,17 @@
 """Set the pace of filler tasks that share an executor with serving tasks.
 
 Filler tasks are slowed down as soon as the tail latency of a serving task
-approaches its target, and sped up again step by step.
+approaches its target, and sped up again step by step. A filler of which the
+pace is not known, since an earlier owner started it or a change was not
+answered, is told its pace again.
 """
 
 import math
 
 import attrs
 
+from . import run_state
+
 # Fraction of the latency target above which fillers are slowed down.
 HIGH_SHARE = 0.85
 # Fraction of the latency target below which fillers may speed up.
@@ -45,7 +49,7 @@
     changes = []
     for run in fillers:
         percent = _next_percent(run, worst, now_s)
-        if percent != run.pace_percent:
+        if percent is not None:
             changes.append(PaceChange(run, percent))
     return changes
 
@@ -56,11 +60,24 @@
 
 
 def _next_percent(run, worst, now_s):
+    """Return the pace to tell a run now, or None."""
     since_s = now_s - run.pace_changed_s
+    if run.is_pace_known:
+        percent = _adapted(run.pace_percent, worst, since_s)
+        return None if percent == run.pace_percent else percent
+    if run.phase is not run_state.RunPhase.RUNNING:
+        return None
+    if since_s < SLOW_PERIOD_S:
+        return None
+    # One that uses no processor time was stopped.
+    return _adapted(FULL_PERCENT if run.usage else 0, worst, math.inf)
+
+
+def _adapted(percent, worst, since_s):
     if worst > 1.0 and since_s >= SLOW_PERIOD_S:
         return 0
     if worst > HIGH_SHARE and since_s >= SLOW_PERIOD_S:
-        return run.pace_percent // 2
+        return percent // 2
     if worst < LOW_SHARE and since_s >= RAISE_PERIOD_S:
-        return min(FULL_PERCENT, run.pace_percent + RAISE_PERCENT)
-    return run.pace_percent
+        return min(FULL_PERCENT, percent + RAISE_PERCENT)
+    return percent
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_state.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_state.py
@@ -50,6 +50,7 @@
         its task may crash executors; 0 if it doesn't
     :ivar is_inherited: whether an earlier owner started it, so that it may
         have lasted longer than is known
+    :ivar is_pace_known: whether it is certain which pace it was told last
     :ivar place: sorts the runs of a partition by executor and age there
     :ivar index: the index that the run is in, if any
     """
@@ -74,6 +75,7 @@
     second_choice: str = ''
     probation_s: float = 0.0
     is_inherited: bool = False
+    is_pace_known: bool = attrs.field()
     _pace_percent: int = 100
     pace_changed_s: float = 0.0
     ticket: str = ''
@@ -81,6 +83,11 @@
     place: tuple[int, int] = (0, 0)
     index: run_index_module.RunIndex | None = None
 
+    @is_pace_known.default
+    def _is_started_here(self):
+        # An earlier owner may have changed the pace of its runs.
+        return not self.is_inherited
+
     @property
     def phase(self):
         """State of the run, as far as it is known."""
@@ -109,6 +116,13 @@
     @pace_percent.setter
     def pace_percent(self, percent):
         self._pace_percent = percent
+        self.is_pace_known = True
+        if self.index is not None:
+            self.index.note_pace_input(self.executor_id)
+
+    def note_pace_lost(self):
+        """Record that a change of pace was not answered."""
+        self.is_pace_known = False
         if self.index is not None:
             self.index.note_pace_input(self.executor_id)
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
@@ -201,7 +201,7 @@
             )
         except errors.PlatformError as error:
             outcome = str(error)[:80]
-            run.pace_percent = before
+            run.note_pace_lost()
         owner.events.write(
             'run_paced',
             task=str(run.task_id),
