Count a host with an unanswered order as down in its wave

Change: such a host counts as down until a list shows what became of it.

Evidence: "A wave keeps its limit while orders to hosts go unanswered" holds with and without the change.

--- a/features/jobs_world.feature
+++ b/features/jobs_world.feature
@@ -90,6 +90,24 @@
     Then job "a" is reported as completed by every daemon
     And no invariant was violated
 
+  @invariant_budget
+  Scenario Outline: A wave keeps its limit while orders to hosts go unanswered: <lost> of them, seed <seed>
+    Given simulated daemons with seed <seed>
+    When <lost> of the answers of the host service are lost
+    And a wave over its pool and idle hosts is requested, 2 at once, within 4 seconds
+    And 15 seconds pass
+    Then no invariant was violated
+    When 0.0 of the answers of the host service are lost
+    And 20 seconds pass
+    Then the wave is reported as completed
+    And no invariant was violated
+
+    Examples:
+      | lost | seed |
+      | 0.3  | 971  |
+      | 0.6  | 972  |
+      | 0.6  | 973  |
+
   @invariant_budget
   Scenario: A maintenance wave interrupts no more long-running tasks than allowed
     Given simulated daemons with seed 10
--- a/features/steps/jobs_world.py
+++ b/features/steps/jobs_world.py
@@ -294,6 +294,12 @@
     world.add_wave(1, hosts, limit, most)
 
 
+@when('{share:g} of the answers of the host service are lost')
+def lose_host_answers(context, share):
+    for daemon in context.world.daemons:
+        daemon.hosts_link.lost_share = share
+
+
 @then('the wave is reported as completed')
 def check_wave(context):
     assert 1 in context.world.waves_completed, context.world.event_log_text()[
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
@@ -204,6 +204,10 @@
         """
         self._unconfirmed_orders[host] = since_s
 
+    def may_be_ordered(self, host):
+        """Return whether an unanswered order may have reached a host."""
+        return host in self._unconfirmed_orders
+
     def note_moving(self, host, pool):
         """Record that a host is moving to a pool."""
         timeout_at_s = self._owner.now_s() + ARRIVAL_TIMEOUT_S
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
@@ -96,11 +96,13 @@
         down = sum(
             self._inventory.entries[host].state
             is host_orders.HostState.IN_MAINTENANCE
-            # A previous owner may have just begun its maintenance.
+            # A previous owner, or an order without an answer, may have just
+            # begun its maintenance.
             or (
                 host not in progress.begun
                 and self._order_sender.is_waiting_for_lease(host)
             )
+            or self._inventory.may_be_ordered(host)
             for host in wave.hosts
             if host in self._inventory.entries
         )
