Tell an executor to forget ends only while that incarnation is known

What was seen: a task of an executor that had begun again under its id ran twice (at most once): 'end acknowledged before it was stored', then 'start after an acknowledged end'.

Change: where executors tell incarnations apart, each end is told to be forgotten once, by a poll that isn't held open; the polls that wait tell nothing.

What remains is the time of one call.

--- a/features/jobs_crashes.feature
+++ b/features/jobs_crashes.feature
@@ -133,6 +133,7 @@
     And no invariant was violated
 
   @invariant_at_most_once
+  # A poll that is held open must not tell the next incarnation to forget.
   Scenario Outline: An executor that begins again under its id starts its counts anew, seed <seed>
     Given simulated daemons with seed <seed>, and 8 hosts in each pool
     When 8 executors begin again under their ids, 2 s apart, while 40 jobs of 4 and 4 tasks arrive
@@ -146,6 +147,9 @@
       | 742  |
       | 743  |
       | 744  |
+      | 7002 |
+      | 7005 |
+      | 7009 |
 
   Scenario: An executor that is only cut off has not crashed
     Given simulated daemons with seed 710
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
@@ -47,6 +47,9 @@
         self._ends_stored = asyncio.Event()
         self._failures = 0
         self._is_unreachable = False
+        # Up to which end, and of which incarnation, a poll has told the
+        # executor to forget.
+        self._forgotten = 0, 0
 
     def poll_soon(self):
         """Request an early poll."""
@@ -111,15 +114,17 @@
         # unreachable executor carry none: otherwise its runs never lapse.
         if executor.clock_s is not None and not self._is_unreachable:
             deadline_s = executor.grant_lease(owner.lease_s, now_s)
+        born_ms, end_to_forget = executor.born_ms, self._end_to_forget()
         poll = await owner.executors.poll(
             run_orders.target_of(executor),
             owner.epoch,
-            # Another incarnation may answer, which counts its ends anew.
-            0 if self._failures else executor.last_recorded_end,
+            end_to_forget,
             deadline_s,
-            self._poll_wait_s(),
+            self._poll_wait_s(end_to_forget),
         )
         self._note_reached()
+        if end_to_forget:
+            self._forgotten = born_ms, end_to_forget
         self._ends_stored.clear()
         ended_runs = owner.tracker.handle_poll(executor, poll)
         if ended_runs:
@@ -127,11 +132,33 @@
         else:
             await asyncio.sleep(POLL_PAUSE_S)
 
-    def _poll_wait_s(self):
-        """Return how long the executor may hold a poll open for an end."""
+    def _end_to_forget(self):
+        """Return up to which end the executor may forget ends.
+
+        Another incarnation with the same id may answer, which counts its ends
+        anew: it would forget ends that no poll has told. So nothing is to be
+        forgotten after a failed poll, and each end only once where executors
+        tell incarnations apart.
+        """
+        executor = self._executor
+        recorded = executor.born_ms, executor.last_recorded_end
+        if self._failures or (
+            executor.born_ms and recorded == self._forgotten
+        ):
+            return 0
+        return executor.last_recorded_end
+
+    def _poll_wait_s(self, end_to_forget):
+        """Return how long the executor may hold a poll open for an end.
+
+        A poll that tells it to forget ends isn't held open where incarnations
+        share an id, as the next one may begin meanwhile.
+        """
         executor = self._executor
         if self._failures or not executor.is_fenced:
             return 0.0
+        if executor.born_ms and end_to_forget:
+            return 0.0
         wait_s = poll_wait_s(executor.runs.values(), self._owner.now_s())
         if placement.is_apart(executor, self._owner.now_s()):
             # Suspects of crashes wait until the runs are known to last.
