Search the edges of accepted bodies for work beyond their size

Bodies with 100 steps in every kind of graph, the longest 'after', the largest counts and the least and the longest declared times go through decoding, storing, loading and cycles of the scheduler.

--- a/features/jobs_declared_shapes.feature
+++ b/features/jobs_declared_shapes.feature
@@ -72,6 +72,17 @@
       | 0 2 4   | 1 3     |
       | 0       | 1 2 3 4 |
 
+  @search
+  Scenario Outline: No body that is accepted costs more than its size allows, seed <seed>
+    When 60 bodies at the edges of what is accepted live, by seed <seed>
+    Then each of them costs no more than its size and the hosts allow
+    And 20 of them or more were accepted
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
   Scenario: The progress of many tasks is stored in records of a limited size
     Given a job of 5000 tasks with checkpoints of 64 bytes, all of them running
     Then its progress takes records of 65536 bytes or less
--- a/features/steps/jobs_declared_shapes.py
+++ b/features/steps/jobs_declared_shapes.py
@@ -15,6 +15,7 @@
 from hawthorndeal_jobs import replica
 from hawthorndeal_jobs import run_state
 from hawthorndeal_site import submissions
+from stage import edge_bodies
 from stage import job_life
 from stage import loaded_partition
 
@@ -234,6 +235,28 @@
     assert 0 < moved <= hosts and (share == 'some' or moved == hosts), moved
 
 
+@when(
+    '{count:d} bodies at the edges of what is accepted live, by seed {seed:d}'
+)
+def search_bodies(context, count, seed):
+    try:
+        context.counts = edge_bodies.search(seed, count)
+    except AssertionError as error:
+        context.exceeded = error
+    else:
+        context.exceeded = None
+
+
+@then('each of them costs no more than its size and the hosts allow')
+def check_bodies(context):
+    assert context.exceeded is None, context.exceeded
+
+
+@then('{count:d} of them or more were accepted')
+def check_accepted(context, count):
+    assert context.counts[0] >= count, context.counts
+
+
 class _StoredJob:
     """A job, and the records that an owner has stored of its progress."""
 
