Place a task in the same time however many runs are beside it

What callers saw: a job of 80 steps of 60 long-running filler tasks of a thousandth of a core, which is accepted, keeps the event loop of the owner from all other work (33 s beside a profiler on 12 hosts).

Change: an executor counts its long-running and its filler runs; executors that are full for a step are set aside while that step is placed, and come back with the next step, or with a new entry once a run there ends. The choices are the same.

--- a/features/jobs_declared_shapes.feature
+++ b/features/jobs_declared_shapes.feature
@@ -72,6 +72,15 @@
       | 0 2 4   | 1 3     |
       | 0       | 1 2 3 4 |
 
+  Scenario Outline: The cost of placing a task doesn't grow with what runs beside it: <limit> on a host
+    When a job of 20 steps of 60 small long-running tasks lives on 12 hosts, with <limit> of a step on a host
+    Then it costs no more than its size and the hosts allow
+
+    Examples:
+      | limit     |
+      | any       |
+      | at most 5 |
+
   @search
   Scenario Outline: No body that is accepted costs more than its size allows, seed <seed>
     When 60 bodies at the edges of what is accepted live, by seed <seed>
--- a/features/steps/jobs_declared_shapes.py
+++ b/features/steps/jobs_declared_shapes.py
@@ -2,6 +2,7 @@
 
 import copy
 import itertools
+import json
 
 from behave import given
 from behave import then
@@ -235,6 +236,32 @@
     assert 0 < moved <= hosts and (share == 'some' or moved == hosts), moved
 
 
+@when(
+    'a job of {steps:d} steps of {tasks:d} small long-running tasks lives on '
+    '{hosts:d} hosts, with {limit} of a step on a host'
+)
+def measure_small_tasks(context, steps, tasks, hosts, limit):
+    step = {
+        'count': tasks,
+        'cpu': 1,
+        'mem-mb': 0,
+        'estimated-ms': 1000,
+        'long-running': True,
+        'fills': True,
+        'after': [],
+    }
+    if limit != 'any':
+        step['anti-affinity'] = int(limit.removeprefix('at most '))
+    plain = {'task-spec': 'payload', 'steps': [step] * steps}
+    context.cost = edge_bodies.measure(json.dumps(plain).encode(), hosts)
+
+
+@then('it costs no more than its size and the hosts allow')
+def check_small_tasks(context):
+    assert not context.cost.error, context.cost
+    assert context.cost.cost <= context.cost.bound, context.cost
+
+
 @when(
     '{count:d} bodies at the edges of what is accepted live, by seed {seed:d}'
 )
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -54,6 +54,8 @@
     :ivar run_index: the runs of all executors of the partition
     :ivar runs: runs by :func:`run_state.run_key`
     :ivar suspect_runs: runs whose tasks may crash executors, by the same key
+    :ivar filler_count: number of runs of filler tasks
+    :ivar lasting_count: number of runs of long-running tasks
     :ivar expired_runs: runs that have ended with their leases, since when it
         was not reached
     :ivar free: capacity not reserved by any run
@@ -91,6 +93,8 @@
     suspect_runs: dict = attrs.Factory(dict)
     expired_runs: list = attrs.Factory(list)
     step_counts: collections.Counter = attrs.Factory(collections.Counter)
+    filler_count: int = 0
+    lasting_count: int = 0
     is_fenced: bool = False
     fenced_since_s: float = 0.0
     born_ms: int = 0
@@ -209,7 +213,9 @@
         else:
             run.place = replaced.place
             self.run_index.remove(replaced)
+            self._count_kinds(replaced.step, -1)
         self.runs[run.key] = run
+        self._count_kinds(run.step, 1)
         if run.is_suspect:
             self.suspect_runs[run.key] = run
         self.run_index.add(run)
@@ -222,6 +228,7 @@
         removed = self.runs.pop(run.key, None)
         if removed is None:
             return
+        self._count_kinds(removed.step, -1)
         self.suspect_runs.pop(run.key, None)
         self.run_index.remove(removed)
         self.free = self.free + run.reserved
@@ -232,6 +239,10 @@
         if not self.runs:
             self.idle_since_s = now_s
 
+    def _count_kinds(self, step, change):
+        self.filler_count += change * step.is_filler
+        self.lasting_count += change * step.is_lasting
+
     def step_run_count(self, task_id):
         """Return the number of runs here that belong to the step of a task."""
         return self.step_counts[_step_key(task_id)]
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
@@ -107,11 +107,10 @@
     if step.data_rack and step.data_rack != executor.entry.rack:
         total += REMOTE_RACK_COST
     if step.is_filler or step.tail_target_ms:
-        total += COLOCATION_COST * sum(
-            other.step.is_filler != step.is_filler
-            for other in executor.runs.values()
-        )
-    if step.is_lasting and not executor.lasting_runs():
+        fillers = executor.filler_count
+        others = len(executor.runs) - fillers if step.is_filler else fillers
+        total += COLOCATION_COST * others
+    if step.is_lasting and not executor.lasting_count:
         # A host that runs nothing else can't be released while it lasts.
         total += LASTING_APART_COST
     # Packing tasks leaves other executors idle, so that their hosts can be
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
@@ -216,6 +216,10 @@
         }
         self._heap = list(self._entries.values())
         heapq.heapify(self._heap)
+        # The entries of executors that run as many tasks as they may of the
+        # step that was placed last.
+        self._full_for = None
+        self._full = []
         # For gangs only: for how many tasks each executor has room.
         self._slots = {}
         self._slot_count = 0
@@ -260,22 +264,37 @@
         self._slot_count += slots - self._slots.get(number, 0)
         self._slots[number] = slots
 
+    def _begin_step(self, task_id):
+        """Consider all executors again if another step is placed.
+
+        Each task of a step would pass by the full executors otherwise. One
+        where a run ends gets a new entry.
+        """
+        step_key = task_id.job_id, task_id.occurrence, task_id.step
+        if step_key == self._full_for:
+            return
+        for entry in self._full:
+            heapq.heappush(self._heap, entry)
+        self._full_for, self._full = step_key, []
+
     def best_two(self, step, task_id, avoided_id=''):
         """Return up to two executors that may run a task, the best first.
 
         :param avoided_id: id of an executor that is left out
         """
+        self._begin_step(task_id)
         found, seen = [], []
         while self._heap and len(found) < 2:
             entry = heapq.heappop(self._heap)
             number = entry[1]
             if self._entries.get(number) is not entry:
                 continue
-            seen.append(entry)
             executor = self._usable[number]
-            if executor.executor_id != avoided_id and placement.is_below_limit(
-                executor, step, task_id
-            ):
+            if not placement.is_below_limit(executor, step, task_id):
+                self._full.append(entry)
+                continue
+            seen.append(entry)
+            if executor.executor_id != avoided_id:
                 found.append(executor)
         for entry in seen:
             heapq.heappush(self._heap, entry)
