--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
@@ -160,7 +160,14 @@
     """Return for how many tasks of a step an executor has room."""
     if not has_room(executor, step):
         return 0
+    return fitting_tasks(executor, step)
+
+
+def fitting_tasks(executor, step):
+    """Return how many tasks of a step fit into what an executor has left."""
     need, free = step.reserved, executor.free
+    if not need.is_within(free):
+        return 0
     fits = [
         available // needed
         for needed, available in (
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -97,6 +97,14 @@
         """Return the pool in which the tasks of a job start."""
         return self.queue_of(job).pool
 
+    def unfinished(self):
+        """Return all steps whose tasks may start, or have started."""
+        return list(self._steps.values())
+
+    def is_scheduled(self, job_id):
+        """Return whether an occurrence of a job has not begun."""
+        return job_id in self._not_due
+
     def pending(self):
         """Return the steps with tasks that wait for placement."""
         return self._pending_where(lambda queue: True)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -22,6 +22,7 @@
 from . import run_state
 from . import run_tracking
 from . import specs
+from . import standing_work
 from . import start_planning
 from . import start_shares
 from . import tickets as tickets_module
@@ -77,6 +78,7 @@
     :ivar is_limited: whether the last plan had no starts left for more runs
     :ivar quotas: what the runs of each workspace use, and may use
     :ivar shares: which workspaces send more jobs than are owed to them
+    :ivar standing: finds work that waits beside room
     """
 
     def __init__(self, replica, configuration):
@@ -102,6 +104,9 @@
         )
 
         self._crashes = crash_tracking.CrashTracking(self.steps, self._endings)
+        self.standing = standing_work.StandingWork(
+            self, replica.jobs, self._planner
+        )
 
     # Jobs
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/metrics.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/metrics.py
@@ -184,5 +184,6 @@
     'starts_in_flight': 'Orders to start a run without an answer so far.',
     'start_window': 'Orders to start a run that may be without an answer.',
     'workspaces_limited': 'Workspaces with steps that wait for their quota.',
+    'steps_standing': 'Steps that wait though executors have room for them.',
     'log_lines_dropped': 'Lines that standard output did not take.',
 }
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -22,6 +22,7 @@
 from . import owner_writers
 from . import ownership_teller
 from . import run_orders
+from . import standing_log
 from . import start_gate
 from . import status_publisher
 from . import takeover
@@ -56,6 +57,7 @@
     :param intents: determines which hosts may be given orders
     :ivar tracker: knows the executors, and runs their agents
     :ivar hosts: moves and maintains hosts
+    :ivar cycle_begun_s: when the last scheduling cycle began
     :ivar is_at_work: whether the jobs of the predecessors were taken over
     :ivar lost_reason: why the term has ended; empty while it has not, and
         where the store fenced the owner
@@ -110,6 +112,7 @@
         )
         self._is_storing_host_records = False
         self._gate = start_gate.StartGate(parts, self, self._writers.jobs)
+        self.cycle_begun_s = self.now_s()
 
     @property
     def epoch(self):
@@ -126,6 +129,11 @@
         """Return the number of start orders that may be in flight."""
         return self._orders.starts.size
 
+    @property
+    def halted_why(self):
+        """Return why nothing may start at present; empty if tasks may."""
+        return self._gate.halted_why
+
     def now_s(self):
         """Return the monotonic time in seconds."""
         return self._parts.clock.monotonic_s()
@@ -174,6 +182,7 @@
             self._run_in_background(
                 advice_requester.AdviceRequester(parts, self)
             )
+            self._run_in_background(standing_log.StandingLog(parts, self))
             await self._run_cycles()
         finally:
             # Ends the loops of tasks that have lost their cancellation.
@@ -281,7 +290,7 @@
     async def _run_cycle(self):
         self._wake.clear()
         parts = self._parts
-        now_s = self.now_s()
+        now_s = self.cycle_begun_s = self.now_s()
         self.tracker.check_without_agent()
         window = self._orders.starts
         may_start = self._gate.may_start(now_s)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
@@ -41,6 +41,8 @@
     :ivar cancel_notice_ms: time after which a cancelled job starts nothing
     :ivar max_entry_age_ms: age of the executors' entries up to which tasks
         start on what they tell
+    :ivar standing_notice_ms: how long a task may wait beside room before what
+        keeps it is logged; 0 logs nothing
     :ivar host_move_s: time that a host takes to change its pool
     :ivar host_orders_per_s: orders that the host service accepts per second
     :ivar key_revocation_ms: time after which no daemon may use a key that was
@@ -77,6 +79,9 @@
     away_notice_ms: float = _positive(4500.0)
     cancel_notice_ms: float = _positive(2000.0)
     max_entry_age_ms: float = _positive(3000.0)
+    standing_notice_ms: float = attrs.field(
+        default=0.0, validator=validators.ge(0)
+    )
     host_move_s: float = _positive(1.5)
     host_orders_per_s: float = _positive(50.0)
     key_revocation_ms: float = _positive(5000.0)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/start_gate.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/start_gate.py
@@ -29,14 +29,14 @@
     :param owner: the owner; its scheduler holds the jobs that may start
         nothing
     :param writer: a :class:`spread_writer.SpreadWriter` of the jobs
+    :ivar halted_why: why no task may start at present; empty while tasks may
     """
 
     def __init__(self, parts, owner, writer):
         self._parts = parts
         self._owner = owner
         self._writer = writer
-        # Why no task may start at present; empty while tasks may.
-        self._halted_why = ''
+        self.halted_why = ''
         self._held_homes = ()
         self._homes = parts.homes
 
@@ -87,9 +87,9 @@
         )
 
     def _note(self, why, partitions):
-        if why == self._halted_why:
+        if why == self.halted_why:
             return
-        self._halted_why = why
+        self.halted_why = why
         fields = {'why': why, 'partitions': partitions} if why else {}
         self._parts.events.write(
             'starts_halted' if why else 'starts_resumed',
