Hold back no late job beside room for more than 1.5 s

Cause, of one of the ways: while other pools lack hosts, a pool starts none of its late work, for up to 5 s (late_work), so that its hosts become idle and can move. The pool's hold was bounded, what it costs a job was not: neither the rest after it nor the room that is left counted. Where hosts can't move, or move late, jobs stand beside idle hosts.

Change: a step that is held back beside room goes on after 1.5 s, half of what callers may see, whatever other pools lack; its pool is looked at again for that. The pool's hold stays as it is for all others.

The load of turns now plays the executors' heartbeats and the owner's idle cycles, which real ones have.

--- a/features/jobs_queueing.feature
+++ b/features/jobs_queueing.feature
@@ -43,6 +43,17 @@
       | 1.2  |
       | 1.5  |
 
+  # Late work was held back for as long as other pools lacked hosts.
+  Scenario Outline: No late job stands beside room while other pools lack hosts: <peak> times what all hosts can do
+    When bursts of <peak> times the capacity of 24 hosts follow each other in 4 pools
+    Then no job has nothing running for 3 seconds while its pool has room
+
+    Examples:
+      | peak |
+      | 0.8  |
+      | 1.2  |
+      | 1.5  |
+
   Scenario Outline: A workspace that sends several times its usual takes little from others: <hot> of 10
     When 10 workspaces load a pool of 24 hosts at 0.6 of its capacity for 8 seconds
     And <hot> of them send <factor> times their usual
--- a/features/stage/turns_load.py
+++ b/features/stage/turns_load.py
@@ -9,10 +9,12 @@
 from hawthorndeal_jobs import capacity
 from hawthorndeal_jobs import late_work
 from hawthorndeal_jobs import queues
+from stage import beside_room
 from stage import queue_load
 
 STANDBY = 'standby'
 CONTROL_PERIOD_S = 0.1
+HEARTBEAT_S = 1.5
 MOVE_S = 1.5
 # From the end of a move until tasks start on the host.
 ARRIVAL_S = 0.4
@@ -40,6 +42,7 @@
     :param hosts: number of hosts of all pools
     :param peak: work at the top of a burst, as a multiple of what all hosts
         can do
+    :ivar beside_room: the jobs that had nothing running beside room
     """
 
     def __init__(self, seed, kinds, hosts, peak):
@@ -49,6 +52,7 @@
         self._configuration = configuration
         self._peak = peak
         self._late_work = late_work.LateWorkHolds()
+        self.beside_room = beside_room.BesideRoom()
         self._fleet = [_Host(f'h{n}') for n in range(hosts)]
         for host, pool in zip(self._fleet, self._kinds):
             host.pool = pool
@@ -57,6 +61,7 @@
             self._submit_turn(pool, self.now_s + number * BURST_S)
         self._end_s = self.now_s + len(self._kinds) * BURST_S + TAIL_S
         self._at(self.now_s, self._control)
+        self._at(self.now_s, self._beat)
 
     @property
     def pools(self):
@@ -81,7 +86,16 @@
 
     # Hosts
 
+    def _beat(self):
+        for executor in self._scheduler.executors.values():
+            self._scheduler.update_executor(executor.entry, self.now_s)
+        if self.now_s < self._end_s:
+            self._at(self.now_s + HEARTBEAT_S, self._beat)
+
     def _control(self):
+        # An idle owner runs a cycle as often, too.
+        self._wake()
+        self.beside_room.look(self._scheduler, self.now_s)
         loads = [
             self._scheduler.load_of(
                 pool,
--- a/features/steps/jobs_queueing.py
+++ b/features/steps/jobs_queueing.py
@@ -103,11 +103,25 @@
     'other in {pools:d} pools'
 )
 def play_turns(context, peak, hosts, pools):
-    context.pools = []
+    context.pools, context.beside_room = [], []
     for seed in TURNS_SEEDS:
         load = turns_load.TurnsLoad(seed, KINDS[:pools], hosts, peak)
         load.run()
         context.pools += load.played.values()
+        context.beside_room.append(load.beside_room)
+
+
+@then(
+    'no job has nothing running for {limit_s:g} seconds while its pool has '
+    'room'
+)
+def check_none_beside_room(context, limit_s):
+    found = [
+        case
+        for beside_room in context.beside_room
+        for case in beside_room.longer_than(limit_s)
+    ]
+    assert not found, (len(found), found[:3])
 
 
 @then(
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
@@ -61,6 +61,8 @@
     :ivar suspects: indexes of pending tasks that may crash executors
     :ivar rejections: number of starts in a row that were rejected for reasons
         that another executor would not change
+    :ivar beside_room_since_s: since when the step is held back though there
+        is room for it; None while it isn't
     :ivar put_off_until_s: no task of the step starts before
     """
 
@@ -77,6 +79,7 @@
     suspects: set[int] = attrs.Factory(set)
     rejections: int = 0
     put_off_until_s: float = 0.0
+    beside_room_since_s: float | None = None
 
     @property
     def key(self):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -10,6 +10,9 @@
 from . import pool_placement
 from . import run_state
 
+# No step is held back for longer while executors have room for it.
+MAX_BESIDE_ROOM_S = 1.5
+
 
 @attrs.frozen(eq=False)
 class _Candidate:
@@ -72,7 +75,9 @@
             pool_executors.update(executors, now_s)
             if not pool_executors.has_usable:
                 continue
-            for ready_step in self._steps_to_start(pool, now_s):
+            for ready_step in self._steps_to_start(
+                pool, pool_executors, now_s
+            ):
                 if _may_have_room(pool_executors, ready_step):
                     group = waiting
                 elif ready_step.unplaced_since_s is None:
@@ -82,7 +87,7 @@
                 group.append(_Candidate(ready_step, pool, pool_executors))
         return waiting, full
 
-    def _steps_to_start(self, pool, now_s):
+    def _steps_to_start(self, pool, pool_executors, now_s):
         pending = self._steps.pending_in(pool)
         due = [step for step in pending if step.put_off_until_s <= now_s]
         if len(due) < len(pending):
@@ -91,7 +96,15 @@
             due = [s for s in due if s.job.home not in self.held_homes]
         if pool not in self.holding_pools:
             return due
-        return [step for step in due if not step.gives_way(now_s)]
+        free = [
+            step
+            for step in due
+            if not _is_held_back(step, pool_executors, now_s)
+        ]
+        if len(free) < len(due):
+            # What was held back for long enough goes on without an event.
+            self.waiting_pools.add(pool)
+        return free
 
     def _order(self, candidate, now_s):
         ready_step, held = candidate.ready_step, self._held_gang
@@ -273,6 +286,18 @@
         return self._tickets.valid(ready_step.key, now_s)
 
 
+def _is_held_back(ready_step, pool_executors, now_s):
+    """Return whether a step of a pool that holds late work has to wait."""
+    if not ready_step.gives_way(now_s):
+        return False
+    if not _may_have_room(pool_executors, ready_step):
+        ready_step.beside_room_since_s = None
+        return True
+    if ready_step.beside_room_since_s is None:
+        ready_step.beside_room_since_s = now_s
+    return now_s - ready_step.beside_room_since_s < MAX_BESIDE_ROOM_S
+
+
 def _started_together(ready_step):
     """Return how many tasks of a step have to start at the same time."""
     return len(ready_step.pending) if ready_step.spec.is_gang else 1
