Count rounds of rejected starts, not the starts

Callers: a job of several tasks stood for 5 s beside empty executors after one event had rejected its starts: tickets that expired while a cycle was stored, an executor that began another life, a late order.

Cause: ReadyStep.note_rejected doubled the wait of the step for each rejected start. Eight rejections of one cycle count as eight tries in a row: 5.0 s.

Evidence: in the harness, eight tasks planned at once, whose starts were all answered invalid, old_run, too_late or bad_ticket, within 0.02 s: none started again within 0.2 s. A step of one task that is always rejected was put off for 5.0 s at a time.

Change: a start that was planned before the step was last put off belongs to the round that put it off. Nothing is planned while a step is put off, so the time at which that ends tells the rounds apart, without a further field. A step waits for 1.5 s at most.

What a step that is rejected forever costs stays bounded, by one round for each wait.

--- a/features/jobs_crashes.feature
+++ b/features/jobs_crashes.feature
@@ -312,6 +312,28 @@
       | too_late   |
       | bad_ticket |
 
+  Scenario Outline: One event that rejects all starts of a step doesn't put it off for each: <answer>
+    Given a scheduler with executors "x0, x1"
+    When a job "a" of 8 tasks is added, whose first starts are all answered <answer>, in 0.02 s
+    Then all 8 tasks start again within 0.2 s
+
+    Examples:
+      | answer     |
+      | invalid    |
+      | old_run    |
+      | too_late   |
+      | bad_ticket |
+
+  Scenario: Starts that are rejected each time aren't repeated in each cycle for a step of many tasks
+    Given a scheduler with executors "x0, x1"
+    When a job "a" of 8 tasks is added, all of whose starts are answered bad_ticket, for 5 s
+    Then it was started 40 to 96 times
+
+  Scenario: A step whose starts are rejected each time isn't put off beside room for longer than 1.5 s
+    Given a scheduler with executors "x0, x1"
+    When a job "a" of 1 task is added, all of whose starts are answered too_late, for 20 s
+    Then no two starts in a row were more than 1.6 s apart
+
   Scenario: A job whose starts are rejected keeps no other from starting
     Given a scheduler with executors "x0, x1"
     When a job "a" of 1 task is added, all of whose starts are answered invalid, for 5 s
--- a/features/steps/jobs_crashes.py
+++ b/features/steps/jobs_crashes.py
@@ -634,9 +634,18 @@
     '{answer}, for {seconds:g} s'
 )
 def reject_starts(context, name, answer, seconds):
+    reject_all_starts(context, name, 1, answer, seconds)
+
+
+@when(
+    'a job "{name}" of {count:d} tasks is added, all of whose starts are '
+    'answered {answer}, for {seconds:g} s'
+)
+def reject_all_starts(context, name, count, answer, seconds):
     harness = context.harness
-    harness.add_job(name, scheduler_harness.steps(1))
+    harness.add_job(name, scheduler_harness.steps(count))
     context.rejected = 0
+    context.rejected_at_s = []
     end_s = harness.now_s + seconds
     while harness.now_s < end_s:
         for run in harness.plan().starts:
@@ -645,6 +654,43 @@
                 run, run_tracking.StartAnswer(answer), harness.now_s
             )
             context.rejected += 1
+            context.rejected_at_s.append(harness.now_s)
+
+
+@then('no two starts in a row were more than {limit_s:g} s apart')
+def check_start_gaps(context, limit_s):
+    gaps_s = [
+        later_s - earlier_s
+        for earlier_s, later_s in itertools.pairwise(context.rejected_at_s)
+    ]
+    assert max(gaps_s) <= limit_s, gaps_s
+
+
+@when(
+    'a job "{name}" of {count:d} tasks is added, whose first starts are all '
+    'answered {answer}, in {seconds:g} s'
+)
+def reject_first_starts(context, name, count, answer, seconds):
+    harness = context.harness
+    harness.add_job(name, scheduler_harness.steps(count))
+    runs = harness.plan().starts
+    assert len(runs) == count, runs
+    for run in runs:
+        harness.now_s += seconds / count
+        run.phase = run_state.RunPhase.SENT
+        harness.scheduler.handle_start_answer(
+            run, run_tracking.StartAnswer(answer), harness.now_s
+        )
+
+
+@then('all {count:d} tasks start again within {limit_s:g} s')
+def check_started_again(context, count, limit_s):
+    harness = context.harness
+    end_s = harness.now_s + limit_s
+    started = []
+    while harness.now_s < end_s:
+        started += harness.start_all()
+    assert len(started) == count, started
 
 
 @then('it was started {least:d} to {most:d} times')
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
@@ -22,10 +22,10 @@
 
 # A job loses its value this many times its objective after it was due.
 CUTOFF_FACTOR = 3.0
-# Wait after a start was rejected for reasons that another executor would not
-# change; doubles with each further one in a row.
+# Wait after starts were rejected for reasons that another executor would not
+# change; doubles with each further round of starts in a row.
 REJECTED_WAIT_S = 0.05
-MAX_REJECTED_WAIT_S = 5.0
+MAX_REJECTED_WAIT_S = 1.5
 # Time from the end of a job until the daemons of its callers know of it.
 PUBLICATION_S = 0.2
 
@@ -59,8 +59,8 @@
     :ivar placed_s: when a task of the step was last placed
     :ivar number: increases with each step of the partition
     :ivar suspects: indexes of pending tasks that may crash executors
-    :ivar rejections: number of starts in a row that were rejected for reasons
-        that another executor would not change
+    :ivar rejections: number of rounds of starts in a row of which one was
+        rejected for reasons that another executor would not change
     :ivar beside_room_since_s: since when the step is held back though there
         is room for it; None while it isn't
     :ivar put_off_until_s: no task of the step starts before
@@ -118,8 +118,16 @@
         self.pending.remove(index)
         self.suspects.discard(index)
 
-    def note_rejected(self, now_s):
-        """Record that a start was rejected, and put off the next one."""
+    def note_rejected(self, planned_s, now_s):
+        """Record that a start was rejected, and put off the next ones.
+
+        Starts that were planned before the step was last put off belong to the
+        round that put it off: one event may reject all of them.
+
+        :param planned_s: when the start was planned
+        """
+        if planned_s < self.put_off_until_s:
+            return
         wait_s = min(MAX_REJECTED_WAIT_S, REJECTED_WAIT_S * 2**self.rejections)
         self.put_off_until_s = now_s + wait_s
         self.rejections += 1
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -307,14 +307,13 @@
                 self._note_pending(ready_step)
             self.pools_to_schedule.add(self.pool_of(job))
 
-    def note_start_answer(self, task_id, is_rejected, now_s):
+    def note_start_answer(self, run, is_rejected, now_s):
         """Put off a step whose starts are rejected."""
-        key = task_id.step_key
-        ready_step = self._steps.get(key)
+        ready_step = self._steps.get(run.task_id.step_key)
         if ready_step is None:
             return
         if is_rejected:
-            ready_step.note_rejected(now_s)
+            ready_step.note_rejected(run.planned_s, now_s)
         else:
             ready_step.rejections = 0
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -391,9 +391,7 @@
         ended = run_tracking.apply_start_answer(run, answer, now_s)
         self._crashes.note_started(run)
         if answer is _Answer.ACCEPTED or answer in _REJECTIONS:
-            self.steps.note_start_answer(
-                run.task_id, answer in _REJECTIONS, now_s
-            )
+            self.steps.note_start_answer(run, answer in _REJECTIONS, now_s)
         if answer is _Answer.UNHEALTHY:
             executor_health.suspend(executor, now_s)
         if answer is _Answer.BAD_TICKET:
