Let a step be rejected any number of times

Callers: a task of a step whose starts had been rejected 1,025 times in a row would never have run again: the answer to its start raised an error, the run stayed as sent, and the rejection was never processed.

Cause: the wait was 0.05 s * 2**rejections, limited only afterwards. From 2**1024 on that raises OverflowError.

Change: the step keeps its next wait, which doubles up to its limit.

--- a/features/jobs_crashes.feature
+++ b/features/jobs_crashes.feature
@@ -334,6 +334,11 @@
     When a job "a" of 1 task is added, all of whose starts are answered too_late, for 20 s
     Then no two starts in a row were more than 1.6 s apart
 
+  Scenario: A step whose starts were rejected over 1,000 times can still start
+    Given a scheduler with executors "x0, x1"
+    When a job "a" of 1 task is added, whose starts are answered too_late 1100 times
+    Then all 1 tasks start again within 1.6 s
+
   Scenario: A job whose starts are rejected keeps no other from starting
     Given a scheduler with executors "x0, x1"
     When a job "a" of 1 task is added, all of whose starts are answered invalid, for 5 s
--- a/features/steps/jobs_crashes.py
+++ b/features/steps/jobs_crashes.py
@@ -666,6 +666,22 @@
     assert max(gaps_s) <= limit_s, gaps_s
 
 
+@when(
+    'a job "{name}" of 1 task is added, whose starts are answered {answer} '
+    '{times:d} times'
+)
+def reject_many_starts(context, name, answer, times):
+    harness = context.harness
+    harness.add_job(name, scheduler_harness.steps(1))
+    for _ in range(times):
+        (run,) = harness.plan().starts
+        run.phase = run_state.RunPhase.SENT
+        harness.scheduler.handle_start_answer(
+            run, run_tracking.StartAnswer(answer), harness.now_s
+        )
+        harness.now_s += ordering.MAX_REJECTED_WAIT_S
+
+
 @when(
     'a job "{name}" of {count:d} tasks is added, whose first starts are all '
     'answered {answer}, in {seconds:g} s'
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
@@ -59,7 +59,7 @@
     :ivar placed_s: when a task of the step was last placed
     :ivar number: increases with each step of the partition
     :ivar suspects: indexes of pending tasks that may crash executors
-    :ivar rejections: number of rounds of starts in a row of which one was
+    :ivar rejected_wait_s: for how long the step is put off if a start is
         rejected for reasons that another executor would not change
     :ivar beside_room_since_s: since when the step is held back though there
         is room for it; None while it isn't
@@ -77,7 +77,7 @@
     placed_s: float | None = None
     number: int = 0
     suspects: set[int] = attrs.Factory(set)
-    rejections: int = 0
+    rejected_wait_s: float = REJECTED_WAIT_S
     put_off_until_s: float = 0.0
     beside_room_since_s: float | None = None
 
@@ -128,9 +128,14 @@
         """
         if planned_s < self.put_off_until_s:
             return
-        wait_s = min(MAX_REJECTED_WAIT_S, REJECTED_WAIT_S * 2**self.rejections)
-        self.put_off_until_s = now_s + wait_s
-        self.rejections += 1
+        self.put_off_until_s = now_s + self.rejected_wait_s
+        self.rejected_wait_s = min(
+            MAX_REJECTED_WAIT_S, 2 * self.rejected_wait_s
+        )
+
+    def note_accepted(self):
+        """Record that a start was accepted."""
+        self.rejected_wait_s = REJECTED_WAIT_S
 
     @property
     def latest_start_s(self):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -315,7 +315,7 @@
         if is_rejected:
             ready_step.note_rejected(run.planned_s, now_s)
         else:
-            ready_step.rejections = 0
+            ready_step.note_accepted()
 
     def drop_done_tasks(self, occurrence, step):
         """Remove the done tasks of a step from its pending tasks."""
