Plan a pool again when an executor is open to runs again

Callers: a job could stand beside an executor with room that was no longer excluded, until something else marked the pool: a heartbeat of an idle executor (about 1.5 s), the end of a run, another job.

Cause: only pools that something has marked are planned. When the suspension of an executor ended, or the time for which it was held for a suspect of a crash, when its host was no longer reserved for an order, or when a consolidation was given up, nothing marked its pool.

Evidence: in the harness, without polls or entries, a job started on none of these executors within 0.2 s of their being open.

Change: of each pool that is planned, PoolPlacement keeps when the next exclusion of an executor ends, and the pool is planned then. No pool is planned before for that. HostInventory and Consolidator tell the scheduler where they lift a flag.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 
 from . import crash_blame
 
@@ -53,6 +54,15 @@
     return executor.held_until_s > now_s or has_probation(executor)
 
 
+def reopens_s(executor, now_s):
+    """Return when the next exclusion of an executor ends that ends by time.
+
+    :returns: infinity if there is none
+    """
+    ends_s = (executor.suspended_until_s, executor.held_until_s)
+    return min((end_s for end_s in ends_s if end_s > now_s), default=math.inf)
+
+
 def has_probation(executor):
     """Return True if a run on an executor is on probation."""
     return any(
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
@@ -20,9 +20,14 @@
 
 
 class PoolPlacement:
-    """Chooses executors for the tasks of one pool."""
+    """Chooses executors for the tasks of one pool.
+
+    :ivar reopens_s: when an executor that is excluded now may be used again
+        without further news; infinity if none will be
+    """
 
     def __init__(self):
+        self.reopens_s = math.inf
         self._usable = {}
         # Executors on which only suspects of crashes may start.
         self._apart = {}
@@ -55,6 +60,11 @@
             is_apart = placement.is_apart(executor, now_s)
             group = self._apart if is_apart else self._usable
             group[executor.number] = executor
+        closed = [e for e in executors if e.number not in self._usable]
+        self.reopens_s = min(
+            (placement.reopens_s(executor, now_s) for executor in closed),
+            default=math.inf,
+        )
         self._versions = {
             number: executor.version
             for number, executor in self._usable.items()
@@ -157,6 +167,7 @@
 
     def _hold(self, executor, now_s):
         executor.held_until_s = now_s + HOLD_S
+        self.reopens_s = min(self.reopens_s, executor.held_until_s)
         self._set_apart(executor)
 
     def _set_apart(self, executor):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -222,6 +222,10 @@
         self._index.add(executor)
         return executor
 
+    def reopen_executor(self, executor):
+        """Plan the pool of an executor that was closed to some runs."""
+        self.steps.pools_to_schedule.add(executor.entry.pool)
+
     def mark_executor_missing(self, executor_id, now_s):
         """Record that an executor is no longer listed."""
         executor = self.executors.get(executor_id)
@@ -447,10 +451,9 @@
                 self.steps.resume_workspace(workspace)
 
     def _plan_starts(self, now_s, shares):
-        stale, self.steps.pools_to_schedule = (
-            self.steps.pools_to_schedule,
-            set(),
-        )
+        reopening = self._planner.reopening_pools(now_s)
+        stale = self.steps.pools_to_schedule | reopening
+        self.steps.pools_to_schedule = set()
         pools = {pool: self.executors_in(pool) for pool in sorted(stale)}
         starts = self._planner.plan(pools, now_s, shares)
         if not shares.left:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -46,6 +46,17 @@
         self.waiting_pools = set()
         self._held_gang = None
 
+    def reopening_pools(self, now_s):
+        """Return the pools in which the exclusion of an executor has ended.
+
+        A pool counts until it is planned again.
+        """
+        return {
+            name
+            for name, pool in self._pools.items()
+            if pool.reopens_s <= now_s
+        }
+
     def plan(self, pools, now_s, shares):
         """Return the runs to start; they are on their executors.
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/consolidator.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/consolidator.py
@@ -88,3 +88,4 @@
     def _end(self, pool, executor):
         del self._emptying[pool]
         executor.open_to_lasting()
+        self._owner.scheduler.reopen_executor(executor)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
@@ -165,6 +165,7 @@
         executor = self.executor_on(host)
         if executor is not None:
             executor.is_reserved = host in self.draining
+            self._owner.scheduler.reopen_executor(executor)
             if self._is_listed_up(host, executor):
                 executor.is_ordered_away = False
 
