Plan a pool when an executor that runs tasks is first polled

Callers: after the loss of an owner, jobs could stand beside executors with room that still ran tasks of the predecessor, until one of their runs ended or something else marked the pool.

Cause: nothing starts on an executor before it has answered a poll of the new owner. That answer marked the pool only if it told ends of runs, or if the executor was left without runs.

Evidence: in the harness, an executor with one run of a predecessor and room for three more tasks answers its first poll: a waiting job didn't start within 0.2 s.

Change: a poll that makes an executor usable marks its pool, whatever it lists.

The scenario failed before.

--- a/features/jobs_excluded_executors.feature
+++ b/features/jobs_excluded_executors.feature
@@ -25,6 +25,14 @@
     Then nothing starts for 0.9 s
     And "a" starts within 0.2 s
 
+  Scenario: A new owner starts work beside runs that it finds at an executor's first poll
+    Given a scheduler without executors
+    When a job "a" of 1 task is added
+    And "x0" is added, on which a predecessor has started a task
+    Then nothing starts for 0.9 s
+    When "x0" answers a poll that lists its runs
+    Then "a" starts within 0.2 s
+
   Scenario: Work starts on a host again that an order was withdrawn from
     Given a scheduler with executors "x0"
     When the host of "x0" is reserved for an order
--- a/features/steps/jobs_excluded_executors.py
+++ b/features/steps/jobs_excluded_executors.py
@@ -2,6 +2,7 @@
 
 import types
 
+from behave import given
 from behave import then
 from behave import when
 
@@ -17,6 +18,23 @@
 LASTING = {'is_lasting': True, 'max_unavailable': 1}
 
 
+@given('a scheduler without executors')
+def make_scheduler(context):
+    context.harness = scheduler_harness.Harness()
+
+
+@when('"{executor_id}" is added, on which a predecessor has started a task')
+def add_with_inherited(context, executor_id):
+    harness = context.harness
+    harness.register_executor(executor_id)
+    harness.inherit_job('inherited', scheduler_harness.steps(1), executor_id)
+
+
+@when('"{executor_id}" answers a poll that lists its runs')
+def poll_with_runs(context, executor_id):
+    context.harness.poll_runs(executor_id)
+
+
 def _owner_of(harness):
     return types.SimpleNamespace(
         scheduler=harness.scheduler,
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -223,7 +223,7 @@
         return executor
 
     def reopen_executor(self, executor):
-        """Plan the pool of an executor that was closed to some runs."""
+        """Plan the pool of an executor that was closed to runs."""
         self.steps.pools_to_schedule.add(executor.entry.pool)
 
     def mark_executor_missing(self, executor_id, now_s):
@@ -354,9 +354,12 @@
         executor = self.executors.get(executor_id)
         if executor is None or executor.is_after(poll.born_ms):
             return []
+        was_usable = placement.is_usable(executor, now_s)
         outcome = run_tracking.process_poll(
             executor, poll, self._find_occurrence
         )
+        if placement.is_usable(executor, now_s) and not was_usable:
+            self.reopen_executor(executor)
         if executor.last_processed_end > executor.last_recorded_end:
             self._unrecorded[executor_id] = executor
         self._run_index.note_pace_input(executor_id)
