Withdraw starts whose tickets expired while the cycle was stored

Executors and callers: a start whose cycle took long to be stored was sent with a ticket that had expired meanwhile. The executor rejects it, and the step is put off, though another ticket could have been asked for.

Cause: tickets were checked when a start was planned, at least 0.3 s before their end. Owner._send_starts checked what else permits a start that is old, but not its ticket.

Change: before a start is sent it gets the newest ticket of its step for the executor. Without one that is valid for 0.1 s more, the run is withdrawn, and its step asks for advice again. Runs of queues without advice are not affected.

--- a/features/jobs_advice.feature
+++ b/features/jobs_advice.feature
@@ -61,6 +61,17 @@
     When 1 jobs wait for advice
     Then a task of it starts after 2 calls or fewer
 
+  Scenario: No start is sent with a ticket that expired while its cycle was stored
+    Given simulated daemons with seed 924, and a service that answers in 0.03 seconds
+    And tickets of that service are valid for 1 second
+    When 4 jobs named "sound" are submitted
+    And the store takes 1.2 seconds for an append
+    And 0.5 seconds pass
+    And the store takes 0 seconds for an append
+    And 8 seconds pass
+    Then each job named "sound" is completed
+    And no start was sent with an expired ticket
+
   Scenario: Tickets that have expired are requested again
     Given a pool of 36 executors, the last 2 of which may run each step
     When 1 jobs wait for advice
--- a/features/steps/jobs_advice.py
+++ b/features/steps/jobs_advice.py
@@ -70,6 +70,55 @@
     context.runner.run(asyncio.sleep(3.0))
 
 
+@given('tickets of that service are valid for {validity_s:g} second')
+def limit_validity(context, validity_s):
+    world = context.world
+    world.configure(
+        **{
+            pool: attrs.evolve(
+                queue, advice=attrs.evolve(ADVICE, validity_s=validity_s)
+            )
+            for pool, queue in world.configuration.queues.items()
+        }
+    )
+    context.expires_s, context.expired = {}, []
+    advise = world.adviser.advise
+
+    async def advise_numbered(*arguments):
+        sent_s = world.now_s()
+        return {
+            name: _issue(context, sent_s + validity_s)
+            for name in await advise(*arguments)
+        }
+
+    world.adviser.advise = advise_numbered
+    for daemon in world.daemons:
+        _check_tickets_sent(context, daemon.parts.executors)
+
+
+def _issue(context, expires_s):
+    ticket = f'ticket-{len(context.expires_s)}'
+    context.expires_s[ticket] = expires_s
+    return ticket
+
+
+def _check_tickets_sent(context, client):
+    start = client.start
+
+    async def start_checked(target, order):
+        if context.world.now_s() >= context.expires_s[order.ticket]:
+            context.expired.append(order)
+        return await start(target, order)
+
+    client.start = start_checked
+
+
+@then('no start was sent with an expired ticket')
+def check_none_expired(context):
+    assert context.expires_s
+    assert not context.expired, context.expired
+
+
 @given('that service permits executors with the label "{label}" only')
 def permit_labelled(context, label):
     def find_permitted():
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -551,6 +551,18 @@
             for other in self._run_index.runs_of_job(run.task_id.job_id)
         )
 
+    def refresh_ticket(self, run, now_s):
+        """Give a planned run that needs a ticket the newest one.
+
+        :returns: False if that has expired
+        """
+        if not run.ticket:
+            return True
+        run.ticket = self.tickets.to_send(
+            run.task_id.step_key, run.executor_id, now_s
+        )
+        return bool(run.ticket)
+
     def withdraw_run(self, run, now_s):
         """Remove a planned run whose start request was not sent."""
         executor = self.executors.get(run.executor_id)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/tickets.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/tickets.py
@@ -5,8 +5,10 @@
 
 import attrs
 
-# Tickets are not used this shortly before they expire.
-EXPIRY_MARGIN_S = 0.3
+# No start is planned with a ticket this shortly before it expires, and none is
+# sent, since it has to be stored first and to reach the executor.
+PLANNING_MARGIN_S = 0.3
+SENDING_MARGIN_S = 0.1
 
 
 @attrs.frozen
@@ -28,7 +30,7 @@
 
         :param good: ticket texts by executor
         """
-        expires_s = asked_s + validity_s - EXPIRY_MARGIN_S
+        expires_s = asked_s + validity_s
         job_tickets = self._by_job.setdefault(step_key[0], {})
         held = job_tickets.setdefault(step_key, {})
         held.update(
@@ -36,14 +38,21 @@
         )
 
     def valid(self, step_key, now_s):
-        """Return the valid tickets of a step, by executor."""
+        """Return the tickets to plan starts of a step with, by executor."""
         held = self._held(step_key)
         return {
             name: ticket.text
             for name, ticket in held.items()
-            if now_s < ticket.expires_s
+            if now_s < ticket.expires_s - PLANNING_MARGIN_S
         }
 
+    def to_send(self, step_key, executor_id, now_s):
+        """Return the ticket to send a start with; empty if it has expired."""
+        ticket = self._held(step_key).get(executor_id)
+        if ticket is None or now_s >= ticket.expires_s - SENDING_MARGIN_S:
+            return ''
+        return ticket.text
+
     def permitted(self, step_key):
         """Return the ids of executors that may run a step.
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -329,7 +329,9 @@
         is_old = now_s - planned_s > MAX_PLAN_AGE_S
         may_start = not is_old or self._gate.may_start(now_s)
         for run in runs:
-            if may_start and not (is_old and self._gate.holds(run)):
+            is_held = is_old and self._gate.holds(run)
+            is_permitted = self.scheduler.refresh_ticket(run, now_s)
+            if may_start and is_permitted and not is_held:
                 self._orders.send_start(run)
             else:
                 self.scheduler.withdraw_run(run, now_s)
