Let a step beyond what long-running tasks leave of a quota block no other

What callers saw: all jobs of a workspace stood for as long as a long-running task of the workspace ran, though the quota and the pool had room for them. It took one step that needs less than the quota, and more than the long-running tasks leave of it.

Cause: the step first in line for a quota keeps those behind it waiting, unless it can't be admitted before a long-running task ends. That was judged by the whole quota, without what the long-running tasks use of it.

"A gang beyond what long-running tasks leave of a quota keeps no others of its workspace waiting" failed before: 0 of 2 tasks started.

Change: `QuotaLedger` counts what long-running tasks use, and a step is first in line only if it fits beside them. Steps set aside for this reason are considered again when one of these tasks ends, not only the last one.

Why it works: what long-running tasks leave is all that other runs of the workspace can ever free, so each step that is first in line is admitted at the latest once these have ended.

--- a/features/steps/jobs_first_in_line.py
+++ b/features/steps/jobs_first_in_line.py
@@ -205,10 +205,36 @@
 
 @when('the long-running task has ended')
 def end_lasting(context):
-    lasting = [run for run in context.running if run.step.is_lasting]
-    for run in lasting:
+    _cancel_runs(context, [r for r in context.running if r.step.is_lasting])
+
+
+@when('a long-running task of {cores:g} cores has ended')
+def end_lasting_of_size(context, cores):
+    millicores = int(cores * jobs_workspaces.CORE)
+    runs = [
+        run
+        for run in context.running
+        if run.step.is_lasting
+        and run.step.request.cpu_millicores == millicores
+    ]
+    assert len(runs) == 1, runs
+    _cancel_runs(context, runs)
+
+
+def _cancel_runs(context, runs):
+    for run in runs:
         context.harness.scheduler.cancel_job(run.occurrence.job)
-    jobs_workspaces._end(context, lasting, run_state.EndCause.STOPPED)
+    jobs_workspaces._end(context, runs, run_state.EndCause.STOPPED)
+
+
+@when('{count:d} tasks of "{name}" that end by themselves end')
+def end_finite(context, count, name):
+    runs = [
+        run
+        for run in context.running
+        if run.workspace == name and not run.step.is_lasting
+    ]
+    jobs_workspaces._end(context, runs[:count], run_state.EndCause.DONE)
 
 
 @when(
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/quota_waits.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/quota_waits.py
@@ -4,9 +4,10 @@
 steps. They are not considered by scheduling cycles until the workspace may use
 what the first of them needs, so they add nothing to the time of a cycle.
 
-A quota may be lowered below what a step needs that was accepted before. Such a
-step waits until its workspace runs nothing. That can't be awaited while the
-workspace has long-running tasks, so the step keeps no other one waiting then.
+A step may need more than the workspace's long-running tasks leave of the
+quota, or, where the quota was lowered, more than all of it. That it will be
+admitted can't be awaited while those tasks run, so it keeps no other one
+waiting.
 """
 
 import attrs
@@ -20,8 +21,8 @@
 
     :ivar needed: what the workspace has to be able to use; None without steps
     :ivar steps: the steps by number
-    :ivar oversized: steps that can't be admitted while a long-running task of
-        the workspace runs, by number
+    :ivar oversized: steps that can't be admitted while the long-running tasks
+        of the workspace run, by number
     """
 
     needed: specs.Resources | None = None
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/quotas.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/quotas.py
@@ -51,15 +51,20 @@
         self._used = collections.defaultdict(specs.Resources)
         self._runs = collections.Counter()
         self._lasting_runs = collections.Counter()
-        # Workspaces of which a run has ended since they were asked for.
+        self._lasting_used = collections.defaultdict(specs.Resources)
+        # Workspaces of which a run has ended since they were asked for, and
+        # those of which a long-running task's has.
         self._freed = set()
+        self._freed_by_lasting = set()
 
     def add(self, workspace, step):
         """Count a run of a declared step."""
         if workspace:
             self._used[workspace] += step.request
             self._runs[workspace] += 1
-            self._lasting_runs[workspace] += step.is_lasting
+            if step.is_lasting:
+                self._lasting_runs[workspace] += 1
+                self._lasting_used[workspace] += step.request
 
     def remove(self, workspace, step):
         """Stop counting a run that has ended."""
@@ -67,8 +72,11 @@
             return
         self._used[workspace] -= step.request
         self._runs[workspace] -= 1
-        self._lasting_runs[workspace] -= step.is_lasting
         self._freed.add(workspace)
+        if step.is_lasting:
+            self._lasting_runs[workspace] -= 1
+            self._lasting_used[workspace] -= step.request
+            self._freed_by_lasting.add(workspace)
 
     def used(self, workspace):
         """Return what the runs of a workspace use."""
@@ -89,20 +97,17 @@
         wanted = self.used(workspace) + request.times(count)
         return is_within(wanted, limit)
 
-    def has_lasting_runs(self, workspace):
-        """Return whether a workspace runs long-running tasks."""
-        return self._lasting_runs[workspace] > 0
-
     def may_admit_later(self, workspace, request, count=1):
         """Return whether tasks will be admitted once other runs have ended.
 
-        What needs more than the quota is admitted once nothing else runs,
-        which never comes while a long-running task does.
+        Long-running tasks don't end by themselves. What needs more than they
+        leave of the quota is admitted only once nothing else runs.
         """
         limit = self.allotments.limit(workspace)
-        if limit is None or is_within(request.times(count), limit):
+        if limit is None or not self._lasting_runs[workspace]:
             return True
-        return not self.has_lasting_runs(workspace)
+        wanted = self._lasting_used[workspace] + request.times(count)
+        return is_within(wanted, limit)
 
     def pop_freed(self):
         """Return the workspaces of which a run has ended since the last call.
@@ -112,6 +117,14 @@
         freed, self._freed = self._freed, set()
         return freed
 
+    def pop_freed_by_lasting(self):
+        """Return those of them in which a long-running task has ended.
+
+        :rtype: set[str]
+        """
+        freed, self._freed_by_lasting = self._freed_by_lasting, set()
+        return freed
+
 
 def is_within(used, limit):
     """Return whether an amount keeps to a limit; 0 is no limit."""
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -441,6 +441,7 @@
 
     def _resume_workspaces(self):
         """Consider the steps again for which quota has become free."""
+        freed_by_lasting = self.quotas.pop_freed_by_lasting()
         for workspace in self.quotas.pop_freed():
             waits = self.steps.quota_waits
             needed = waits.needed(workspace)
@@ -448,8 +449,8 @@
                 workspace, needed
             )
             if is_admitted or (
-                waits.has_oversized(workspace)
-                and not self.quotas.has_lasting_runs(workspace)
+                workspace in freed_by_lasting
+                and waits.has_oversized(workspace)
             ):
                 self.steps.resume_workspace(workspace)
 
