Consider a workspace's jobs again once the first in line is gone

What callers saw: jobs of a workspace stood until one of its runs ended, though the quota and the pool had room for them, after the job that was first in line for the quota had been cancelled (or given up, or had ended by a late report).

Cause: steps that wait for a quota were considered again only when a run of the workspace ended or the configuration changed. What the first in line needs was kept after it was removed, so that those behind it still waited for that much.

Change: removing the step that is first in line makes the others pending again.

Why it works: the next cycle ranks them, and sets aside again those that don't fit; the new first in line tells what they wait for.

--- a/features/jobs_first_in_line.feature
+++ b/features/jobs_first_in_line.feature
@@ -76,6 +76,16 @@
     And a long-running task of 2 cores has ended
     Then 5 tasks of "vltava" start, and 0 of "brno"
 
+  Scenario: A workspace's jobs go on once the one first in line for its quota is cancelled
+    Given a scheduler with workspaces "vltava" of 6 cores and "brno" without a limit
+    When "vltava" submits 2 tasks of 1 core
+    And all that may start has started
+    And "vltava" submits a gang of 5 tasks of 1 core
+    And "vltava" submits 3 tasks of 1 core
+    Then 0 tasks of "vltava" start, and 0 of "brno"
+    When the gang of "vltava" is cancelled
+    Then 3 tasks of "vltava" start, and 0 of "brno"
+
   Scenario: A record that the store refuses keeps no other one from being stored
     When 5 records are appended at once, and the store refuses appends with the third
     Then the other 4 are stored, and the third one is not
--- a/features/steps/jobs_first_in_line.py
+++ b/features/steps/jobs_first_in_line.py
@@ -200,7 +200,15 @@
 
 @when('"{name}" submits a gang of {count:d} tasks of {cores:g} core')
 def submit_gang(context, name, count, cores):
-    jobs_workspaces._add_job(context, name, count, cores, is_gang=True)
+    context.gang = jobs_workspaces._add_job(
+        context, name, count, cores, is_gang=True
+    )
+
+
+@when('the gang of "{name}" is cancelled')
+def cancel_gang(context, name):
+    assert context.gang.workspace == name
+    context.harness.scheduler.cancel_job(context.gang)
 
 
 @when('the long-running task has ended')
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/quota_waits.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/quota_waits.py
@@ -68,17 +68,22 @@
         return self._by_workspace.setdefault(workspace, _Waiting())
 
     def discard(self, ready_step):
-        """Remove a step, if it is known."""
+        """Remove a step, if it is known.
+
+        :returns: whether others had to wait for it
+        """
         workspace = ready_step.occurrence.job.workspace
         waiting = self._by_workspace.get(workspace)
         if waiting is None:
-            return
+            return False
+        was_first = ready_step.number == next(iter(waiting.steps), None)
         waiting.steps.pop(ready_step.number, None)
         waiting.oversized.pop(ready_step.number, None)
         if not waiting.steps:
             waiting.needed = None
         if not waiting.steps and not waiting.oversized:
             del self._by_workspace[workspace]
+        return was_first
 
     def needed(self, workspace):
         """Return what a workspace has to be able to use.
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -159,8 +159,10 @@
     def _remove_step(self, key):
         ready_step = self._steps.pop(key, None)
         if ready_step is not None:
-            self.quota_waits.discard(ready_step)
-            queue = self.queue_of(ready_step.occurrence.job)
+            job = ready_step.occurrence.job
+            if self.quota_waits.discard(ready_step):
+                self.resume_workspace(job.workspace)
+            queue = self.queue_of(job)
             self._pending.get(queue.name, {}).pop(ready_step.number, None)
         return ready_step
 
