Apply a configuration that is read during a takeover

What callers saw: after a takeover, the jobs of a queue ran in the pool that the queue had before a change, or stood if that pool had lost its hosts; a raised quota held its workspace to the lower one. It lasted until the next version of the configuration.

Cause: an owner's scheduler takes the configuration of the time of the claim. Changes are passed to it only once it is at work. A version that was read in between, while the predecessors were fenced and their records read, was never applied. With a slow store, or many records, that takes seconds.

"A configuration that is read during a takeover is in force after it" failed before: all runs of the job were in the queue's former pool.

Change: the owner applies the newest configuration when it takes over.

Why it works: nothing is awaited between that and the time from which changes are passed on, so that no version falls between the two.

--- a/features/jobs_ownership.feature
+++ b/features/jobs_ownership.feature
@@ -214,3 +214,11 @@
     When simulations with weak and strong daemons of seeds 330 to 339 run
     Then no simulation violated an invariant or left a job unfinished
     And the partition was handed over in some of them
+
+  Scenario: A configuration that is read during a takeover is in force after it
+    Given simulated daemons with seed 2303
+    When the owner ends, and queue "web" gets pool "ci" while its successor takes over
+    And 2 seconds pass
+    And job "a" of 2 and 1 tasks is submitted to daemon 0
+    And 4 seconds pass
+    Then the tasks of job "a" have run in pool "ci" alone
--- a/features/steps/jobs_ownership.py
+++ b/features/steps/jobs_ownership.py
@@ -23,6 +23,8 @@
 DECISION_PERIOD_S = 0.05
 # The owner reads a new record within this time.
 READ_S = 0.5
+# Time of each append, so that a takeover lasts as long as a few of them.
+TAKEOVER_APPEND_S = 0.3
 
 
 @given(
@@ -412,3 +414,48 @@
         re.search(r'owner_released .*"successor": "entry', v.event_log_text)
         for v in context.verdicts
     )
+
+
+@when(
+    'the owner ends, and queue "{queue}" gets pool "{pool}" while its '
+    'successor takes over'
+)
+def configure_during_takeover(context, queue, pool):
+    world, former = context.world, context.world.owner
+    world.store.append_s = TAKEOVER_APPEND_S
+
+    def is_taking_over():
+        return (
+            world.owner is not None
+            and world.owner is not former
+            and not world.owner.candidate.owner.is_at_work
+        )
+
+    async def run():
+        await former.kill()
+        assert await world.wait_for(is_taking_over, 10.0)
+        taking_over = world.owner
+        changed = attrs.evolve(world.configuration.queues[queue], pool=pool)
+        world.configure(**{queue: changed})
+        reader = taking_over.parts.configuration_reader
+        assert await world.wait_for(
+            lambda: reader.configuration is world.configuration, 5.0
+        )
+        assert is_taking_over()
+        world.store.append_s = 0.0
+        owner = taking_over.candidate.owner
+        assert await world.wait_for(lambda: owner.is_at_work, 5.0)
+        await former.restart()
+
+    context.runner.run(run())
+
+
+@then('the tasks of job "{job_id}" have run in pool "{pool}" alone')
+def check_pool_of_runs(context, job_id, pool):
+    world = context.world
+    pools = {
+        world.executors[fields['executor']].entry.pool
+        for _, _, kind, fields in world.log
+        if kind == 'run_started' and fields['task'].split('.')[0] == job_id
+    }
+    assert pools == {pool}, pools
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -207,6 +207,10 @@
             self._raise_if_lost()
             if self._is_releasing:
                 return
+        # It may have changed since the claim.
+        self.scheduler.set_configuration(
+            parts.configuration_reader.configuration
+        )
         replica = self._takeover.inherit()
         # Shares are counted in the order in which jobs were accepted.
         for job in sorted(replica.jobs.values(), key=_accepted_s):
