Search whole daemons for jobs that stand beside room

The searches so far judge what ends, not what waits, and what a scheduler believes, not what executors run.

To pause a daemon, `virtual_time.PausableLoop` holds back the callbacks of its tasks.

--- a/features/stage/fault_search.py
+++ b/features/stage/fault_search.py
@@ -43,7 +43,7 @@
     event_log_text: str
 
 
-class _FaultRun:
+class FaultRun:
     """One run of a simulation with faults of some kinds."""
 
     def __init__(self, seed, kinds, limits, quota):
@@ -357,7 +357,7 @@
 DEADLY_KINDS = ('submit_deadly',)
 ALL_KINDS = tuple(
     name.removeprefix('_do_')
-    for name in vars(_FaultRun)
+    for name in vars(FaultRun)
     if name[:4] == '_do_'
     and name[4:] not in (*CAPACITY_KINDS, *DEADLY_KINDS, *PARTITION_KINDS)
 )
@@ -373,7 +373,7 @@
     """
 
     async def run():
-        fault_run = _FaultRun(seed, kinds, limits, quota)
+        fault_run = FaultRun(seed, kinds, limits, quota)
         violations, unfinished = await fault_run.run()
         return FaultRunResult(
             seed,
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import contextvars
 import json
 import random
 
@@ -151,6 +152,7 @@
         self.hosts_link = links.Link(world.rng)
         self._world = world
         self._tasks = []
+        self._process = virtual_time.Process(world.loop)
         self._build_parts()
 
     def _build_parts(self):
@@ -205,7 +207,7 @@
         """Start the tasks of the daemon."""
         parts = self.parts
         self._tasks = [
-            asyncio.create_task(part.run())
+            asyncio.create_task(part.run(), context=self._process.context())
             for part in (
                 parts.operators_follower,
                 *parts.status_followers,
@@ -217,6 +219,16 @@
             )
         ]
 
+    @property
+    def is_paused(self):
+        """Whether the daemon is paused."""
+        return self._process.is_paused
+
+    def pause(self, duration_s):
+        """Pause the daemon; the loop has to be pausable."""
+        self._process.pause()
+        self._world.loop.call_later(duration_s, self._process.go_on)
+
     @property
     def is_running(self):
         """Whether the tasks of the daemon are running."""
@@ -224,6 +236,7 @@
 
     async def kill(self):
         """Cancel all tasks, without releasing the ownership."""
+        self._process.go_on()
         # A wait that completes while it is cancelled may swallow the first
         # cancellation.
         while any(not task.done() for task in self._tasks):
@@ -270,6 +283,8 @@
     ):
         super().__init__(random.Random(seed))
         self.loop = asyncio.get_running_loop()
+        # What happens on the platform belongs to no daemon.
+        self._context = contextvars.copy_context()
         self.log = []
         self.store = keyed_store.KeyedStore()
         self.formats = WorldFormats()
@@ -299,6 +314,11 @@
         """Return the virtual time in seconds."""
         return self.loop.time()
 
+    def _call_later(self, delay_s, callback, *arguments):
+        self.loop.call_later(
+            delay_s, callback, *arguments, context=self._context
+        )
+
     def events_for(self, name):
         """Return the event log of a daemon."""
         return Events(self, name)
@@ -312,7 +332,8 @@
         """Write a new configuration version.
 
         :param workspaces: the workspaces that it declares
-        :param changes: queues that replace the default ones, by name
+        :param changes: queues that replace the default ones, by name; None
+            for one that is removed
         """
         self._version += 1
         pool_queues = {
@@ -327,6 +348,7 @@
             for pool in self._pools
         }
         pool_queues.update(changes)
+        pool_queues = {n: q for n, q in pool_queues.items() if q is not None}
         pools = {pool: queues.Pool(pool) for pool in self._pools}
         pools['spare'] = queues.Pool('spare', is_standby=True)
         self.configuration = queues.Configuration(
@@ -416,9 +438,7 @@
             return
         if not executor.is_cut and self.store.is_available(ENTRIES):
             self.store_entry(executor.entry)
-        self.loop.call_later(
-            HEARTBEAT_INTERVAL_S, self._send_heartbeat, executor
-        )
+        self._call_later(HEARTBEAT_INTERVAL_S, self._send_heartbeat, executor)
 
     def store_entry(self, entry):
         """Store the entry of an executor."""
@@ -433,13 +453,11 @@
         self.hosts.entries[entry.host] = attrs.evolve(
             entry, pool=pool, state=state, executor_id=''
         )
-        self.loop.call_later(outage_s, self.bring_up_host, entry.host, pool)
+        self._call_later(outage_s, self.bring_up_host, entry.host, pool)
 
     def _drop_entry(self, executor):
         if not self.store.is_available(ENTRIES):
-            self.loop.call_later(
-                HEARTBEAT_INTERVAL_S, self._drop_entry, executor
-            )
+            self._call_later(HEARTBEAT_INTERVAL_S, self._drop_entry, executor)
             return
         self.store.append(
             ENTRIES, [journal.Record(executor.entry.executor_id)]
@@ -453,8 +471,8 @@
         self.hosts.entries[host] = attrs.evolve(
             entry, state=host_orders.HostState.DOWN, executor_id=''
         )
-        self.loop.call_later(4.5, self._drop_entry, executor)
-        self.loop.call_later(down_s, self.bring_up_host, host, entry.pool)
+        self._call_later(4.5, self._drop_entry, executor)
+        self._call_later(down_s, self.bring_up_host, host, entry.pool)
 
     def is_host_up(self, host):
         """Return whether an executor may run on a host."""
@@ -466,7 +484,7 @@
         if delay_s == 0.0:
             self._crash_by(executor, run)
         elif delay_s is not None:
-            self.loop.call_later(delay_s, self._crash_by, executor, run)
+            self._call_later(delay_s, self._crash_by, executor, run)
 
     def _crash_by(self, executor, run):
         executor.advance()
