Ask for advice anew once a queue has another pool

What callers saw: a job of a queue with advice stood for good once its queue got another pool, though executors of that pool were permitted to run it.

Cause: a step without anything left to ask about is asked about again when its pool has a newer executor, told by its number. Executors are numbered across pools, so those of the new pool may all be older than the newest of the former one. The same state kept the step out of the new pool's load, so that no host was moved there either.

"A step without permitted executors is asked about again when its queue gets another pool" failed before: no call was made after the change.

Change: what has been asked up to is kept with its pool, and counts for no other.

Why it works: a step whose queue has another pool is asked about all of that pool's executors that it has not been refused on; each is still asked about once.

--- a/features/jobs_advice.feature
+++ b/features/jobs_advice.feature
@@ -55,6 +55,15 @@
     When an executor is added that may run each step
     Then each of them has a ticket after 3 calls or fewer
 
+  Scenario: A step without permitted executors is asked about again when its queue gets another pool
+    Given a pool of 36 executors, the last 0 of which may run each step
+    And another pool with an executor that may run each step
+    When an executor is added that may run no step
+    And 1 jobs wait for advice
+    Then no call is made after 2 calls
+    When their queue gets the other pool
+    Then each of them has a ticket after 3 calls or fewer
+
   Scenario: A step is asked about others when those that may run it are full
     Given a pool of 36 executors, the last 36 of which may run each step
     And the executors that are asked about first are full of other work
--- a/features/steps/jobs_advice.py
+++ b/features/steps/jobs_advice.py
@@ -16,6 +16,7 @@
 
 ADVICE = queues.Advice(0.03, 0.0, 60.0)
 POOL = 'web'
+OTHER_POOL = 'other'
 MAX_CALLS = 1000
 
 
@@ -306,6 +307,31 @@
     partition.now_s += 1.0
 
 
+@given('another pool with an executor that may run each step')
+def add_other_pool(context):
+    partition = context.partition
+    known = set(partition.scheduler.executors)
+    partition.add_executor(OTHER_POOL)
+    context.permitted |= set(partition.scheduler.executors) - known
+
+
+@when('an executor is added that may run no step')
+def add_refused(context):
+    context.partition.add_executor(loaded_partition.OWN_POOL)
+
+
+@when('their queue gets the other pool')
+def change_pool(context):
+    scheduler = context.partition.scheduler
+    queue = scheduler.steps.queue_of(context.waiting[0])
+    changed = attrs.evolve(queue, pool=OTHER_POOL)
+    scheduler.set_configuration(
+        queues.Configuration(
+            2, {queue.name: changed}, {OTHER_POOL: queues.Pool(OTHER_POOL)}
+        )
+    )
+
+
 @then('a task of it starts after {limit:d} calls or fewer')
 def check_started(context, limit):
     partition = context.partition
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/advice_turns.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/advice_turns.py
@@ -50,6 +50,7 @@
     :ivar retry_s: no call before
     :ivar asked_up_to: number of the newest executor of the pool when there
         was none left to ask about
+    :ivar asked_pool: the pool at that time
     """
 
     is_open: bool = False
@@ -58,6 +59,14 @@
     failures: int = 0
     retry_s: float = 0.0
     asked_up_to: int = NO_EXECUTOR
+    asked_pool: str = ''
+
+    def has_asked_all(self, pool, newest):
+        """Return whether no executor of a pool was left to ask about.
+
+        :param newest: number of its newest executor
+        """
+        return pool == self.asked_pool and newest <= self.asked_up_to
 
 
 def is_unplaced(ready_step, now_s):
@@ -100,9 +109,8 @@
                 executors[queue.pool] = executors_in(queue.pool)
             known = executors[queue.pool]
             newest = max((e.number for e in known), default=NO_EXECUTOR)
-            if newest <= inquiry.asked_up_to and not self._must_renew(
-                ready_step.key, now_s
-            ):
+            has_asked_all = inquiry.has_asked_all(queue.pool, newest)
+            if has_asked_all and not self._must_renew(ready_step.key, now_s):
                 continue
             executor_ids = self._executors_to_ask(ready_step, known, now_s)
             if executor_ids:
@@ -112,7 +120,7 @@
                 return AdviceRequest(
                     ready_step, queue, executor_ids, inquiry.failures
                 )
-            inquiry.asked_up_to = newest
+            inquiry.asked_up_to, inquiry.asked_pool = newest, queue.pool
             inquiry.retry_s = now_s + RETRY_S
         return None
 
@@ -202,12 +210,13 @@
         inquiry.failures += 1
         inquiry.retry_s = now_s + wait_s
 
-    def lacks_executor(self, step_key):
-        """Return whether no executor that the pool has may run a step."""
+    def lacks_executor(self, step_key, pool):
+        """Return whether no executor that a pool has may run a step."""
         inquiry = self._by_job.get(step_key[0], {}).get(step_key)
         return (
             inquiry is not None
             and inquiry.asked_up_to != NO_EXECUTOR
+            and inquiry.asked_pool == pool
             and not self._tickets.permitted(step_key)
         )
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -165,7 +165,8 @@
 
     def _may_run(self, ready_step):
         """Return whether any executor may run a step, as far as known."""
-        if self.advice.lacks_executor(ready_step.key):
+        pool = self.steps.pool_of(ready_step.job)
+        if self.advice.lacks_executor(ready_step.key, pool):
             return False
         return self.fleet.may_hold(ready_step.spec)
 
