Ask for advice again soon after the service answers again

What callers saw: after the advice service had been silent, jobs whose steps need advice stood for up to 20 s more, though it answered and hosts had room.

Cause: each call without an answer doubles the time until the next call on its step, up to 20 s. That is right for a step that is never answered beside others that are; of a service that answers nothing it says nothing of the step.

"Steps go on soon after the service answers again", for 1 and 12 jobs and a service silent for 45 s, failed before: not all had begun within 7 s.

Change: while no call is answered, a step that is put off is asked about every 0.5 s, in turn. With the first answer all steps go on whose calls failed since the last one, and so do those whose calls were still under way.

Why it works: the silence ends at the latest with the answer to the next such call. A step that fails while others are answered is put off as before, and comes after the others ("A step on which the service never answers keeps no others waiting").

--- a/features/jobs_advice.feature
+++ b/features/jobs_advice.feature
@@ -36,6 +36,19 @@
       | 1     |
       | 40    |
 
+  Scenario Outline: Steps go on soon after the service answers again: <count> of them
+    Given simulated daemons with seed 925, and a service that answers in 0.03 seconds
+    And that service answers no call on jobs named "silent"
+    When <count> jobs named "silent" are submitted
+    And 45 seconds pass
+    And the service answers all calls
+    Then each job named "silent" has begun within 7 seconds
+
+    Examples:
+      | count |
+      | 1     |
+      | 12    |
+
   Scenario Outline: Each executor of a pool is asked about in time: <permitted> of <size> may run a step
     Given a pool of <size> executors, the last <permitted> of which may run each step
     When 5 jobs wait for advice
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/advice_turns.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/advice_turns.py
@@ -7,6 +7,11 @@
 that have been asked about less often, no executor is asked about twice that
 may not run a step, and a step is not asked about again before its pool has
 another executor.
+
+A call that fails while others are answered tells of its step, which is put
+off for longer each time. A call that fails while none is answered tells of the
+service: one step after the other is asked about to learn when it answers
+again, and then all of them are.
 """
 
 import attrs
@@ -20,6 +25,9 @@
 UNPLACED_S = 0.3
 RETRY_S = 0.2
 MAX_RETRY_S = 20.0
+# Interval of the calls on steps that are put off, while the service answers
+# none.
+PROBE_S = 0.5
 NO_EXECUTOR = -1
 
 
@@ -44,6 +52,9 @@
     """What was asked about one step.
 
     :ivar is_open: whether a call on it has no answer yet
+    :ivar answers_before: number of calls on any step that had been answered
+        when its last one was made
+    :ivar is_in_silence: whether the service answered no call at that time
     :ivar refused: ids of executors that may not run it
     :ivar fruitless: calls in a row that have permitted no executor
     :ivar failures: calls in a row without an answer
@@ -54,6 +65,8 @@
     """
 
     is_open: bool = False
+    answers_before: int = 0
+    is_in_silence: bool = False
     refused: set[str] = attrs.Factory(set)
     fruitless: int = 0
     failures: int = 0
@@ -84,6 +97,10 @@
     def __init__(self, tickets):
         self._tickets = tickets
         self._by_job = {}
+        self._answers = 0
+        # Keys of steps whose calls have failed since the last answer to any.
+        self._failed_beside_none = set()
+        self._probe_s = 0.0
         # Numbers of the occurrences of each job that were asked about.
         self._occurrences = {}
 
@@ -103,7 +120,10 @@
         in_line = sorted(waiting, key=self._order, reverse=is_from_end)
         for ready_step, queue in in_line:
             inquiry = self._inquiry(ready_step.key)
-            if inquiry.is_open or now_s < inquiry.retry_s:
+            if inquiry.is_open or (
+                now_s < inquiry.retry_s
+                and not self._may_probe(ready_step.key, now_s)
+            ):
                 continue
             if queue.pool not in executors:
                 executors[queue.pool] = executors_in(queue.pool)
@@ -115,6 +135,9 @@
             executor_ids = self._executors_to_ask(ready_step, known, now_s)
             if executor_ids:
                 inquiry.is_open = True
+                inquiry.answers_before = self._answers
+                inquiry.is_in_silence = bool(self._failed_beside_none)
+                self._probe_s = now_s + PROBE_S
                 job_id, occurrence, _ = ready_step.key
                 self._occurrences.setdefault(job_id, set()).add(occurrence)
                 return AdviceRequest(
@@ -124,6 +147,10 @@
             inquiry.retry_s = now_s + RETRY_S
         return None
 
+    def _may_probe(self, step_key, now_s):
+        """Return whether a call on a step is to show if the service is up."""
+        return step_key in self._failed_beside_none and now_s >= self._probe_s
+
     def _order(self, item):
         ready_step, _ = item
         inquiry = self._inquiry(ready_step.key)
@@ -193,6 +220,7 @@
 
         :returns: whether the step still needs to know
         """
+        self._note_service_answers()
         inquiry = self._known(request)
         if inquiry is None:
             return False
@@ -201,6 +229,14 @@
         inquiry.fruitless = 0 if good else inquiry.fruitless + 1
         return True
 
+    def _note_service_answers(self):
+        self._answers += 1
+        failed, self._failed_beside_none = self._failed_beside_none, set()
+        for key in failed:
+            inquiry = self._by_job.get(key[0], {}).get(key)
+            if inquiry is not None:
+                inquiry.retry_s = 0.0
+
     def note_failed(self, request, now_s):
         """Record a call without an answer, and put off the next one."""
         inquiry = self._known(request)
@@ -209,6 +245,11 @@
         wait_s = min(MAX_RETRY_S, RETRY_S * 2**inquiry.failures)
         inquiry.failures += 1
         inquiry.retry_s = now_s + wait_s
+        if inquiry.answers_before == self._answers:
+            self._failed_beside_none.add(request.ready_step.key)
+        elif inquiry.is_in_silence:
+            # The service has begun to answer after it got this call.
+            inquiry.retry_s = now_s
 
     def lacks_executor(self, step_key, pool):
         """Return whether no executor that a pool has may run a step."""
