--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -10,17 +10,22 @@
 from . import pool_placement
 from . import run_state
 
-# No step is held back for longer while executors have room for it.
+# No job is held back for longer while it has nothing running, and executors
+# have room for it.
 MAX_BESIDE_ROOM_S = 1.5
 
 
 @attrs.frozen(eq=False)
 class _Candidate:
-    """A step that may start, and the executors of its pool."""
+    """A step that may start, and the executors of its pool.
+
+    :ivar takes_one: whether no more than one of its tasks may start now
+    """
 
     ready_step: ordering.ReadyStep
     pool: str
     executors: pool_placement.PoolPlacement
+    takes_one: bool = False
 
 
 class StartPlanner:
@@ -29,15 +34,17 @@
     :param steps: the steps whose tasks may start
     :param tickets: permissions for steps of queues that need advice
     :param ledger: what the runs of each workspace use
-    :ivar holding_pools: pools that start no work that is late
+    :param has_runs: tells whether a run of a job, by id, may be executing
+    :ivar holding_pools: pools that hold back work that is late
     :ivar held_homes: partitions whose jobs start nothing, since some of them
         may have been cancelled
     :ivar waiting_pools: pools in which steps wait for a time, or suspects of
         crashes for an executor on which nothing has only just started
     """
 
-    def __init__(self, steps, tickets, ledger):
+    def __init__(self, steps, tickets, ledger, has_runs):
         self._steps = steps
+        self._has_runs = has_runs
         self._tickets = tickets
         self._ledger = ledger
         self._pools = collections.defaultdict(pool_placement.PoolPlacement)
@@ -73,7 +80,11 @@
             candidate.ready_step.unplaced_since_s = now_s
         # Wide steps also get what the others have left.
         shares.is_sharing = False
-        wide = [c for c in reached if _is_cut_short(c.ready_step)]
+        wide = [
+            c
+            for c in reached
+            if not c.takes_one and _is_cut_short(c.ready_step)
+        ]
         starts += self._plan_steps(wide, now_s, shares)[0]
         self._held_gang = shares.held_gang
         return starts
@@ -95,7 +106,11 @@
                     group = full
                 else:
                     continue
-                group.append(_Candidate(ready_step, pool, pool_executors))
+                is_late = ready_step.gives_way(now_s)
+                takes_one = is_late and pool in self.holding_pools
+                group.append(
+                    _Candidate(ready_step, pool, pool_executors, takes_one)
+                )
         return waiting, full
 
     def _steps_to_start(self, pool, pool_executors, now_s):
@@ -110,13 +125,29 @@
         free = [
             step
             for step in due
-            if not _is_held_back(step, pool_executors, now_s)
+            if not self._is_held_back(step, pool_executors, now_s)
         ]
         if len(free) < len(due):
             # What was held back for long enough goes on without an event.
             self.waiting_pools.add(pool)
         return free
 
+    def _is_held_back(self, ready_step, pool_executors, now_s):
+        """Return whether a step of a pool that holds late work has to wait.
+
+        A job that has nothing running, and has waited beside room for long
+        enough, goes on with one task.
+        """
+        if not ready_step.gives_way(now_s):
+            return False
+        has_room = _may_have_room(pool_executors, ready_step)
+        if not has_room or self._has_runs(ready_step.job.job_id):
+            ready_step.beside_room_since_s = None
+            return True
+        if ready_step.beside_room_since_s is None:
+            ready_step.beside_room_since_s = now_s
+        return now_s - ready_step.beside_room_since_s < MAX_BESIDE_ROOM_S
+
     def _order(self, candidate, now_s):
         ready_step, held = candidate.ready_step, self._held_gang
         return (
@@ -145,6 +176,9 @@
 
     def _plan_step(self, candidate, now_s, shares):
         ready_step = candidate.ready_step
+        limit = shares.limit(ready_step)
+        if candidate.takes_one:
+            limit = 1
         if not self._may_use_quota(ready_step):
             return []
         if ready_step.unplaced_since_s is None:
@@ -158,10 +192,7 @@
             )
         else:
             starts = self._plan_tasks(
-                ready_step,
-                candidate.executors,
-                now_s,
-                shares.limit(ready_step),
+                ready_step, candidate.executors, now_s, limit
             )
         if ready_step.suspects:
             self.waiting_pools.add(candidate.pool)
@@ -238,6 +269,7 @@
         if executor is None:
             return None
         ready_step.take(index)
+        ready_step.beside_room_since_s = None
         ready_step.unplaced_since_s = now_s if ready_step.pending else None
         ready_step.placed_s = now_s
         run = _plan_run(
@@ -297,18 +329,6 @@
         return self._tickets.valid(ready_step.key, now_s)
 
 
-def _is_held_back(ready_step, pool_executors, now_s):
-    """Return whether a step of a pool that holds late work has to wait."""
-    if not ready_step.gives_way(now_s):
-        return False
-    if not _may_have_room(pool_executors, ready_step):
-        ready_step.beside_room_since_s = None
-        return True
-    if ready_step.beside_room_since_s is None:
-        ready_step.beside_room_since_s = now_s
-    return now_s - ready_step.beside_room_since_s < MAX_BESIDE_ROOM_S
-
-
 def _started_together(ready_step):
     """Return how many tasks of a step have to start at the same time."""
     return len(ready_step.pending) if ready_step.spec.is_gang else 1
