--- a/features/jobs_advice.feature
+++ b/features/jobs_advice.feature
@@ -36,6 +36,19 @@
       | 1     |
       | 40    |
 
+  Scenario Outline: Steps go on soon after the service answers again: <count> of them
+    Given simulated daemons with seed 925, and a service that answers in 0.03 seconds
+    And that service answers no call on jobs named "silent"
+    When <count> jobs named "silent" are submitted
+    And 45 seconds pass
+    And the service answers all calls
+    Then each job named "silent" has begun within 7 seconds
+
+    Examples:
+      | count |
+      | 1     |
+      | 12    |
+
   Scenario Outline: Each executor of a pool is asked about in time: <permitted> of <size> may run a step
     Given a pool of <size> executors, the last <permitted> of which may run each step
     When 5 jobs wait for advice
@@ -55,12 +68,32 @@
     When an executor is added that may run each step
     Then each of them has a ticket after 3 calls or fewer
 
+  Scenario: A step without permitted executors is asked about again when its queue gets another pool
+    Given a pool of 36 executors, the last 0 of which may run each step
+    And another pool with an executor that may run each step
+    When an executor is added that may run no step
+    And 1 jobs wait for advice
+    Then no call is made after 2 calls
+    When their queue gets the other pool
+    Then each of them has a ticket after 3 calls or fewer
+
   Scenario: A step is asked about others when those that may run it are full
     Given a pool of 36 executors, the last 36 of which may run each step
     And the executors that are asked about first are full of other work
     When 1 jobs wait for advice
     Then a task of it starts after 2 calls or fewer
 
+  Scenario: No start is sent with a ticket that expired while its cycle was stored
+    Given simulated daemons with seed 924, and a service that answers in 0.03 seconds
+    And tickets of that service are valid for 1 second
+    When 4 jobs named "sound" are submitted
+    And the store takes 1.2 seconds for an append
+    And 0.5 seconds pass
+    And the store takes 0 seconds for an append
+    And 8 seconds pass
+    Then each job named "sound" is completed
+    And no start was sent with an expired ticket
+
   Scenario: Tickets that have expired are requested again
     Given a pool of 36 executors, the last 2 of which may run each step
     When 1 jobs wait for advice
--- a/features/steps/jobs_advice.py
+++ b/features/steps/jobs_advice.py
@@ -16,6 +16,7 @@
 
 ADVICE = queues.Advice(0.03, 0.0, 60.0)
 POOL = 'web'
+OTHER_POOL = 'other'
 MAX_CALLS = 1000
 
 
@@ -70,6 +71,55 @@
     context.runner.run(asyncio.sleep(3.0))
 
 
+@given('tickets of that service are valid for {validity_s:g} second')
+def limit_validity(context, validity_s):
+    world = context.world
+    world.configure(
+        **{
+            pool: attrs.evolve(
+                queue, advice=attrs.evolve(ADVICE, validity_s=validity_s)
+            )
+            for pool, queue in world.configuration.queues.items()
+        }
+    )
+    context.expires_s, context.expired = {}, []
+    advise = world.adviser.advise
+
+    async def advise_numbered(*arguments):
+        sent_s = world.now_s()
+        return {
+            name: _issue(context, sent_s + validity_s)
+            for name in await advise(*arguments)
+        }
+
+    world.adviser.advise = advise_numbered
+    for daemon in world.daemons:
+        _check_tickets_sent(context, daemon.parts.executors)
+
+
+def _issue(context, expires_s):
+    ticket = f'ticket-{len(context.expires_s)}'
+    context.expires_s[ticket] = expires_s
+    return ticket
+
+
+def _check_tickets_sent(context, client):
+    start = client.start
+
+    async def start_checked(target, order):
+        if context.world.now_s() >= context.expires_s[order.ticket]:
+            context.expired.append(order)
+        return await start(target, order)
+
+    client.start = start_checked
+
+
+@then('no start was sent with an expired ticket')
+def check_none_expired(context):
+    assert context.expires_s
+    assert not context.expired, context.expired
+
+
 @given('that service permits executors with the label "{label}" only')
 def permit_labelled(context, label):
     def find_permitted():
@@ -257,6 +307,31 @@
     partition.now_s += 1.0
 
 
+@given('another pool with an executor that may run each step')
+def add_other_pool(context):
+    partition = context.partition
+    known = set(partition.scheduler.executors)
+    partition.add_executor(OTHER_POOL)
+    context.permitted |= set(partition.scheduler.executors) - known
+
+
+@when('an executor is added that may run no step')
+def add_refused(context):
+    context.partition.add_executor(loaded_partition.OWN_POOL)
+
+
+@when('their queue gets the other pool')
+def change_pool(context):
+    scheduler = context.partition.scheduler
+    queue = scheduler.steps.queue_of(context.waiting[0])
+    changed = attrs.evolve(queue, pool=OTHER_POOL)
+    scheduler.set_configuration(
+        queues.Configuration(
+            2, {queue.name: changed}, {OTHER_POOL: queues.Pool(OTHER_POOL)}
+        )
+    )
+
+
 @then('a task of it starts after {limit:d} calls or fewer')
 def check_started(context, limit):
     partition = context.partition
--- a/features/steps/jobs_first_in_line.py
+++ b/features/steps/jobs_first_in_line.py
@@ -200,15 +200,49 @@
 
 @when('"{name}" submits a gang of {count:d} tasks of {cores:g} core')
 def submit_gang(context, name, count, cores):
-    jobs_workspaces._add_job(context, name, count, cores, is_gang=True)
+    context.gang = jobs_workspaces._add_job(
+        context, name, count, cores, is_gang=True
+    )
+
+
+@when('the gang of "{name}" is cancelled')
+def cancel_gang(context, name):
+    assert context.gang.workspace == name
+    context.harness.scheduler.cancel_job(context.gang)
 
 
 @when('the long-running task has ended')
 def end_lasting(context):
-    lasting = [run for run in context.running if run.step.is_lasting]
-    for run in lasting:
+    _cancel_runs(context, [r for r in context.running if r.step.is_lasting])
+
+
+@when('a long-running task of {cores:g} cores has ended')
+def end_lasting_of_size(context, cores):
+    millicores = int(cores * jobs_workspaces.CORE)
+    runs = [
+        run
+        for run in context.running
+        if run.step.is_lasting
+        and run.step.request.cpu_millicores == millicores
+    ]
+    assert len(runs) == 1, runs
+    _cancel_runs(context, runs)
+
+
+def _cancel_runs(context, runs):
+    for run in runs:
         context.harness.scheduler.cancel_job(run.occurrence.job)
-    jobs_workspaces._end(context, lasting, run_state.EndCause.STOPPED)
+    jobs_workspaces._end(context, runs, run_state.EndCause.STOPPED)
+
+
+@when('{count:d} tasks of "{name}" that end by themselves end')
+def end_finite(context, count, name):
+    runs = [
+        run
+        for run in context.running
+        if run.workspace == name and not run.step.is_lasting
+    ]
+    jobs_workspaces._end(context, runs[:count], run_state.EndCause.DONE)
 
 
 @when(
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/advice_turns.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/advice_turns.py
@@ -7,6 +7,11 @@
 that have been asked about less often, no executor is asked about twice that
 may not run a step, and a step is not asked about again before its pool has
 another executor.
+
+A call that fails while others are answered tells of its step, which is put
+off for longer each time. A call that fails while none is answered tells of the
+service: one step after the other is asked about to learn when it answers
+again, and then all of them are.
 """
 
 import attrs
@@ -20,6 +25,9 @@
 UNPLACED_S = 0.3
 RETRY_S = 0.2
 MAX_RETRY_S = 20.0
+# Interval of the calls on steps that are put off, while the service answers
+# none.
+PROBE_S = 0.5
 NO_EXECUTOR = -1
 
 
@@ -44,20 +52,34 @@
     """What was asked about one step.
 
     :ivar is_open: whether a call on it has no answer yet
+    :ivar answers_before: number of calls on any step that had been answered
+        when its last one was made
+    :ivar is_in_silence: whether the service answered no call at that time
     :ivar refused: ids of executors that may not run it
     :ivar fruitless: calls in a row that have permitted no executor
     :ivar failures: calls in a row without an answer
     :ivar retry_s: no call before
     :ivar asked_up_to: number of the newest executor of the pool when there
         was none left to ask about
+    :ivar asked_pool: the pool at that time
     """
 
     is_open: bool = False
+    answers_before: int = 0
+    is_in_silence: bool = False
     refused: set[str] = attrs.Factory(set)
     fruitless: int = 0
     failures: int = 0
     retry_s: float = 0.0
     asked_up_to: int = NO_EXECUTOR
+    asked_pool: str = ''
+
+    def has_asked_all(self, pool, newest):
+        """Return whether no executor of a pool was left to ask about.
+
+        :param newest: number of its newest executor
+        """
+        return pool == self.asked_pool and newest <= self.asked_up_to
 
 
 def is_unplaced(ready_step, now_s):
@@ -75,6 +97,10 @@
     def __init__(self, tickets):
         self._tickets = tickets
         self._by_job = {}
+        self._answers = 0
+        # Keys of steps whose calls have failed since the last answer to any.
+        self._failed_beside_none = set()
+        self._probe_s = 0.0
         # Numbers of the occurrences of each job that were asked about.
         self._occurrences = {}
 
@@ -94,28 +120,37 @@
         in_line = sorted(waiting, key=self._order, reverse=is_from_end)
         for ready_step, queue in in_line:
             inquiry = self._inquiry(ready_step.key)
-            if inquiry.is_open or now_s < inquiry.retry_s:
+            if inquiry.is_open or (
+                now_s < inquiry.retry_s
+                and not self._may_probe(ready_step.key, now_s)
+            ):
                 continue
             if queue.pool not in executors:
                 executors[queue.pool] = executors_in(queue.pool)
             known = executors[queue.pool]
             newest = max((e.number for e in known), default=NO_EXECUTOR)
-            if newest <= inquiry.asked_up_to and not self._must_renew(
-                ready_step.key, now_s
-            ):
+            has_asked_all = inquiry.has_asked_all(queue.pool, newest)
+            if has_asked_all and not self._must_renew(ready_step.key, now_s):
                 continue
             executor_ids = self._executors_to_ask(ready_step, known, now_s)
             if executor_ids:
                 inquiry.is_open = True
+                inquiry.answers_before = self._answers
+                inquiry.is_in_silence = bool(self._failed_beside_none)
+                self._probe_s = now_s + PROBE_S
                 job_id, occurrence, _ = ready_step.key
                 self._occurrences.setdefault(job_id, set()).add(occurrence)
                 return AdviceRequest(
                     ready_step, queue, executor_ids, inquiry.failures
                 )
-            inquiry.asked_up_to = newest
+            inquiry.asked_up_to, inquiry.asked_pool = newest, queue.pool
             inquiry.retry_s = now_s + RETRY_S
         return None
 
+    def _may_probe(self, step_key, now_s):
+        """Return whether a call on a step is to show if the service is up."""
+        return step_key in self._failed_beside_none and now_s >= self._probe_s
+
     def _order(self, item):
         ready_step, _ = item
         inquiry = self._inquiry(ready_step.key)
@@ -185,6 +220,7 @@
 
         :returns: whether the step still needs to know
         """
+        self._note_service_answers()
         inquiry = self._known(request)
         if inquiry is None:
             return False
@@ -193,6 +229,14 @@
         inquiry.fruitless = 0 if good else inquiry.fruitless + 1
         return True
 
+    def _note_service_answers(self):
+        self._answers += 1
+        failed, self._failed_beside_none = self._failed_beside_none, set()
+        for key in failed:
+            inquiry = self._by_job.get(key[0], {}).get(key)
+            if inquiry is not None:
+                inquiry.retry_s = 0.0
+
     def note_failed(self, request, now_s):
         """Record a call without an answer, and put off the next one."""
         inquiry = self._known(request)
@@ -201,13 +245,19 @@
         wait_s = min(MAX_RETRY_S, RETRY_S * 2**inquiry.failures)
         inquiry.failures += 1
         inquiry.retry_s = now_s + wait_s
-
-    def lacks_executor(self, step_key):
-        """Return whether no executor that the pool has may run a step."""
+        if inquiry.answers_before == self._answers:
+            self._failed_beside_none.add(request.ready_step.key)
+        elif inquiry.is_in_silence:
+            # The service has begun to answer after it got this call.
+            inquiry.retry_s = now_s
+
+    def lacks_executor(self, step_key, pool):
+        """Return whether no executor that a pool has may run a step."""
         inquiry = self._by_job.get(step_key[0], {}).get(step_key)
         return (
             inquiry is not None
             and inquiry.asked_up_to != NO_EXECUTOR
+            and inquiry.asked_pool == pool
             and not self._tickets.permitted(step_key)
         )
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/quota_waits.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/quota_waits.py
@@ -4,9 +4,10 @@
 steps. They are not considered by scheduling cycles until the workspace may use
 what the first of them needs, so they add nothing to the time of a cycle.
 
-A quota may be lowered below what a step needs that was accepted before. Such a
-step waits until its workspace runs nothing. That can't be awaited while the
-workspace has long-running tasks, so the step keeps no other one waiting then.
+A step may need more than the workspace's long-running tasks leave of the
+quota, or, where the quota was lowered, more than all of it. That it will be
+admitted can't be awaited while those tasks run, so it keeps no other one
+waiting.
 """
 
 import attrs
@@ -20,8 +21,8 @@
 
     :ivar needed: what the workspace has to be able to use; None without steps
     :ivar steps: the steps by number
-    :ivar oversized: steps that can't be admitted while a long-running task of
-        the workspace runs, by number
+    :ivar oversized: steps that can't be admitted while the long-running tasks
+        of the workspace run, by number
     """
 
     needed: specs.Resources | None = None
@@ -67,17 +68,22 @@
         return self._by_workspace.setdefault(workspace, _Waiting())
 
     def discard(self, ready_step):
-        """Remove a step, if it is known."""
+        """Remove a step, if it is known.
+
+        :returns: whether others had to wait for it
+        """
         workspace = ready_step.occurrence.job.workspace
         waiting = self._by_workspace.get(workspace)
         if waiting is None:
-            return
+            return False
+        was_first = ready_step.number == next(iter(waiting.steps), None)
         waiting.steps.pop(ready_step.number, None)
         waiting.oversized.pop(ready_step.number, None)
         if not waiting.steps:
             waiting.needed = None
         if not waiting.steps and not waiting.oversized:
             del self._by_workspace[workspace]
+        return was_first
 
     def needed(self, workspace):
         """Return what a workspace has to be able to use.
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ready_steps.py
@@ -97,6 +97,14 @@
         """Return the pool in which the tasks of a job start."""
         return self.queue_of(job).pool
 
+    def unfinished(self):
+        """Return all steps whose tasks may start, or have started."""
+        return list(self._steps.values())
+
+    def is_scheduled(self, job_id):
+        """Return whether an occurrence of a job has not begun."""
+        return job_id in self._not_due
+
     def pending(self):
         """Return the steps with tasks that wait for placement."""
         return self._pending_where(lambda queue: True)
@@ -151,8 +159,10 @@
     def _remove_step(self, key):
         ready_step = self._steps.pop(key, None)
         if ready_step is not None:
-            self.quota_waits.discard(ready_step)
-            queue = self.queue_of(ready_step.occurrence.job)
+            job = ready_step.occurrence.job
+            if self.quota_waits.discard(ready_step):
+                self.resume_workspace(job.workspace)
+            queue = self.queue_of(job)
             self._pending.get(queue.name, {}).pop(ready_step.number, None)
         return ready_step
 
@@ -299,16 +309,15 @@
                 self._note_pending(ready_step)
             self.pools_to_schedule.add(self.pool_of(job))
 
-    def note_start_answer(self, task_id, is_rejected, now_s):
+    def note_start_answer(self, run, is_rejected, now_s):
         """Put off a step whose starts are rejected."""
-        key = task_id.step_key
-        ready_step = self._steps.get(key)
+        ready_step = self._steps.get(run.task_id.step_key)
         if ready_step is None:
             return
         if is_rejected:
-            ready_step.note_rejected(now_s)
+            ready_step.note_rejected(run.planned_s, now_s)
         else:
-            ready_step.rejections = 0
+            ready_step.note_accepted()
 
     def drop_done_tasks(self, occurrence, step):
         """Remove the done tasks of a step from its pending tasks."""
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -22,6 +22,7 @@
 from . import run_state
 from . import run_tracking
 from . import specs
+from . import standing_work
 from . import start_planning
 from . import start_shares
 from . import tickets as tickets_module
@@ -77,6 +78,7 @@
     :ivar is_limited: whether the last plan had no starts left for more runs
     :ivar quotas: what the runs of each workspace use, and may use
     :ivar shares: which workspaces send more jobs than are owed to them
+    :ivar standing: finds work that waits beside room
     """
 
     def __init__(self, replica, configuration):
@@ -93,7 +95,7 @@
         self.shares = arrival_shares.ArrivalShares()
         self._set_workspaces(configuration.workspaces)
         self._planner = start_planning.StartPlanner(
-            self.steps, self.tickets, self.quotas
+            self.steps, self.tickets, self.quotas, self.has_runs
         )
         self._unrecorded = {}
         self._orphans = {}
@@ -102,6 +104,9 @@
         )
 
         self._crashes = crash_tracking.CrashTracking(self.steps, self._endings)
+        self.standing = standing_work.StandingWork(
+            self, replica.jobs, self._planner
+        )
 
     # Jobs
 
@@ -160,7 +165,8 @@
 
     def _may_run(self, ready_step):
         """Return whether any executor may run a step, as far as known."""
-        if self.advice.lacks_executor(ready_step.key):
+        pool = self.steps.pool_of(ready_step.job)
+        if self.advice.lacks_executor(ready_step.key, pool):
             return False
         return self.fleet.may_hold(ready_step.spec)
 
@@ -217,6 +223,10 @@
         self._index.add(executor)
         return executor
 
+    def reopen_executor(self, executor):
+        """Plan the pool of an executor that was closed to runs."""
+        self.steps.pools_to_schedule.add(executor.entry.pool)
+
     def mark_executor_missing(self, executor_id, now_s):
         """Record that an executor is no longer listed."""
         executor = self.executors.get(executor_id)
@@ -345,9 +355,12 @@
         executor = self.executors.get(executor_id)
         if executor is None or executor.is_after(poll.born_ms):
             return []
+        was_usable = placement.is_usable(executor, now_s)
         outcome = run_tracking.process_poll(
             executor, poll, self._find_occurrence
         )
+        if placement.is_usable(executor, now_s) and not was_usable:
+            self.reopen_executor(executor)
         if executor.last_processed_end > executor.last_recorded_end:
             self._unrecorded[executor_id] = executor
         self._run_index.note_pace_input(executor_id)
@@ -386,9 +399,7 @@
         ended = run_tracking.apply_start_answer(run, answer, now_s)
         self._crashes.note_started(run)
         if answer is _Answer.ACCEPTED or answer in _REJECTIONS:
-            self.steps.note_start_answer(
-                run.task_id, answer in _REJECTIONS, now_s
-            )
+            self.steps.note_start_answer(run, answer in _REJECTIONS, now_s)
         if answer is _Answer.UNHEALTHY:
             executor_health.suspend(executor, now_s)
         if answer is _Answer.BAD_TICKET:
@@ -431,6 +442,7 @@
 
     def _resume_workspaces(self):
         """Consider the steps again for which quota has become free."""
+        freed_by_lasting = self.quotas.pop_freed_by_lasting()
         for workspace in self.quotas.pop_freed():
             waits = self.steps.quota_waits
             needed = waits.needed(workspace)
@@ -438,16 +450,15 @@
                 workspace, needed
             )
             if is_admitted or (
-                waits.has_oversized(workspace)
-                and not self.quotas.has_lasting_runs(workspace)
+                workspace in freed_by_lasting
+                and waits.has_oversized(workspace)
             ):
                 self.steps.resume_workspace(workspace)
 
     def _plan_starts(self, now_s, shares):
-        stale, self.steps.pools_to_schedule = (
-            self.steps.pools_to_schedule,
-            set(),
-        )
+        reopening = self._planner.reopening_pools(now_s)
+        stale = self.steps.pools_to_schedule | reopening
+        self.steps.pools_to_schedule = set()
         pools = {pool: self.executors_in(pool) for pool in sorted(stale)}
         starts = self._planner.plan(pools, now_s, shares)
         if not shares.left:
@@ -542,6 +553,18 @@
             for other in self._run_index.runs_of_job(run.task_id.job_id)
         )
 
+    def refresh_ticket(self, run, now_s):
+        """Give a planned run that needs a ticket the newest one.
+
+        :returns: False if that has expired
+        """
+        if not run.ticket:
+            return True
+        run.ticket = self.tickets.to_send(
+            run.task_id.step_key, run.executor_id, now_s
+        )
+        return bool(run.ticket)
+
     def withdraw_run(self, run, now_s):
         """Remove a planned run whose start request was not sent."""
         executor = self.executors.get(run.executor_id)
