Give each job without runs a start while starts are short

Cause: an owner that may send fewer starts than it has steps for plans them in the order that is meant for a lack of room: late steps come last, so that new jobs get all starts for as long as more of them arrive.

Change: the planner records which steps of jobs without runs are left without a start beside room. After 1 s such a step goes before others, those that have waited longest first, with one start at a time; its other tasks keep their place in the order. A pool of which half is in use keeps the order as it was, and so does a cycle that has starts for all.

Why it works: what is owed to a waiting job is one start, and the steps take turns by how long they have waited.

--- a/features/jobs_queueing.feature
+++ b/features/jobs_queueing.feature
@@ -69,3 +69,7 @@
     When 10 workspaces load a pool of 24 hosts at 0.3 of its capacity for 8 seconds
     And 1 of them send 7 times their usual
     Then at least 0.9 of all work is in time
+
+  Scenario: Late jobs don't starve beside room while the owner starts less than arrives
+    When jobs arrive for 8 seconds at 1.3 times what the owner can start
+    Then no accepted job stands for 3 s beside room
--- a/features/stage/queue_load.py
+++ b/features/stage/queue_load.py
@@ -112,8 +112,14 @@
 
         :param load: their work, as a multiple of what the pool can do
         """
+        self.submit_at_rate(load * self.jobs_per_s(), seconds)
+
+    def submit_at_rate(self, rate, seconds):
+        """Submit jobs at random times.
+
+        :param rate: jobs per second
+        """
         at_s, end_s = self.now_s, self.now_s + seconds
-        rate = load * self.jobs_per_s()
         while True:
             at_s += self._rng.expovariate(rate)
             if at_s >= end_s:
--- a/features/steps/jobs_queueing.py
+++ b/features/steps/jobs_queueing.py
@@ -8,12 +8,16 @@
 
 from hawthorndeal_jobs import arrival_shares
 from hawthorndeal_jobs import ordering
+from stage import limited_starts
 from stage import queue_load
 from stage import shared_load
 from stage import turns_load
 
 SEEDS = (1, 2, 3)
 TURNS_SEEDS = (1, 2)
+LIMITED_SEEDS = (1, 2, 3)
+# Jobs that wait beside room for longer count as lost.
+BESIDE_ROOM_S = 3.0
 TENTH = 10
 # Mean run time in seconds, and cores, of the tasks of each pool.
 KINDS = ((0.64, 1.5), (1.3, 3.3), (0.64, 1.5), (1.3, 3.3))
@@ -211,3 +215,47 @@
 def check_all(context, share):
     found = _share_of_others(context.loads, ())
     assert found >= share, found
+
+
+@when(
+    'jobs arrive for {seconds:d} seconds at {load:g} times what the owner can '
+    'start'
+)
+def play_limited(context, seconds, load):
+    _play_limited(context, seconds, load, refuses=False)
+
+
+@when(
+    'jobs arrive for {seconds:d} seconds at {load:g} times what the owner can '
+    'start, unless they are refused'
+)
+def play_limited_with_refusals(context, seconds, load):
+    _play_limited(context, seconds, load, refuses=True)
+
+
+def _play_limited(context, seconds, load, refuses):
+    context.seconds = seconds
+    context.loads = [
+        limited_starts.LimitedStarts(
+            seed, load, seconds, refuses, BESIDE_ROOM_S
+        )
+        for seed in LIMITED_SEEDS
+    ]
+    for played in context.loads:
+        played.run()
+
+
+@then('no accepted job stands for 3 s beside room')
+def check_beside_room(context):
+    for load in context.loads:
+        cases = load.beside_room.longer_than(BESIDE_ROOM_S)
+        longest_s = max((case.waited_s for case in cases), default=0.0)
+        assert not cases, (len(cases), len(load.played), longest_s)
+        assert not load.standing, load.standing[:3]
+
+
+@then('at least {share:g} of what the owner can start was started')
+def check_started(context, share):
+    possible = context.seconds * limited_starts.STARTS_PER_S
+    found = [load.started / possible for load in context.loads]
+    assert min(found) >= share, found
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
@@ -10,6 +10,9 @@
 Jobs that a workspace sends beyond its share come after those of all others
 that may be in time. If those of them that have begun were finished first, too,
 each moment with room would let the workspace take the pool for a while.
+
+Where there is room, and only the owner's starts are short, each job without
+runs gets one before others, once it has been waiting for some time.
 """
 
 import enum
@@ -22,6 +25,9 @@
 
 # A job loses its value this many times its objective after it was due.
 CUTOFF_FACTOR = 3.0
+# A step that waits beside room for longer, only because others take all starts
+# of the owner, goes before them.
+MAX_TURN_WAIT_S = 1.0
 # Wait after starts were rejected for reasons that another executor would not
 # change; doubles with each further round of starts in a row.
 REJECTED_WAIT_S = 0.05
@@ -57,6 +63,8 @@
     :ivar remaining_path_s: declared run time of the critical path from here
     :ivar unplaced_since_s: since when no task of the step could be placed
     :ivar placed_s: when a task of the step was last placed
+    :ivar short_since_s: since when the step has been waiting beside room for
+        a start; None if it waits for something else
     :ivar number: increases with each step of the partition
     :ivar suspects: indexes of pending tasks that may crash executors
     :ivar rejected_wait_s: for how long the step is put off if a start is
@@ -75,6 +83,7 @@
     remaining_path_s: float
     unplaced_since_s: float | None = None
     placed_s: float | None = None
+    short_since_s: float | None = None
     number: int = 0
     suspects: set[int] = attrs.Factory(set)
     rejected_wait_s: float = REJECTED_WAIT_S
@@ -137,6 +146,24 @@
         """Record that a start was accepted."""
         self.rejected_wait_s = REJECTED_WAIT_S
 
+    def note_short(self, now_s):
+        """Record that the step got no start though there is room for it."""
+        if self.short_since_s is None:
+            self.short_since_s = now_s
+
+    def is_overdue(self, now_s):
+        """Return whether the step has waited too long for a start."""
+        return self.turn_s(now_s) < now_s
+
+    def turn_s(self, now_s):
+        """Return by when the step should have had a start, or now if earlier.
+
+        Steps that have not waited for too long don't differ in it.
+        """
+        if self.short_since_s is None:
+            return now_s
+        return min(now_s, self.short_since_s + MAX_TURN_WAIT_S)
+
     @property
     def latest_start_s(self):
         """When the step has to begin if the job is to be in time."""
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -95,7 +95,7 @@
         self.shares = arrival_shares.ArrivalShares()
         self._set_workspaces(configuration.workspaces)
         self._planner = start_planning.StartPlanner(
-            self.steps, self.tickets, self.quotas
+            self.steps, self.tickets, self.quotas, self.has_runs
         )
         self._unrecorded = {}
         self._orphans = {}
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/standing_work.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/standing_work.py
@@ -127,7 +127,7 @@
             pool = self._scheduler.steps.pool_of(ready_step.job)
             known = self._scheduler.executors_in(pool)
             if pool not in used_shares:
-                used_shares[pool] = _used_share(known)
+                used_shares[pool] = used_share(known)
             is_busy = used_shares[pool] >= MAX_USED_SHARE
             if is_busy and not ready_step.spec.is_lasting:
                 continue
@@ -236,7 +236,7 @@
     return run.phase_changed_s
 
 
-def _used_share(executors):
+def used_share(executors):
     """Return which share of the processors of some executors is in use."""
     known = [e for e in executors if not e.entry.is_leaving]
     whole = sum(e.entry.capacity.cpu_millicores for e in known)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -9,6 +9,7 @@
 from . import ordering
 from . import pool_placement
 from . import run_state
+from . import standing_work
 
 # No step is held back for longer while executors have room for it.
 MAX_BESIDE_ROOM_S = 1.5
@@ -29,6 +30,7 @@
     :param steps: the steps whose tasks may start
     :param tickets: permissions for steps of queues that need advice
     :param ledger: what the runs of each workspace use
+    :param has_runs: tells whether a run of a job, by id, may be executing
     :ivar holding_pools: pools that start no work that is late
     :ivar held_homes: partitions whose jobs start nothing, since some of them
         may have been cancelled
@@ -36,8 +38,9 @@
         crashes for an executor on which nothing has only just started
     """
 
-    def __init__(self, steps, tickets, ledger):
+    def __init__(self, steps, tickets, ledger, has_runs):
         self._steps = steps
+        self._has_runs = has_runs
         self._tickets = tickets
         self._ledger = ledger
         self._pools = collections.defaultdict(pool_placement.PoolPlacement)
@@ -75,6 +78,9 @@
         shares.is_sharing = False
         wide = [c for c in reached if _is_cut_short(c.ready_step)]
         starts += self._plan_steps(wide, now_s, shares)[0]
+        if not shares.left:
+            cut_short = [c for c in wide if _is_cut_short(c.ready_step)]
+            self._note_short(cut_short + waiting[len(reached) :], pools, now_s)
         self._held_gang = shares.held_gang
         return starts
 
@@ -89,13 +95,13 @@
             for ready_step in self._steps_to_start(
                 pool, pool_executors, now_s
             ):
+                candidate = _Candidate(ready_step, pool, pool_executors)
                 if _may_have_room(pool_executors, ready_step):
-                    group = waiting
-                elif ready_step.unplaced_since_s is None:
-                    group = full
-                else:
+                    waiting.append(candidate)
                     continue
-                group.append(_Candidate(ready_step, pool, pool_executors))
+                ready_step.short_since_s = None
+                if ready_step.unplaced_since_s is None:
+                    full.append(candidate)
         return waiting, full
 
     def _steps_to_start(self, pool, pool_executors, now_s):
@@ -121,6 +127,7 @@
         ready_step, held = candidate.ready_step, self._held_gang
         return (
             held is None or ready_step.key != held,
+            ready_step.turn_s(now_s),
             self._steps.rank(ready_step, now_s),
             candidate.pool,
             ready_step.number,
@@ -131,6 +138,27 @@
         last_order = self._order(last, now_s)
         return [c for c in candidates if self._order(c, now_s) < last_order]
 
+    def _note_short(self, candidates, pools, now_s):
+        """Record which steps wait beside room since no starts are left.
+
+        Those of a job that has something running are served in their order.
+        """
+        spare = {
+            pool: standing_work.used_share(pools[pool])
+            < standing_work.MAX_USED_SHARE
+            for pool in {candidate.pool for candidate in candidates}
+        }
+        for candidate in candidates:
+            ready_step = candidate.ready_step
+            if spare[candidate.pool] and self._has_nothing_running(ready_step):
+                ready_step.note_short(now_s)
+            else:
+                ready_step.short_since_s = None
+
+    def _has_nothing_running(self, ready_step):
+        is_lasting = ready_step.spec.is_lasting
+        return is_lasting or not self._has_runs(ready_step.job.job_id)
+
     def _plan_steps(self, waiting, now_s, shares):
         """Return planned runs, and the candidates that had their turn."""
         starts, reached = [], []
@@ -145,6 +173,11 @@
 
     def _plan_step(self, candidate, now_s, shares):
         ready_step = candidate.ready_step
+        limit = shares.limit(ready_step)
+        if shares.is_sharing and ready_step.is_overdue(now_s):
+            # Tasks beyond the first wait for their place in the order.
+            limit = 1
+        ready_step.short_since_s = None
         if not self._may_use_quota(ready_step):
             return []
         if ready_step.unplaced_since_s is None:
@@ -158,10 +191,7 @@
             )
         else:
             starts = self._plan_tasks(
-                ready_step,
-                candidate.executors,
-                now_s,
-                shares.limit(ready_step),
+                ready_step, candidate.executors, now_s, limit
             )
         if ready_step.suspects:
             self.waiting_pools.add(candidate.pool)
