Refuse jobs that would wait too long for a start

What callers saw: while the owner could start less than arrived, every job was accepted, as the forecast counts only waits for hosts.

Cause: nothing told daemons that starts were short.

Change: the planner counts the starts that it leaves out beside room (no more than fit into the pool), StartWaits measures the rate of starts while some are left out, and the report of the load carries the wait, in steps of 0.5 s. Daemons refuse with not_ready from 1 s on, with a Retry-After by which the wait is short again. Long-running and scheduled jobs are never refused. The field has a default; a daemon of before ignores it.

Why it works: what is accepted is what can be started within the turns.

The scenario of the load failed before; those of the report test what is new.

--- a/features/jobs_admission.feature
+++ b/features/jobs_admission.feature
@@ -18,6 +18,39 @@
       | late work, beyond share  | 10    | 0        | 0       | 0       | 90   | beyond | refused  |
       | nothing waits, beyond    | 10    | 0        | 0       | 0       | 0    | beyond | admitted |
 
+  Scenario Outline: A job is refused if it would wait too long beside room for a start: <wait> s
+    Given a report that <pool> and that jobs wait <wait> s for a start
+    When <kind> arrives
+    Then the job is <decision>
+
+    Examples:
+      | wait | pool                   | kind                | decision |
+      | 0.0  | no pool is overloaded  | a job of 1 second   | admitted |
+      | 0.9  | no pool is overloaded  | a job of 1 second   | admitted |
+      | 1.2  | no pool is overloaded  | a job of 1 second   | refused  |
+      | 30.0 | no pool is overloaded  | a job of 1 second   | refused  |
+      | 30.0 | no pool is overloaded  | a job of 100 seconds | refused |
+      | 30.0 | no pool is overloaded  | a long-running job  | admitted |
+      | 30.0 | no pool is overloaded  | a scheduled job     | admitted |
+      | 0.0  | the pool is overloaded | a job of 1 second   | refused  |
+
+  Scenario Outline: The wait for a start is told by those that wait, and the rate of late: <case>
+    When cycles start <starts> tasks each 0.1 s for <seconds> s, and leave out <waiting>
+    Then new jobs wait <wait> s for a start
+
+    Examples:
+      | case                         | starts | seconds | waiting | wait |
+      | none waits                   | 10     | 2.0     | 0       | 0    |
+      | a rate that is just known    | 10     | 0.3     | 200     | 2    |
+      | a steady rate                | 10     | 5.0     | 200     | 2    |
+      | the rate isn't known yet     | 10     | 0.1     | 200     | 0    |
+      | nothing is started any more  | 0      | 2.0     | 200     | 30   |
+
+  Scenario: A wait for starts is over once a cycle leaves out none
+    When cycles start 10 tasks each 0.1 s for 2.0 s, and leave out 200
+    And a cycle starts all that waits
+    Then new jobs wait 0 s for a start
+
   Scenario: Long-running and scheduled jobs are never refused for a wait
     Given a pool with 10 hosts, 0 on their way and 0 on standby
     And pending work of 900 host-seconds, and 0 that gives way
@@ -106,3 +139,20 @@
     When 3 seconds pass
     And job "a" of 2 and 2 tasks is submitted to daemon 1
     Then it was accepted
+
+  @invariant_not_run
+  Scenario: A job that would wait too long for its start never runs
+    Given 3 simulated daemons with seed 405, whose submissions have 4 partitions
+    When a report of a wait of 6 seconds for starts is stored
+    And 1 second passes
+    And job "a" of 2 and 2 tasks is submitted to daemon 1
+    Then it was refused as not_ready
+    When 5 seconds pass
+    Then no task of "a" has started
+    When job "b" of 2 and 2 tasks is submitted to daemon 1
+    Then it was accepted
+
+  Scenario: Daemons of before that know no wait for starts can read the report
+    When a report of a wait for starts is read by a daemon that doesn't know it
+    Then it finds the waits of the pools
+    And a report without it is read as no wait
--- a/features/jobs_queueing.feature
+++ b/features/jobs_queueing.feature
@@ -73,3 +73,13 @@
   Scenario: Late jobs don't starve beside room while the owner starts less than arrives
     When jobs arrive for 8 seconds at 1.3 times what the owner can start
     Then no accepted job stands for 3 s beside room
+
+  Scenario Outline: No job is accepted that would wait for its start beside room: <load> times what the owner can start
+    When jobs arrive for 20 seconds at <load> times what the owner can start, unless they are refused
+    Then no accepted job stands for 3 s beside room
+    And at least 0.9 of what the owner can start was started
+
+    Examples:
+      | load |
+      | 1.3  |
+      | 2.0  |
--- a/features/stage/limited_starts.py
+++ b/features/stage/limited_starts.py
@@ -85,12 +85,11 @@
     def _report_load(self):
         pool = queue_load.CONFIGURATION.pools[queue_load.POOL]
         loads = [self._scheduler.load_of(pool, 0, 1.0, self.now_s)]
-        report = self._forecast(loads)
+        report = admission.forecast(
+            loads, 0, (), self._scheduler.start_wait_s(self.now_s)
+        )
         self._at(self.now_s + REPORT_DELAY_S, self._read_report, report)
 
-    def _forecast(self, loads):
-        return admission.forecast(loads, 0, ())
-
     def _read_report(self, report):
         self._report_read = report
 
--- a/features/steps/jobs_admission.py
+++ b/features/steps/jobs_admission.py
@@ -1,8 +1,10 @@
 """Steps for submissions that are refused because of the load."""
 
+import json
 import math
 import random
 
+import attrs
 from behave import given
 from behave import then
 from behave import when
@@ -13,12 +15,14 @@
 from hawthorndeal_jobs import journal
 from hawthorndeal_jobs import queues
 from hawthorndeal_jobs import specs
+from hawthorndeal_jobs import start_waits
 from stage import job_world
 
 POOL = 'web'
 QUEUE = queues.Queue(POOL, POOL, stretch=1.6, latency_target_s=0.6)
 WORKSPACE = 'vltava'
 HOPELESS_S = 600.0
+CYCLE_PERIOD_S = 0.1
 
 
 @given(
@@ -46,7 +50,12 @@
 
 def _check(context, spec, beyond=(), seed=1):
     return admission.check_pool(
-        admission.forecast(context.loads, context.standby, beyond),
+        admission.forecast(
+            context.loads,
+            context.standby,
+            beyond,
+            getattr(context, 'start_wait_s', 0.0),
+        ),
         QUEUE,
         WORKSPACE,
         spec,
@@ -54,6 +63,48 @@
     )
 
 
+@given('a report that {pool} and that jobs wait {wait:g} s for a start')
+def make_start_wait(context, pool, wait):
+    make_pool(context, 10, 0, 0)
+    make_backlog(context, 0 if pool.startswith('no') else 900, 0)
+    context.start_wait_s = wait
+
+
+@when('a job of 1 second arrives')
+def check_short_job(context):
+    check_job(context, 1.0, 'within')
+
+
+@when('a job of 100 seconds arrives')
+def check_long_job(context):
+    check_job(context, 100.0, 'within')
+
+
+@when(
+    'cycles start {starts:d} tasks each 0.1 s for {seconds:g} s, and leave '
+    'out {waiting:d}'
+)
+def run_cycles(context, starts, seconds, waiting):
+    context.waits = start_waits.StartWaits()
+    cycles = round(seconds / CYCLE_PERIOD_S)
+    for number in range(cycles):
+        context.waits.note_cycle(
+            starts, waiting, True, number * CYCLE_PERIOD_S
+        )
+    context.now_s = cycles * CYCLE_PERIOD_S
+
+
+@when('a cycle starts all that waits')
+def run_unlimited_cycle(context):
+    context.waits.note_cycle(10, 0, False, context.now_s)
+
+
+@then('new jobs wait {wait:g} s for a start')
+def check_start_wait(context, wait):
+    found = context.waits.wait_s(context.now_s)
+    assert math.isclose(found, wait, rel_tol=0.1), found
+
+
 @when('a job of {run_s:g} second arrives, {share} the share of its workspace')
 def check_job(context, run_s, share):
     beyond = (WORKSPACE,) if share == 'beyond' else ()
@@ -208,3 +259,41 @@
 @then('the answer is {answer}')
 def check_answer(context, answer):
     assert str(context.refusal) == answer, context.refusal
+
+
+@when('a report of a wait of {wait:g} seconds for starts is stored')
+def store_start_wait(context, wait):
+    report = admission.LoadReport(start_wait_s=wait)
+    context.world.store.append(
+        job_world.STATUSES, [journal.load_record(report)]
+    )
+
+
+@attrs.frozen
+class _FormerReport:
+    """The report as it was before it told of starts."""
+
+    pools: dict[str, admission.PoolForecast] = attrs.Factory(dict)
+    beyond_share: tuple[str, ...] = ()
+
+
+@when("a report of a wait for starts is read by a daemon that doesn't know it")
+def read_as_former(context):
+    waits = admission.PoolForecast(HOPELESS_S, HOPELESS_S)
+    report = admission.LoadReport({POOL: waits}, (WORKSPACE,), 6.0)
+    context.value = journal.load_record(report).value
+    context.former = journal.decode(context.value, _FormerReport)
+
+
+@then('it finds the waits of the pools')
+def check_former(context):
+    assert context.former.pools[POOL].wait_s == HOPELESS_S, context.former
+    assert context.former.beyond_share == (WORKSPACE,), context.former
+
+
+@then('a report without it is read as no wait')
+def check_without(context):
+    plain = json.loads(context.value)
+    del plain['start_wait_s']
+    report = journal.decode(json.dumps(plain), admission.LoadReport)
+    assert report.start_wait_s == 0.0, report
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -25,6 +25,7 @@
 from . import standing_work
 from . import start_planning
 from . import start_shares
+from . import start_waits
 from . import tickets as tickets_module
 
 _Cause = run_state.EndCause
@@ -104,6 +105,7 @@
         )
 
         self._crashes = crash_tracking.CrashTracking(self.steps, self._endings)
+        self._start_waits = start_waits.StartWaits()
         self.standing = standing_work.StandingWork(
             self, replica.jobs, self._planner
         )
@@ -163,6 +165,10 @@
             now_s,
         )
 
+    def start_wait_s(self, now_s):
+        """Return how long new jobs will wait for a start, beside room."""
+        return self._start_waits.wait_s(now_s)
+
     def _may_run(self, ready_step):
         """Return whether any executor may run a step, as far as known."""
         pool = self.steps.pool_of(ready_step.job)
@@ -431,6 +437,9 @@
             shares.left = max_starts
         starts = self._plan_starts(now_s, shares) if shares.left else []
         self.is_limited = not shares.left
+        self._start_waits.note_cycle(
+            len(starts), self._planner.short_starts, self.is_limited, now_s
+        )
         stops = [
             run
             for run in self._run_index.stop_candidates()
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -1,6 +1,7 @@
 """Plan which tasks start where."""
 
 import collections
+import math
 
 import attrs
 
@@ -34,6 +35,8 @@
     :ivar holding_pools: pools that start no work that is late
     :ivar held_homes: partitions whose jobs start nothing, since some of them
         may have been cancelled
+    :ivar short_starts: number of starts that were left out of the last plan
+        though there is room for them
     :ivar waiting_pools: pools in which steps wait for a time, or suspects of
         crashes for an executor on which nothing has only just started
     """
@@ -47,6 +50,7 @@
         self.holding_pools = frozenset()
         self.held_homes = frozenset()
         self.waiting_pools = set()
+        self.short_starts = 0
         self._held_gang = None
 
     def reopening_pools(self, now_s):
@@ -67,6 +71,7 @@
         :param shares: the starts that may be planned
         """
         self.waiting_pools.clear()
+        self.short_starts = 0
         waiting, full = self._find_candidates(pools, now_s)
         waiting.sort(key=lambda candidate: self._order(candidate, now_s))
         starts, reached = self._plan_steps(waiting, now_s, shares)
@@ -143,17 +148,19 @@
 
         Those of a job that has something running are served in their order.
         """
-        spare = {
-            pool: standing_work.used_share(pools[pool])
-            < standing_work.MAX_USED_SHARE
-            for pool in {candidate.pool for candidate in candidates}
-        }
+        by_pool = collections.defaultdict(list)
         for candidate in candidates:
-            ready_step = candidate.ready_step
-            if spare[candidate.pool] and self._has_nothing_running(ready_step):
-                ready_step.note_short(now_s)
-            else:
-                ready_step.short_since_s = None
+            by_pool[candidate.pool].append(candidate.ready_step)
+        for pool, ready_steps in by_pool.items():
+            used_share = standing_work.used_share(pools[pool])
+            has_spare = used_share < standing_work.MAX_USED_SHARE
+            if has_spare:
+                self.short_starts += _count_fitting(ready_steps, pools[pool])
+            for ready_step in ready_steps:
+                if has_spare and self._has_nothing_running(ready_step):
+                    ready_step.note_short(now_s)
+                else:
+                    ready_step.short_since_s = None
 
     def _has_nothing_running(self, ready_step):
         is_lasting = ready_step.spec.is_lasting
@@ -339,6 +346,17 @@
     return now_s - ready_step.beside_room_since_s < MAX_BESIDE_ROOM_S
 
 
+def _count_fitting(ready_steps, executors):
+    """Return for how many of the waiting tasks there is room."""
+    free = sum(executor.free.cpu_millicores for executor in executors)
+    needed = sum(
+        len(step.pending) * step.spec.reserved.cpu_millicores
+        for step in ready_steps
+    )
+    tasks = sum(len(step.pending) for step in ready_steps)
+    return tasks if needed <= free else math.floor(tasks * free / needed)
+
+
 def _started_together(ready_step):
     """Return how many tasks of a step have to start at the same time."""
     return len(ready_step.pending) if ready_step.spec.is_gang else 1
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -390,10 +390,14 @@
 
     def publish_loads(self, loads, standby_hosts):
         """Publish what new jobs will have to wait for."""
-        beyond = self.scheduler.shares.used_up(self.now_s())
-        self._publisher.publish_load(
-            admission.forecast(loads, standby_hosts, beyond)
+        now_s = self.now_s()
+        report = admission.forecast(
+            loads,
+            standby_hosts,
+            self.scheduler.shares.used_up(now_s),
+            self.scheduler.start_wait_s(now_s),
         )
+        self._publisher.publish_load(report)
 
     # Changes in the followed partitions
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
@@ -61,7 +61,9 @@
         now_s = self._owner.now_s()
         age_s = now_s - self._load_published_s
         if report == self._load:
-            is_due = report.pools and age_s >= admission.MAX_REPORT_AGE_S / 2
+            is_due = (
+                report.has_waits and age_s >= admission.MAX_REPORT_AGE_S / 2
+            )
         else:
             is_due = age_s >= MIN_LOAD_PERIOD_S
         if not is_due:
