Let the window of calls follow answers that are slower for good

Cause: the usual answer time is the shortest one of 10 to 20 s, so that answers of executors that have become slower count as a queue of the owner's own calls, and the window is halved each round, down to 4. It then grows by one call a round trip, which takes longer than before.

Change: the usual time is the shortest of 2.5 to 5 s. If it has risen since the window was reduced, fewer calls made the answers no faster, and the window is doubled each round again, until answers rise by 0.025 s or 0.3 of the usual time.

Why it works: a queue of the window's own calls shortens as the window is halved, so that answers are short again within the period.

No check of before was changed.

--- a/features/jobs_call_window.feature
+++ b/features/jobs_call_window.feature
@@ -35,6 +35,30 @@
     When for 50 rounds 0 executors are silent
     Then the window is at least 100
 
+  Scenario Outline: Answers that are slower for good don't keep the window small: <slower> s
+    Given a window for calls to 4 executors that answer in 0.002 s
+    When each executor answers 64 calls
+    And for <rounds> rounds 4 executors take <slower> s longer
+    Then the window is at least 100
+
+    Examples:
+      | slower | rounds |
+      | 0.11   | 75     |
+      | 0.2    | 40     |
+      | 0.35   | 24     |
+
+  Scenario Outline: A queue on the owner's own link isn't taken for slow executors: <rate> calls a second
+    Given a link that carries 1000 calls a second, and <rate> after 10 seconds
+    When as many calls as allowed are sent for 60 seconds
+    Then no call times out later than 10 seconds after the change
+    And the link carries 0.9 of what it can from then on, or more
+
+    Examples:
+      | rate |
+      | 200  |
+      | 100  |
+      | 50   |
+
   Scenario: A pause of the owner itself isn't taken for a full link
     Given a window for calls to 4 executors that answer in 0.002 s
     When each executor answers 64 calls
--- a/features/steps/jobs_call_window.py
+++ b/features/steps/jobs_call_window.py
@@ -1,5 +1,6 @@
 """Steps for the number of calls in flight, and for plans with a limit."""
 
+import heapq
 import itertools
 import math
 
@@ -15,6 +16,11 @@
 
 NAMES = 'abcd'
 HOSTS = 8
+# How often the owner of a narrow link sends calls, and how fast executors
+# answer there.
+SEND_PERIOD_S = 0.005
+LINK_ANSWER_S = 0.01
+LINK_EXECUTORS = 40
 
 
 class _Caller:
@@ -74,6 +80,84 @@
         self.end_until(max([end[0] for end in self._calls] or [self.now_s]))
 
 
+class _NarrowLink:
+    """A link that carries the owner's calls one after the other.
+
+    :ivar ends: time of the end of each call, and whether it was answered
+    """
+
+    def __init__(self, rate_before, rate_after, changed_s):
+        self.ends = []
+        self.changed_s = changed_s
+        self.rate_after = rate_after
+        self._rate_before = rate_before
+        self._window = call_window.CallWindow()
+        self._free_s = 0.0
+        self._calls = []
+        self._numbers = itertools.count()
+
+    def play(self, seconds):
+        """Send as many calls as the window allows."""
+        for turn in range(round(seconds / SEND_PERIOD_S)):
+            now_s = turn * SEND_PERIOD_S
+            self._end_until(now_s)
+            for _ in range(self._window.free_calls(now_s)):
+                self._send(now_s)
+
+    def _end_until(self, now_s):
+        while self._calls and self._calls[0][0] <= now_s:
+            end_s, _, call, is_answered = heapq.heappop(self._calls)
+            self._window.note_end(call, is_answered, end_s)
+            self.ends.append((end_s, is_answered))
+
+    def _send(self, now_s):
+        is_changed = now_s >= self.changed_s
+        rate = self.rate_after if is_changed else self._rate_before
+        self._free_s = max(self._free_s, now_s) + 1.0 / rate
+        took_s = self._free_s + LINK_ANSWER_S - now_s
+        timeout_s = executor_orders.CALL_TIMEOUT_S
+        number = next(self._numbers)
+        call = self._window.note_sent(f'x{number % LINK_EXECUTORS}', now_s)
+        end_s = now_s + min(took_s, timeout_s)
+        heapq.heappush(self._calls, (end_s, number, call, took_s < timeout_s))
+
+
+@given(
+    'a link that carries {before:d} calls a second, and {after:d} after '
+    '{changed:d} seconds'
+)
+def make_link(context, before, after, changed):
+    context.link = _NarrowLink(before, after, changed)
+
+
+@when('as many calls as allowed are sent for {seconds:d} seconds')
+def play_link(context, seconds):
+    context.seconds = seconds
+    context.link.play(seconds)
+
+
+@then('no call times out later than {settled:d} seconds after the change')
+def check_time_outs(context, settled):
+    context.settled_s = context.link.changed_s + settled
+    lost = [
+        end_s
+        for end_s, is_answered in context.link.ends
+        if not is_answered and end_s > context.settled_s
+    ]
+    assert not lost, (len(lost), lost[:5])
+
+
+@then('the link carries {share:g} of what it can from then on, or more')
+def check_carried(context, share):
+    link = context.link
+    carried = sum(
+        is_answered and end_s > context.settled_s
+        for end_s, is_answered in link.ends
+    )
+    possible = link.rate_after * (context.seconds - context.settled_s)
+    assert carried >= share * possible, (carried, possible)
+
+
 @given('a window for calls to 4 executors that answer in {usual:g} s')
 def make_window(context, usual):
     context.caller = _Caller(usual)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/call_window.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/call_window.py
@@ -36,12 +36,16 @@
 # Rise of the median answer time that counts as a queue. The last requests of a
 # window wait twice as long, still far below the timeout of a call.
 QUEUE_LIMIT_S = 0.1
-# Rise that ends the doubling at the beginning.
+# Rise that ends the doubling, or a share of the usual time if that is more:
+# longer answers vary more.
 PROBE_LIMIT_S = 0.025
+PROBE_LIMIT_SHARE = 0.3
 # Calls that take this much longer than usual may be waiting for one executor.
 LATE_CALL_S = 0.15
-# The usual answer time is the shortest one in this period.
-USUAL_PERIOD_S = 10.0
+# The usual answer time is the shortest one in this period, or the one before.
+# A queue of the window's own calls is gone sooner, since the window is halved
+# each round; what remains is how long executors take now.
+USUAL_PERIOD_S = 2.5
 # Executors that have to be slow before it is the owner's own link.
 MIN_SLOW_EXECUTORS = 2
 # Answer times that are kept per executor and round.
@@ -73,6 +77,8 @@
         self._calls = {}
         self._usual = _ShortestTime()
         self._is_probing = True
+        # By which usual time the window was last reduced.
+        self._reduced_by_s = math.inf
         self._newest_answered_s = -math.inf
         self._paused_s = 0.0
         self._begin_round(-math.inf)
@@ -161,8 +167,15 @@
         if is_queue and len(medians_s) < MIN_SLOW_EXECUTORS:
             # Whose queue it is shows once another executor was called.
             return
-        self._is_probing = self._is_probing and rise_s <= PROBE_LIMIT_S
+        usual_s = self._usual.value_s
+        probe_limit_s = max(PROBE_LIMIT_S, PROBE_LIMIT_SHARE * usual_s)
+        if usual_s > self._reduced_by_s + PROBE_LIMIT_S:
+            # Fewer calls didn't make the answers any faster.
+            self._reduced_by_s = math.inf
+            self._is_probing = True
+        self._is_probing = self._is_probing and rise_s <= probe_limit_s
         if is_queue:
+            self._reduced_by_s = usual_s
             self._reduce(
                 MIN_CALLS if rise_s == math.inf else MIN_ANSWERED_CALLS
             )
