Tell no wait for starts that refuses no job

A wait of less than 1 s was published in steps of 0.5 s, though daemons refuse nothing by it: the report of the load changed more often than needed. Found by reading the change again; it is told from 1 s on now.

--- a/features/jobs_admission.feature
+++ b/features/jobs_admission.feature
@@ -34,6 +34,10 @@
       | 30.0 | no pool is overloaded  | a scheduled job     | admitted |
       | 0.0  | the pool is overloaded | a job of 1 second   | refused  |
 
+  Scenario: A wait for starts that refuses no job is not published
+    Given a report that no pool is overloaded and that jobs wait 0.9 s for a start
+    Then the report is the same as without any wait
+
   Scenario Outline: The wait for a start is told by those that wait, and the rate of late: <case>
     When cycles start <starts> tasks each 0.1 s for <seconds> s, and leave out <waiting>
     Then new jobs wait <wait> s for a start
--- a/features/steps/jobs_admission.py
+++ b/features/steps/jobs_admission.py
@@ -70,6 +70,12 @@
     context.start_wait_s = wait
 
 
+@then('the report is the same as without any wait')
+def check_no_report(context):
+    report = admission.forecast(context.loads, 0, (), context.start_wait_s)
+    assert report == admission.LoadReport(), report
+
+
 @when('a job of 1 second arrives')
 def check_short_job(context):
     check_job(context, 1.0, 'within')
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/admission.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/admission.py
@@ -99,7 +99,8 @@
     return LoadReport(
         pools,
         tuple(sorted(beyond_share)) if pools else (),
-        _rounded(start_wait_s),
+        # A shorter wait refuses no job, and would only be stored often.
+        _rounded(start_wait_s) if start_wait_s >= MAX_START_WAIT_S else 0.0,
     )
 
 
