Start long-running tasks before jobs that waited for a start

What callers would have seen: a long-running task that arrives while the owner's starts are short waits until each job that has waited for 1 s has got a start.

Cause: the planner compares how long a step has waited before its urgency.

Change: long-running steps come first, whatever else has waited.

"Long-running tasks don't wait for jobs that have waited for a start" failed before: it started b and then lasting. "A job without a start goes before others that have begun" shows the turns in single cycles; it passed at once. Run: jobs_call_window, all passed.

--- a/features/jobs_call_window.feature
+++ b/features/jobs_call_window.feature
@@ -115,6 +115,24 @@
     When a cycle of 4 starts is planned without others in flight
     Then it starts "gang gang gang gang gang"
 
+  Scenario: A job without a start goes before others that have begun, after a while
+    Given steps "a*12 b*12" and executors with room for 32 tasks
+    When a cycle of 1 starts is planned with others in flight
+    Then it starts "a"
+    When a cycle of 1 starts is planned with others in flight
+    Then it starts "a"
+    When no cycle is planned for 1.2 s
+    And a cycle of 4 starts is planned with others in flight
+    Then it starts "b a a b"
+
+  Scenario: Long-running tasks don't wait for jobs that have waited for a start
+    Given steps "a*12 b*12" and executors with room for 32 tasks
+    When a cycle of 1 starts is planned with others in flight
+    And no cycle is planned for 1.2 s
+    And step "lasting*1" arrives
+    And a cycle of 2 starts is planned with others in flight
+    Then it starts "lasting b"
+
   Scenario: Steps that wait for answers don't count as starved
     Given steps "a*20" and executors with room for 32 tasks
     When a cycle of 4 starts is planned with others in flight
--- a/features/steps/jobs_call_window.py
+++ b/features/steps/jobs_call_window.py
@@ -259,12 +259,17 @@
         harness.add_executor(f'x{number}')
     context.wanted = {}
     for text in steps.split():
-        name, count = text.split('*')
-        context.wanted[name] = int(count)
-        options = {'is_gang': name == 'gang', 'is_lasting': name == 'lasting'}
-        spec = scheduler_harness.steps(int(count), **options)
-        harness.add_job(name, spec)
-        harness.now_s += 0.01
+        add_step(context, text)
+
+
+@when('step "{text}" arrives')
+def add_step(context, text):
+    name, count = text.split('*')
+    context.wanted[name] = int(count)
+    options = {'is_gang': name == 'gang', 'is_lasting': name == 'lasting'}
+    spec = scheduler_harness.steps(int(count), **options)
+    context.harness.add_job(name, spec)
+    context.harness.now_s += 0.01
 
 
 def _names(runs):
@@ -299,6 +304,11 @@
     context.starts = plan.starts
 
 
+@when('no cycle is planned for {seconds:g} s')
+def pass_time(context, seconds):
+    context.harness.now_s += seconds
+
+
 @then('it starts "{names}"')
 def check_starts(context, names):
     assert _names(context.starts) == names.split(), context.starts
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -132,6 +132,7 @@
         ready_step, held = candidate.ready_step, self._held_gang
         return (
             held is None or ready_step.key != held,
+            not ready_step.spec.is_lasting,
             ready_step.turn_s(now_s),
             self._steps.rank(ready_step, now_s),
             candidate.pool,
