Close no pool by the failures of hopeless jobs

What callers saw: in a pool of few executors, jobs had nothing running for seconds though the executors were idle.

Cause: each failed run counted against its executor. The tasks of one hopeless job that were packed on one executor suspended it for up to 8 s, its retries the next executors, until none was left. Slow progress closes all executors likewise where no run tells any or the declared times are wrong. Suspension after an unanswered poll or an unhealthy executor grew with the failures, too.

Change: - A failure no longer counts against executors once the same step has failed on another one that has lately completed other work (failure_blame). Failures of one step count at most twice in a row. - Failures and slow progress make an executor distrusted, not suspended. A job that has nothing running and has waited for 0.5 s (1.25 s at most once its tasks have failed) starts a task on the least distrusted one, if under half of the pool is in use. A run that succeeds there ends the distrust after failures. - Executors are slow only by comparison: where most of a pool look slow, none is avoided for it. - Executors that reject runs or aren't reached are suspended for 0.2 s or 1 s, whatever has failed there.

--- a/features/stage/queue_load.py
+++ b/features/stage/queue_load.py
@@ -196,19 +196,20 @@
         self._scheduler.handle_start_answer(
             run, run_tracking.StartAnswer.ACCEPTED, self.now_s
         )
+        took_s, cause = self._end_of(run)
+        self._at(self.now_s + took_s + DETECT_S, self._end, run, cause)
+
+    def _end_of(self, run):
+        """Return after which time a run ends, and how."""
         task_id = run.task_id
         played = self.played[task_id.job_id]
         took_s = played.task_s[task_id.step][task_id.index]
-        self._at(self.now_s + took_s + DETECT_S, self._end, run)
+        return took_s, run_state.EndCause.DONE
 
-    def _end(self, run):
+    def _end(self, run, cause):
         name = run.executor_id
         row = run_state.ReportedEnd(
-            next(self._ends[name]),
-            run.task_id,
-            run.number,
-            run_state.EndCause.DONE,
-            '',
+            next(self._ends[name]), run.task_id, run.number, cause, ''
         )
         self._report(name, (row,))
         played = self.played[run.task_id.job_id]
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executor_health.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executor_health.py
@@ -1,18 +1,24 @@
-"""Suspend unhealthy executors from new runs for a limited time.
+"""Keep new runs from unhealthy executors for a limited time.
 
-An executor is suspended when its runs fail repeatedly, stall or make slow
-progress. Each executor is judged by its own runs. The suspension after
-failures doubles with each further failure in a row.
+An executor that rejects runs or isn't reached is suspended: nothing starts
+there. One whose runs fail repeatedly, stall or make slow progress is
+distrusted: runs start there if no other executor has room for them. The
+distrust after failures doubles with each further failure in a row, of which a
+step counts only as many as it takes to distrust an executor.
 """
 
 import statistics
 
 from . import run_state
 
-# Consecutive failed runs before an executor is suspended.
-FAILURES_BEFORE_SUSPENSION = 2
+# Consecutive failed runs before an executor is distrusted.
+FAILURES_BEFORE_DISTRUST = 2
+DISTRUST_S = 1.0
+MAX_DOUBLINGS = 3
+# Age of a success up to which an executor counts as able to run tasks.
+MAX_SUCCESS_AGE_S = 5.0
+# Suspension of an executor that isn't reached, or says that it is unhealthy.
 SUSPEND_S = 1.0
-MAX_SUSPEND_S = 8.0
 # Suspension of an executor that rejected a run for lack of room.
 NO_ROOM_SUSPEND_S = 0.2
 # Minimum number of measured runs before an executor can count as slow.
@@ -28,16 +34,46 @@
 MAX_MEASURED_RUN_S = 20.0
 
 
-def record_success(executor):
+def record_success(executor, run, now_s):
     """Record a successful run."""
-    executor.consecutive_failures = 0
+    executor.failures.clear()
+    executor.succeeded_s = now_s
+    if run.planned_s >= executor.failing_since_s:
+        executor.failing_until_s = 0.0
 
 
-def record_failure(executor, now_s):
-    """Record a failed run."""
-    executor.consecutive_failures += 1
-    if executor.consecutive_failures >= FAILURES_BEFORE_SUSPENSION:
-        suspend(executor, now_s)
+def has_succeeded_lately(executor, now_s):
+    """Return whether an executor is known not to fail all that it starts."""
+    return now_s - executor.succeeded_s < MAX_SUCCESS_AGE_S
+
+
+def record_failure(executor, step_key, now_s):
+    """Record a failed run of a step."""
+    executor.failures[step_key] += 1
+    count = sum(
+        min(failures, FAILURES_BEFORE_DISTRUST)
+        for failures in executor.failures.values()
+    )
+    if count < FAILURES_BEFORE_DISTRUST:
+        return
+    if executor.failing_until_s <= now_s:
+        executor.distrusted_for.clear()
+        executor.failing_since_s = now_s
+    executor.distrusted_for.update(executor.failures)
+    doublings = min(MAX_DOUBLINGS, count - FAILURES_BEFORE_DISTRUST)
+    executor.failing_until_s = max(
+        executor.failing_until_s, now_s + DISTRUST_S * 2**doublings
+    )
+
+
+def retract_failures(executor, step_key):
+    """Forget the failures of a step that fails on any executor."""
+    executor.failures.pop(step_key, None)
+    if step_key not in executor.distrusted_for:
+        return
+    executor.distrusted_for.discard(step_key)
+    if not executor.distrusted_for:
+        executor.failing_until_s = 0.0
 
 
 def record_no_room(executor, now_s):
@@ -46,7 +82,7 @@
 
 
 def check_progress(executor, expected_s, now_s):
-    """Suspend an executor whose runs are slow, and return the stalled runs.
+    """Distrust an executor whose runs are slow, and return the stalled runs.
 
     :param expected_s: callable that returns the expected run time of a run
     """
@@ -63,7 +99,7 @@
     ]
     if statistics.median(shares) >= SLOW_PROGRESS_SHARE:
         return []
-    _suspend_until(executor, now_s + SUSPEND_S)
+    executor.slow_until_s = now_s + DISTRUST_S
     stalled = [
         run
         for run, _ in measured
@@ -91,11 +127,7 @@
 
 def suspend(executor, now_s):
     """Place no new runs on an executor for a while."""
-    extra_failures = max(
-        0, executor.consecutive_failures - FAILURES_BEFORE_SUSPENSION
-    )
-    wait_s = min(MAX_SUSPEND_S, SUSPEND_S * 2**extra_failures)
-    _suspend_until(executor, now_s + wait_s)
+    _suspend_until(executor, now_s + SUSPEND_S)
 
 
 def _suspend_until(executor, until_s):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -2,6 +2,7 @@
 
 import collections
 import itertools
+import math
 
 import attrs
 
@@ -71,6 +72,12 @@
     :ivar is_closed_to_lasting: whether no long-running task is placed here
     :ivar finite_ended_s: when a run that ends by itself was last removed
     :ivar suspended_until_s: no new runs are placed here before this time
+    :ivar failing_since_s: since when it was distrusted, when its runs failed
+    :ivar succeeded_s: when a run last succeeded here
+    :ivar failing_until_s: until when it is distrusted, since its runs failed
+    :ivar slow_until_s: until when it is distrusted, since its runs are slow
+    :ivar failures: failed runs since the last success, by key of their step
+    :ivar distrusted_for: keys of the steps whose failures it is distrusted for
     :ivar polled_s: when the last answer to a poll arrived
     :ivar held_until_s: until when no runs start here but those of suspects
     :ivar last_answer_s: when the last answer to any call arrived
@@ -113,7 +120,12 @@
     is_closed_to_lasting: bool = False
     finite_ended_s: float = 0.0
     suspended_until_s: float = 0.0
-    consecutive_failures: int = 0
+    failing_since_s: float = 0.0
+    failing_until_s: float = 0.0
+    succeeded_s: float = -math.inf
+    slow_until_s: float = 0.0
+    failures: collections.Counter = attrs.Factory(collections.Counter)
+    distrusted_for: set = attrs.Factory(set)
     idle_since_s: float = 0.0
     missing_since_s: float | None = None
 
@@ -122,6 +134,11 @@
         """Identity of this incarnation."""
         return self.entry.executor_id
 
+    @property
+    def distrusted_until_s(self):
+        """Until when runs are placed here only if no other has room."""
+        return max(self.failing_until_s, self.slow_until_s)
+
     def __attrs_post_init__(self):
         self.whole_capacity = self.entry.capacity
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
@@ -38,6 +38,11 @@
 
 
 def is_usable(executor, now_s):
+    """Return True if an executor takes new runs and isn't distrusted."""
+    return takes_runs(executor, now_s) and executor.distrusted_until_s <= now_s
+
+
+def takes_runs(executor, now_s):
     """Return True if new runs may be placed on an executor."""
     return (
         executor.is_fenced
@@ -49,6 +54,14 @@
     )
 
 
+def used_share(executors):
+    """Return which share of the processors of some executors is in use."""
+    known = [e for e in executors if not e.entry.is_leaving]
+    whole = sum(e.entry.capacity.cpu_millicores for e in known)
+    free = sum(e.free.cpu_millicores for e in known)
+    return 1.0 - free / whole if whole else 1.0
+
+
 def is_apart(executor, now_s):
     """Return True if only suspects of crashes may start on an executor."""
     return executor.held_until_s > now_s or has_probation(executor)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
@@ -17,6 +17,14 @@
 HOLD_S = 1.0
 # Share of the executors of a pool that are held at once.
 MAX_APART_SHARE = 0.3
+# A job that waits for so long may start on a distrusted executor, if no more
+# of the pool is in use; with each failure it has less attempts left, and waits
+# longer.
+DISTRUST_WAIT_S = 0.5
+MAX_DISTRUST_WAIT_S = 1.25
+MAX_DISTRUST_USED_SHARE = 0.5
+# Share of the executors of a pool that can be slower than the others.
+MAX_SLOW_SHARE = 0.5
 
 
 class PoolPlacement:
@@ -31,6 +39,11 @@
         self._usable = {}
         # Executors on which only suspects of crashes may start.
         self._apart = {}
+        # Executors on which runs start only if no other has room.
+        self._distrusted = {}
+        # All executors of the pool, and the share in use, if it is known.
+        self._known = ()
+        self._used_share = None
         # Jobs with suspects that found no executor in this cycle.
         self._waiting_jobs = set()
         self._versions = {}
@@ -41,7 +54,12 @@
     @property
     def has_usable(self):
         """Whether new runs may be placed anywhere in the pool."""
-        return bool(self._usable or self._apart)
+        return bool(self._usable or self._apart or self._distrusted)
+
+    @property
+    def has_distrusted(self):
+        """Whether steps may have to wait until executors are trusted."""
+        return bool(self._distrusted)
 
     def update(self, executors, now_s):
         """Record what has changed since the last cycle.
@@ -52,19 +70,23 @@
             self._rankings.clear()
             self._changed.clear()
         before = self._versions
-        self._usable, self._apart = {}, {}
+        self._usable, self._apart, self._distrusted = {}, {}, {}
         self._waiting_jobs.clear()
-        for executor in executors:
-            if not placement.is_usable(executor, now_s):
-                continue
-            is_apart = placement.is_apart(executor, now_s)
-            group = self._apart if is_apart else self._usable
+        taking = [e for e in executors if placement.takes_runs(e, now_s)]
+        distrusted = _distrusted_of(taking, now_s)
+        for executor in taking:
+            group = self._usable
+            if executor.number in distrusted:
+                group = self._distrusted
+            elif placement.is_apart(executor, now_s):
+                group = self._apart
             group[executor.number] = executor
         closed = [e for e in executors if e.number not in self._usable]
         self.reopens_s = min(
             (placement.reopens_s(executor, now_s) for executor in closed),
             default=math.inf,
         )
+        self._known, self._used_share = executors, None
         self._versions = {
             number: executor.version
             for number, executor in self._usable.items()
@@ -79,6 +101,63 @@
         """
         return self._ranking(step).has_room(step)
 
+    def may_probe(self, ready_step, now_s):
+        """Return whether a step may start on a distrusted executor.
+
+        One that fails all that it starts always has room. So only jobs go
+        there that would have nothing running, and not those of a busy pool.
+        """
+        since_s = ready_step.unplaced_since_s
+        if not self._distrusted or since_s is None:
+            return False
+        if now_s - since_s < _wait_for_trusted_s(ready_step):
+            return False
+        return ready_step.spec.is_lasting or (
+            not ready_step.job.has_assigned_tasks and self._is_hardly_used()
+        )
+
+    def _is_hardly_used(self):
+        if self._used_share is None:
+            self._used_share = placement.used_share(self._known)
+        return self._used_share < MAX_DISTRUST_USED_SHARE
+
+    def choose_distrusted(
+        self, step, task_id, task, now_s, is_suspect, allowed_ids=None
+    ):
+        """Return the least distrusted executor for a task, or None.
+
+        :param is_suspect: whether the task may crash executors
+        """
+        candidates = [
+            executor
+            for executor in self._ready_for_probes(now_s, allowed_ids)
+            if placement.can_place(executor, step, task_id)
+            if not is_suspect or placement.is_quiet(executor, task_id.job_id)
+        ]
+        if task.failures:
+            others = [e for e in candidates if e.executor_id != task.executor]
+            candidates = others or candidates
+        return min(candidates, key=_by_distrust, default=None)
+
+    def choose_gang_distrusted(self, step, task_ids, now_s, allowed_ids=None):
+        """Return an executor, distrusted or not, for each task of a gang."""
+        usable = list(self._usable.values())
+        if allowed_ids is not None:
+            usable = self._usable_of(allowed_ids)
+        executors = [
+            *usable,
+            *self._ready_for_probes(now_s, allowed_ids),
+        ]
+        return placement.choose_gang(executors, step, task_ids)
+
+    def _ready_for_probes(self, now_s, allowed_ids):
+        return [
+            executor
+            for executor in self._distrusted.values()
+            if not placement.is_apart(executor, now_s)
+            and (allowed_ids is None or executor.executor_id in allowed_ids)
+        ]
+
     def choose(self, step, task_id, task, allowed_ids=None):
         """Return the best and the second-best executor for a task.
 
@@ -179,6 +258,7 @@
 
     def note_placed(self, executor):
         """Record that a run was added to an executor in this cycle."""
+        self._used_share = None
         if placement.has_probation(executor):
             executor.held_until_s = 0.0
             self._set_apart(executor)
@@ -204,6 +284,27 @@
         return ranking
 
 
+def _distrusted_of(executors, now_s):
+    """Return the numbers of the executors of a pool that are distrusted.
+
+    Where most look slow, the declared times are wrong, or none tells progress.
+    """
+    slow = {e.number for e in executors if e.slow_until_s > now_s}
+    if len(slow) > MAX_SLOW_SHARE * len(executors):
+        slow.clear()
+    return slow | {e.number for e in executors if e.failing_until_s > now_s}
+
+
+def _wait_for_trusted_s(ready_step):
+    tasks = ready_step.occurrence.tasks[ready_step.step]
+    failures = min(tasks[index].failures for index in ready_step.pending)
+    return min(MAX_DISTRUST_WAIT_S, DISTRUST_WAIT_S * (1 + failures))
+
+
+def _by_distrust(executor):
+    return executor.failing_until_s, executor.slow_until_s, executor.number
+
+
 def _by_runs(executor):
     return len(executor.runs), executor.number
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
@@ -1,7 +1,7 @@
 """Apply the ends of runs to their tasks, steps and jobs."""
 
 from . import crash_blame
-from . import executor_health
+from . import failure_blame
 from . import jobs
 from . import run_state
 from . import run_tracking
@@ -21,6 +21,7 @@
         self._steps = steps
         self._forget_advice = forget_advice
         self._run_index = run_index
+        self._failures = failure_blame.FailureBlame()
         self._changed = {}
 
     def note_changed(self, run):
@@ -36,11 +37,15 @@
     def stop_job(self, job):
         """Stop all runs of a job that has ended."""
         self._steps.remove_job(job)
-        self._forget_advice(job.job_id)
+        self._forget_job(job.job_id)
         for run in self._run_index.runs_of_job(job.job_id):
             if job.must_end_runs_of(run.step):
                 run.is_stop_requested = True
 
+    def _forget_job(self, job_id):
+        self._forget_advice(job_id)
+        self._failures.forget_job(job_id)
+
     def finish(self, executor, ended, now_s):
         """Remove a run that has ended from its executor."""
         run, task = ended.run, ended.run.task
@@ -77,10 +82,12 @@
 
     def _update_executor_health(self, executor, ended, now_s):
         if ended.cause is _Cause.DONE:
-            executor_health.record_success(executor)
+            self._failures.note_success(executor, ended.run, now_s)
             self._record_run_time(ended.run, now_s)
-        elif ended.cause is _Cause.FAILED:
-            executor_health.record_failure(executor, now_s)
+        elif ended.cause is _Cause.FAILED and (
+            not ended.run.occurrence.job.is_terminal
+        ):
+            self._failures.note_failure(executor, ended.run.task_id, now_s)
 
     def _record_run_time(self, run, now_s):
         if run.started_s is not None and not run.step.is_lasting:
@@ -118,7 +125,7 @@
         if occurrence.is_step_done(step):
             self._steps.complete_step(occurrence, step, now_s)
         if occurrence.job.is_done:
-            self._forget_advice(occurrence.job.job_id)
+            self._forget_job(occurrence.job.job_id)
 
     def _stop_other_runs(self, ended_run):
         if ended_run.step.is_gang:
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/standing_work.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/standing_work.py
@@ -127,7 +127,7 @@
             pool = self._scheduler.steps.pool_of(ready_step.job)
             known = self._scheduler.executors_in(pool)
             if pool not in used_shares:
-                used_shares[pool] = used_share(known)
+                used_shares[pool] = placement.used_share(known)
             is_busy = used_shares[pool] >= MAX_USED_SHARE
             if is_busy and not ready_step.spec.is_lasting:
                 continue
@@ -236,14 +236,6 @@
     return run.phase_changed_s
 
 
-def used_share(executors):
-    """Return which share of the processors of some executors is in use."""
-    known = [e for e in executors if not e.entry.is_leaving]
-    whole = sum(e.entry.capacity.cpu_millicores for e in known)
-    free = sum(e.free.cpu_millicores for e in known)
-    return 1.0 - free / whole if whole else 1.0
-
-
 def _executors_with_room(executors, ready_step):
     """Return the executors with room, or none without room twice over."""
     slots = [
@@ -280,6 +272,8 @@
         return 'missing'
     if executor.suspended_until_s > now_s:
         return 'suspended'
+    if executor.distrusted_until_s > now_s:
+        return 'distrusted'
     if spec.is_lasting and executor.is_closed_to_lasting:
         return 'closed_to_lasting'
     if placement.is_apart(executor, now_s):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -1,6 +1,7 @@
 """Plan which tasks start where."""
 
 import collections
+import functools
 import math
 
 import attrs
@@ -8,6 +9,7 @@
 from . import crash_blame
 from . import jobs
 from . import ordering
+from . import placement
 from . import pool_placement
 from . import run_state
 from . import standing_work
@@ -97,11 +99,15 @@
             pool_executors.update(executors, now_s)
             if not pool_executors.has_usable:
                 continue
+            if pool_executors.has_distrusted and self._steps.pending_in(pool):
+                self.waiting_pools.add(pool)
             for ready_step in self._steps_to_start(
                 pool, pool_executors, now_s
             ):
                 candidate = _Candidate(ready_step, pool, pool_executors)
-                if _may_have_room(pool_executors, ready_step):
+                if _may_have_room(pool_executors, ready_step) or (
+                    pool_executors.may_probe(ready_step, now_s)
+                ):
                     waiting.append(candidate)
                     continue
                 ready_step.short_since_s = None
@@ -153,7 +159,7 @@
         for candidate in candidates:
             by_pool[candidate.pool].append(candidate.ready_step)
         for pool, ready_steps in by_pool.items():
-            used_share = standing_work.used_share(pools[pool])
+            used_share = placement.used_share(pools[pool])
             has_spare = used_share < standing_work.MAX_USED_SHARE
             if has_spare:
                 self.short_starts += _count_fitting(ready_steps, pools[pool])
@@ -190,20 +196,53 @@
             return []
         if ready_step.unplaced_since_s is None:
             ready_step.unplaced_since_s = now_s
+        starts = self._place_step(candidate, now_s, shares, limit)
+        if not starts and candidate.executors.may_probe(ready_step, now_s):
+            starts = self._plan_probe(candidate, now_s, shares)
+        if ready_step.suspects:
+            self.waiting_pools.add(candidate.pool)
+        return starts
+
+    def _place_step(self, candidate, now_s, shares, limit):
+        ready_step, pool_executors = candidate.ready_step, candidate.executors
         # Steps that were placed before may have taken the room.
-        if not _may_have_room(candidate.executors, ready_step):
+        if not _may_have_room(pool_executors, ready_step):
             return []
         if ready_step.spec.is_gang:
-            starts = self._plan_gang(
-                ready_step, candidate.executors, now_s, shares
+            return self._plan_gang(ready_step, pool_executors, now_s, shares)
+        return self._plan_tasks(ready_step, pool_executors, now_s, limit)
+
+    def _plan_probe(self, candidate, now_s, shares):
+        """Start a task, or a whole gang, on distrusted executors."""
+        ready_step, pool_executors = candidate.ready_step, candidate.executors
+        if ready_step.spec.is_gang:
+            choose = functools.partial(
+                pool_executors.choose_gang_distrusted, now_s=now_s
             )
-        else:
-            starts = self._plan_tasks(
-                ready_step, candidate.executors, now_s, limit
+            return self._plan_gang(
+                ready_step, pool_executors, now_s, shares, choose
             )
-        if ready_step.suspects:
-            self.waiting_pools.add(candidate.pool)
-        return starts
+        return self._plan_task_probe(ready_step, pool_executors, now_s)
+
+    def _plan_task_probe(self, ready_step, pool_executors, now_s):
+        step_tickets = self._valid_tickets(ready_step, now_s)
+        tasks = ready_step.occurrence.tasks[ready_step.step]
+        # Another failure costs it least.
+        index = min(ready_step.pending, key=lambda i: tasks[i].failures)
+        executor = pool_executors.choose_distrusted(
+            ready_step.spec,
+            _task_id(ready_step, index),
+            tasks[index],
+            now_s,
+            index in ready_step.suspects,
+            step_tickets,
+        )
+        if executor is None:
+            return []
+        run = self._start_task(
+            ready_step, index, pool_executors, executor, step_tickets, now_s
+        )
+        return [run]
 
     def _may_use_quota(self, ready_step):
         """Return whether a step may start a task; set it aside if not.
@@ -275,6 +314,18 @@
             )
         if executor is None:
             return None
+        run = self._start_task(
+            ready_step, index, pool_executors, executor, step_tickets, now_s
+        )
+        run.second_choice = second.executor_id if second else ''
+        return run
+
+    def _start_task(
+        self, ready_step, index, pool_executors, executor, step_tickets, now_s
+    ):
+        """Return the planned run of a task on an executor."""
+        task_id = _task_id(ready_step, index)
+        task = ready_step.occurrence.task(task_id)
         ready_step.take(index)
         ready_step.unplaced_since_s = now_s if ready_step.pending else None
         ready_step.placed_s = now_s
@@ -287,11 +338,12 @@
             crash_blame.probation_s(task),
         )
         pool_executors.note_placed(executor)
-        run.second_choice = second.executor_id if second else ''
         run.ticket = (step_tickets or {}).get(executor.executor_id, '')
         return run
 
-    def _plan_gang(self, ready_step, pool_executors, now_s, shares):
+    def _plan_gang(
+        self, ready_step, pool_executors, now_s, shares, choose=None
+    ):
         tasks = ready_step.occurrence.tasks[ready_step.step]
         if len(ready_step.pending) < len(tasks):
             return []
@@ -302,9 +354,8 @@
                 ready_step.spec, ids, now_s, step_tickets
             )
         else:
-            chosen = pool_executors.choose_gang(
-                ready_step.spec, ids, step_tickets
-            )
+            choose = choose or pool_executors.choose_gang
+            chosen = choose(ready_step.spec, ids, allowed_ids=step_tickets)
         if chosen is None or not shares.admits_gang(ready_step):
             return []
         ready_step.pending.clear()
