Start long-running tasks on hosts that are being emptied, if they must

What callers saw: a long-running task had nothing running for 4.0 s beside room, its executors closed (`executors_closed` in the log of standing work).

Cause: consolidation closes the host that it empties for up to 8 s, and a wave all hosts that are due, to long-running tasks, until they are emptied. Nothing bounded the wait of a task for which only these have room.

Change: a long-running step that no other executor has had room for for 0.5 s (longer after failures, 1.25 s at most) starts all its tasks there, whatever else the pool runs. A host is emptied only as far as others have room, so that such a task moves on later.

Hosts that are reserved (draining, or about to be moved) still take nothing.

The new scenario of jobs_consolidation failed before. After it, jobs_consolidation and jobs_scheduler: 31 scenarios passed.

--- a/features/jobs_consolidation.feature
+++ b/features/jobs_consolidation.feature
@@ -40,6 +40,11 @@
       | no task may be away               | 1.0    | 12         | 8          | 0     | 0        | 0        | none    |
       | a third host has the fewest tasks | 1.0    | 12         | 8          | 1     | 0        | 1        | 2       |
 
+  Scenario: A long-running task doesn't stand beside hosts that are being emptied
+    Given executors "a" and "b" that are being emptied of long-running tasks
+    When a job of 6 long-running tasks waits for 1.5 seconds
+    Then each of its tasks has started
+
   Scenario: A host with other runs of late is left alone
     Given a pool that needs 1.0 hosts, and hosts with long-running tasks
       | tasks | free_cores | last_finite_s | per_host | max_away |
--- a/features/steps/jobs_consolidation.py
+++ b/features/steps/jobs_consolidation.py
@@ -14,6 +14,7 @@
 from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import specs
 from stage import job_world
+from stage import scheduler_harness
 
 NOW_S = 100.0
 HOST = specs.Resources(16000, 65536)
@@ -169,3 +170,30 @@
 def check_released(context, outcome):
     expected = ['spare'] if outcome == 'released' else []
     assert [move.to_pool for move in context.moves] == expected
+
+
+@given(
+    'executors "{first}" and "{second}" that are being emptied of '
+    'long-running tasks'
+)
+def close_executors(context, first, second):
+    context.harness = scheduler_harness.Harness()
+    for name in (first, second):
+        context.harness.add_executor(name)
+        context.harness.scheduler.executors[name].close_to_lasting()
+
+
+@when('a job of {count:d} long-running tasks waits for {wait_s:g} seconds')
+def wait_with_lasting(context, count, wait_s):
+    harness = context.harness
+    harness.add_job('l', scheduler_harness.steps(count, is_lasting=True))
+    context.started, end_s = [], harness.now_s + wait_s
+    context.wanted = count
+    while harness.now_s < end_s:
+        harness.now_s += WATCH_PERIOD_S
+        context.started += harness.start_all()
+
+
+@then('each of its tasks has started')
+def check_lasting_started(context):
+    assert len(context.started) == context.wanted, context.started
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
@@ -111,6 +111,14 @@
     """Return True if an executor has the label and the room for a step."""
     if step.is_lasting and executor.is_closed_to_lasting:
         return False
+    return fits(executor, step)
+
+
+def fits(executor, step):
+    """Return True if an executor can hold a task, even if it is to be emptied.
+
+    Hosts are emptied of long-running tasks by and by, while they run others.
+    """
     if step.required_label and step.required_label not in (
         executor.entry.labels
     ):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
@@ -41,6 +41,8 @@
         self._apart = {}
         # Executors on which runs start only if no other has room.
         self._distrusted = {}
+        # Executors that long-running tasks use only if no other has room.
+        self._closed_to_lasting = []
         # All executors of the pool, and the share in use, if it is known.
         self._known = ()
         self._used_share = None
@@ -57,9 +59,9 @@
         return bool(self._usable or self._apart or self._distrusted)
 
     @property
-    def has_distrusted(self):
-        """Whether steps may have to wait until executors are trusted."""
-        return bool(self._distrusted)
+    def has_last_choices(self):
+        """Whether some executors are only for steps that have waited."""
+        return bool(self._distrusted or self._closed_to_lasting)
 
     def update(self, executors, now_s):
         """Record what has changed since the last cycle.
@@ -86,6 +88,7 @@
             (placement.reopens_s(executor, now_s) for executor in closed),
             default=math.inf,
         )
+        self._closed_to_lasting = [e for e in taking if e.is_closed_to_lasting]
         self._known, self._used_share = executors, None
         self._versions = {
             number: executor.version
@@ -102,18 +105,23 @@
         return self._ranking(step).has_room(step)
 
     def may_probe(self, ready_step, now_s):
-        """Return whether a step may start on a distrusted executor.
+        """Return whether a step may start where no run is to start.
 
-        One that fails all that it starts always has room. So only jobs go
+        Long-running tasks may do so however full the pool is. A distrusted
+        executor that fails all that it starts always has room. So only jobs go
         there that would have nothing running, and not those of a busy pool.
         """
         since_s = ready_step.unplaced_since_s
-        if not self._distrusted or since_s is None:
+        if since_s is None:
             return False
         if now_s - since_s < _wait_for_trusted_s(ready_step):
             return False
-        return ready_step.spec.is_lasting or (
-            not ready_step.job.has_assigned_tasks and self._is_hardly_used()
+        if ready_step.spec.is_lasting:
+            return self.has_last_choices
+        return bool(
+            self._distrusted
+            and not ready_step.job.has_assigned_tasks
+            and self._is_hardly_used()
         )
 
     def _is_hardly_used(self):
@@ -121,17 +129,18 @@
             self._used_share = placement.used_share(self._known)
         return self._used_share < MAX_DISTRUST_USED_SHARE
 
-    def choose_distrusted(
+    def choose_last(
         self, step, task_id, task, now_s, is_suspect, allowed_ids=None
     ):
-        """Return the least distrusted executor for a task, or None.
+        """Return the least distrusted executor for a waiting task, or None.
 
         :param is_suspect: whether the task may crash executors
         """
         candidates = [
             executor
-            for executor in self._ready_for_probes(now_s, allowed_ids)
-            if placement.can_place(executor, step, task_id)
+            for executor in self._ready_for_probes(now_s, allowed_ids, step)
+            if placement.fits(executor, step)
+            if placement.is_below_limit(executor, step, task_id)
             if not is_suspect or placement.is_quiet(executor, task_id.job_id)
         ]
         if task.failures:
@@ -139,21 +148,24 @@
             candidates = others or candidates
         return min(candidates, key=_by_distrust, default=None)
 
-    def choose_gang_distrusted(self, step, task_ids, now_s, allowed_ids=None):
+    def choose_gang_last(self, step, task_ids, now_s, allowed_ids=None):
         """Return an executor, distrusted or not, for each task of a gang."""
         usable = list(self._usable.values())
         if allowed_ids is not None:
             usable = self._usable_of(allowed_ids)
         executors = [
             *usable,
-            *self._ready_for_probes(now_s, allowed_ids),
+            *self._ready_for_probes(now_s, allowed_ids, step),
         ]
         return placement.choose_gang(executors, step, task_ids)
 
-    def _ready_for_probes(self, now_s, allowed_ids):
+    def _ready_for_probes(self, now_s, allowed_ids, step):
+        last = dict(self._distrusted)
+        if step.is_lasting:
+            last.update((e.number, e) for e in self._closed_to_lasting)
         return [
             executor
-            for executor in self._distrusted.values()
+            for executor in last.values()
             if not placement.is_apart(executor, now_s)
             and (allowed_ids is None or executor.executor_id in allowed_ids)
         ]
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -99,7 +99,9 @@
             pool_executors.update(executors, now_s)
             if not pool_executors.has_usable:
                 continue
-            if pool_executors.has_distrusted and self._steps.pending_in(pool):
+            if pool_executors.has_last_choices and self._steps.pending_in(
+                pool
+            ):
                 self.waiting_pools.add(pool)
             for ready_step in self._steps_to_start(
                 pool, pool_executors, now_s
@@ -213,23 +215,34 @@
         return self._plan_tasks(ready_step, pool_executors, now_s, limit)
 
     def _plan_probe(self, candidate, now_s, shares):
-        """Start a task, or a whole gang, on distrusted executors."""
+        """Start a task, or a whole gang, where nothing is to start."""
         ready_step, pool_executors = candidate.ready_step, candidate.executors
         if ready_step.spec.is_gang:
             choose = functools.partial(
-                pool_executors.choose_gang_distrusted, now_s=now_s
+                pool_executors.choose_gang_last, now_s=now_s
             )
             return self._plan_gang(
                 ready_step, pool_executors, now_s, shares, choose
             )
-        return self._plan_task_probe(ready_step, pool_executors, now_s)
+        # One run shows callers that their job goes on; each long-running task
+        # serves by itself.
+        limit = shares.limit(ready_step) if ready_step.spec.is_lasting else 1
+        starts = []
+        while ready_step.pending and len(starts) < limit:
+            if not self._admits(ready_step):
+                break
+            run = self._plan_task_probe(ready_step, pool_executors, now_s)
+            if run is None:
+                break
+            starts.append(run)
+        return starts
 
     def _plan_task_probe(self, ready_step, pool_executors, now_s):
         step_tickets = self._valid_tickets(ready_step, now_s)
         tasks = ready_step.occurrence.tasks[ready_step.step]
         # Another failure costs it least.
         index = min(ready_step.pending, key=lambda i: tasks[i].failures)
-        executor = pool_executors.choose_distrusted(
+        executor = pool_executors.choose_last(
             ready_step.spec,
             _task_id(ready_step, index),
             tasks[index],
@@ -238,11 +251,10 @@
             step_tickets,
         )
         if executor is None:
-            return []
-        run = self._start_task(
+            return None
+        return self._start_task(
             ready_step, index, pool_executors, executor, step_tickets, now_s
         )
-        return [run]
 
     def _may_use_quota(self, ready_step):
         """Return whether a step may start a task; set it aside if not.
