Start jobs that were held back as if they had waited for a start

A job that was held back beside room for 1.5 s and then meets a lack of starts would wait another second for its turn. What it has waited counts for both, and executors of last choice count as room.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -402,12 +402,19 @@
     """Return whether a step of a pool that holds late work has to wait."""
     if not ready_step.gives_way(now_s):
         return False
-    if not _may_have_room(pool_executors, ready_step):
+    if not (
+        _may_have_room(pool_executors, ready_step)
+        or pool_executors.has_last_choices
+    ):
         ready_step.beside_room_since_s = None
         return True
     if ready_step.beside_room_since_s is None:
         ready_step.beside_room_since_s = now_s
-    return now_s - ready_step.beside_room_since_s < MAX_BESIDE_ROOM_S
+    if now_s - ready_step.beside_room_since_s < MAX_BESIDE_ROOM_S:
+        return True
+    # It has its turn at once, too, if starts are short.
+    ready_step.note_short(ready_step.beside_room_since_s)
+    return False
 
 
 def _count_fitting(ready_steps, executors):
