--- /dev/null
+++ b/soak/report.py
@@ -0,0 +1,226 @@
+"""Tells what stood, and what the owner's log says beside it."""
+
+import collections
+import statistics
+
+import attrs
+
+from . import beside_room
+from . import daemon_logs
+from . import events
+from . import load
+
+LOG_KINDS = (
+    daemon_logs.OWNER_EVENT,
+    'step_standing',
+    'steps_standing',
+    'loop_late',
+    'late_work_held',
+    'cycle_slow',
+    'lines_left_out',
+)
+MAX_CASES_PER_POOL = 40
+# Log lines that belong to a case may follow it by so much.
+LOG_LAG_S = 0.6
+THRESHOLDS_S = (1.5, 2.0, 3.0, 5.0)
+
+
+@attrs.frozen
+class Findings:
+    """What a run has shown.
+
+    :ivar judge: the judge, after all events
+    :ivar log: events of the daemons' logs, in the order of their times
+    :ivar starts_per_s: number of starts in each second with any
+    :ivar answers: number of jobs by pool and last answer
+    :ivar ended: number of runs by how they ended
+    """
+
+    judge: beside_room.Judge
+    log: list
+    starts_per_s: list[int]
+    answers: collections.Counter
+    ended: collections.Counter
+
+    @property
+    def cases(self):
+        """What stood for longer than the limit."""
+        return self.judge.cases
+
+
+def examine(deployment):
+    """Judge a run that is over."""
+    recorded = events.read(deployment.event_paths)
+    judge = beside_room.Judge({p.name: p.max_attempts for p in load.POOLS})
+    judge.follow(recorded)
+    pool_of = {
+        event.subject: event.fields['pool']
+        for event in recorded
+        if event.kind is events.Kind.SUBMITTED
+    }
+    answers = (
+        events.Kind.ACCEPTED,
+        events.Kind.REFUSED,
+        events.Kind.UNANSWERED,
+    )
+    starts = collections.Counter(
+        int(event.time_s)
+        for event in recorded
+        if event.kind is events.Kind.STARTED
+    )
+    return Findings(
+        judge,
+        daemon_logs.read_all(
+            [daemon.log_path for daemon in deployment.daemons], LOG_KINDS
+        ),
+        [starts[second] for second in sorted(starts)],
+        collections.Counter(
+            f'{pool_of[event.subject]} {event.kind}'
+            for event in recorded
+            if event.kind in answers
+        ),
+        collections.Counter(
+            event.fields['how']
+            for event in recorded
+            if event.kind is events.Kind.ENDED
+        ),
+    )
+
+
+def lines(deployment, findings):
+    """Yield the lines of the report."""
+    yield from _load_lines(deployment, findings)
+    yield from _usage_lines(deployment, findings)
+    yield from _owner_lines(deployment, findings)
+    yield from _case_lines(deployment, findings)
+    yield f'logs and events: {deployment.directory}'
+
+
+def _load_lines(deployment, findings):
+    yield f'jobs: {_counts(findings.answers)}'
+    yield f'runs ended: {_counts(findings.ended)}'
+    per_s = findings.starts_per_s
+    if per_s:
+        yield (
+            f'starts: {sum(per_s)}, at most {max(per_s)} in a second, '
+            f'median {statistics.median(per_s):.0f}; '
+            f'beyond an executor: {findings.judge.overfull}'
+        )
+    yield f'moves of machines: {deployment.hosts.moves}'
+    yield f'calls to the store: {_counts(deployment.store_calls)}'
+
+
+def _usage_lines(deployment, findings):
+    cores, peak_mb = deployment.usage.cores, deployment.usage.peak_mb
+    owners = {
+        row['daemon']
+        for row in findings.log
+        if row['event'] == daemon_logs.OWNER_EVENT
+    }
+    names = {daemon.name for daemon in deployment.daemons}
+    others = [used for name, used in cores.items() if name in names - owners]
+    yield 'cores used during the traffic: ' + ', '.join(
+        f'{name} {used:.2f}'
+        for name, used in sorted(cores.items())
+        if name in owners or name not in names
+    )
+    if others:
+        yield (
+            f'cores used by each of {len(others)} other daemons: '
+            f'mean {statistics.mean(others):.3f}, most {max(others):.3f}'
+        )
+    if peak_mb:
+        yield (
+            f'memory: {sum(peak_mb.values()):.0f} MB in all, '
+            f'at most {max(peak_mb.values()):.0f} MB in a process'
+        )
+
+
+def _owner_lines(deployment, findings):
+    begun_s = deployment.traffic_begun_s
+    for row in findings.log:
+        if row['event'] in (daemon_logs.OWNER_EVENT, 'late_work_held'):
+            pools = row.get('pools', '')
+            at_s = row['time_s'] - begun_s
+            yield f'{at_s:7.1f} s {row["daemon"]} {row["event"]} {pools}'
+    yield _distribution(findings, 'loop_late', 'late_s')
+    yield _distribution(findings, 'cycle_slow', 'planning_s')
+    standing = collections.defaultdict(dict)
+    for row in findings.log:
+        if row['event'] == 'step_standing':
+            longest_s = standing[row['pool'], row['obstacle']]
+            key = row['job'], row['step']
+            longest_s[key] = max(row['waited_s'], longest_s.get(key, 0.0))
+    for (pool, obstacle), longest_s in sorted(standing.items()):
+        yield (
+            f'logged as standing in {pool}: {obstacle}, {len(longest_s)} '
+            f'steps, up to {max(longest_s.values()):.1f} s'
+        )
+    at_once = [
+        row['steps']
+        for row in findings.log
+        if row['event'] == 'steps_standing'
+    ]
+    if at_once:
+        yield f'logged as standing at once: at most {max(at_once)} steps'
+
+
+def _distribution(findings, kind, field):
+    values = sorted(row[field] for row in findings.log if row['event'] == kind)
+    if not values:
+        return f'{kind}: none'
+    middle = statistics.median(values)
+    return (
+        f'{kind}: {len(values)} times, median {middle:.2f} s, '
+        f'most {values[-1]:.2f} s'
+    )
+
+
+def _case_lines(deployment, findings):
+    longest_s = findings.judge.longest_s.values()
+    yield 'jobs beside room by the longest time: ' + ', '.join(
+        f'{sum(waited_s >= limit_s for waited_s in longest_s)} for {limit_s} s'
+        for limit_s in THRESHOLDS_S
+    )
+    by_pool = collections.defaultdict(list)
+    for case in findings.cases:
+        by_pool[case.pool].append(case)
+    yield f'cases: {len(findings.cases)}'
+    for pool, cases in sorted(by_pool.items()):
+        yield f'{pool}: {len(cases)} cases'
+        cases.sort(key=lambda case: case.since_s)
+        for case in cases[:MAX_CASES_PER_POOL]:
+            yield _case_line(case, findings.log, deployment.traffic_begun_s)
+
+
+def _case_line(case, log, begun_s):
+    told = [row for row in log if _is_beside(row, case)]
+    obstacles = collections.Counter(
+        row['obstacle']
+        for row in told
+        if row['event'] == 'step_standing' and row['job'] == case.job_id
+    )
+    of_pool = collections.Counter()
+    for row in told:
+        if row['event'] == 'steps_standing':
+            of_pool.update(
+                key
+                for key in row['by_pool']
+                if key.startswith(f'{case.pool} ')
+            )
+    late_s = [row['late_s'] for row in told if row['event'] == 'loop_late']
+    return (
+        f'  {case.since_s - begun_s:6.1f} s for {case.waited_s:4.1f} s '
+        f'{case.task or case.job_id}: log says '
+        f'{_counts(obstacles) or "nothing of it"}; '
+        f'pool: {_counts(of_pool) or "nothing"}; '
+        f'loop late by at most {max(late_s, default=0.0):.1f} s'
+    )
+
+
+def _is_beside(row, case):
+    return case.since_s <= row['time_s'] <= case.until_s + LOG_LAG_S
+
+
+def _counts(counter):
+    return ', '.join(f'{key} {n}' for key, n in sorted(counter.items()))
