--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -151,11 +151,28 @@
             await self._process.wait()
 
 
-def processor_s(pid):
-    """Return the processor time that a process has used."""
-    stat = pathlib.Path(f'/proc/{pid}/stat').read_text()
-    user, system = stat.rpartition(') ')[2].split()[11:13]
-    return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
+@attrs.frozen
+class ProcessorUse:
+    """What a process got of the processors, and for how long it waited.
+
+    Both are those of its main thread, in which its event loop runs.
+    """
+
+    used_s: float
+    waited_s: float
+
+    def since(self, before, period_s):
+        """Return the shares of a period."""
+        return ProcessorUse(
+            (self.used_s - before.used_s) / period_s,
+            (self.waited_s - before.waited_s) / period_s,
+        )
+
+
+def processor_use(pid):
+    """Return the use of the processors by a process so far."""
+    fields = pathlib.Path(f'/proc/{pid}/schedstat').read_text().split()
+    return ProcessorUse(int(fields[0]) / 1e9, int(fields[1]) / 1e9)
 
 
 def peak_mb(pid):
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import json
+import os
 import pathlib
 import random
 import sys
@@ -63,12 +64,13 @@
 
 @attrs.define
 class Usage:
-    """Processor time of the processes during the traffic, and memory.
+    """What the processes used during the traffic, by their names.
 
-    :ivar cores: mean number of cores by name of the process
+    :ivar processor: shares of the time that they ran, and that they waited for
+        a processor
     """
 
-    cores: dict[str, float] = attrs.Factory(dict)
+    processor: dict[str, daemons.ProcessorUse] = attrs.Factory(dict)
     peak_mb: dict[str, float] = attrs.Factory(dict)
 
 
@@ -258,6 +260,7 @@
         before = self._processor_times()
         await asyncio.sleep(plan.traffic_s)
         self._note_usage(before)
+        await self._save_metrics()
         await submitting
         left_s = begun_s + plan.traffic_s + plan.rest_s - time.monotonic()
         await asyncio.sleep(max(0.0, left_s))
@@ -300,22 +303,31 @@
         )
 
     def _processor_times(self):
-        times = {
-            name: daemons.processor_s(pid) for name, pid in self._processes()
+        return {
+            name: daemons.processor_use(pid)
+            for name, pid in [*self._processes(), ('callers', os.getpid())]
         }
-        return {**times, 'callers': time.process_time()}
 
     def _note_usage(self, before):
         after = self._processor_times()
-        self.usage.cores = {
-            name: (used_s - before[name]) / self._plan.traffic_s
-            for name, used_s in after.items()
+        self.usage.processor = {
+            name: use.since(before[name], self._plan.traffic_s)
+            for name, use in after.items()
             if name in before
         }
         self.usage.peak_mb = {
             name: daemons.peak_mb(pid) for name, pid in self._processes()
         }
 
+    async def _save_metrics(self):
+        """Write what the daemons tell at their metrics endpoints."""
+        for daemon in self.daemons:
+            url = f'http://{daemon.metrics_address}/metrics'
+            with contextlib.suppress(aiohttp.ClientError, OSError):
+                async with self._session.get(url) as response:
+                    path = self.directory / f'{daemon.name}.metrics'
+                    path.write_text(await response.text())
+
     # End
 
     async def _end(self):
--- a/soak/report.py
+++ b/soak/report.py
@@ -19,7 +19,10 @@
     'cycle_slow',
     'lines_left_out',
 )
-MAX_CASES_PER_POOL = 40
+# Lines for single cases, the longest first.
+MAX_CASES_PER_POOL = 10
+# Period of the lines that tell how many cases stand.
+SUMMARY_PERIOD_S = 2.0
 # Log lines that belong to a case may follow it by so much.
 LOG_LAG_S = 0.6
 THRESHOLDS_S = (1.5, 2.0, 3.0, 5.0)
@@ -111,23 +114,30 @@
 
 
 def _usage_lines(deployment, findings):
-    cores, peak_mb = deployment.usage.cores, deployment.usage.peak_mb
+    use, peak_mb = deployment.usage.processor, deployment.usage.peak_mb
     owners = {
         row['daemon']
         for row in findings.log
         if row['event'] == daemon_logs.OWNER_EVENT
     }
     names = {daemon.name for daemon in deployment.daemons}
-    others = [used for name, used in cores.items() if name in names - owners]
-    yield 'cores used during the traffic: ' + ', '.join(
-        f'{name} {used:.2f}'
-        for name, used in sorted(cores.items())
-        if name in owners or name not in names
-    )
+    for name, of_process in sorted(use.items()):
+        if name in owners or name not in names:
+            yield (
+                f'{name}: ran {of_process.used_s:.0%} of the traffic, '
+                f'waited for a processor {of_process.waited_s:.0%}'
+            )
+    others = [
+        of_process
+        for name, of_process in use.items()
+        if name in names - owners
+    ]
     if others:
+        used = statistics.mean(of_process.used_s for of_process in others)
+        waited = statistics.mean(of_process.waited_s for of_process in others)
         yield (
-            f'cores used by each of {len(others)} other daemons: '
-            f'mean {statistics.mean(others):.3f}, most {max(others):.3f}'
+            f'each of {len(others)} other daemons: ran {used:.1%}, '
+            f'waited for a processor {waited:.1%}'
         )
     if peak_mb:
         yield (
@@ -182,15 +192,55 @@
         f'{sum(waited_s >= limit_s for waited_s in longest_s)} for {limit_s} s'
         for limit_s in THRESHOLDS_S
     )
+    begun_s = deployment.traffic_begun_s
     by_pool = collections.defaultdict(list)
     for case in findings.cases:
         by_pool[case.pool].append(case)
     yield f'cases: {len(findings.cases)}'
     for pool, cases in sorted(by_pool.items()):
-        yield f'{pool}: {len(cases)} cases'
-        cases.sort(key=lambda case: case.since_s)
+        longest_s = max(case.waited_s for case in cases)
+        lasting = sum(bool(case.task) for case in cases)
+        yield (
+            f'{pool}: {len(cases)} cases up to {longest_s:.1f} s, '
+            f'{lasting} of them of long-running tasks'
+        )
+        yield from _second_lines(cases, findings.log, begun_s)
+        cases.sort(key=lambda case: -case.waited_s)
         for case in cases[:MAX_CASES_PER_POOL]:
-            yield _case_line(case, findings.log, deployment.traffic_begun_s)
+            yield _case_line(case, findings.log, begun_s)
+
+
+def _second_lines(cases, log, begun_s):
+    """Yield how many cases stand at times, and what the log tells then."""
+    first_s = min(case.since_s for case in cases)
+    last_s = max(case.until_s for case in cases)
+    pool = cases[0].pool
+    for number in range(int((last_s - first_s) / SUMMARY_PERIOD_S) + 1):
+        at_s = first_s + number * SUMMARY_PERIOD_S
+        standing = sum(c.since_s <= at_s <= c.until_s for c in cases)
+        if not standing:
+            continue
+        told = collections.Counter()
+        for row in log:
+            if (
+                row['event'] == 'steps_standing'
+                and at_s <= row['time_s'] < at_s + SUMMARY_PERIOD_S
+            ):
+                told = _largest(told, row['by_pool'], pool)
+        yield (
+            f'  at {at_s - begun_s:5.1f} s: {standing} stand; '
+            f'log: {_counts(told) or "none"}'
+        )
+
+
+def _largest(told, by_pool, pool):
+    """Return the largest numbers of steps by obstacle in a pool."""
+    names = {
+        key.removeprefix(f'{pool} '): steps
+        for key, steps in by_pool.items()
+        if key.startswith(f'{pool} ')
+    }
+    return told | collections.Counter(names)
 
 
 def _case_line(case, log, begun_s):
@@ -200,20 +250,11 @@
         for row in told
         if row['event'] == 'step_standing' and row['job'] == case.job_id
     )
-    of_pool = collections.Counter()
-    for row in told:
-        if row['event'] == 'steps_standing':
-            of_pool.update(
-                key
-                for key in row['by_pool']
-                if key.startswith(f'{case.pool} ')
-            )
     late_s = [row['late_s'] for row in told if row['event'] == 'loop_late']
     return (
         f'  {case.since_s - begun_s:6.1f} s for {case.waited_s:4.1f} s '
         f'{case.task or case.job_id}: log says '
         f'{_counts(obstacles) or "nothing of it"}; '
-        f'pool: {_counts(of_pool) or "nothing"}; '
         f'loop late by at most {max(late_s, default=0.0):.1f} s'
     )
 
