--- a/soak/report.py
+++ b/soak/report.py
@@ -12,6 +12,7 @@
 
 LOG_KINDS = (
     daemon_logs.OWNER_EVENT,
+    'owner_lost',
     'step_standing',
     'steps_standing',
     'loop_late',
@@ -19,6 +20,8 @@
     'cycle_slow',
     'lines_left_out',
 )
+# Events that are shown one by one.
+SHOWN_KINDS = (daemon_logs.OWNER_EVENT, 'owner_lost', 'late_work_held')
 # Lines for single cases, the longest first.
 MAX_CASES_PER_POOL = 10
 # Period of the lines that tell how many cases stand.
@@ -149,10 +152,10 @@
 def _owner_lines(deployment, findings):
     begun_s = deployment.traffic_begun_s
     for row in findings.log:
-        if row['event'] in (daemon_logs.OWNER_EVENT, 'late_work_held'):
-            pools = row.get('pools', '')
+        if row['event'] in SHOWN_KINDS:
+            detail = row.get('why') or row.get('pools', '')
             at_s = row['time_s'] - begun_s
-            yield f'{at_s:7.1f} s {row["daemon"]} {row["event"]} {pools}'
+            yield f'{at_s:7.1f} s {row["daemon"]} {row["event"]} {detail}'
     yield _distribution(findings, 'loop_late', 'late_s')
     yield _distribution(findings, 'cycle_slow', 'planning_s')
     standing = collections.defaultdict(dict)
