Bound how long crash suspects, and work beside them, stand beside room

What callers saw: after executors had crashed, jobs had nothing running for 6.6 s beside room (`suspected_crash` in the log of standing work).

Cause: a task whose runs had lasted some seconds when executors crashed under it is on probation for half as long again, 4.5 s at most, and its executor takes nothing else. Suspects of other jobs wait until an executor is free of probation, one after the other, and so does all other work where no executor is left. Nothing bounded that wait.

Change: in a pool of which under half is in use, a job that has had nothing running for 1.25 s starts a task beside other runs, without probation; a task that lasts does so however full the pool is. If all executors with room have runs on probation, theirs ends, as they are no longer the only suspects. So a crash there never blames one of them alone; it counts, and the next start is apart again. A task that the next crash may give up always starts apart, and its probation isn't ended, so that what crashes executors is still found.

Gangs of suspects wait as before.

--- a/features/jobs_crashes.feature
+++ b/features/jobs_crashes.feature
@@ -218,6 +218,12 @@
     When 0.3 s pass, and "x1" is polled
     Then the next starts are of "new"
 
+  Scenario: Suspects don't stand beside room while others are on a long probation
+    Given a scheduler with executors "x0, x1, x2"
+    When jobs "a, b, c, d" of 1 task, under which two executors crashed after 2 s, wait for 1.5 s beside a job "new"
+    Then each of them has started
+    And none of those that share an executor is on probation
+
   Scenario: An executor is held for a suspect until what has just started there is proven
     Given a scheduler with executors "x0"
     When jobs "a" of 1 task start, and "x0" crashes at once
--- a/features/steps/jobs_crashes.py
+++ b/features/steps/jobs_crashes.py
@@ -514,6 +514,46 @@
         context.harness.add_executor(name, rack='r1')
 
 
+@when(
+    'jobs "{names}" of 1 task, under which two executors crashed after '
+    '{survival_s:g} s, wait for {wait_s:g} s beside a job "{other}"'
+)
+def wait_as_suspects(context, names, survival_s, wait_s, other):
+    harness = context.harness
+    context.wanted = names.split(', ')
+    for name in context.wanted:
+        job = harness.add_job(name, scheduler_harness.steps(1))
+        (task,) = job.occurrences[0].tasks[0]
+        task.crashed_executors = ('y0', 'y1')
+        task.crash_survival_s = survival_s
+        harness.scheduler.steps.note_suspected(jobs.TaskId(name, 0, 0, 0))
+    harness.add_job(other, scheduler_harness.steps(1))
+    context.wanted.append(other)
+    context.starts, end_s = [], harness.now_s + wait_s
+    while harness.now_s < end_s:
+        context.starts += harness.start_all()
+        for executor_id in list(harness.scheduler.executors):
+            harness.poll_runs(executor_id)
+
+
+@then('each of them has started')
+def check_all_started(context):
+    found = sorted(run.task_id.job_id for run in context.starts)
+    assert found == context.wanted, found
+
+
+@then('none of those that share an executor is on probation')
+def check_shared_executors(context):
+    by_executor = itertools.groupby(
+        sorted(context.starts, key=lambda run: run.executor_id),
+        lambda run: run.executor_id,
+    )
+    for executor_id, group in by_executor:
+        runs = list(group)
+        on_probation = [run for run in runs if run.probation_s]
+        assert len(runs) == 1 or not on_probation, (executor_id, runs)
+
+
 @when('jobs "{names}" of 1 task start, and "{executor_id}" crashes at once')
 def start_and_crash(context, names, executor_id):
     _start_and_crash(context.harness, names, executor_id)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/crash_blame.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/crash_blame.py
@@ -64,6 +64,14 @@
     return max(PROVING_S, PROBATION_FACTOR * task.crash_survival_s)
 
 
+def may_start_beside(task):
+    """Return whether a task may start beside others, without probation.
+
+    One that is given up at the next crash has to be the only suspect.
+    """
+    return task.crash_count < MAX_CRASHES - 1
+
+
 def is_proven(executor, run):
     """Return whether a run has lasted long enough to be above suspicion."""
     survival_s = executor.survival_s(run)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
@@ -84,6 +84,23 @@
     )
 
 
+def may_end_probation(executor):
+    """Return True if no run needs its probation on an executor."""
+    return all(
+        crash_blame.may_start_beside(run.task)
+        for run in executor.suspect_runs.values()
+        if run.probation_s and not crash_blame.is_proven(executor, run)
+    )
+
+
+def end_probation(executor):
+    """Let other runs start beside those on probation on an executor."""
+    executor.held_until_s = 0.0
+    for run in executor.suspect_runs.values():
+        if not crash_blame.is_proven(executor, run):
+            run.probation_s = 0.0
+
+
 def may_share_probation(executor, job_id):
     """Return True if no other job has a run on probation on an executor."""
     return all(
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
@@ -17,6 +17,9 @@
 HOLD_S = 1.0
 # Share of the executors of a pool that are held at once.
 MAX_APART_SHARE = 0.3
+# A job that waits for so long starts beside suspects of crashes, and a suspect
+# beside other runs, if the pool is hardly used.
+MAX_APART_WAIT_S = 1.25
 # A job that waits for so long may start on a distrusted executor, if no more
 # of the pool is in use; with each failure it has less attempts left, and waits
 # longer.
@@ -61,7 +64,7 @@
     @property
     def has_last_choices(self):
         """Whether some executors are only for steps that have waited."""
-        return bool(self._distrusted or self._closed_to_lasting)
+        return bool(self._distrusted or self._closed_to_lasting or self._apart)
 
     def update(self, executors, now_s):
         """Record what has changed since the last cycle.
@@ -225,6 +228,39 @@
             self._hold(min(others, key=_by_runs), now_s)
         return None
 
+    def may_start_beside(self, ready_step, now_s):
+        """Return whether a step may start beside suspects of crashes.
+
+        It has waited, or its suspects have for an executor of their own, and
+        the pool is hardly used. A crash then blames nobody soon.
+        """
+        since_s = ready_step.unplaced_since_s
+        if since_s is None or now_s - since_s < MAX_APART_WAIT_S:
+            return False
+        if not ready_step.suspects and not self._apart:
+            return False
+        return ready_step.spec.is_lasting or (
+            not ready_step.job.has_assigned_tasks and self._is_hardly_used()
+        )
+
+    def choose_beside(self, step, task_id, allowed_ids=None):
+        """Return an executor for a task beside other runs, or None.
+
+        If there is no other, runs on probation share theirs; it ends, since
+        they are no longer the only suspects of a crash.
+        """
+        candidates = [
+            executor
+            for executor in (*self._usable.values(), *self._apart.values())
+            if placement.can_place(executor, step, task_id)
+            and placement.may_end_probation(executor)
+            and (allowed_ids is None or executor.executor_id in allowed_ids)
+        ]
+        chosen = min(candidates, key=_by_probation, default=None)
+        if chosen is not None:
+            placement.end_probation(chosen)
+        return chosen
+
     def _may_hold(self, held_count):
         """Return whether another executor may be held.
 
@@ -317,6 +353,10 @@
     return executor.failing_until_s, executor.slow_until_s, executor.number
 
 
+def _by_probation(executor):
+    return placement.has_probation(executor), *_by_runs(executor)
+
+
 def _by_runs(executor):
     return len(executor.runs), executor.number
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -109,6 +109,7 @@
                 candidate = _Candidate(ready_step, pool, pool_executors)
                 if _may_have_room(pool_executors, ready_step) or (
                     pool_executors.may_probe(ready_step, now_s)
+                    or pool_executors.may_start_beside(ready_step, now_s)
                 ):
                     waiting.append(candidate)
                     continue
@@ -201,10 +202,41 @@
         starts = self._place_step(candidate, now_s, shares, limit)
         if not starts and candidate.executors.may_probe(ready_step, now_s):
             starts = self._plan_probe(candidate, now_s, shares)
+        if not starts and self._may_start_beside(candidate, now_s):
+            starts = self._plan_beside(ready_step, candidate.executors, now_s)
         if ready_step.suspects:
             self.waiting_pools.add(candidate.pool)
         return starts
 
+    def _may_start_beside(self, candidate, now_s):
+        ready_step = candidate.ready_step
+        return not ready_step.spec.is_gang and (
+            candidate.executors.may_start_beside(ready_step, now_s)
+        )
+
+    def _plan_beside(self, ready_step, pool_executors, now_s):
+        """Start a task that has waited beside suspects of crashes."""
+        tasks = ready_step.occurrence.tasks[ready_step.step]
+        index = min(ready_step.pending, key=lambda i: tasks[i].crash_count)
+        if not crash_blame.may_start_beside(tasks[index]):
+            return []
+        step_tickets = self._valid_tickets(ready_step, now_s)
+        executor = pool_executors.choose_beside(
+            ready_step.spec, _task_id(ready_step, index), step_tickets
+        )
+        if executor is None:
+            return []
+        run = self._start_task(
+            ready_step,
+            index,
+            pool_executors,
+            executor,
+            step_tickets,
+            now_s,
+            is_apart=False,
+        )
+        return [run]
+
     def _place_step(self, candidate, now_s, shares, limit):
         ready_step, pool_executors = candidate.ready_step, candidate.executors
         # Steps that were placed before may have taken the room.
@@ -333,9 +365,19 @@
         return run
 
     def _start_task(
-        self, ready_step, index, pool_executors, executor, step_tickets, now_s
+        self,
+        ready_step,
+        index,
+        pool_executors,
+        executor,
+        step_tickets,
+        now_s,
+        is_apart=True,
     ):
-        """Return the planned run of a task on an executor."""
+        """Return the planned run of a task on an executor.
+
+        :param is_apart: whether it is on probation if it may crash executors
+        """
         task_id = _task_id(ready_step, index)
         task = ready_step.occurrence.task(task_id)
         ready_step.take(index)
@@ -347,7 +389,7 @@
             executor,
             task.run + 1,
             now_s,
-            crash_blame.probation_s(task),
+            crash_blame.probation_s(task) if is_apart else 0.0,
         )
         pool_executors.note_placed(executor)
         run.ticket = (step_tickets or {}).get(executor.executor_id, '')
