--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/admission.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/admission.py
@@ -4,8 +4,8 @@
 that reads submissions more slowly than they arrive; and one that starts tasks
 more slowly than they arrive, so that accepted jobs wait beside room. The
 daemon that takes a call decides, without asking anyone, by what the owner has
-published.
-A job is refused before anything of it is stored, so that it never runs.
+published. A job is refused before anything of it is stored, so that it never
+runs.
 """
 
 import math
