Refuse for a lack of starts only where a setting says so, and test the log

The search for work that stands, and its log, get scenarios of their own; the three events count as documented and logged by them.

--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -639,8 +639,17 @@
 )
 
 
-# Events that the scenarios of a load check: jobs_relay, jobs_consolidation.
-LOAD_EVENTS = frozenset({'call_passed_on', 'host_consolidating'})
+# Events that the scenarios of a load check: jobs_relay, jobs_consolidation,
+# jobs_standing_work.
+LOAD_EVENTS = frozenset(
+    {
+        'call_passed_on',
+        'host_consolidating',
+        'step_standing',
+        'steps_standing',
+        'loop_late',
+    }
+)
 
 
 @then('every event documented for a deployment was logged')
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -391,11 +391,14 @@
     def publish_loads(self, loads, standby_hosts):
         """Publish what new jobs will have to wait for."""
         now_s = self.now_s()
+        start_wait_s = 0.0
+        if self._parts.settings.refuses_for_starts:
+            start_wait_s = self.scheduler.start_wait_s(now_s)
         report = admission.forecast(
             loads,
             standby_hosts,
             self.scheduler.shares.used_up(now_s),
-            self.scheduler.start_wait_s(now_s),
+            start_wait_s,
         )
         self._publisher.publish_load(report)
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/settings.py
@@ -55,6 +55,8 @@
     :ivar splits_progress: whether the progress of a job of many tasks is
         stored in several records; false while any daemon is of an earlier
         version
+    :ivar refuses_for_starts: whether jobs are refused that would wait too long
+        for a start though there is room for them
     :ivar max_record_bytes: size of the largest record that the store takes
     :ivar processor_share: share of a core that this entry host may use, before
         processor_count
@@ -90,6 +92,7 @@
     )
     spare_partitions: int = attrs.field(default=0, validator=validators.ge(0))
     splits_progress: bool = False
+    refuses_for_starts: bool = False
     max_record_bytes: int = _positive(262144)
     processor_share: float = _positive(1.0)
     processor_count: float = _positive(1.0)
