Tell apart holds for suspects and suspensions in the tests of exclusions

Since jobs may start beside suspects of crashes after 1.25 s, and long-running tasks on hosts that are being emptied after 0.5 s, two scenarios no longer describe what is meant: a pool with executors apart is looked at again in each cycle, and a long-running task that waits for 0.9 s starts before the host is open again. The first keeps its bounds without the check that no pool is marked; the other waits for 0.2 s, so that its start can only come from the opening.

--- a/features/jobs_excluded_executors.feature
+++ b/features/jobs_excluded_executors.feature
@@ -5,17 +5,19 @@
   exclusion of an executor marks its pool, so that no work has to wait for the
   executor's next heartbeat.
 
-  Scenario Outline: An exclusion that ends by time keeps no work waiting for longer: <exclusion>
+  Scenario: A suspension that ends by time keeps no work waiting for longer
     Given a scheduler with executors "x0"
-    When "x0" is <exclusion> for 1 s
+    When "x0" is suspended for 1 s
     And a job "a" of 1 task is added
     Then nothing starts for 0.9 s, and no pool is planned meanwhile
     And "a" starts within 0.2 s
 
-    Examples:
-      | exclusion          |
-      | suspended          |
-      | held for a suspect |
+  Scenario: A hold for a suspect that ends by time keeps no work waiting for longer
+    Given a scheduler with executors "x0"
+    When "x0" is held for a suspect for 1 s
+    And a job "a" of 1 task is added
+    Then nothing starts for 0.9 s
+    And "a" starts within 0.2 s
 
   Scenario: The longer of two exclusions is waited for
     Given a scheduler with executors "x0"
@@ -45,6 +47,6 @@
     Given a scheduler with executors "x0, x1"
     When each runs a long-running task, and the host of "x0" is being emptied
     And "x1" is full, and a job "a" of 1 long-running task is added
-    Then nothing starts for 0.9 s
+    Then nothing starts for 0.2 s
     When the pool needs all its hosts again
     Then "a" starts within 0.2 s
