--- a/features/jobs_admission.feature
+++ b/features/jobs_admission.feature
@@ -48,7 +48,7 @@
       | a rate that is just known    | 10     | 0.3     | 200     | 2    |
       | a steady rate                | 10     | 5.0     | 200     | 2    |
       | the rate isn't known yet     | 10     | 0.1     | 200     | 0    |
-      | nothing is started any more  | 0      | 2.0     | 200     | 30   |
+      | nothing is started any more  | 0      | 2.0     | 200     | 3    |
 
   Scenario: A wait for starts is over once a cycle leaves out none
     When cycles start 10 tasks each 0.1 s for 2.0 s, and leave out 200
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ordering.py
@@ -142,6 +142,11 @@
             MAX_REJECTED_WAIT_S, 2 * self.rejected_wait_s
         )
 
+    @property
+    def is_rejected(self):
+        """Whether a start of the last round was rejected."""
+        return self.rejected_wait_s > REJECTED_WAIT_S
+
     def note_accepted(self):
         """Record that a start was accepted."""
         self.rejected_wait_s = REJECTED_WAIT_S
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
@@ -26,6 +26,9 @@
 DISTRUST_WAIT_S = 0.5
 MAX_DISTRUST_WAIT_S = 1.25
 MAX_DISTRUST_USED_SHARE = 0.5
+# Steps of a pool that are tried beside suspects of crashes in one cycle; each
+# looks at all executors.
+MAX_BESIDE_TRIES = 8
 # Share of the executors of a pool that can be slower than the others.
 MAX_SLOW_SHARE = 0.5
 
@@ -49,6 +52,7 @@
         # All executors of the pool, and the share in use, if it is known.
         self._known = ()
         self._used_share = None
+        self._beside_tries = 0
         # Jobs with suspects that found no executor in this cycle.
         self._waiting_jobs = set()
         self._versions = {}
@@ -93,6 +97,7 @@
         )
         self._closed_to_lasting = [e for e in taking if e.is_closed_to_lasting]
         self._known, self._used_share = executors, None
+        self._beside_tries = 0
         self._versions = {
             number: executor.version
             for number, executor in self._usable.items()
@@ -239,6 +244,8 @@
             return False
         if not ready_step.suspects and not self._apart:
             return False
+        if self._beside_tries >= MAX_BESIDE_TRIES:
+            return False
         return ready_step.spec.is_lasting or (
             not ready_step.job.has_assigned_tasks and self._is_hardly_used()
         )
@@ -249,6 +256,7 @@
         If there is no other, runs on probation share theirs; it ends, since
         they are no longer the only suspects of a crash.
         """
+        self._beside_tries += 1
         candidates = [
             executor
             for executor in (*self._usable.values(), *self._apart.values())
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -435,11 +435,13 @@
         shares = start_shares.StartShares(is_idle=is_idle)
         if max_starts is not None:
             shares.left = max_starts
-        starts = self._plan_starts(now_s, shares) if shares.left else []
+        starts = []
+        if shares.left:
+            starts = self._plan_starts(now_s, shares)
+            self._start_waits.note_cycle(
+                len(starts), self._planner.short_starts, not shares.left, now_s
+            )
         self.is_limited = not shares.left
-        self._start_waits.note_cycle(
-            len(starts), self._planner.short_starts, self.is_limited, now_s
-        )
         stops = [
             run
             for run in self._run_index.stop_candidates()
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -12,19 +12,25 @@
 from . import placement
 from . import pool_placement
 from . import run_state
-from . import standing_work
 
 # No step is held back for longer while executors have room for it.
 MAX_BESIDE_ROOM_S = 1.5
+# Jobs of a pool that is used beyond this share wait in their order for starts.
+# Callers count those of pools half in use.
+MAX_SPARE_USED_SHARE = 0.7
 
 
 @attrs.frozen(eq=False)
 class _Candidate:
-    """A step that may start, and the executors of its pool."""
+    """A step that may start, and the executors of its pool.
+
+    :ivar takes_one: whether no more than one of its tasks may start now
+    """
 
     ready_step: ordering.ReadyStep
     pool: str
     executors: pool_placement.PoolPlacement
+    takes_one: bool = False
 
 
 class StartPlanner:
@@ -77,13 +83,15 @@
         waiting, full = self._find_candidates(pools, now_s)
         waiting.sort(key=lambda candidate: self._order(candidate, now_s))
         starts, reached = self._plan_steps(waiting, now_s, shares)
-        if not shares.left:
-            full = self._ranked_before(reached[-1], full, now_s)
         for candidate in full:
             candidate.ready_step.unplaced_since_s = now_s
         # Wide steps also get what the others have left.
         shares.is_sharing = False
-        wide = [c for c in reached if _is_cut_short(c.ready_step)]
+        wide = [
+            c
+            for c in reached
+            if not c.takes_one and _is_cut_short(c.ready_step)
+        ]
         starts += self._plan_steps(wide, now_s, shares)[0]
         if not shares.left:
             cut_short = [c for c in wide if _is_cut_short(c.ready_step)]
@@ -106,7 +114,13 @@
             for ready_step in self._steps_to_start(
                 pool, pool_executors, now_s
             ):
-                candidate = _Candidate(ready_step, pool, pool_executors)
+                is_late = ready_step.gives_way(now_s)
+                candidate = _Candidate(
+                    ready_step,
+                    pool,
+                    pool_executors,
+                    takes_one=is_late and pool in self.holding_pools,
+                )
                 if _may_have_room(pool_executors, ready_step) or (
                     pool_executors.may_probe(ready_step, now_s)
                     or pool_executors.may_start_beside(ready_step, now_s)
@@ -130,13 +144,38 @@
         free = [
             step
             for step in due
-            if not _is_held_back(step, pool_executors, now_s)
+            if not self._is_held_back(step, pool_executors, now_s)
         ]
         if len(free) < len(due):
             # What was held back for long enough goes on without an event.
             self.waiting_pools.add(pool)
         return free
 
+    def _is_held_back(self, ready_step, pool_executors, now_s):
+        """Return whether a step of a pool that holds late work has to wait.
+
+        A job that has nothing running, and has waited beside room for long
+        enough, goes on with one task.
+        """
+        if not ready_step.gives_way(now_s):
+            return False
+        has_room = _may_have_room(pool_executors, ready_step)
+        if not has_room and ready_step.unplaced_since_s is None:
+            ready_step.unplaced_since_s = now_s
+        is_beside_room = has_room or pool_executors.may_probe(
+            ready_step, now_s
+        )
+        if not is_beside_room or not self._has_nothing_running(ready_step):
+            ready_step.beside_room_since_s = None
+            return True
+        if ready_step.beside_room_since_s is None:
+            ready_step.beside_room_since_s = now_s
+        if now_s - ready_step.beside_room_since_s < MAX_BESIDE_ROOM_S:
+            return True
+        # It has its turn at once, too, if starts are short.
+        ready_step.note_short(ready_step.beside_room_since_s)
+        return False
+
     def _order(self, candidate, now_s):
         ready_step, held = candidate.ready_step, self._held_gang
         return (
@@ -148,11 +187,6 @@
             ready_step.number,
         )
 
-    def _ranked_before(self, last, candidates, now_s):
-        """Return the candidates that are planned before another one."""
-        last_order = self._order(last, now_s)
-        return [c for c in candidates if self._order(c, now_s) < last_order]
-
     def _note_short(self, candidates, pools, now_s):
         """Record which steps wait beside room since no starts are left.
 
@@ -163,15 +197,37 @@
             by_pool[candidate.pool].append(candidate.ready_step)
         for pool, ready_steps in by_pool.items():
             used_share = placement.used_share(pools[pool])
-            has_spare = used_share < standing_work.MAX_USED_SHARE
+            has_spare = used_share < MAX_SPARE_USED_SHARE
             if has_spare:
-                self.short_starts += _count_fitting(ready_steps, pools[pool])
+                self.short_starts += self._count_short(
+                    ready_steps, pools[pool], now_s
+                )
             for ready_step in ready_steps:
                 if has_spare and self._has_nothing_running(ready_step):
                     ready_step.note_short(now_s)
                 else:
                     ready_step.short_since_s = None
 
+    def _count_short(self, ready_steps, executors, now_s):
+        """Return how many starts that are left out go before a new job.
+
+        A late step has one before others, and only if its job has nothing
+        running.
+        """
+        starts = {
+            step: int(self._has_nothing_running(step))
+            if step.gives_way(now_s)
+            else len(step.pending)
+            for step in ready_steps
+        }
+        free = sum(executor.free.cpu_millicores for executor in executors)
+        needed = sum(
+            count * step.spec.reserved.cpu_millicores
+            for step, count in starts.items()
+        )
+        count = sum(starts.values())
+        return count if needed <= free else math.floor(count * free / needed)
+
     def _has_nothing_running(self, ready_step):
         is_lasting = ready_step.spec.is_lasting
         return is_lasting or not self._has_runs(ready_step.job.job_id)
@@ -191,8 +247,10 @@
     def _plan_step(self, candidate, now_s, shares):
         ready_step = candidate.ready_step
         limit = shares.limit(ready_step)
-        if shares.is_sharing and ready_step.is_overdue(now_s):
-            # Tasks beyond the first wait for their place in the order.
+        is_overdue = shares.is_sharing and ready_step.is_overdue(now_s)
+        # Tasks beyond the first wait for their place in the order, or until
+        # one isn't rejected.
+        if candidate.takes_one or is_overdue or ready_step.is_rejected:
             limit = 1
         ready_step.short_since_s = None
         if not self._may_use_quota(ready_step):
@@ -381,6 +439,7 @@
         task_id = _task_id(ready_step, index)
         task = ready_step.occurrence.task(task_id)
         ready_step.take(index)
+        ready_step.beside_room_since_s = None
         ready_step.unplaced_since_s = now_s if ready_step.pending else None
         ready_step.placed_s = now_s
         run = _plan_run(
@@ -440,36 +499,6 @@
         return self._tickets.valid(ready_step.key, now_s)
 
 
-def _is_held_back(ready_step, pool_executors, now_s):
-    """Return whether a step of a pool that holds late work has to wait."""
-    if not ready_step.gives_way(now_s):
-        return False
-    if not (
-        _may_have_room(pool_executors, ready_step)
-        or pool_executors.has_last_choices
-    ):
-        ready_step.beside_room_since_s = None
-        return True
-    if ready_step.beside_room_since_s is None:
-        ready_step.beside_room_since_s = now_s
-    if now_s - ready_step.beside_room_since_s < MAX_BESIDE_ROOM_S:
-        return True
-    # It has its turn at once, too, if starts are short.
-    ready_step.note_short(ready_step.beside_room_since_s)
-    return False
-
-
-def _count_fitting(ready_steps, executors):
-    """Return for how many of the waiting tasks there is room."""
-    free = sum(executor.free.cpu_millicores for executor in executors)
-    needed = sum(
-        len(step.pending) * step.spec.reserved.cpu_millicores
-        for step in ready_steps
-    )
-    tasks = sum(len(step.pending) for step in ready_steps)
-    return tasks if needed <= free else math.floor(tasks * free / needed)
-
-
 def _started_together(ready_step):
     """Return how many tasks of a step have to start at the same time."""
     return len(ready_step.pending) if ready_step.spec.is_gang else 1
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_waits.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_waits.py
@@ -10,8 +10,11 @@
 PERIOD_S = 1.0
 # Starts that were short for less than this say little about the rate.
 MIN_PERIOD_S = 0.2
-# A longer wait, or one without any starts, is told as this.
-MAX_WAIT_S = 30.0
+# A longer wait, or one without any starts, is told as this: how long it will
+# last isn't known.
+MAX_WAIT_S = 3.0
+# What was noted last tells nothing any more after this time.
+MAX_AGE_S = 0.5
 
 
 class StartWaits:
@@ -23,6 +26,7 @@
     def __init__(self):
         self._waiting = 0
         self._short_since_s = None
+        self._noted_s = 0.0
         # Time and number of starts of each cycle.
         self._cycles = collections.deque()
 
@@ -39,14 +43,18 @@
             self._cycles.clear()
             return
         self._waiting = waiting
+        self._noted_s = now_s
         if self._short_since_s is None:
             self._short_since_s = now_s
         self._cycles.append((now_s, starts))
         self._forget_before(now_s - PERIOD_S)
 
     def wait_s(self, now_s):
-        """Return how long a start that is planned last has to wait."""
-        if not self._waiting:
+        """Return how long a start that is planned last has to wait.
+
+        Nothing is told while no cycles are noted, as while starts are halted.
+        """
+        if not self._waiting or now_s - self._noted_s > MAX_AGE_S:
             return 0.0
         period_s = min(PERIOD_S, now_s - self._short_since_s)
         if period_s < MIN_PERIOD_S:
