--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
@@ -113,7 +113,7 @@
         return self._ranking(step).has_room(step)
 
     def may_probe(self, ready_step, now_s):
-        """Return whether a step may start where no run is to start.
+        """Return whether a step may start on an executor of last choice.
 
         Long-running tasks may do so however full the pool is. A distrusted
         executor that fails all that it starts always has room. So only jobs go
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -40,13 +40,14 @@
     :param tickets: permissions for steps of queues that need advice
     :param ledger: what the runs of each workspace use
     :param has_runs: tells whether a run of a job, by id, may be executing
-    :ivar holding_pools: pools that start no work that is late
+    :ivar holding_pools: pools that hold back work that is late
     :ivar held_homes: partitions whose jobs start nothing, since some of them
         may have been cancelled
     :ivar short_starts: number of starts that were left out of the last plan
         though there is room for them
-    :ivar waiting_pools: pools in which steps wait for a time, or suspects of
-        crashes for an executor on which nothing has only just started
+    :ivar waiting_pools: pools to plan again without an event: steps wait for
+        a time there, or for executors that are used only after a wait, or
+        suspects of crashes for one on which nothing has only just started
     """
 
     def __init__(self, steps, tickets, ledger, has_runs):
