--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers that submit jobs to the daemons of their zone."""
+"""Callers that submit jobs, first to a daemon of their zone."""
 
 import asyncio
 import random
@@ -25,6 +25,7 @@
 
     def __init__(self, addresses, recorder, failing_share, seed):
         self._addresses = addresses
+        self._all = [a for of_zone in addresses.values() for a in of_zone]
         self._recorder = recorder
         self._failing_share = failing_share
         self._draw = random.Random(seed)
@@ -51,7 +52,7 @@
 
     async def _submit(self, session, job):
         zone = self._draw.choice(list(self._addresses))
-        status = None
+        choices, status = self._addresses[zone], None
         self._recorder.write(
             events.Kind.SUBMITTED,
             job.job_id,
@@ -59,8 +60,10 @@
             steps=[attrs.asdict(step) for step in job.steps],
         )
         for _ in range(MAX_ATTEMPTS):
-            address = self._draw.choice(self._addresses[zone])
+            address = self._draw.choice(choices)
             status, wait_s = await self._call(session, address, job)
+            # All daemons of a zone may be gone.
+            choices = self._all
             if status is not None and 200 <= status < 300:
                 self._recorder.write(events.Kind.ACCEPTED, job.job_id)
                 return
