--- a/review/standins2/stage.py
+++ b/review/standins2/stage.py
@@ -311,6 +311,7 @@
     """Run a case, and return its exit code."""
     try:
         return asyncio.run(asyncio.wait_for(main(), LONGEST_S))
-    except (RuntimeError, asyncio.TimeoutError) as error:
-        print(f'the case could not run: {error}')
+    except Exception as error:
+        # An exit code of 1 would tell of a broken rule.
+        print(f'the case could not run: {error!r}')
         return NOT_RUN
