review: keep the cases inside the limits, and end what they start

Case 6 took 1 of 6 executors down, where the site's share is 0.1, and cut it off from the store as well; case 9 ordered a whole wave at once. Executors that had crashed answered open calls, and bytes were carried out whose sender had reset the connection. A start that failed, or a signal, left daemons running.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,7 +11,7 @@
 POOL = 'checker'
 # Within one turn of an executor that goes down and up (srv_flap).
 AWAY_S = 0.8
-# As long as the site cuts executors off.
+# As long as the site cuts executors off from the system's machines.
 CUT_S = 5.5
 WORK_S = 9.0
 STEPS = [
@@ -31,6 +31,10 @@
     ('m-4', 'r-2'),
     ('m-5', 'r-2'),
     ('m-6', 'r-2'),
+    ('m-7', 'r-3'),
+    ('m-8', 'r-3'),
+    ('m-9', 'r-3'),
+    ('m-10', 'r-3'),
 ]
 # The bounds of the site kelani-tint-grown.
 OVERRIDES = {
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -21,7 +21,7 @@
         'anti-affinity': 1,
     }
 ]
-WORK_S = 10.0
+WORK_S = 10
 # Name, zone and kind of each machine.
 MACHINES = [
     ('m-1', 'zone-a', 'a'),
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -49,7 +49,7 @@
             for machine in machines:
                 if machine.rack == 'r-2':
                     await stage.fleet.crash(machine, AWAY_S)
-        await asyncio.sleep(AWAY_S + 10.0)
+        await asyncio.sleep(AWAY_S + 10)
         if not await stage.submit_until_accepted(
             first, POOL, after, STEPS, WORK_S
         ):
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -19,8 +19,12 @@
     }
 ]
 WORK_S = 0.5
-DUE = ['m-1', 'm-2', 'm-3']
-OTHERS = ['m-4', 'm-5', 'm-6']
+# The first ones of a wave by name are ordered first, two at once.
+SUITED = ['m-1', 'm-2']
+OTHERS_OF_POOL = ['m-3', 'm-4', 'm-5']
+DUE = [*SUITED, *OTHERS_OF_POOL]
+MAX_COUNT = 2
+OTHERS = ['m-6', 'm-7', 'm-8', 'm-9', 'm-10']
 WAVE_S = 26.0
 SILENCE_S = 5.0
 
@@ -28,7 +32,8 @@
 async def main():
     """Play the case, and return its exit code."""
     machines = [
-        *(executors.Machine(name, POOL, kind='b') for name in DUE),
+        *(executors.Machine(name, POOL, kind='b') for name in SUITED),
+        *(executors.Machine(name, POOL) for name in OTHERS_OF_POOL),
         *(executors.Machine(name, OTHER_POOL) for name in OTHERS),
     ]
     async with stage_module.Stage(
@@ -43,7 +48,7 @@
         await asyncio.sleep(5.0)
         if stage_module.has_trouble():
             stage.cloud.outage_s = SILENCE_S
-        stage.ask_for_wave(1, DUE, WAVE_S, len(DUE))
+        stage.ask_for_wave(1, DUE, WAVE_S, MAX_COUNT)
         await asyncio.sleep(WAVE_S)
         if not await stage.submit_until_accepted(
             first, POOL, after, STEPS, WORK_S
--- a/review/standins2/executors.py
+++ b/review/standins2/executors.py
@@ -28,7 +28,9 @@
     """A machine, which outlives its executors.
 
     :ivar upkeeps: waves for which it has had its upkeep
-    :ivar is_cut_off: whether nothing reaches it, and it reaches nothing
+    :ivar is_cut_off: whether the system's machines and it can't reach each
+        other
+    :ivar is_off_store: whether it can't reach the store
     """
 
     name: str
@@ -42,6 +44,7 @@
     upkeeps: set = attrs.Factory(set)
     executor: object = None
     is_cut_off: bool = False
+    is_off_store: bool = False
 
     @property
     def used_cpu(self):
@@ -370,12 +373,15 @@
         name = executor.executor_id
         self.recorder.write('crash', id=name, away_s=away_s)
         await self._sites.pop(name).stop()
-        self.spawn(self._drop_entry(machine, name))
+        silent_s = self.recorder.now_s() - self._written_s[name]
+        drop_after_s = ENTRY_EXPIRY_S - silent_s
+        self.spawn(self._drop_entry(machine, name, drop_after_s))
         self.spawn(self._return(machine, name, away_s))
 
-    async def _drop_entry(self, machine, executor_id):
-        await asyncio.sleep(ENTRY_EXPIRY_S)
+    async def _drop_entry(self, machine, executor_id, after_s):
+        await asyncio.sleep(after_s)
         if machine.executor is None:
+            self.recorder.write('entry-expired', id=executor_id)
             self.put(executor_id, None)
 
     async def _return(self, machine, executor_id, away_s):
@@ -393,23 +399,32 @@
         port = request.transport.get_extra_info('sockname')[1]
         executor = self._by_port.get(port)
         if executor is None:
-            request.transport.abort()
+            _abort(request)
             return web.Response(status=500)
         body = await request.json()
-        await self._wait_for_link(executor.machine)
+        if not await self._passes(executor, request):
+            return web.Response(status=500)
         status, plain = await executor.answer(
             request.path, request.headers, body
         )
-        await self._wait_for_link(executor.machine)
+        if not await self._passes(executor, request):
+            return web.Response(status=500)
         return web.json_response(plain, status=status)
 
-    async def _wait_for_link(self, machine):
-        """Hold bytes back while a machine is cut off.
+    async def _passes(self, executor, request):
+        """Hold bytes back while an executor is cut off.
 
-        Those of a connection that was closed meanwhile are lost.
+        :returns: False if they are lost: the other side has closed the
+            connection meanwhile, or the executor has ended
         """
-        while machine.is_cut_off:
+        while executor.machine.is_cut_off:
+            if _is_closed(request):
+                return False
             await asyncio.sleep(CUT_CHECK_S)
+        if self._by_port.get(executor.port) is executor:
+            return not _is_closed(request)
+        _abort(request)
+        return False
 
     async def _check_leases(self):
         while True:
@@ -429,7 +444,7 @@
                     continue
                 name = executor.executor_id
                 silent_s = now_s - written_s.setdefault(name, now_s)
-                if not machine.is_cut_off and silent_s >= HEARTBEAT_S:
+                if not machine.is_off_store and silent_s >= HEARTBEAT_S:
                     if not self._has_entry(name):
                         self.recorder.write('entry-back', id=name)
                     self.put(name, executor.entry())
@@ -449,3 +464,14 @@
     def _has_entry(self, executor_id):
         newest = self._store.partition('keyed.servers').newest
         return bool(newest[executor_id][1])
+
+
+def _is_closed(request):
+    """Return whether the connection of a call was closed."""
+    return request.transport is None or request.transport.is_closing()
+
+
+def _abort(request):
+    """Reset the connection of a call."""
+    if request.transport is not None:
+        request.transport.abort()
--- a/review/standins2/stage.py
+++ b/review/standins2/stage.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+import math
 import os
 import pathlib
 import shutil
+import signal
 import tempfile
 
 import aiohttp
@@ -22,6 +24,7 @@
 CALL_TIMEOUT_S = 3.0
 MAX_ATTEMPTS = 10
 RETRY_S = 1.0
+GONE_STATUS = 410
 # The bounds of the site vltava-grid.
 OVERRIDES = {
     'longest_lease_ms': 10000,
@@ -88,6 +91,14 @@
         self.store_address = ''
 
     async def __aenter__(self):
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self):
         self._session = aiohttp.ClientSession()
         self._store_runner, self.store_address = await serving.serve(
             self.store.routes()
@@ -111,13 +122,12 @@
             await daemon.start()
         for daemon in self.daemons:
             await self.await_ready(daemon)
-        return self
 
     async def __aexit__(self, *error):
-        for machine in self.fleet.machines.values():
-            machine.is_cut_off = False
         for daemon in self.daemons:
             await daemon.kill()
+        for machine in self.fleet.machines.values():
+            machine.is_cut_off = False
         keep = os.environ.get('KEEP_LOGS')
         if keep:
             shutil.copytree(self._directory, keep, dirs_exist_ok=True)
@@ -125,7 +135,8 @@
         await self.cloud.stop()
         if self._store_runner is not None:
             await self._store_runner.cleanup()
-        await self._session.close()
+        if self._session is not None:
+            await self._session.close()
         self.recorder.close()
         shutil.rmtree(self._directory, ignore_errors=True)
 
@@ -175,7 +186,7 @@
         self.recorder.write('zone-cut', zone=zone, is_cut=is_cut)
         for machine in self.fleet.machines.values():
             if machine.zone == zone:
-                machine.is_cut_off = is_cut
+                machine.is_cut_off = machine.is_off_store = is_cut
 
     def ask_for_wave(self, number, machines, duration_s, max_count):
         """Write the request of a wave."""
@@ -247,7 +258,11 @@
         :param step: the step of the job whose turn has come
         """
         await asyncio.sleep(FINISH_S)
-        state = await self.state_of(daemon, pool, job_id)
+        for _ in range(MAX_ATTEMPTS):
+            state = await self.state_of(daemon, pool, job_id)
+            if isinstance(state, str) or state == GONE_STATUS:
+                break
+            await asyncio.sleep(RETRY_S)
         if state == 'completed':
             return HELD
         if state not in ('queued', 'running'):
@@ -271,8 +286,9 @@
         if any(run.task.startswith(job_id) for run in runs):
             return False
         label = step.get('requirements')
+        limit = step.get('anti-affinity') or math.inf
         fitting = sum(
-            (machine.cpu - machine.used_cpu) // step['cpu']
+            min(limit, (machine.cpu - machine.used_cpu) // step['cpu'])
             for machine in machines
             if not machine.is_cut_off
             and (label is None or label in machine.labels)
@@ -307,11 +323,20 @@
     return f'{0xC0FFEE0000000000 + number:016x}'
 
 
+async def _run_until_stopped(main):
+    """Run a case; a signal to end it ends its processes as well."""
+    playing = asyncio.create_task(main())
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.add_signal_handler(number, playing.cancel)
+    return await asyncio.wait_for(playing, LONGEST_S)
+
+
 def run(main):
     """Run a case, and return its exit code."""
     try:
-        return asyncio.run(asyncio.wait_for(main(), LONGEST_S))
-    except Exception as error:
+        return asyncio.run(_run_until_stopped(main))
+    except (Exception, asyncio.CancelledError) as error:
         # An exit code of 1 would tell of a broken rule.
         print(f'the case could not run: {error!r}')
         return NOT_RUN
