--- a/features/fakes/host_service.py
+++ b/features/fakes/host_service.py
@@ -17,6 +17,8 @@
         self.entries = {}
         self.orders = []
         self.maintained = set()
+        # Hosts and waves of the maintenance that has begun.
+        self._begun = set()
 
     def list(self):
         """Return every host."""
@@ -29,6 +31,8 @@
         :param holder: daemon that sent the order
         """
         entry = self.entries[host]
+        if self._is_done(entry, pool, wave):
+            return
         if entry.state is not host_orders.HostState.UP:
             raise host_orders.HostBusy(host)
         self.orders.append((self._world.now_s(), host, holder))
@@ -36,11 +40,18 @@
         state = host_orders.HostState.MOVING
         if wave is not None:
             self.maintained.add(host)
+            self._begun.add((host, wave))
             state = host_orders.HostState.IN_MAINTENANCE
         self._world.take_host_down(
             entry, pool or entry.pool, state, duration_s
         )
 
+    def _is_done(self, entry, pool, wave):
+        """Return whether an order has been carried out already."""
+        if wave is not None:
+            return (entry.host, wave) in self._begun
+        return entry.pool == pool
+
 
 class HostsClient:
     """Client of the host service for one daemon."""
--- a/features/fakes/task_executors.py
+++ b/features/fakes/task_executors.py
@@ -12,6 +12,8 @@
 from hawthorndeal_platform import executor_orders
 
 STOP_DURATION_S = 0.1
+# A longer lease is shortened to this.
+LONGEST_LEASE_S = 10.0
 # What each executor has, and each host in the list.
 CAPACITY = specs.Resources(16000, 65536)
 # A capacity that has shrunk binds this much later: the time in which a daemon
@@ -49,14 +51,18 @@
     :param clock_rate: rate of its monotonic clock relative to true time
     :ivar is_gone: whether the executor has crashed
     :ivar is_cut: whether nobody can reach it
+    :ivar is_mute: whether it carries out calls, and its answers are lost
     :ivar fails_all: whether all runs fail
     :ivar is_hanging: whether runs never end by themselves
+    :ivar tells_birth: whether it says when its incarnation began
     """
 
     def __init__(self, world, entry, clock_rate=1.0):
+        self.tells_birth = True
         self.entry = entry
         self.is_gone = False
         self.is_cut = False
+        self.is_mute = False
         self.fails_all = False
         self.is_hanging = False
         self.runs = {}
@@ -73,6 +79,11 @@
         # Counted like milliseconds, so that a later birth is a higher number.
         self.born_ms = 1
 
+    @property
+    def told_birth_ms(self):
+        """When its incarnation began; 0 if it doesn't say."""
+        return self.born_ms if self.tells_birth else 0
+
     def resize(self, capacity):
         """Change the capacity; the next heartbeat tells it."""
         until_s = self._world.now_s() + SHRINK_NOTICE_S
@@ -149,13 +160,30 @@
         self.advance()
         self.runs.clear()
         self.born_ms += 1
-        self.entry = attrs.evolve(self.entry, born_ms=self.born_ms)
+        self.entry = attrs.evolve(
+            self.entry, born_ms=self.told_birth_ms, sequence=0
+        )
         self._fence_epoch = self._sequence = 0
         self._deadline_s = 0.0
         self._ends = []
         self._max_rejected = {}
         self._clock_begin_s = self._world.now_s()
 
+    def come_back(self):
+        """Begin again under the same id, some time after a crash."""
+        self.restart()
+        self.is_gone = False
+
+    def next_entry(self):
+        """Return the entry of the next heartbeat."""
+        sequence = self.entry.sequence + 1
+        self.entry = attrs.evolve(self.entry, sequence=sequence)
+        return self.entry
+
+    def _renew_lease(self, deadline_s):
+        longest_s = self.clock_s() + LONGEST_LEASE_S
+        self._deadline_s = max(self._deadline_s, min(deadline_s, longest_s))
+
     def _check(self, epoch):
         if self.is_gone and not self._world.is_host_up(self.entry.host):
             raise errors.PlatformUnavailable('connection refused')
@@ -182,7 +210,7 @@
         key = order.task_id, order.number
         if order.deadline_s < self.clock_s():
             return _Answer.TOO_LATE
-        self._deadline_s = max(self._deadline_s, order.deadline_s)
+        self._renew_lease(order.deadline_s)
         if key in self.runs:
             return _Answer.ACCEPTED
         if order.number <= self._max_rejected.get(order.task_id, 0):
@@ -221,7 +249,7 @@
         """
         self._check(epoch)
         if deadline_s is not None:
-            self._deadline_s = max(self._deadline_s, deadline_s)
+            self._renew_lease(deadline_s)
         self._ends = [e for e in self._ends if e.sequence > last_recorded_end]
         self._world.check_acknowledged_ends(self, last_recorded_end)
         now_s = self._world.now_s()
@@ -290,7 +318,10 @@
         def operate():
             if executor.born_ms != born_ms:
                 raise errors.OutcomeUnknown('the connection was lost')
-            return operation(executor)
+            result = operation(executor)
+            if executor.is_mute:
+                raise errors.OutcomeUnknown('the answer was lost')
+            return result
 
         return await self._link.call(
             operate,
@@ -323,7 +354,7 @@
             lambda e: (
                 *e.poll(epoch, last_recorded_end, deadline_s),
                 e.clock_s(),
-                e.born_ms,
+                e.told_birth_ms,
             ),
             lambda e: e.wait(last_recorded_end, wait_s),
             wait_s,
--- /dev/null
+++ b/features/jobs_incarnations.feature
@@ -0,0 +1,93 @@
+@jobs
+Feature: What is held of an executor ends with its incarnation
+
+  An executor may begin again under its id. Its clock, its ends and the epoch
+  that it has seen begin anew then. One that is taken for ended, and goes on,
+  is found again.
+
+  @invariant_at_most_once
+  # A lease on the former clock lasts the longest time on the new one, so that
+  # a task runs on after it was started elsewhere.
+  Scenario Outline: An executor that began again and is cut off runs no task that runs elsewhere: <case>
+    Given simulated daemons with seed <seed>
+    When 4 jobs of 4 and 2 tasks are submitted
+    And 15 seconds pass
+    And all executors begin again under their ids
+    And <known> seconds pass
+    And <answers> answers of executors arrive
+    And a load "w" of 12 tasks of 9 s arrives
+    And <started> seconds pass
+    And each second executor is cut off for 5.5 s, and <entries>
+    And 25 seconds pass
+    Then job "w" is reported as completed by every daemon
+    And no invariant was violated
+
+    Examples:
+      | case                                       | seed | known | answers | started | entries         |
+      | the entry was read, and nothing was polled | 751  | 1.6   | all     | 0.1     | keeps its entry |
+      | learned from the entry                     | 752  | 1.6   | all     | 0.8     | keeps its entry |
+      | learned from the entry, which is removed   | 753  | 1.6   | all     | 0.8     | loses its entry |
+      | learned from a start                       | 754  | 0     | all     | 0.8     | keeps its entry |
+      | not learned, no start was answered         | 755  | 0     | no      | 0.1     | keeps its entry |
+      | the same, and the entry is removed         | 756  | 0     | no      | 0.1     | loses its entry |
+      | learned, no start was answered             | 757  | 1.6   | no      | 0.1     | keeps its entry |
+
+  # The clock in a late answer of the former incarnation would make the leases
+  # of the new one too long.
+  Scenario Outline: A start is answered <when>
+    Given an executor that is known to have begun at 1000 ms, at 50 s of its clock
+    When a start is sent to it
+    And it is told to have begun <again>
+    And the start is accepted at <clock> s of a clock
+    Then the started run is <phase>
+    And leases count from <reading> s of its clock
+
+    Examples:
+      | when                                       | again      | clock | phase   | reading |
+      | by the incarnation that it was sent to     | at 1000 ms | 50.0  | running | 50.0    |
+      | by the former incarnation, late            | at 2000 ms | 50.0  | unknown | no      |
+      | by a new incarnation that was learned of   | at 2000 ms | 0.2   | unknown | no      |
+      | by a new incarnation, not learned of       | at 1000 ms | 0.2   | unknown | no      |
+
+  # A start in flight reaches the new incarnation: the task would run twice.
+  Scenario Outline: A poll of a new incarnation ends only what ended with the former: <run>
+    Given an executor that is known to have begun at 1000 ms, at 50 s of its clock
+    When a start is sent to it
+    And the start is <answer>
+    And a poll that was sent <sent> is answered by an incarnation that began at 2000 ms, and lists no run
+    Then <ended> run there has ended
+
+    Examples:
+      | run                                    | answer                        | sent   | ended |
+      | accepted before the poll was sent      | accepted at 50 s of a clock   | later  | 1     |
+      | accepted after the poll was sent       | accepted at 50 s of a clock   | before | 0     |
+      | in flight                              | not answered so far           | later  | 0     |
+      | without an answer                      | not answered in time          | later  | 0     |
+
+  # An entry that another has written must not exclude an executor for good.
+  Scenario: An executor goes on that an entry wrongly tells to have begun again
+    Given an executor that is known to have begun at 1000 ms, at 50 s of its clock
+    When it is told to have begun at 9000 ms
+    Then nothing may start there
+    When a poll that was sent later is answered by an incarnation that began at 1000 ms, and lists no run
+    Then tasks may start there
+
+  # The time of day may be set back between two incarnations.
+  Scenario: A poll that is answered by an earlier birth than the known one is believed
+    Given an executor that is known to have begun at 1000 ms, at 50 s of its clock
+    When a poll that was sent later is answered by an incarnation that began at 500 ms, and lists no run
+    Then tasks may start there
+    And leases count from 0.5 s of its clock
+
+  # A new incarnation was blamed for what an order to the former one did.
+  Scenario Outline: An incarnation that was <expected> ends as <kind>
+    Given an executor that is known to have begun at 1000 ms, at 50 s of its clock
+    When the executor is then <expected>
+    And a poll that was sent later is answered by an incarnation that began at 2000 ms, and lists no run
+    Then the former incarnation has ended as <kind>
+
+    Examples:
+      | expected     | kind    |
+      | running      | crashed |
+      | leaving      | planned |
+      | ordered away | planned |
--- a/features/stage/edge_bodies.py
+++ b/features/stage/edge_bodies.py
@@ -173,7 +173,7 @@
     ended = [
         run_state.ReportedEnd(number, run.task_id, run.number, cause, '')
         for number, run in enumerate(
-            runs[::2], executor.last_processed_end + 1
+            runs[::2], executor.incarnation.last_processed_end + 1
         )
     ]
     partition.poll(executor.executor_id, ended)
--- a/features/stage/job_life.py
+++ b/features/stage/job_life.py
@@ -146,7 +146,8 @@
                 number, run.task_id, run.number, run_state.EndCause.DONE, ''
             )
             for number, run in enumerate(
-                executor.runs.values(), executor.last_processed_end + 1
+                executor.runs.values(),
+                executor.incarnation.last_processed_end + 1,
             )
         ]
         self._partition.poll(executor.executor_id, ended)
--- a/features/stage/job_world.py
+++ b/features/stage/job_world.py
@@ -271,6 +271,8 @@
 
     :param seed: seed of all random choices
     :param limits: limits of each daemon's host, as fields of the settings
+    :param has_standby: whether there are hosts on standby
+    :param tells_births: whether executors say when they began
     """
 
     def __init__(
@@ -280,6 +282,8 @@
         hosts_per_pool=4,
         pools=('web', 'ci'),
         limits=None,
+        has_standby=True,
+        tells_births=True,
     ):
         super().__init__(random.Random(seed))
         self.loop = asyncio.get_running_loop()
@@ -292,13 +296,15 @@
         self.adviser = None
         self.waves_completed = set()
         self._last_executor_number = 0
+        self._has_standby = has_standby
+        self._tells_births = tells_births
         self._tasks = []
         self.configuration = None
         # Keys that callers of a queue send, by queue.
         self.keys = {}
         self._version = 0
         self._pools = pools
-        for pool in (*pools, 'spare'):
+        for pool in (*pools, 'spare') if has_standby else pools:
             for number in range(hosts_per_pool):
                 self.add_host(pool, number)
         self.configure()
@@ -350,7 +356,8 @@
         pool_queues.update(changes)
         pool_queues = {n: q for n, q in pool_queues.items() if q is not None}
         pools = {pool: queues.Pool(pool) for pool in self._pools}
-        pools['spare'] = queues.Pool('spare', is_standby=True)
+        if self._has_standby:
+            pools['spare'] = queues.Pool('spare', is_standby=True)
         self.configuration = queues.Configuration(
             self._version,
             pool_queues,
@@ -427,9 +434,11 @@
                 entry.capacity,
             ),
             labels=entry.labels,
+            born_ms=1 if self._tells_births else 0,
         )
         rate = self.rng.uniform(0.98, 1.0)
         executor = task_executors.FakeExecutor(self, executor_entry, rate)
+        executor.tells_birth = self._tells_births
         self.executors[executor_id] = executor
         self._send_heartbeat(executor)
 
@@ -437,7 +446,7 @@
         if executor.is_gone:
             return
         if not executor.is_cut and self.store.is_available(ENTRIES):
-            self.store_entry(executor.entry)
+            self.store_entry(executor.next_entry())
         self._call_later(HEARTBEAT_INTERVAL_S, self._send_heartbeat, executor)
 
     def store_entry(self, entry):
@@ -474,6 +483,22 @@
         self._call_later(4.5, self._drop_entry, executor)
         self._call_later(down_s, self.bring_up_host, host, entry.pool)
 
+    def crash_and_return(self, executor, down_s):
+        """Crash an executor, which begins again under its id later."""
+        host = executor.entry.host
+        entry = self.hosts.entries[host]
+        executor.crash()
+        self.hosts.entries[host] = attrs.evolve(
+            entry, state=host_orders.HostState.DOWN, executor_id=''
+        )
+
+        def come_back():
+            self.hosts.entries[host] = entry
+            executor.come_back()
+            self._send_heartbeat(executor)
+
+        self._call_later(down_s, come_back)
+
     def is_host_up(self, host):
         """Return whether an executor may run on a host."""
         return self.hosts.entries[host].state is host_orders.HostState.UP
--- a/features/stage/loaded_partition.py
+++ b/features/stage/loaded_partition.py
@@ -197,6 +197,10 @@
         """Return the poll response that reports the end of a run."""
         known = self.scheduler.executors[run.executor_id]
         end = run_state.ReportedEnd(
-            known.last_processed_end + 1, run.task_id, run.number, cause, ''
+            known.incarnation.last_processed_end + 1,
+            run.task_id,
+            run.number,
+            cause,
+            '',
         )
         return self.answer(run.executor_id, [end])
--- a/features/stage/scheduler_model.py
+++ b/features/stage/scheduler_model.py
@@ -210,7 +210,9 @@
         listed = {executor.entry.executor_id for executor in self.hosts}
         for known in list(self._scheduler.executors.values()):
             is_listed = known.executor_id in listed
-            if not is_listed and known.is_lease_expired(self._now_s):
+            if not is_listed and known.incarnation.is_lease_expired(
+                self._now_s
+            ):
                 self._scheduler.remove_executor(known.executor_id, self._now_s)
 
     def take_over(self, choice):
@@ -225,11 +227,13 @@
             return
         deadline_s = None
         if (
-            known.clock_s is not None
+            known.incarnation.clock_s is not None
             and known.executor_id not in self._unreachable
         ):
-            deadline_s = known.grant_lease(LEASE_S, self._now_s)
-        epoch, last_end = self._epoch, known.last_recorded_end
+            deadline_s = known.incarnation.grant_lease(
+                LEASE_S, self._now_s
+            ).deadline_s
+        epoch, last_end = self._epoch, known.incarnation.last_recorded_end
         sent_s = self._now_s
         self._send(
             executor,
@@ -335,7 +339,7 @@
             run.task_id,
             run.number,
             run.occurrence.job.spec.payload,
-            known.grant_lease(LEASE_S, self._now_s),
+            known.incarnation.grant_lease(LEASE_S, self._now_s).deadline_s,
             self._epoch,
             run.task.checkpoint,
         )
@@ -382,7 +386,7 @@
             return
         if answer is None:
             self._unreachable.add(known.executor_id)
-            if known.is_lease_expired(self._now_s):
+            if known.incarnation.is_lease_expired(self._now_s):
                 self._scheduler.expire_executor(known.executor_id, self._now_s)
             return
         self._unreachable.discard(known.executor_id)
--- a/features/steps/jobs_capacity_changes.py
+++ b/features/steps/jobs_capacity_changes.py
@@ -123,7 +123,7 @@
         if r is not run
     ]
     end = run_state.ReportedEnd(
-        known.last_processed_end + 1,
+        known.incarnation.last_processed_end + 1,
         run.task_id,
         run.number,
         run_state.EndCause.DONE,
--- a/features/steps/jobs_crashes.py
+++ b/features/steps/jobs_crashes.py
@@ -745,7 +745,7 @@
 @when('{which} of them have not answered this owner')
 def forget_answers(context, which):
     for executor in context.harness.scheduler.executors.values():
-        executor.is_fenced = which != 'all'
+        executor.incarnation.is_fenced = which != 'all'
 
 
 @when('"{crashing}" crash, {apart:g} s one after the other')
--- a/features/steps/jobs_decisions.py
+++ b/features/steps/jobs_decisions.py
@@ -369,8 +369,8 @@
         'x', 'x:1', 'p', 'z', specs.Resources(16000, 65536)
     )
     context.executor = executors.Executor(entry, entry.capacity)
-    context.executor.update_clock(5.0, NOW_S)
-    assert context.executor.is_lease_expired(NOW_S)
+    context.executor.incarnation.update_clock(5.0, NOW_S)
+    assert context.executor.incarnation.is_lease_expired(NOW_S)
 
 
 @when('a start of a stored run is queued but not yet sent')
@@ -386,7 +386,7 @@
 
 @then("the executor's lease has not expired")
 def check_lease_not_expired(context):
-    assert not context.executor.is_lease_expired(NOW_S)
+    assert not context.executor.incarnation.is_lease_expired(NOW_S)
 
 
 @given(
--- a/features/steps/jobs_excluded_executors.py
+++ b/features/steps/jobs_excluded_executors.py
@@ -11,10 +11,7 @@
 from hawthorndeal_scheduler import host_inventory
 from stage import scheduler_harness
 
-EXCLUDED_UNTIL = {
-    'suspended': 'suspended_until_s',
-    'held for a suspect': 'held_until_s',
-}
+EXCLUSIONS = ('suspended', 'held for a suspect')
 LASTING = {'is_lasting': True, 'max_unavailable': 1}
 
 
@@ -50,7 +47,12 @@
     # Nothing is left that would have the pool planned.
     harness.plan()
     executor = harness.scheduler.executors[executor_id]
-    setattr(executor, EXCLUDED_UNTIL[exclusion], harness.now_s + seconds)
+    assert exclusion in EXCLUSIONS, exclusion
+    until_s = harness.now_s + seconds
+    if exclusion == 'suspended':
+        executor.incarnation.suspended_until_s = until_s
+    else:
+        executor.held_until_s = until_s
 
 
 @then('nothing starts for {seconds:g} s')
--- a/features/steps/jobs_odd_entries.py
+++ b/features/steps/jobs_odd_entries.py
@@ -217,7 +217,7 @@
 
 @then('its clock is taken as {clock_s:g} s')
 def check_clock(context, clock_s):
-    assert context.executor.clock_s == clock_s, context.executor.clock_s
+    assert context.executor.incarnation.clock_s == clock_s
 
 
 @when('a task is started at "{address}"')
--- a/features/steps/jobs_scheduler.py
+++ b/features/steps/jobs_scheduler.py
@@ -41,7 +41,9 @@
 @when('the task starts on "{name}"')
 def start_on_other_executor(context, name):
     context.harness.add_executor(name)
-    context.harness.scheduler.executors['a'].suspended_until_s = 1e9
+    context.harness.scheduler.executors[
+        'a'
+    ].incarnation.suspended_until_s = 1e9
     (run,) = context.harness.start_all()
     assert run.executor_id == name
 
@@ -57,7 +59,7 @@
 @then('the task is done, and no run of it starts or continues')
 def check_task_done(context):
     harness = context.harness
-    harness.scheduler.executors['a'].suspended_until_s = 0.0
+    harness.scheduler.executors['a'].incarnation.suspended_until_s = 0.0
     turn = harness.plan()
     assert context.job.is_done
     assert not turn.starts, turn.starts
--- a/features/steps/jobs_standing_work.py
+++ b/features/steps/jobs_standing_work.py
@@ -48,7 +48,7 @@
 def suspend_executors(context):
     _add_job(context)
     for executor in context.harness.scheduler.executors.values():
-        executor.suspended_until_s = math.inf
+        executor.incarnation.suspended_until_s = math.inf
 
 
 @given('a job of 4 tasks beside late work that is held back')
--- a/measure/job_turns.py
+++ b/measure/job_turns.py
@@ -36,7 +36,7 @@
         entry = executors.ExecutorEntry(
             f'x{number}', 'a', pool, 'z', ROOM, host=f'h{number}', clock_s=0.0
         )
-        turn_scheduler.update_executor(entry, 0.0).is_fenced = True
+        turn_scheduler.update_executor(entry, 0.0).incarnation.is_fenced = True
     spec = specs.JobSpec('', (specs.StepSpec(TASKS_PER_JOB, TASK, 1.0),))
     for number, pool in zip(range(waiting), itertools.cycle(pools)):
         job = jobs.Job(f'j{number}', pool, pool, 0.0, spec)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/departures.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/departures.py
@@ -36,7 +36,8 @@
     if departure in (Departure.MOVED, Departure.MAINTAINED):
         return DepartureKind.PLANNED
     # The answer to a host order may have been lost.
-    if executor.entry.is_leaving or executor.is_ordered_away:
+    ended = executor.last_reached
+    if ended.is_leaving or ended.is_ordered_away:
         return DepartureKind.PLANNED
     if departure is Departure.EXPIRED:
         return DepartureKind.SILENT
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executor_health.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executor_health.py
@@ -30,13 +30,13 @@
 
 def record_success(executor):
     """Record a successful run."""
-    executor.consecutive_failures = 0
+    executor.incarnation.consecutive_failures = 0
 
 
 def record_failure(executor, now_s):
     """Record a failed run."""
-    executor.consecutive_failures += 1
-    if executor.consecutive_failures >= FAILURES_BEFORE_SUSPENSION:
+    executor.incarnation.consecutive_failures += 1
+    if executor.incarnation.consecutive_failures >= FAILURES_BEFORE_SUSPENSION:
         suspend(executor, now_s)
 
 
@@ -92,11 +92,14 @@
 def suspend(executor, now_s):
     """Place no new runs on an executor for a while."""
     extra_failures = max(
-        0, executor.consecutive_failures - FAILURES_BEFORE_SUSPENSION
+        0,
+        executor.incarnation.consecutive_failures - FAILURES_BEFORE_SUSPENSION,
     )
     wait_s = min(MAX_SUSPEND_S, SUSPEND_S * 2**extra_failures)
     _suspend_until(executor, now_s + wait_s)
 
 
 def _suspend_until(executor, until_s):
-    executor.suspended_until_s = max(executor.suspended_until_s, until_s)
+    executor.incarnation.suspended_until_s = max(
+        executor.incarnation.suspended_until_s, until_s
+    )
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -5,19 +5,14 @@
 
 import attrs
 
+from . import incarnations
 from . import run_index as run_index_module
 from . import specs
 
-# Upper bound on how much slower an executor's monotonic clock runs than ours.
-MAX_CLOCK_DRIFT = 0.02
-# Time within which a stopped run has ended and its end has been observed.
-STOP_TIMEOUT_S = 1.0
 # What an executor told of its runs counts for this long. Longer than a poll
 # may take that waits for an end, and shorter than planned operations must
 # take notice of a task that is not at work.
 MAX_POLL_AGE_S = 2.5
-# Time for an executor to kill its runs after their lease has expired.
-LEASE_EXPIRY_MARGIN_S = 0.3
 
 
 @attrs.frozen
@@ -27,6 +22,7 @@
     :ivar executor_id: identifies one incarnation of the executor on a host
     :ivar host: host that it runs on; empty if unknown
     :ivar born_ms: when the incarnation began; 0 where executors don't tell
+    :ivar sequence: increases with each entry that the incarnation publishes
     :ivar remaining_s: minimum time left before it shuts down, if it is leaving
     """
 
@@ -41,6 +37,7 @@
     is_leaving: bool = False
     remaining_s: float = 0.0
     born_ms: int = 0
+    sequence: int = 0
 
 
 @attrs.define(eq=False)
@@ -56,27 +53,17 @@
     :ivar suspect_runs: runs whose tasks may crash executors, by the same key
     :ivar filler_count: number of runs of filler tasks
     :ivar lasting_count: number of runs of long-running tasks
-    :ivar expired_runs: runs that have ended with their leases, since when it
-        was not reached
     :ivar free: capacity not reserved by any run
     :ivar whole_capacity: the largest capacity that it has told
-    :ivar is_fenced: whether it has seen this owner's epoch
-    :ivar fenced_since_s: time by which it had seen the epoch
-    :ivar born_ms: when the incarnation began that last answered a poll; 0
-        before the first answer, and where executors don't tell
-    :ivar last_recorded_end: sequence of the last end that is stored
-    :ivar last_processed_end: sequence of the last end that was processed
-    :ivar lease_expires_s: time by which every lease granted has certainly
-        expired, on the local monotonic clock
+    :ivar incarnation: its present life, as far as it is known
+    :ivar former: the life before, until a poll has told which runs have ended
+        with it; None otherwise
     :ivar is_closed_to_lasting: whether no long-running task is placed here
     :ivar finite_ended_s: when a run that ends by itself was last removed
-    :ivar suspended_until_s: no new runs are placed here before this time
     :ivar polled_s: when the last answer to a poll arrived
     :ivar held_until_s: until when no runs start here but those of suspects
     :ivar last_answer_s: when the last answer to any call arrived
     :ivar unanswered_since_s: when a poll first failed after that, or None
-    :ivar is_ordered_away: whether an order that ends it was sent to its host,
-        and may have taken effect
     """
 
     entry: ExecutorEntry
@@ -91,39 +78,37 @@
     _run_numbers: itertools.count = attrs.Factory(itertools.count)
     runs: dict = attrs.Factory(dict)
     suspect_runs: dict = attrs.Factory(dict)
-    expired_runs: list = attrs.Factory(list)
     step_counts: collections.Counter = attrs.Factory(collections.Counter)
     filler_count: int = 0
     lasting_count: int = 0
-    is_fenced: bool = False
-    fenced_since_s: float = 0.0
-    born_ms: int = 0
-    last_recorded_end: int = 0
-    last_processed_end: int = 0
-    clock_s: float | None = None
-    clock_read_s: float = 0.0
-    lease_expires_s: float = 0.0
+    incarnation: incarnations.Incarnation = attrs.field(init=False)
+    former: incarnations.Incarnation | None = None
     last_contact_s: float = 0.0
     polled_s: float = 0.0
     held_until_s: float = 0.0
     last_answer_s: float = 0.0
     unanswered_since_s: float | None = None
     is_reserved: bool = False
-    is_ordered_away: bool = False
     is_closed_to_lasting: bool = False
     finite_ended_s: float = 0.0
-    suspended_until_s: float = 0.0
-    consecutive_failures: int = 0
     idle_since_s: float = 0.0
     missing_since_s: float | None = None
 
     @property
     def executor_id(self):
-        """Identity of this incarnation."""
+        """Identity of the executor, which incarnations may share."""
         return self.entry.executor_id
 
     def __attrs_post_init__(self):
         self.whole_capacity = self.entry.capacity
+        self.incarnation = incarnations.Incarnation(
+            self.entry.born_ms, is_leaving=self.entry.is_leaving
+        )
+
+    @property
+    def shares_id(self):
+        """Whether another incarnation may follow under the same id."""
+        return self.incarnation.born_ms > 0
 
     @property
     def whole_share(self):
@@ -131,10 +116,11 @@
         return self.entry.capacity.smallest_share(self.whole_capacity)
 
     def replace_entry(self, entry):
-        """Replace the entry by a newer one."""
+        """Replace the entry by a newer one of the same incarnation."""
         self.whole_capacity = self.whole_capacity.at_least(entry.capacity)
         self.free = self.free + (entry.capacity - self.entry.capacity)
         self.entry = entry
+        self.incarnation.is_leaving = entry.is_leaving
         self.version += 1
 
     def close_to_lasting(self):
@@ -152,12 +138,20 @@
     def may_start(self, run):
         """Return whether a planned run may still start here.
 
-        The executor may have shrunk, or begun to leave, since it was planned.
+        The executor may have shrunk, begun to leave, or begun another
+        incarnation since it was planned.
         """
         need, free = run.reserved, self.free
-        return not self.entry.is_leaving and all(
-            left >= 0 or not needed
-            for needed, left in zip(attrs.astuple(need), attrs.astuple(free))
+        is_known = self.incarnation.clock_s is not None
+        return (
+            is_known
+            and not self.entry.is_leaving
+            and all(
+                left >= 0 or not needed
+                for needed, left in zip(
+                    attrs.astuple(need), attrs.astuple(free)
+                )
+            )
         )
 
     def exposed_runs(self):
@@ -166,43 +160,62 @@
         Runs whose leases expired while it was not reached may have ended with
         it before.
         """
-        runs = {run.key: run for run in self.expired_runs}
+        expired_runs = self.last_reached.expired_runs
+        runs = {run.key: run for run in expired_runs}
         return list({**runs, **self.runs}.values())
 
     def lasting_runs(self):
         """Return the runs of long-running tasks."""
         return [run for run in self.runs.values() if run.step.is_lasting]
 
+    @property
+    def last_reached(self):
+        """The incarnation that the runs here were started on."""
+        return self.former or self.incarnation
+
     def is_followed_by(self, born_ms):
         """Return whether another incarnation has begun under the same id."""
-        return 0 < self.born_ms < born_ms
+        return 0 < self.incarnation.born_ms < born_ms
 
     def is_after(self, born_ms):
         """Return whether an incarnation of the same id has ended."""
-        return 0 < born_ms < self.born_ms
+        return 0 < born_ms < self.incarnation.born_ms
 
-    def begin_incarnation(self):
-        """Forget what the incarnation before has counted and granted."""
-        self.last_recorded_end = self.last_processed_end = 0
-        self.clock_s = None
-        self.expired_runs.clear()
-        self.is_fenced = False
+    def is_after_poll(self, poll):
+        """Return whether the incarnation that answered a poll has ended.
 
-    def mark_fenced(self, now_s):
-        """Record that the executor has seen this owner's epoch."""
-        if not self.is_fenced:
-            self.fenced_since_s = now_s
-        self.is_fenced = True
+        One that answers a poll that was sent later runs, whatever an entry
+        has told.
+        """
+        return (
+            self.is_after(poll.born_ms)
+            and poll.sent_s < self.incarnation.known_since_s
+        )
 
-    def has_ended_inherited_runs(self, now_s):
-        """Return True if every run that a previous owner stopped has ended."""
-        return self.is_fenced and now_s - self.fenced_since_s > STOP_TIMEOUT_S
+    def begin_incarnation(self, born_ms, now_s, longest_lease_s):
+        """Begin another incarnation, which nothing is known of.
+
+        :param born_ms: when it began
+        :param longest_lease_s: longest lease that executors grant
+        """
+        if self.former is None:
+            self.former = self.incarnation
+        self.incarnation = self.incarnation.successor(
+            born_ms, now_s, longest_lease_s
+        )
+        self.version += 1
+
+    def resume_former(self):
+        """Go on with the incarnation that an entry has taken for ended."""
+        self.incarnation, self.former = self.former, None
+        self.incarnation.doubt()
+        self.version += 1
 
     def is_known_to_serve(self, now_s):
         """Return True if the progress of the runs here is known and holds."""
         return (
             now_s - self.polled_s <= MAX_POLL_AGE_S
-            and self.has_ended_inherited_runs(now_s)
+            and self.incarnation.has_ended_inherited_runs(now_s)
         )
 
     def add(self, run):
@@ -265,27 +278,3 @@
         """Record that a poll of the executor failed."""
         if self.unanswered_since_s is None:
             self.unanswered_since_s = now_s
-
-    def update_clock(self, clock_s, now_s):
-        """Record the executor's clock; older readings are ignored."""
-        if self.clock_s is None or clock_s > self.clock_s:
-            self.clock_s = clock_s
-            self.clock_read_s = now_s
-
-    def grant_lease(self, duration_s, now_s):
-        """Grant a lease that starts now.
-
-        :returns: the end of the lease, on the executor's clock
-        """
-        age_s = now_s - self.clock_read_s
-        local_duration_s = (duration_s + age_s * MAX_CLOCK_DRIFT) / (
-            1.0 - MAX_CLOCK_DRIFT
-        )
-        self.lease_expires_s = max(
-            self.lease_expires_s, now_s + local_duration_s
-        )
-        return self.clock_s + age_s + duration_s
-
-    def is_lease_expired(self, now_s):
-        """Return True if every run here has certainly been killed."""
-        return now_s > self.lease_expires_s + LEASE_EXPIRY_MARGIN_S
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
@@ -40,12 +40,12 @@
 def is_usable(executor, now_s):
     """Return True if new runs may be placed on an executor."""
     return (
-        executor.is_fenced
-        and executor.clock_s is not None
+        executor.incarnation.is_fenced
+        and executor.incarnation.clock_s is not None
         and not executor.entry.is_leaving
         and not executor.is_reserved
         and executor.missing_since_s is None
-        and executor.suspended_until_s <= now_s
+        and executor.incarnation.suspended_until_s <= now_s
     )
 
 
@@ -59,7 +59,7 @@
 
     :returns: infinity if there is none
     """
-    ends_s = (executor.suspended_until_s, executor.held_until_s)
+    ends_s = (executor.incarnation.suspended_until_s, executor.held_until_s)
     return min((end_s for end_s in ends_s if end_s > now_s), default=math.inf)
 
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
@@ -97,12 +97,13 @@
     :param find_occurrence: callable that returns the occurrence of a task, or
         None
     """
-    executor.mark_fenced(poll.received_s)
-    executor.born_ms = max(executor.born_ms, poll.born_ms)
+    incarnation = executor.incarnation
+    incarnation.mark_fenced(poll.received_s)
+    incarnation.born_ms = incarnation.born_ms or poll.born_ms
     executor.last_contact_s = executor.polled_s = poll.received_s
     executor.note_answer(poll.received_s)
-    executor.expired_runs.clear()
-    executor.update_clock(poll.clock_s, poll.received_s)
+    incarnation.expired_runs.clear()
+    incarnation.update_clock(poll.clock_s, poll.received_s)
     finished_runs = _read_ends(executor, poll, find_occurrence)
     found, orphans = [], []
     listed = set()
@@ -125,18 +126,32 @@
 
 
 def unlisted_runs(executor, poll):
-    """Return the runs that a poll lists neither as running nor as ended."""
+    """Return the sent runs that a poll lists neither as running nor ended."""
     rows = [*poll.running, *poll.ended]
     listed = {run_state.run_key(row.task_id, row.number) for row in rows}
-    return [run for key, run in executor.runs.items() if key not in listed]
+    return [
+        run
+        for key, run in executor.runs.items()
+        if key not in listed and run.phase is not _Phase.PLANNED
+    ]
+
+
+def may_start_late(run, poll):
+    """Return whether a run that a poll doesn't list may still begin there.
+
+    The poll may have been answered before the start of the run was.
+    """
+    return run.phase in (_Phase.SENT, _Phase.UNKNOWN) or (
+        run.phase is _Phase.RUNNING and run.phase_changed_s >= poll.sent_s
+    )
 
 
 def _read_ends(executor, poll, find_occurrence):
     finished_runs = []
     for end in poll.ended:
-        if end.sequence <= executor.last_processed_end:
+        if end.sequence <= executor.incarnation.last_processed_end:
             continue
-        executor.last_processed_end = end.sequence
+        executor.incarnation.last_processed_end = end.sequence
         run = executor.runs.get(run_state.run_key(end.task_id, end.number))
         if run is None and end.cause is _Cause.DONE:
             # The run finished before its lease expired and was written off;
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -11,6 +11,7 @@
 from . import executor_index
 from . import executors as executors_module
 from . import fleet_room
+from . import incarnations
 from . import jobs
 from . import pacing
 from . import placement
@@ -27,7 +28,10 @@
 from . import start_shares
 from . import tickets as tickets_module
 
+LONGEST_LEASE_S = 10.0
+
 _Cause = run_state.EndCause
+_Phase = run_state.RunPhase
 _Answer = run_tracking.StartAnswer
 # Answers that concern the start, not the executor.
 _REJECTIONS = (
@@ -44,10 +48,12 @@
 
     :ivar finished_runs: its runs
     :ivar suspects: tasks that may have crashed it
+    :ivar kind: whether it was expected to end
     """
 
     finished_runs: list[run_tracking.FinishedRun]
     suspects: list[crash_blame.Suspect]
+    kind: departures.DepartureKind
 
 
 @attrs.frozen
@@ -74,6 +80,7 @@
 
     :param replica: the jobs of the partition
     :param configuration: current queues and pools
+    :param longest_lease_s: longest lease that executors grant
     :ivar fleet: what the hosts of the fleet have
     :ivar is_limited: whether the last plan had no starts left for more runs
     :ivar quotas: what the runs of each workspace use, and may use
@@ -81,7 +88,10 @@
     :ivar standing: finds work that waits beside room
     """
 
-    def __init__(self, replica, configuration):
+    def __init__(
+        self, replica, configuration, longest_lease_s=LONGEST_LEASE_S
+    ):
+        self._longest_lease_s = longest_lease_s
         self.executors = {}
         self.fleet = fleet_room.FleetRoom()
         self.is_limited = False
@@ -206,15 +216,39 @@
             # An entry of an incarnation that has ended, stored late.
             return executor
         else:
+            self._note_birth(executor, entry.born_ms, now_s)
             self._index.replace_entry(executor, entry)
-            if executor.is_followed_by(entry.born_ms):
-                # Nothing starts there before a poll tells what it runs.
-                executor.is_fenced = False
         executor.missing_since_s = None
         executor.last_contact_s = max(executor.last_contact_s, now_s)
         self.steps.pools_to_schedule.add(entry.pool)
         return executor
 
+    def _note_birth(self, executor, born_ms, now_s):
+        """Process when the incarnation began that an executor tells of.
+
+        Nothing starts on a new one before a poll tells what it runs.
+        """
+        if not executor.incarnation.born_ms:
+            executor.incarnation.born_ms = born_ms
+        elif executor.is_followed_by(born_ms):
+            self._begin_incarnation(executor, born_ms, now_s)
+
+    def _begin_incarnation(self, executor, born_ms, now_s):
+        executor.begin_incarnation(born_ms, now_s, self._longest_lease_s)
+        self._unrecorded.pop(executor.executor_id, None)
+
+    def _note_answering(self, executor, poll, now_s):
+        """Process which incarnation of an executor has answered a poll."""
+        self._note_birth(executor, poll.born_ms, now_s)
+        if not executor.is_after(poll.born_ms):
+            return
+        former = executor.former
+        if former is not None and former.born_ms == poll.born_ms:
+            executor.resume_former()
+        else:
+            # The time of day was set back before it began.
+            self._begin_incarnation(executor, poll.born_ms, now_s)
+
     def _add_executor(self, entry):
         executor = executors_module.Executor(
             entry, entry.capacity, run_index=self._run_index
@@ -262,19 +296,21 @@
         """
         executor = self.executors.get(executor_id)
         if executor is None:
-            return ExecutorEnd([], [])
+            return ExecutorEnd([], [], kind)
         suspects = []
         if kind is departures.DepartureKind.CRASHED:
             suspects = self._note_crash(
                 executor, executor.exposed_runs(), now_s
             )
-        finished_runs = self._end_runs(executor_id, _Cause.LOST, now_s)
+        finished_runs = self._end_runs(
+            executor, list(executor.runs.values()), _Cause.LOST, now_s
+        )
         self._index.remove(self.executors.pop(executor_id))
         self._unrecorded.pop(executor_id, None)
         for suspect in suspects:
             if suspect.is_blamed:
                 self._endings.give_up(suspect.run)
-        return ExecutorEnd(finished_runs, suspects)
+        return ExecutorEnd(finished_runs, suspects, kind)
 
     def _note_crash(self, executor, exposed, now_s):
         others = [e for e in self.executors.values() if e is not executor]
@@ -284,41 +320,67 @@
         """End the runs of an incarnation that another one has followed.
 
         The new one has the same id. What the poll lists may have been started
-        there, when the owner didn't know of it.
+        there, when the owner didn't know of it. What was sent and not answered
+        may still be started there.
 
         :returns: the end of the former one, or None if it hasn't ended
         :rtype: ExecutorEnd or None
         """
         executor = self.executors.get(executor_id)
-        if executor is None or not executor.is_followed_by(poll.born_ms):
+        if executor is None or executor.is_after_poll(poll):
+            return None
+        self._note_answering(executor, poll, now_s)
+        if executor.former is None:
             return None
-        lost = run_tracking.unlisted_runs(executor, poll)
-        exposed = [*executor.expired_runs, *lost]
-        suspects = self._note_crash(executor, exposed, now_s)
+        unlisted = run_tracking.unlisted_runs(executor, poll)
+        suspects = []
+        kind = departures.kind_of(executor, departures.Departure.REBORN)
+        if kind is departures.DepartureKind.CRASHED:
+            exposed = [*executor.former.expired_runs, *unlisted]
+            suspects = self._note_crash(executor, exposed, now_s)
         finished_runs = [
             run_tracking.FinishedRun(run, _Cause.LOST, run.checkpoint)
-            for run in lost
+            for run in unlisted
+            if not run_tracking.may_start_late(run, poll)
         ]
         for ended in finished_runs:
             self._endings.finish(executor, ended, now_s)
-        executor.begin_incarnation()
-        self._unrecorded.pop(executor_id, None)
+        executor.former = None
         for suspect in suspects:
             if suspect.is_blamed:
                 self._endings.give_up(suspect.run)
-        return ExecutorEnd(finished_runs, suspects)
+        return ExecutorEnd(finished_runs, suspects, kind)
 
     def expire_executor(self, executor_id, now_s):
-        """End all runs of an executor whose leases have expired."""
+        """End the runs of an executor whose leases have expired."""
         executor = self.executors[executor_id]
-        executor.expired_runs += executor.runs.values()
-        return self._end_runs(executor_id, _Cause.LAPSED, now_s)
+        expired = [
+            run
+            for run in executor.runs.values()
+            if not self._may_hold_longest_lease(executor, run, now_s)
+        ]
+        executor.last_reached.expired_runs += expired
+        return self._end_runs(executor, expired, _Cause.LAPSED, now_s)
 
-    def _end_runs(self, executor_id, cause, now_s):
-        executor = self.executors[executor_id]
+    def _may_hold_longest_lease(self, executor, run, now_s):
+        """Return whether an incarnation unknown so far may have begun a run.
+
+        The lease in a start counts on the clock of the incarnation that was
+        known then.
+        """
+        if not executor.shares_id or run.phase not in (
+            _Phase.SENT,
+            _Phase.UNKNOWN,
+        ):
+            return False
+        return now_s <= incarnations.longest_lease_end_s(
+            run.phase_changed_s, self._longest_lease_s
+        )
+
+    def _end_runs(self, executor, runs, cause, now_s):
         finished_runs = [
             run_tracking.FinishedRun(run, cause, run.checkpoint)
-            for run in list(executor.runs.values())
+            for run in runs
         ]
         for ended in finished_runs:
             self._endings.finish(executor, ended, now_s)
@@ -334,7 +396,7 @@
             for occurrence in job.occurrences.values():
                 for task_id, task in _assigned_tasks(occurrence):
                     executor = self._get_or_add_executor(task.executor, now_s)
-                    executor.lease_expires_s = inherited_lease_s
+                    executor.incarnation.lease_expires_s = inherited_lease_s
                     run = run_tracking.inherit(
                         executor, (task_id, task.run), occurrence, now_s
                     )
@@ -353,15 +415,16 @@
     def handle_poll(self, executor_id, poll, now_s):
         """Process an executor's poll response and return the finished runs."""
         executor = self.executors.get(executor_id)
-        if executor is None or executor.is_after(poll.born_ms):
+        if executor is None or executor.is_after_poll(poll):
             return []
+        incarnation = executor.incarnation
         was_usable = placement.is_usable(executor, now_s)
         outcome = run_tracking.process_poll(
             executor, poll, self._find_occurrence
         )
         if placement.is_usable(executor, now_s) and not was_usable:
             self.reopen_executor(executor)
-        if executor.last_processed_end > executor.last_recorded_end:
+        if incarnation.last_processed_end > incarnation.last_recorded_end:
             self._unrecorded[executor_id] = executor
         self._run_index.note_pace_input(executor_id)
         if self._crashes.clear_suspects(executor):
@@ -586,17 +649,23 @@
         """
         in_order = sorted(self._unrecorded.values(), key=lambda e: e.number)
         return {
-            e.executor_id: (e.last_processed_end, e.born_ms) for e in in_order
+            e.executor_id: (
+                e.incarnation.last_processed_end,
+                e.incarnation.born_ms,
+            )
+            for e in in_order
         }
 
     def mark_ends_recorded(self, ends):
         """Record that ends are stored, so that executors may discard them."""
         for executor_id, (sequence, born_ms) in ends.items():
             executor = self.executors.get(executor_id)
-            if executor is not None and executor.born_ms == born_ms:
-                executor.last_recorded_end = sequence
-                if executor.last_processed_end <= sequence:
-                    self._unrecorded.pop(executor_id, None)
+            if executor is None or executor.incarnation.born_ms != born_ms:
+                continue
+            incarnation = executor.incarnation
+            incarnation.last_recorded_end = sequence
+            if incarnation.last_processed_end <= sequence:
+                self._unrecorded.pop(executor_id, None)
 
 
 def _assigned_tasks(occurrence):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/shared_crashes.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/shared_crashes.py
@@ -41,7 +41,7 @@
         """Record the crash of an executor."""
         while self._recent and self._recent[0][0] < now_s - RETENTION_S:
             self._recent.popleft()
-        if executor.is_fenced and not _has_unproven_run(executor):
+        if executor.incarnation.is_fenced and not _has_unproven_run(executor):
             self._recent.append((now_s, _silence_of(executor, now_s)))
 
     def is_shared(self, executor, executors, now_s):
@@ -49,13 +49,13 @@
 
         :param executors: the other executors that have not ended
         """
-        if not executor.is_fenced:
+        if not executor.incarnation.is_fenced:
             return False
         own = _silence_of(executor, now_s)
         silent = [
             _silence_of(other, now_s)
             for other in executors
-            if other.is_fenced
+            if other.incarnation.is_fenced
             and other.unanswered_since_s is not None
             and not _has_unproven_run(other)
         ]
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/standing_work.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/standing_work.py
@@ -272,13 +272,16 @@
 
 def _why_closed(executor, spec, now_s):
     """Return why an executor takes no runs of a step; empty if it does."""
-    if not executor.is_fenced or executor.clock_s is None:
+    if (
+        not executor.incarnation.is_fenced
+        or executor.incarnation.clock_s is None
+    ):
         return 'not_polled'
     if executor.is_reserved:
         return 'reserved'
     if executor.missing_since_s is not None:
         return 'missing'
-    if executor.suspended_until_s > now_s:
+    if executor.incarnation.suspended_until_s > now_s:
         return 'suspended'
     if spec.is_lasting and executor.is_closed_to_lasting:
         return 'closed_to_lasting'
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
@@ -101,7 +101,8 @@
         return self._owner.tracker.check_lease_expiry(self._executor)
 
     def _needs_poll(self):
-        return self._executor.runs or not self._executor.is_fenced
+        executor = self._executor
+        return executor.runs or not executor.incarnation.is_fenced
 
     async def _poll(self):
         executor, owner = self._executor, self._owner
@@ -109,28 +110,47 @@
         if not owner.may_renew_leases():
             await asyncio.sleep(RETRY_S)
             return
-        deadline_s = None
+        incarnation = executor.incarnation
+        grant = None
         # A poll may renew the lease even if its answer is lost, so polls of an
         # unreachable executor carry none: otherwise its runs never lapse.
-        if executor.clock_s is not None and not self._is_unreachable:
-            deadline_s = executor.grant_lease(owner.lease_s, now_s)
-        born_ms, end_to_forget = executor.born_ms, self._end_to_forget()
+        if incarnation.clock_s is not None and not self._is_unreachable:
+            grant = incarnation.grant_lease(owner.lease_s, now_s)
+        is_answered = False
+        try:
+            ended_runs = await self._send_poll(grant)
+            is_answered = executor.incarnation is incarnation
+        except (errors.PlatformUnavailable, executor_orders.ExecutorGone):
+            is_answered = True
+            raise
+        finally:
+            if grant is not None:
+                incarnation.end_grant(grant, is_answered)
+        if ended_runs:
+            await self._wait_for_ends_stored()
+        else:
+            await asyncio.sleep(POLL_PAUSE_S)
+
+    async def _send_poll(self, grant):
+        """Poll the executor, and return the runs that ended.
+
+        :param grant: the lease that the poll carries, or None
+        """
+        executor, owner = self._executor, self._owner
+        born_ms = executor.incarnation.born_ms
+        end_to_forget = self._end_to_forget()
         poll = await owner.executors.poll(
             run_orders.target_of(executor),
             owner.epoch,
             end_to_forget,
-            deadline_s,
+            grant.deadline_s if grant is not None else None,
             self._poll_wait_s(end_to_forget),
         )
         self._note_reached()
         if end_to_forget:
             self._forgotten = born_ms, end_to_forget
         self._ends_stored.clear()
-        ended_runs = owner.tracker.handle_poll(executor, poll)
-        if ended_runs:
-            await self._wait_for_ends_stored()
-        else:
-            await asyncio.sleep(POLL_PAUSE_S)
+        return owner.tracker.handle_poll(executor, poll)
 
     def _end_to_forget(self):
         """Return up to which end the executor may forget ends.
@@ -140,13 +160,13 @@
         forgotten after a failed poll, and each end only once where executors
         tell incarnations apart.
         """
-        executor = self._executor
-        recorded = executor.born_ms, executor.last_recorded_end
+        incarnation = self._executor.incarnation
+        recorded = incarnation.born_ms, incarnation.last_recorded_end
         if self._failures or (
-            executor.born_ms and recorded == self._forgotten
+            incarnation.born_ms and recorded == self._forgotten
         ):
             return 0
-        return executor.last_recorded_end
+        return incarnation.last_recorded_end
 
     def _poll_wait_s(self, end_to_forget):
         """Return how long the executor may hold a poll open for an end.
@@ -155,9 +175,9 @@
         share an id, as the next one may begin meanwhile.
         """
         executor = self._executor
-        if self._failures or not executor.is_fenced:
+        if self._failures or not executor.incarnation.is_fenced:
             return 0.0
-        if executor.born_ms and end_to_forget:
+        if executor.shares_id and end_to_forget:
             return 0.0
         wait_s = poll_wait_s(executor.runs.values(), self._owner.now_s())
         if placement.is_apart(executor, self._owner.now_s()):
@@ -167,8 +187,8 @@
 
     async def _wait_for_ends_stored(self):
         await asyncio.sleep(POLL_PAUSE_S)
-        executor = self._executor
-        if executor.last_recorded_end >= executor.last_processed_end:
+        incarnation = self._executor.incarnation
+        if incarnation.last_recorded_end >= incarnation.last_processed_end:
             return
         try:
             await asyncio.wait_for(self._ends_stored.wait(), STORE_WAIT_S)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
@@ -55,7 +55,7 @@
         executor = self._register_entry(entry, now_s)
         if executor is not None:
             self._ensure_agent(executor)
-            if not executor.is_fenced:
+            if not executor.incarnation.is_fenced:
                 self.poll_soon(executor)
             self._owner.wake()
 
@@ -97,12 +97,7 @@
         now_s = self._owner.now_s()
         end = self._scheduler.renew_executor(executor_id, look, now_s)
         if end is not None:
-            self._log_executor_end(
-                executor,
-                end,
-                _Departure.REBORN,
-                departures.DepartureKind.CRASHED,
-            )
+            self._log_executor_end(executor, end, _Departure.REBORN)
             self._owner.wake()
         ended_runs = self._scheduler.handle_poll(executor_id, look, now_s)
         for ended in ended_runs:
@@ -152,8 +147,8 @@
             is_given_up=suspect.is_blamed,
         )
 
-    def _log_executor_end(self, executor, end, departure, kind):
-        self._metrics.note_departure(kind.value)
+    def _log_executor_end(self, executor, end, departure):
+        self._metrics.note_departure(end.kind.value)
         silent_s = self._owner.now_s() - executor.last_answer_s
         self._events.write(
             'executor_gone',
@@ -161,7 +156,7 @@
             host=executor.entry.host,
             rack=executor.entry.rack,
             runs=len(end.finished_runs),
-            departure=kind.value,
+            departure=end.kind.value,
             why=departure.value,
             unanswered_s=round(silent_s, 3),
         )
@@ -178,7 +173,7 @@
         now_s = self._owner.now_s()
         if executor.executor_id not in self._scheduler.executors:
             return True
-        if not executor.is_lease_expired(now_s):
+        if not executor.incarnation.is_lease_expired(now_s):
             return False
         if executor.runs:
             for ended in self._scheduler.expire_executor(
@@ -186,7 +181,7 @@
             ):
                 self._log_end(executor, ended)
             self._owner.wake()
-        if executor.missing_since_s is not None:
+        if executor.missing_since_s is not None and not executor.runs:
             self.remove(executor, _Departure.EXPIRED)
             return True
         return False
@@ -208,7 +203,7 @@
         end = self._scheduler.remove_executor(
             executor.executor_id, now_s, kind
         )
-        self._log_executor_end(executor, end, departure, kind)
+        self._log_executor_end(executor, end, departure)
         held = self._agents.pop(executor.executor_id, None)
         if held is not None and held[0] is not asyncio.current_task():
             held[0].cancel()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
@@ -147,7 +147,8 @@
         if incarnations:
             # An entry that is stored late may describe an ended incarnation.
             return max(
-                incarnations, key=lambda e: (e.is_fenced, e.last_contact_s)
+                incarnations,
+                key=lambda e: (e.incarnation.is_fenced, e.last_contact_s),
             )
         entry = self.entries.get(host)
         if entry is None:
@@ -167,7 +168,7 @@
             executor.is_reserved = host in self.draining
             self._owner.scheduler.reopen_executor(executor)
             if self._is_listed_up(host, executor):
-                executor.is_ordered_away = False
+                executor.incarnation.is_ordered_away = False
 
     def _is_listed_up(self, host, executor):
         entry = self.entries.get(host)
@@ -181,7 +182,7 @@
         """Record that the executor of a host may end by an order."""
         executor = self.executor_on(host)
         if executor is not None:
-            executor.is_ordered_away = True
+            executor.incarnation.is_ordered_away = True
 
     def is_stable(self, host):
         """Return whether a host is up and runs the executor last listed."""
@@ -238,6 +239,6 @@
 
     def _has_arrived(self, host, pool):
         return any(
-            executor.is_fenced and executor.entry.pool == pool
+            executor.incarnation.is_fenced and executor.entry.pool == pool
             for executor in self._owner.scheduler.executors_on(host)
         )
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -75,6 +75,7 @@
         self.scheduler = scheduler_module.Scheduler(
             parts.jobs_reader.replica,
             parts.configuration_reader.configuration,
+            parts.settings.longest_lease_ms / 1000,
         )
         self.tracker = executor_tracker.ExecutorTracker(self, parts.metrics)
         self._writers = owner_writers.OwnerWriters(
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
@@ -11,6 +11,8 @@
 from hawthorndeal_platform import executor_orders
 
 _Answer = run_tracking.StartAnswer
+# The executor has done nothing, whichever incarnation answered.
+_WITHOUT_EFFECT = (_Answer.GONE, _Answer.UNHEALTHY)
 
 
 def target_of(executor):
@@ -59,19 +61,17 @@
         run.phase_changed_s = owner.now_s()
         # Grants the lease before the call: a run in phase SENT without a lease
         # counts as lapsed.
-        deadline_s = executor.grant_lease(owner.lease_s, owner.now_s())
+        grant = executor.incarnation.grant_lease(owner.lease_s, owner.now_s())
         sent = self.starts.note_sent(run.executor_id, owner.now_s())
-        owner.tasks.spawn(
-            self._send_start_call(run, executor, deadline_s, sent)
-        )
+        owner.tasks.spawn(self._send_start_call(run, executor, grant, sent))
 
-    async def _send_start_call(self, run, executor, deadline_s, sent):
+    async def _send_start_call(self, run, executor, grant, sent):
         owner = self._owner
         order = executor_orders.StartOrder(
             run.task_id,
             run.number,
             run.occurrence.job.spec.payload,
-            deadline_s,
+            grant.deadline_s,
             owner.epoch,
             run.task.checkpoint,
             run.ticket,
@@ -86,12 +86,42 @@
             self.starts.note_end(sent, is_answered, owner.now_s())
         if answer is _Answer.UNKNOWN:
             self._metrics.note_unanswered_call('start')
-        if clock_s is not None:
-            executor.update_clock(clock_s, owner.now_s())
-            executor.note_answer(owner.now_s())
+        answer = self._check_incarnation(executor, grant, answer, clock_s)
         self._log_start(run, executor, answer)
         self._handle_start_answer(run, executor, answer)
 
+    def _check_incarnation(self, executor, grant, answer, clock_s):
+        """Return the answer to a start, or UNKNOWN if another incarnation ran.
+
+        Whether the incarnation that has answered an accepted start is the
+        present one isn't known then; the next poll tells.
+
+        :param grant: the lease that the start carried
+        :param clock_s: the clock of the one that has answered, or None
+        """
+        incarnation = grant.incarnation
+        if answer in _WITHOUT_EFFECT:
+            incarnation.end_grant(grant, True)
+            return answer
+        is_present = executor.incarnation is incarnation
+        is_own = is_present and (
+            not executor.shares_id
+            or clock_s is not None
+            and incarnation.may_have_answered(grant, clock_s)
+        )
+        incarnation.end_grant(grant, is_own and answer is not _Answer.UNKNOWN)
+        if is_own and clock_s is not None:
+            incarnation.update_clock(clock_s, self._owner.now_s())
+            executor.note_answer(self._owner.now_s())
+        if is_present and not is_own and clock_s is not None:
+            incarnation.doubt()
+            self._owner.events.write(
+                'incarnation_doubted', executor=executor.executor_id
+            )
+        if answer is _Answer.ACCEPTED and not is_own:
+            return _Answer.UNKNOWN
+        return answer
+
     def _log_start(self, run, executor, answer):
         self._metrics.note_start(answer.value)
         is_started = answer is _Answer.ACCEPTED
