An executor that was only cut off is found again by its next entry

Cause: an executor whose leases have expired and whose entry is missing, or whose host two lists don't show, was removed and its id put into a set of ended ids. All entries of these ids were ignored, also those of an executor that had only been cut off.

Change: what was taken for ended is remembered with its birth, its newest entry and what showed the end. A newer entry of the same incarnation makes the executor known again, with the leases that it was granted, unless another executor has answered in its place. entry_ignored logs why one gets no work.

Why it works: entries that are kept or read again are not newer, so that only a living executor, or an entry stored late, is found; nothing starts there before a poll is answered.

--- a/features/jobs_incarnations.feature
+++ b/features/jobs_incarnations.feature
@@ -91,3 +91,54 @@
       | running      | crashed |
       | leaving      | planned |
       | ordered away | planned |
+
+  # Executors of a zone that was cut off were never used again.
+  Scenario Outline: An executor that was only cut off is used again: <case>
+    Given simulated daemons with seed <seed>, whose executors <births>
+    When a load "r" of 4 tasks of <work> s arrives, one on each executor
+    And 1 second passes
+    And all executors are cut off for 6.5 s, and <entries>
+    And 9 seconds pass
+    And a load "w" of 4 tasks of 2 s arrives, one on each executor
+    And 3 seconds pass
+    Then job "w" is reported as completed by every daemon
+    And no invariant was violated
+
+    Examples:
+      | case                          | seed | births               | work | entries           |
+      | its entry was removed         | 761  | have an id each life | 20   | loses its entry   |
+      | its entry was removed, births | 762  | tell their births    | 20   | loses its entry   |
+      | no list showed it             | 763  | have an id each life | 0.3  | is listed nowhere |
+      | no list showed it, births     | 764  | tell their births    | 0.3  | is listed nowhere |
+
+  # What is stored late, kept or read again must not bring back what has ended.
+  Scenario Outline: An entry of a removed executor: <case>
+    Given an executor that began at <born> ms and told entry 7, and has ended, as <departure>
+    When entry <sequence> of an incarnation that began at <told> ms is read
+    Then the removed executor is <verdict>
+
+    Examples:
+      | case                                  | departure                                      | born | told | sequence | verdict   |
+      | read again, cut off                   | its entry was removed and its leases have expired | 0 | 0    | 7        | not there |
+      | newer, cut off                        | its entry was removed and its leases have expired | 0 | 0    | 8        | there     |
+      | read again, crashed                   | not on any listed host                         | 1000 | 1000 | 7        | not there |
+      | newer, on no list                     | not on any listed host                         | 1000 | 1000 | 8        | there     |
+      | of a former life, stored late         | not on any listed host                         | 1000 | 500  | 9        | not there |
+      | stored late, replaced                 | its host runs a newer executor                 | 0    | 0    | 8        | not there |
+      | stored late, address taken            | another executor answers at its address        | 0    | 0    | 8        | not there |
+
+  Scenario: The log tells why an entry makes no executor known
+    Given an executor that began at 0 ms and told entry 7, and has ended, as its host runs a newer executor
+    When entry 7 of an incarnation that began at 0 ms is read
+    And entry 8 of an incarnation that began at 0 ms is read
+    Then the log tells once that its entry is ignored, since its host runs a newer executor
+
+  # A lease of the life that goes on holds; one of a life that is over doesn't.
+  Scenario Outline: The lease of an executor that is found again: <case>
+    Given an executor that began at 1000 ms and told entry 7, and has ended, as not on any listed host
+    When entry <sequence> of an incarnation that began at <told> ms is read
+    Then the lease of the executor has <expired>
+
+    Examples:
+      | case                  | told | sequence | expired     |
+      | the same incarnation  | 1000 | 8        | not expired |
--- /dev/null
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ended_incarnations.py
@@ -0,0 +1,85 @@
+"""Remembers the incarnations of executors that have ended.
+
+Entries of an ended incarnation are retained for a while, are read again after
+the log was truncated, and may be stored late. They must not bring it back. But
+not everything that is taken for an end is one: an executor that nobody reached
+may only have been cut off, and a list of hosts may lack one that runs. Such an
+executor goes on publishing entries, and is found again by the first one that
+is newer than all that had been read when it was removed.
+"""
+
+import attrs
+
+from . import departures
+
+_Departure = departures.Departure
+
+# Another executor has answered, or an order has ended it.
+_CERTAIN = frozenset(
+    {
+        _Departure.REPLACED,
+        _Departure.ADDRESS_TAKEN,
+        _Departure.MOVED,
+        _Departure.MAINTAINED,
+    }
+)
+
+
+@attrs.define
+class EndedIncarnation:
+    """An incarnation that was taken for ended.
+
+    :ivar born_ms: when it began; 0 where executors don't tell
+    :ivar sequence: that of its newest entry
+    :ivar lease_expires_s: time by which its leases have certainly expired
+    :ivar departure: what showed that it has ended
+    :ivar is_entry_ignored: whether an entry of it was read since
+    """
+
+    born_ms: int
+    sequence: int
+    lease_expires_s: float
+    departure: departures.Departure
+    is_entry_ignored: bool = False
+
+    def is_contradicted_by(self, entry):
+        """Return whether an entry shows that the incarnation goes on."""
+        return (
+            self.departure not in _CERTAIN
+            and entry.born_ms == self.born_ms
+            and entry.sequence > self.sequence
+        )
+
+
+class EndedIncarnations:
+    """The last incarnation that was taken for ended, by executor id."""
+
+    def __init__(self):
+        self._ended = {}
+
+    def note_end(self, executor, departure):
+        """Record that the present incarnation of an executor has ended."""
+        incarnation, entry = executor.incarnation, executor.entry
+        self._ended[executor.executor_id] = EndedIncarnation(
+            incarnation.born_ms,
+            entry.sequence if entry.born_ms == incarnation.born_ms else 0,
+            incarnation.lease_expires_s,
+            departure,
+        )
+
+    def find(self, entry):
+        """Return the end of the incarnation that an entry tells of, or None.
+
+        :rtype: EndedIncarnation or None
+        """
+        ended = self._ended.get(entry.executor_id)
+        if ended is None:
+            return None
+        return None if ended.is_contradicted_by(entry) else ended
+
+    def pop(self, executor_id):
+        """Forget the end of an executor that is there, and return it.
+
+        :rtype: EndedIncarnation or None
+        """
+        return self._ended.pop(executor_id, None)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from hawthorndeal_jobs import departures
+from hawthorndeal_jobs import ended_incarnations
 from hawthorndeal_jobs import run_state
 
 from . import executor_agent
@@ -26,7 +27,7 @@
         self._agents = {}
         # Executors without a known address.
         self._without_agent = {}
-        self._ended_executor_ids = set()
+        self._ended = ended_incarnations.EndedIncarnations()
 
     def register(self, entries):
         """Add the executors that had published entries before."""
@@ -60,18 +61,41 @@
             self._owner.wake()
 
     def _register_entry(self, entry, now_s):
-        # Entries of ended executor incarnations are retained for a while, are
-        # read again after the log was truncated, and may be stored late.
-        if entry.executor_id in self._ended_executor_ids:
+        if entry.executor_id in self._scheduler.executors:
+            return self._scheduler.update_executor(entry, now_s)
+        ended = self._ended.find(entry)
+        if ended is not None:
+            self._log_ignored(entry, ended)
             return None
-        if entry.executor_id not in self._scheduler.executors:
-            self._events.write(
-                'executor_found',
-                executor=entry.executor_id,
-                host=entry.host,
-                pool=entry.pool,
-            )
-        return self._scheduler.update_executor(entry, now_s)
+        return self._add_executor(entry, now_s)
+
+    def _add_executor(self, entry, now_s):
+        executor = self._scheduler.update_executor(entry, now_s)
+        ended = self._ended.pop(entry.executor_id)
+        is_back = ended is not None
+        if is_back:
+            incarnation = executor.incarnation
+            incarnation.lease_expires_s = ended.lease_expires_s
+        self._events.write(
+            'executor_found',
+            executor=entry.executor_id,
+            host=entry.host,
+            pool=entry.pool,
+            back_after=ended.departure.value if is_back else '',
+        )
+        return executor
+
+    def _log_ignored(self, entry, ended):
+        """Log, once for each end, why an entry makes no executor known."""
+        if ended.is_entry_ignored:
+            return
+        ended.is_entry_ignored = True
+        self._events.write(
+            'entry_ignored',
+            executor=entry.executor_id,
+            host=entry.host,
+            why=ended.departure.value,
+        )
 
     def mark_missing(self, executor_id):
         """Record that the entry of an executor was removed."""
@@ -196,7 +220,7 @@
 
         :param departure: a :class:`departures.Departure`
         """
-        self._ended_executor_ids.add(executor.executor_id)
+        self._ended.note_end(executor, departure)
         self._without_agent.pop(executor.executor_id, None)
         now_s = self._owner.now_s()
         kind = departures.kind_of(executor, departure)
