An executor that begins again under its id is found by its later birth

Cause: two lists of hosts without an executor end it, and the entries of its id were ignored from then on, whatever birth they told. All other ways of removing an executor led to the same.

Change: what has ended is an incarnation. An entry of a later birth is that of another one, and makes the executor known, whatever had ended the former.

Why it works: births only grow along the incarnations of an id, so that an entry of the former one, kept or stored late, still brings nothing back.

--- a/features/jobs_incarnations.feature
+++ b/features/jobs_incarnations.feature
@@ -111,6 +111,25 @@
       | no list showed it             | 763  | have an id each life | 0.3  | is listed nowhere |
       | no list showed it, births     | 764  | tell their births    | 0.3  | is listed nowhere |
 
+  # Executors that crashed and were back under their ids were never used again.
+  Scenario Outline: An executor that crashes and begins again under its id is used again: <down> s later
+    Given simulated daemons with seed <seed>, whose executors tell their births
+    When a load "r" of 4 tasks of 3 s arrives, one on each executor
+    And 1 second passes
+    And all executors crash, and begin again under their ids <down> s later
+    And 13 seconds pass
+    And a load "w" of 4 tasks of 2 s arrives, one on each executor
+    And 3 seconds pass
+    Then job "w" is reported as completed by every daemon
+    And job "r" is reported as completed by every daemon
+    And no invariant was violated
+
+    Examples:
+      | down | seed |
+      | 0.8  | 771  |
+      | 4.5  | 772  |
+      | 8    | 773  |
+
   # What is stored late, kept or read again must not bring back what has ended.
   Scenario Outline: An entry of a removed executor: <case>
     Given an executor that began at <born> ms and told entry 7, and has ended, as <departure>
@@ -123,9 +142,15 @@
       | newer, cut off                        | its entry was removed and its leases have expired | 0 | 0    | 8        | there     |
       | read again, crashed                   | not on any listed host                         | 1000 | 1000 | 7        | not there |
       | newer, on no list                     | not on any listed host                         | 1000 | 1000 | 8        | there     |
+      | of the next life, on no list          | not on any listed host                         | 1000 | 2000 | 1        | there     |
       | of a former life, stored late         | not on any listed host                         | 1000 | 500  | 9        | not there |
+      | read again, after maintenance         | maintenance of its host began                  | 0    | 0    | 7        | not there |
+      | of the next life, after maintenance   | maintenance of its host began                  | 1000 | 2000 | 1        | there     |
+      | read again, after a move              | its host was moved                             | 0    | 0    | 7        | not there |
       | stored late, replaced                 | its host runs a newer executor                 | 0    | 0    | 8        | not there |
+      | of the next life, replaced            | its host runs a newer executor                 | 1000 | 2000 | 1        | there     |
       | stored late, address taken            | another executor answers at its address        | 0    | 0    | 8        | not there |
+      | of the next life, address taken       | another executor answers at its address        | 1000 | 2000 | 1        | there     |
 
   Scenario: The log tells why an entry makes no executor known
     Given an executor that began at 0 ms and told entry 7, and has ended, as its host runs a newer executor
@@ -142,3 +167,4 @@
     Examples:
       | case                  | told | sequence | expired     |
       | the same incarnation  | 1000 | 8        | not expired |
+      | the next incarnation  | 2000 | 1        | expired     |
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ended_incarnations.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ended_incarnations.py
@@ -42,6 +42,10 @@
     departure: departures.Departure
     is_entry_ignored: bool = False
 
+    def is_followed_by(self, entry):
+        """Return whether an entry tells of a later incarnation."""
+        return entry.born_ms > self.born_ms
+
     def is_contradicted_by(self, entry):
         """Return whether an entry shows that the incarnation goes on."""
         return (
@@ -73,7 +77,7 @@
         :rtype: EndedIncarnation or None
         """
         ended = self._ended.get(entry.executor_id)
-        if ended is None:
+        if ended is None or ended.is_followed_by(entry):
             return None
         return None if ended.is_contradicted_by(entry) else ended
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
@@ -72,7 +72,7 @@
     def _add_executor(self, entry, now_s):
         executor = self._scheduler.update_executor(entry, now_s)
         ended = self._ended.pop(entry.executor_id)
-        is_back = ended is not None
+        is_back = ended is not None and not ended.is_followed_by(entry)
         if is_back:
             incarnation = executor.incarnation
             incarnation.lease_expires_s = ended.lease_expires_s
