An order that was done already ends no executor for good

Cause: the order is repeated, and the host service answers 200, as it is done. The owner took that for the end of the executor that it knew, which was the one that had begun after the maintenance, and ignored its entries from then on. A successor that repeats an order, and moves, were wrong in the same way.

Change: an executor that an order has ended is found again by an entry that is newer than all that were read before.

Why it works: an executor that has ended publishes nothing more, and one that goes on does so with each heartbeat; it starts nothing before it is polled.

--- a/features/jobs_incarnations.feature
+++ b/features/jobs_incarnations.feature
@@ -130,6 +130,27 @@
       | 4.5  | 772  |
       | 8    | 773  |
 
+  # Machines whose upkeep was done and not answered were never used again.
+  Scenario Outline: A host whose maintenance was ordered without an answer is used again: <case>
+    Given simulated daemons with seed <seed>, whose executors <births>
+    When 2 seconds pass
+    And the host service answers nothing for 5 s from the first order on
+    And a wave over all hosts of the pool is requested, 2 at once, within 26 seconds
+    And <owner>
+    And 26 seconds pass
+    And a load "w" of 4 tasks of 2 s arrives, one on each executor
+    And 3 seconds pass
+    Then job "w" is reported as completed by every daemon
+    And the wave is reported as completed
+    And no invariant was violated
+
+    Examples:
+      | case                     | seed | births               | owner                             |
+      | repeated by the owner    | 781  | have an id each life | 1 second passes                   |
+      | repeated, births         | 782  | tell their births    | 1 second passes                   |
+      | repeated by a successor  | 783  | have an id each life | the owner is killed 2.5 s after the first order |
+      | by a successor, later    | 784  | have an id each life | the owner is killed 4 s after the first order |
+
   # What is stored late, kept or read again must not bring back what has ended.
   Scenario Outline: An entry of a removed executor: <case>
     Given an executor that began at <born> ms and told entry 7, and has ended, as <departure>
@@ -144,8 +165,10 @@
       | newer, on no list                     | not on any listed host                         | 1000 | 1000 | 8        | there     |
       | of the next life, on no list          | not on any listed host                         | 1000 | 2000 | 1        | there     |
       | of a former life, stored late         | not on any listed host                         | 1000 | 500  | 9        | not there |
+      | newer, after maintenance              | maintenance of its host began                  | 0    | 0    | 8        | there     |
       | read again, after maintenance         | maintenance of its host began                  | 0    | 0    | 7        | not there |
       | of the next life, after maintenance   | maintenance of its host began                  | 1000 | 2000 | 1        | there     |
+      | newer, after a move                   | its host was moved                             | 0    | 0    | 8        | there     |
       | read again, after a move              | its host was moved                             | 0    | 0    | 7        | not there |
       | stored late, replaced                 | its host runs a newer executor                 | 0    | 0    | 8        | not there |
       | of the next life, replaced            | its host runs a newer executor                 | 1000 | 2000 | 1        | there     |
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ended_incarnations.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ended_incarnations.py
@@ -3,9 +3,10 @@
 Entries of an ended incarnation are retained for a while, are read again after
 the log was truncated, and may be stored late. They must not bring it back. But
 not everything that is taken for an end is one: an executor that nobody reached
-may only have been cut off, and a list of hosts may lack one that runs. Such an
-executor goes on publishing entries, and is found again by the first one that
-is newer than all that had been read when it was removed.
+may only have been cut off, a list of hosts may lack one that runs, and an
+order that is done already ends nothing when it is repeated. Such an executor
+goes on publishing entries, and is found again by the first one that is newer
+than all that had been read when it was removed.
 """
 
 import attrs
@@ -14,15 +15,8 @@
 
 _Departure = departures.Departure
 
-# Another executor has answered, or an order has ended it.
-_CERTAIN = frozenset(
-    {
-        _Departure.REPLACED,
-        _Departure.ADDRESS_TAKEN,
-        _Departure.MOVED,
-        _Departure.MAINTAINED,
-    }
-)
+# Another executor has answered in place of one that departs so.
+_CERTAIN = frozenset({_Departure.REPLACED, _Departure.ADDRESS_TAKEN})
 
 
 @attrs.define
