A predecessor's leases count for each incarnation that begins later

Cause: a new incarnation began with the leases of this owner's calls only. The predecessor's start may have reached it, too.

Change: the bound on the leases of earlier owners carries over to each incarnation that follows.

Evidence: "A run that a predecessor started is waited for when its executor begins anew" failed before.

--- a/features/jobs_incarnations.feature
+++ b/features/jobs_incarnations.feature
@@ -92,6 +92,21 @@
       | leaving      | planned |
       | ordered away | planned |
 
+  # An owner's leases reach the incarnation that begins after a takeover.
+  Scenario Outline: A run that a predecessor started is waited for when its executor <begins>
+    Given an executor that is known to have begun at 1000 ms, at 50 s of its clock
+    And a run that a predecessor started there under a lease of up to 10 s
+    When it is told to have begun at <born> ms
+    And <passed> s pass without an answer
+    Then <ended> run there has ended
+
+    Examples:
+      | begins      | born | passed | ended |
+      | goes on     | 1000 | 9.5    | 0     |
+      | goes on     | 1000 | 10.5   | 1     |
+      | begins anew | 2000 | 9.5    | 0     |
+      | begins anew | 2000 | 10.5   | 1     |
+
   # Executors of a zone that was cut off were never used again.
   Scenario Outline: An executor that was only cut off is used again: <case>
     Given simulated daemons with seed <seed>, whose executors <births>
--- a/features/steps/jobs_incarnations.py
+++ b/features/steps/jobs_incarnations.py
@@ -15,7 +15,9 @@
 from hawthorndeal_jobs import placement
 from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import run_tracking
+from hawthorndeal_platform import executor_orders
 from hawthorndeal_platform import host_orders
+from hawthorndeal_scheduler import executor_agent
 from hawthorndeal_scheduler import executor_tracker
 from hawthorndeal_scheduler import run_orders
 from stage import job_world
@@ -232,11 +234,22 @@
 
     def __init__(self):
         self.answer = _Answer.UNKNOWN, None
+        self.meanwhile = None
 
     async def start(self, target, order):
         """Return the answer that the scenario has set."""
         return self.answer
 
+    async def stop(self, target, task_id, number, epoch):
+        """Answer as another executor at the address does."""
+        self.meanwhile()
+        raise executor_orders.ExecutorGone('status 421')
+
+    async def poll(self, target, epoch, last_recorded_end, deadline_s, wait_s):
+        """Answer as another executor at the address does."""
+        self.meanwhile()
+        raise executor_orders.ExecutorGone('status 421')
+
 
 def _entry(born_ms, sequence=1, **fields):
     return executors.ExecutorEntry(
@@ -264,7 +277,7 @@
 def _begin(context, born_ms, sequence=1):
     context.harness = scheduler_harness.Harness()
     context.owner = _Owner(context.harness)
-    context.client = _Client()
+    context.client = context.owner.executors = _Client()
     context.orders = run_orders.RunOrders(
         context.owner, context.client, context.owner.metrics
     )
@@ -288,6 +301,7 @@
     harness.now_s += CALL_S
     harness.add_job('j', scheduler_harness.steps(1))
     (context.run,) = harness.plan().starts
+    context.sent_to = context.executor.incarnation
     context.orders.send_start(context.run)
     (context.call,) = context.owner.calls
 
@@ -318,6 +332,59 @@
     _finish_call(context)
 
 
+@step('another executor answers the {call}')
+def answer_by_another(context, call):
+    # The new incarnation, if there is one, was learned of during the call.
+    executor, incarnation = context.executor, context.sent_to
+    if call == 'start':
+        context.client.answer = _Answer.GONE, None
+        _finish_call(context)
+        return
+    context.call.close()
+    context.client.meanwhile = lambda: None
+    if executor.incarnation is not incarnation:
+        newer = executor.incarnation
+        executor.incarnation = incarnation
+
+        def learn():
+            executor.incarnation = newer
+
+        context.client.meanwhile = learn
+    if call == 'stop':
+        context.run.phase = run_state.RunPhase.UNKNOWN
+        context.owner.calls.clear()
+        context.orders.send_stops([context.run])
+        (context.call,) = context.owner.calls
+    else:
+        context.call = executor_agent.ExecutorAgent(
+            executor, context.owner
+        ).poll_once()
+    _finish_call(context)
+
+
+@then('the executor has {verdict}')
+def check_goes_on(context, verdict):
+    known = context.harness.scheduler.executors
+    assert ('x' in known) == verdict.startswith('not ended'), verdict
+    if verdict.endswith('start elsewhere'):
+        assert not context.executor.runs
+
+
+@step('it is removed, and found again')
+def remove_and_find(context):
+    tracker = context.owner.tracker
+    tracker.remove(context.executor, departures.Departure.UNLISTED)
+    tracker.register([_entry(1000, 2)])
+
+
+@step('the order to its host is answered')
+def answer_order(context):
+    context.call.close()
+    context.owner.tracker.remove(
+        context.executor, departures.Departure.MAINTAINED
+    )
+
+
 @step('the start is not answered {until}')
 def answer_no_start(context, until):
     if until == 'in time':
@@ -347,6 +414,19 @@
     _poll(context, born_ms, clock_s, sent_s)
 
 
+@given('a run that a predecessor started there under a lease of up to {s:g} s')
+def inherit_run(context, s):
+    harness = context.harness
+    harness.inherit_job('j', scheduler_harness.steps(1), 'x')
+    harness.scheduler.inherit(harness.now_s, harness.now_s + s)
+
+
+@step('{passed:g} s pass without an answer')
+def pass_unanswered(context, passed):
+    context.harness.now_s += passed
+    context.owner.tracker.check_lease_expiry(context.executor)
+
+
 @then('the started run is {phase}')
 def check_phase(context, phase):
     assert context.run.phase is run_state.RunPhase[phase.upper()]
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/incarnations.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/incarnations.py
@@ -87,10 +87,12 @@
     is_ordered_away: bool = False
     suspended_until_s: float = 0.0
     consecutive_failures: int = 0
-    # Leases in calls that another incarnation may have received: those in
-    # flight, and when the last one was sent that was not answered.
+    # Leases that another incarnation may have received: in calls in flight,
+    # when the last call was sent that was not answered, and by when the leases
+    # in calls of other owners or to earlier incarnations have expired.
     _grants_in_flight: set = attrs.Factory(set)
-    _unanswered_grant_s: float = -math.inf
+    _last_unanswered_s: float = -math.inf
+    _stray_leases_expire_s: float = 0.0
 
     # Fencing
 
@@ -140,6 +142,15 @@
         self._grants_in_flight.add(grant)
         return grant
 
+    def inherit_lease(self, expires_s):
+        """Count with the leases in calls of earlier owners.
+
+        Any incarnation may have received them.
+
+        :param expires_s: time by which they have certainly expired
+        """
+        self.lease_expires_s = self._stray_leases_expire_s = expires_s
+
     def end_grant(self, grant, is_answered):
         """Record the end of the call that carried a lease.
 
@@ -148,8 +159,8 @@
         """
         self._grants_in_flight.remove(grant)
         if not is_answered:
-            self._unanswered_grant_s = max(
-                self._unanswered_grant_s, grant.sent_s
+            self._last_unanswered_s = max(
+                self._last_unanswered_s, grant.sent_s
             )
 
     def may_have_answered(self, grant, clock_s):
@@ -169,14 +180,20 @@
         :param born_ms: when that began
         :param longest_lease_s: longest lease that executors grant
         """
-        in_flight_s = (grant.sent_s for grant in self._grants_in_flight)
-        sent_s = max(self._unanswered_grant_s, *in_flight_s, -math.inf)
-        lease_s = longest_lease_end_s(sent_s, longest_lease_s)
+        sent_s = max(
+            self._last_unanswered_s,
+            *(grant.sent_s for grant in self._grants_in_flight),
+            -math.inf,
+        )
+        expires_s = max(
+            self._stray_leases_expire_s,
+            longest_lease_end_s(sent_s, longest_lease_s),
+        )
         return Incarnation(
             born_ms,
             now_s,
-            lease_expires_s=max(0.0, lease_s),
-            unanswered_grant_s=sent_s,
+            lease_expires_s=expires_s,
+            stray_leases_expire_s=expires_s,
         )
 
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -396,7 +396,7 @@
             for occurrence in job.occurrences.values():
                 for task_id, task in _assigned_tasks(occurrence):
                     executor = self._get_or_add_executor(task.executor, now_s)
-                    executor.incarnation.lease_expires_s = inherited_lease_s
+                    executor.incarnation.inherit_lease(inherited_lease_s)
                     run = run_tracking.inherit(
                         executor, (task_id, task.run), occurrence, now_s
                     )
