An answer to a former incarnation's call doesn't end the present one

The new incarnation is removed, and, as this end leaves no doubt, never used again.

Cause: the answer was taken to concern the executor that is known under the id when it arrives. The same held for late answers to an executor that had been removed, or to an order to its host, once its id was known again.

Change: the end is processed for the incarnation that was called, and a record of an executor that was removed isn't removed twice.

Evidence: five scenarios, three of "An answer of another executor" and two of "A late answer ends no executor that was found again", failed before.

--- a/features/jobs_incarnations.feature
+++ b/features/jobs_incarnations.feature
@@ -49,6 +49,24 @@
       | by a new incarnation that was learned of   | at 2000 ms | 0.2   | unknown | no      |
       | by a new incarnation, not learned of       | at 1000 ms | 0.2   | unknown | no      |
 
+  # The former address may have gone to another executor, which answers that
+  # the called one isn't there. The new incarnation was never used again.
+  Scenario Outline: An answer of another executor ends <which>
+    Given an executor that is known to have begun at 1000 ms, at 50 s of its clock
+    When a start is sent to it
+    And it is told to have begun <again>
+    And another executor answers the <call>
+    Then the executor has <verdict>
+
+    Examples:
+      | which                                      | again      | call  | verdict                                    |
+      | the incarnation that the start was sent to | at 1000 ms | start | ended                                      |
+      | no incarnation that began since a start    | at 2000 ms | start | not ended, and the run can start elsewhere |
+      | the incarnation that was polled            | at 1000 ms | poll  | ended                                      |
+      | no incarnation that began during a poll    | at 2000 ms | poll  | not ended                                  |
+      | the incarnation that a stop was sent to    | at 1000 ms | stop  | ended                                      |
+      | no incarnation that began during a stop    | at 2000 ms | stop  | not ended                                  |
+
   # A start in flight reaches the new incarnation: the task would run twice.
   Scenario Outline: A poll of a new incarnation ends only what ended with the former: <run>
     Given an executor that is known to have begun at 1000 ms, at 50 s of its clock
@@ -190,6 +208,20 @@
       | stored late, address taken            | another executor answers at its address        | 0    | 0    | 8        | not there |
       | of the next life, address taken       | another executor answers at its address        | 1000 | 2000 | 1        | there     |
 
+  # A call to the executor that was removed ended the one that was found.
+  Scenario Outline: A late answer ends no executor that was found again since: <answer>
+    Given an executor that is known to have begun at 1000 ms, at 50 s of its clock
+    When a start is sent to it
+    And it is removed, and found again
+    And <answer>
+    Then the executor has not ended
+
+    Examples:
+      | answer                                  |
+      | another executor answers the start      |
+      | the start is accepted at 50 s of a clock |
+      | the order to its host is answered       |
+
   Scenario: The log tells why an entry makes no executor known
     Given an executor that began at 0 ms and told entry 7, and has ended, as its host runs a newer executor
     When entry 7 of an incarnation that began at 0 ms is read
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from hawthorndeal_fleet import errors
-from hawthorndeal_jobs import departures
 from hawthorndeal_jobs import executor_health
 from hawthorndeal_jobs import placement
 from hawthorndeal_jobs import run_state
@@ -65,22 +64,26 @@
             if not self._needs_poll():
                 self._poll_requested.clear()
                 await self._poll_requested.wait()
-            try:
-                await self._poll()
-            except executor_orders.ExecutorGone:
-                self._owner.tracker.remove(
-                    self._executor, departures.Departure.ADDRESS_TAKEN
-                )
+            if await self.poll_once():
                 return
-            except executor_orders.ExecutorFenced:
-                self._owner.lose_ownership(
-                    'an executor has seen a newer epoch'
-                )
-                return
-            except Exception as error:
-                # An unexpected error, too, concerns this executor only.
-                if await self._has_ended_after(error):
-                    return
+
+    async def poll_once(self):
+        """Poll the executor.
+
+        :returns: whether nothing is left to poll
+        """
+        owner, incarnation = self._owner, self._executor.incarnation
+        try:
+            await self._poll()
+        except executor_orders.ExecutorGone:
+            return owner.tracker.note_gone(self._executor, incarnation)
+        except executor_orders.ExecutorFenced:
+            owner.lose_ownership('an executor has seen a newer epoch')
+            return True
+        except Exception as error:
+            # An unexpected error, too, concerns this executor only.
+            return await self._has_ended_after(error)
+        return False
 
     async def _has_ended_after(self, error):
         """Return whether the executor has ended, after a poll that failed."""
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
@@ -189,13 +189,17 @@
         for suspect in end.suspects:
             self._log_suspect(suspect)
 
+    def _is_known(self, executor):
+        known = self._scheduler.executors.get(executor.executor_id)
+        return known is executor
+
     def check_lease_expiry(self, executor):
         """End the runs of an executor whose leases have expired.
 
         :returns: whether the executor has ended as well
         """
         now_s = self._owner.now_s()
-        if executor.executor_id not in self._scheduler.executors:
+        if not self._is_known(executor):
             return True
         if not executor.incarnation.is_lease_expired(now_s):
             return False
@@ -215,11 +219,32 @@
         for executor in list(self._without_agent.values()):
             self.check_lease_expiry(executor)
 
+    def note_gone(self, executor, incarnation):
+        """Process that another executor has answered in place of one.
+
+        Where a new incarnation was learned of during the call, that answer
+        came from its former address.
+
+        :param incarnation: the one that was called
+        :returns: whether the executor has ended
+        """
+        if (
+            self._is_known(executor)
+            and executor.incarnation is not incarnation
+        ):
+            return False
+        self.remove(executor, _Departure.ADDRESS_TAKEN)
+        return True
+
     def remove(self, executor, departure):
         """Remove an executor that has ended, and end all its runs.
 
+        Does nothing if it was removed before, and may have been found again.
+
         :param departure: a :class:`departures.Departure`
         """
+        if not self._is_known(executor):
+            return
         self._ended.note_end(executor, departure)
         self._without_agent.pop(executor.executor_id, None)
         now_s = self._owner.now_s()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/run_orders.py
@@ -5,7 +5,6 @@
 
 from hawthorndeal_fleet import errors
 from hawthorndeal_jobs import call_window
-from hawthorndeal_jobs import departures
 from hawthorndeal_jobs import run_state
 from hawthorndeal_jobs import run_tracking
 from hawthorndeal_platform import executor_orders
@@ -88,7 +87,7 @@
             self._metrics.note_unanswered_call('start')
         answer = self._check_incarnation(executor, grant, answer, clock_s)
         self._log_start(run, executor, answer)
-        self._handle_start_answer(run, executor, answer)
+        self._handle_start_answer(run, executor, grant.incarnation, answer)
 
     def _check_incarnation(self, executor, grant, answer, clock_s):
         """Return the answer to a start, or UNKNOWN if another incarnation ran.
@@ -138,13 +137,13 @@
             planned_s=round(owner.now_s() - run.planned_s, 4),
         )
 
-    def _handle_start_answer(self, run, executor, answer):
+    def _handle_start_answer(self, run, executor, incarnation, answer):
         owner = self._owner
         if answer is _Answer.FENCED:
             owner.lose_ownership('an executor has seen a newer epoch')
-        elif answer is _Answer.GONE:
-            owner.tracker.remove(executor, departures.Departure.ADDRESS_TAKEN)
-        else:
+        elif answer is not _Answer.GONE or not owner.tracker.note_gone(
+            executor, incarnation
+        ):
             owner.scheduler.handle_start_answer(run, answer, owner.now_s())
             owner.tracker.poll_soon(executor)
             # That a suspect of a crash has started is stored at once.
@@ -246,6 +245,7 @@
         executor = owner.scheduler.executors.get(executor_id)
         if executor is None or not executor.entry.address:
             return False
+        incarnation = executor.incarnation
         sent = self.stops.note_sent(executor_id, owner.now_s())
         is_answered = True
         try:
@@ -253,7 +253,7 @@
                 target_of(executor), task_id, number, owner.epoch
             )
         except executor_orders.ExecutorGone:
-            owner.tracker.remove(executor, departures.Departure.ADDRESS_TAKEN)
+            owner.tracker.note_gone(executor, incarnation)
             return False
         except errors.PlatformError:
             # The stop is repeated until it is answered or the run has ended.
