A job has begun when an executor has begun a task, not when a start is planned

Cause: Job.has_started was set when a run was planned, and the status stored with it. A successor took each stored run number for a run that had begun.

Change: it is set by an accepted start, a run that a poll lists, or an end that an executor reports. The status is published in the next cycle. A successor goes by the stored status and by what the tasks' states show.

Why it works: each of these is told by the executor that has begun a task.

--- a/features/steps/jobs_incarnations.py
+++ b/features/steps/jobs_incarnations.py
@@ -112,6 +112,46 @@
     assert refusal is None, refusal
 
 
+@step('{loads:d} loads "{name}" of {count:d} tasks of {work_s:g} s arrive')
+def submit_several(context, loads, name, count, work_s):
+    for number in range(loads):
+        spec = job_world.one_step(count, work_s)
+        _submit(context, f'{name}{number}', work_s, spec)
+
+
+@step('the owner is killed, and another one works')
+def replace_owner(context):
+    world = context.world
+
+    async def replace():
+        await world.owner.kill()
+        assert await world.wait_for(
+            lambda: world.owner and world.owner.candidate.owner.is_at_work,
+            10.0,
+        )
+        await asyncio.sleep(0.5)
+
+    context.runner.run(replace())
+
+
+@then('{count:d} jobs wait at every daemon')
+def check_waiting(context, count):
+    running = [d for d in context.world.daemons if d.is_running]
+    waiting = [daemon.parts.board.waiting(POOL) for daemon in running]
+    assert waiting == [count] * len(running), waiting
+
+
+@then('every job of the pool is reported as completed')
+def check_completed(context):
+    world = context.world
+    daemon = next(d for d in world.daemons if d.is_running)
+    states = [
+        context.runner.run(world.state(daemon, POOL, job_id))
+        for job_id in context.jobs
+    ]
+    assert set(states) == {'completed'}, states
+
+
 @step('each second executor is cut off for {cut_s:g} s, and {entries}')
 def cut_half(context, cut_s, entries):
     _cut(context, _executors_of_pool(context.world)[::2], cut_s, entries)
@@ -427,6 +467,34 @@
     context.owner.tracker.check_lease_expiry(context.executor)
 
 
+@step('a poll shows the run as {shown}')
+def show_run(context, shown):
+    harness, run = context.harness, context.run
+    row = run.task_id, run.number
+    running = [run_state.ReportedRun(*row, '', 0)] * (shown == 'running')
+    ended = [
+        run_state.ReportedEnd(1, *row, run_state.EndCause(shown), '')
+        for _ in range(shown in ('done', 'failed'))
+    ]
+    harness.now_s += CALL_S
+    answer = run_state.ExecutorPoll(
+        harness.now_s - CALL_S,
+        harness.now_s,
+        CLOCK_S + 1.0,
+        tuple(running),
+        tuple(ended),
+        True,
+        1000,
+    )
+    context.owner.tracker.handle_poll(context.executor, answer)
+
+
+@then('the job of the run is {state}')
+def check_state(context, state):
+    job = context.run.occurrence.job
+    assert job.state().value == state, job.state()
+
+
 @then('the started run is {phase}')
 def check_phase(context, phase):
     assert context.run.phase is run_state.RunPhase[phase.upper()]
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
@@ -99,6 +99,17 @@
         """Whether the task is not done."""
         return self.state is not TaskState.DONE
 
+    @property
+    def has_run(self):
+        """Whether the state shows that an executor has begun the task."""
+        return bool(
+            self.state in (TaskState.DONE, TaskState.FAILED)
+            or self.failures
+            or self.checkpoint
+            or self.started_run
+            or self.crashed_executors
+        )
+
     @property
     def crash_count(self):
         """Number of executors that may have crashed under the task."""
@@ -160,7 +171,7 @@
             self._count_open(step, task.is_open - was_open)
             index += 1
         self.job.done_occurrences += self.is_done - was_done
-        self.job.has_started |= any(task.run for task in tasks)
+        self.job.has_started |= any(task.has_run for task in tasks)
 
     def _count_open(self, step, change):
         was_open = bool(self._open_tasks[step])
@@ -247,7 +258,7 @@
     :ivar is_beyond_share: whether its workspace sent more jobs than are owed
         to it at that time
     :ivar home: name of the partition that its cancellation is stored in
-    :ivar has_started: whether a run of any task was planned
+    :ivar has_started: whether a run of any task is known to have begun
     :ivar done_occurrences: number of occurrences of which all tasks are done
     """
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
@@ -84,11 +84,13 @@
     :ivar finished_runs: runs that have ended or can no longer start
     :ivar found: runs whose start was unacknowledged and that are running
     :ivar orphans: runs of no known task, which have to be stopped
+    :ivar started_jobs: jobs of which no run was known to have begun before
     """
 
     finished_runs: list[FinishedRun]
     found: list[run_state.Run]
     orphans: list[OrphanRun]
+    started_jobs: list[jobs.Job]
 
 
 def process_poll(executor, poll, find_occurrence):
@@ -105,6 +107,7 @@
     incarnation.expired_runs.clear()
     incarnation.update_clock(poll.clock_s, poll.received_s)
     finished_runs = _read_ends(executor, poll, find_occurrence)
+    started_jobs = _unstarted_jobs(ended.run for ended in finished_runs)
     found, orphans = [], []
     listed = set()
     for row in poll.running:
@@ -117,12 +120,23 @@
             orphans.append(
                 OrphanRun(executor.executor_id, row.task_id, row.number)
             )
-        elif _update_running(run, row, poll):
-            found.append(run)
+        else:
+            started_jobs += _unstarted_jobs([run])
+            if _update_running(run, row, poll):
+                found.append(run)
     _note_unlisted(executor, poll, listed)
     if poll.is_whole:
         finished_runs += _missing_runs(executor, poll, listed)
-    return PollOutcome(finished_runs, found, orphans)
+    return PollOutcome(finished_runs, found, orphans, started_jobs)
+
+
+def _unstarted_jobs(runs):
+    """Return the jobs of runs that aren't known to have begun so far."""
+    return [
+        run.occurrence.job
+        for run in runs
+        if not run.occurrence.job.has_started
+    ]
 
 
 def unlisted_runs(executor, poll):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -109,6 +109,7 @@
         )
         self._unrecorded = {}
         self._orphans = {}
+        self._started_jobs = []
         self._endings = run_endings.RunEndings(
             self.steps, self._forget_advice, self._run_index
         )
@@ -427,6 +428,7 @@
         if incarnation.last_processed_end > incarnation.last_recorded_end:
             self._unrecorded[executor_id] = executor
         self._run_index.note_pace_input(executor_id)
+        self._note_started(outcome.started_jobs)
         if self._crashes.clear_suspects(executor):
             self.steps.pools_to_schedule.add(executor.entry.pool)
         self._orphans.update(
@@ -452,6 +454,11 @@
             return None
         return job.occurrences.get(task_id.occurrence)
 
+    def _note_started(self, started_jobs):
+        for job in started_jobs:
+            job.has_started = True
+        self._started_jobs += started_jobs
+
     # Responses from executors
 
     def handle_start_answer(self, run, answer, now_s):
@@ -460,6 +467,8 @@
         if executor is None:
             return
         ended = run_tracking.apply_start_answer(run, answer, now_s)
+        if answer is _Answer.ACCEPTED and not run.occurrence.job.has_started:
+            self._note_started([run.occurrence.job])
         self._crashes.note_started(run)
         if answer is _Answer.ACCEPTED or answer in _REJECTIONS:
             self.steps.note_start_answer(run, answer in _REJECTIONS, now_s)
@@ -642,6 +651,11 @@
         """Return the occurrences that changed since the last call."""
         return self._endings.pop_changed()
 
+    def pop_started_jobs(self):
+        """Return the jobs that have begun since the last call."""
+        started, self._started_jobs = self._started_jobs, []
+        return started
+
     def unrecorded_ends(self):
         """Return each executor's last processed end that isn't stored yet.
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -362,7 +362,6 @@
     task = occurrence.task(task_id)
     task.state = jobs.TaskState.ASSIGNED
     task.run = number
-    occurrence.job.has_started = True
     task.executor = executor.executor_id
     run = run_state.Run(
         task_id, number, occurrence, executor.executor_id,
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/status_board.py
@@ -143,6 +143,11 @@
         """Return the status of a job, or None if it is not known."""
         return self._local.get(job_id) or self.stored.get(job_id)
 
+    def is_stored_running(self, job_id):
+        """Return whether a job is stored as one that has begun."""
+        status = self.stored.get(job_id)
+        return status is not None and status.state is jobs.JobState.RUNNING
+
     def is_stored_final(self, job_id):
         """Return whether the final state of a job is stored."""
         status = self.stored.get(job_id)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/cycle_journal.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/cycle_journal.py
@@ -69,9 +69,18 @@
         ]
         cancelled, self._cancelled = self._cancelled, {}
         changed_jobs = {o.job.job_id: o.job for o in changed}
+        started = {
+            job.job_id: job
+            for job in self._scheduler.pop_started_jobs()
+            if known.get(job.job_id) is job
+        }
         self._states_to_publish = {
             job_id: (job, job.state())
-            for job_id, job in {**cancelled, **changed_jobs}.items()
+            for job_id, job in {
+                **cancelled,
+                **changed_jobs,
+                **started,
+            }.items()
         }
         self._ends_being_stored = self._scheduler.unrecorded_ends()
         self._expire_statuses(now_s)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -234,6 +234,7 @@
         if self._parts.board.is_stored_final(job.job_id):
             self._journal.dropper.finished.add(job)
             return
+        job.has_started |= self._parts.board.is_stored_running(job.job_id)
         self._journal.publish_state(job, job.state())
         wall_s = self._parts.clock.now_s()
         self.scheduler.add_job(job, self.now_s(), wall_s, age_s=age_s)
