An executor that is found again keeps the leases it was removed with

Cause: an executor that was found by a later birth began without any lease, and one that goes on with the bound of its leases alone.

Change: what ended is remembered with its incarnation. The next one counts with the leases in calls that it may have received, and the same one with its own.

Evidence: "The lease of an executor that is found again: the next one, which may have it" fails without this change.

--- a/features/jobs_incarnations.feature
+++ b/features/jobs_incarnations.feature
@@ -228,13 +228,18 @@
     And entry 8 of an incarnation that began at 0 ms is read
     Then the log tells once that its entry is ignored, since its host runs a newer executor
 
-  # A lease of the life that goes on holds; one of a life that is over doesn't.
+  # A lease of the life that goes on holds; one of a life that is over doesn't,
+  # unless the call that carried it may have reached the next one.
   Scenario Outline: The lease of an executor that is found again: <case>
     Given an executor that began at 1000 ms and told entry 7, and has ended, as not on any listed host
+    And the last call to it was <answered>
     When entry <sequence> of an incarnation that began at <told> ms is read
+    And <passed> s pass
     Then the lease of the executor has <expired>
 
     Examples:
-      | case                  | told | sequence | expired     |
-      | the same incarnation  | 1000 | 8        | not expired |
-      | the next incarnation  | 2000 | 1        | expired     |
+      | case                            | answered     | told | sequence | passed | expired     |
+      | the same incarnation            | not answered | 1000 | 8        | 3.9    | not expired |
+      | the same incarnation, later     | not answered | 1000 | 8        | 4.6    | expired     |
+      | the next incarnation            | answered     | 2000 | 1        | 0      | expired     |
+      | the next one, which may have it | not answered | 2000 | 1        | 9.9    | not expired |
--- a/features/steps/jobs_incarnations.py
+++ b/features/steps/jobs_incarnations.py
@@ -461,6 +461,11 @@
     harness.scheduler.inherit(harness.now_s, harness.now_s + s)
 
 
+@step('{passed:g} s pass')
+def pass_time(context, passed):
+    context.harness.now_s += passed
+
+
 @step('{passed:g} s pass without an answer')
 def pass_unanswered(context, passed):
     context.harness.now_s += passed
@@ -539,12 +544,18 @@
 def end_executor(context, born_ms, sequence, departure):
     _begin(context, born_ms, sequence)
     _poll(context, born_ms, CLOCK_S, context.harness.now_s)
-    context.executor.incarnation.grant_lease(LEASE_S, context.harness.now_s)
+    incarnation = context.executor.incarnation
+    context.grant = incarnation.grant_lease(LEASE_S, context.harness.now_s)
     context.owner.tracker.remove(
         context.executor, departures.Departure(departure)
     )
 
 
+@given('the last call to it was {answered}')
+def end_call(context, answered):
+    context.grant.incarnation.end_grant(context.grant, answered == 'answered')
+
+
 @when(
     'entry {sequence:d} of an incarnation that began at {born_ms:d} ms is read'
 )
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/ended_incarnations.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/ended_incarnations.py
@@ -12,6 +12,7 @@
 import attrs
 
 from . import departures
+from . import incarnations
 
 _Departure = departures.Departure
 
@@ -23,28 +24,26 @@
 class EndedIncarnation:
     """An incarnation that was taken for ended.
 
-    :ivar born_ms: when it began; 0 where executors don't tell
+    :ivar incarnation: an :class:`incarnations.Incarnation`
     :ivar sequence: that of its newest entry
-    :ivar lease_expires_s: time by which its leases have certainly expired
     :ivar departure: what showed that it has ended
     :ivar is_entry_ignored: whether an entry of it was read since
     """
 
-    born_ms: int
+    incarnation: incarnations.Incarnation
     sequence: int
-    lease_expires_s: float
     departure: departures.Departure
     is_entry_ignored: bool = False
 
     def is_followed_by(self, entry):
         """Return whether an entry tells of a later incarnation."""
-        return entry.born_ms > self.born_ms
+        return entry.born_ms > self.incarnation.born_ms
 
     def is_contradicted_by(self, entry):
         """Return whether an entry shows that the incarnation goes on."""
         return (
             self.departure not in _CERTAIN
-            and entry.born_ms == self.born_ms
+            and entry.born_ms == self.incarnation.born_ms
             and entry.sequence > self.sequence
         )
 
@@ -59,9 +58,8 @@
         """Record that the present incarnation of an executor has ended."""
         incarnation, entry = executor.incarnation, executor.entry
         self._ended[executor.executor_id] = EndedIncarnation(
-            incarnation.born_ms,
+            incarnation,
             entry.sequence if entry.born_ms == incarnation.born_ms else 0,
-            incarnation.lease_expires_s,
             departure,
         )
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/incarnations.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/incarnations.py
@@ -35,14 +35,14 @@
     :ivar incarnation: the one that it was granted to
     :ivar deadline_s: end of the lease, on the clock of the incarnation
     :ivar sent_s: when it was granted, on the local monotonic clock
-    :ivar earliest_answer_s: what the clock of the incarnation reads at least
+    :ivar min_answer_clock_s: what the clock of the incarnation reads at least
         in the answer
     """
 
     incarnation: object
     deadline_s: float
     sent_s: float
-    earliest_answer_s: float
+    min_answer_clock_s: float
 
 
 @attrs.define(eq=False)
@@ -168,7 +168,7 @@
 
         The clock of one that followed reads less.
         """
-        return clock_s >= grant.earliest_answer_s - CLOCK_RESOLUTION_S
+        return clock_s >= grant.min_answer_clock_s - CLOCK_RESOLUTION_S
 
     def is_lease_expired(self, now_s):
         """Return True if every run on it has certainly been killed."""
@@ -196,6 +196,17 @@
             stray_leases_expire_s=expires_s,
         )
 
+    def found_again(self, now_s, longest_lease_s):
+        """Return a record of this incarnation after it was taken for ended.
+
+        Only its leases are known to go on.
+
+        :param longest_lease_s: longest lease that executors grant
+        """
+        found = self.successor(self.born_ms, now_s, longest_lease_s)
+        found.lease_expires_s = self.lease_expires_s
+        return found
+
 
 def longest_lease_end_s(sent_s, longest_lease_s):
     """Return when the longest lease has expired that a call may have granted.
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -28,6 +28,7 @@
 from . import start_shares
 from . import tickets as tickets_module
 
+# Applies where no other longest lease is declared.
 LONGEST_LEASE_S = 10.0
 
 _Cause = run_state.EndCause
@@ -224,6 +225,22 @@
         self.steps.pools_to_schedule.add(entry.pool)
         return executor
 
+    def restore_leases(self, executor, removed, now_s):
+        """Count with the leases of an executor that was removed before.
+
+        :param executor: the executor that was added under its id
+        :param removed: the incarnation that it was removed with
+        """
+        born_ms, longest_s = (
+            executor.incarnation.born_ms,
+            self._longest_lease_s,
+        )
+        if born_ms == removed.born_ms:
+            executor.incarnation = removed.found_again(now_s, longest_s)
+        else:
+            executor.incarnation = removed.successor(born_ms, now_s, longest_s)
+        executor.incarnation.is_leaving = executor.entry.is_leaving
+
     def _note_birth(self, executor, born_ms, now_s):
         """Process when the incarnation began that an executor tells of.
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
@@ -73,9 +73,8 @@
         executor = self._scheduler.update_executor(entry, now_s)
         ended = self._ended.pop(entry.executor_id)
         is_back = ended is not None and not ended.is_followed_by(entry)
-        if is_back:
-            incarnation = executor.incarnation
-            incarnation.lease_expires_s = ended.lease_expires_s
+        if ended is not None:
+            self._scheduler.restore_leases(executor, ended.incarnation, now_s)
         self._events.write(
             'executor_found',
             executor=entry.executor_id,
