What the host service has ended is found again only once a list shows it

What callers would see: hosts that stood idle were not moved to a pool that needed them, and executors that a move had ended were polled again behind a narrow link.

Change: after such an end, a list that was requested since must show the executor on a host that is up. Expired leases and a missing entry are no word of the host service; there the entry is enough.

--- a/features/jobs_incarnations.feature
+++ b/features/jobs_incarnations.feature
@@ -187,32 +187,38 @@
   # What is stored late, kept or read again must not bring back what has ended.
   Scenario Outline: An entry of a removed executor: <case>
     Given an executor that began at <born> ms and told entry 7, and has ended, as <departure>
+    And a list of hosts that was requested <listed> shows it
     When entry <sequence> of an incarnation that began at <told> ms is read
     Then the removed executor is <verdict>
 
     Examples:
-      | case                                  | departure                                      | born | told | sequence | verdict   |
-      | read again, cut off                   | its entry was removed and its leases have expired | 0 | 0    | 7        | not there |
-      | newer, cut off                        | its entry was removed and its leases have expired | 0 | 0    | 8        | there     |
-      | read again, crashed                   | not on any listed host                         | 1000 | 1000 | 7        | not there |
-      | newer, on no list                     | not on any listed host                         | 1000 | 1000 | 8        | there     |
-      | of the next life, on no list          | not on any listed host                         | 1000 | 2000 | 1        | there     |
-      | of a former life, stored late         | not on any listed host                         | 1000 | 500  | 9        | not there |
-      | newer, after maintenance              | maintenance of its host began                  | 0    | 0    | 8        | there     |
-      | read again, after maintenance         | maintenance of its host began                  | 0    | 0    | 7        | not there |
-      | of the next life, after maintenance   | maintenance of its host began                  | 1000 | 2000 | 1        | there     |
-      | newer, after a move                   | its host was moved                             | 0    | 0    | 8        | there     |
-      | read again, after a move              | its host was moved                             | 0    | 0    | 7        | not there |
-      | stored late, replaced                 | its host runs a newer executor                 | 0    | 0    | 8        | not there |
-      | of the next life, replaced            | its host runs a newer executor                 | 1000 | 2000 | 1        | there     |
-      | stored late, address taken            | another executor answers at its address        | 0    | 0    | 8        | not there |
-      | of the next life, address taken       | another executor answers at its address        | 1000 | 2000 | 1        | there     |
+      | case                                | departure                                         | born | listed | told | sequence | verdict   |
+      | read again, cut off                 | its entry was removed and its leases have expired | 0    | later  | 0    | 7        | not there |
+      | newer, cut off                      | its entry was removed and its leases have expired | 0    | never  | 0    | 8        | there     |
+      | read again, crashed                 | not on any listed host                            | 1000 | never  | 1000 | 7        | not there |
+      | newer, stored late, crashed         | not on any listed host                            | 1000 | never  | 1000 | 8        | not there |
+      | newer, stored late, earlier list    | not on any listed host                            | 1000 | before | 1000 | 8        | not there |
+      | newer, and listed again             | not on any listed host                            | 1000 | later  | 1000 | 8        | there     |
+      | read again, and listed again        | not on any listed host                            | 1000 | later  | 1000 | 7        | not there |
+      | of the next life, on no list        | not on any listed host                            | 1000 | never  | 2000 | 1        | there     |
+      | of a former life, stored late       | not on any listed host                            | 1000 | later  | 500  | 9        | not there |
+      | newer, after maintenance            | maintenance of its host began                     | 0    | later  | 0    | 8        | there     |
+      | stored late, after maintenance      | maintenance of its host began                     | 0    | never  | 0    | 8        | not there |
+      | read again, after maintenance       | maintenance of its host began                     | 0    | later  | 0    | 7        | not there |
+      | of the next life, after maintenance | maintenance of its host began                     | 1000 | never  | 2000 | 1        | there     |
+      | newer, after a move                 | its host was moved                                | 0    | later  | 0    | 8        | there     |
+      | stored late, after a move           | its host was moved                                | 0    | before | 0    | 8        | not there |
+      | of the next life, after a move      | its host was moved                                | 1000 | never  | 2000 | 1        | there     |
+      | stored late, replaced               | its host runs a newer executor                    | 0    | later  | 0    | 8        | not there |
+      | of the next life, replaced          | its host runs a newer executor                    | 1000 | never  | 2000 | 1        | there     |
+      | stored late, address taken          | another executor answers at its address           | 0    | later  | 0    | 8        | not there |
+      | of the next life, address taken     | another executor answers at its address           | 1000 | never  | 2000 | 1        | there     |
 
   # A call to the executor that was removed ended the one that was found.
   Scenario Outline: A late answer ends no executor that was found again since: <answer>
     Given an executor that is known to have begun at 1000 ms, at 50 s of its clock
     When a start is sent to it
-    And it is removed, and found again
+    And it is removed, listed again, and found again
     And <answer>
     Then the executor has not ended
 
@@ -233,6 +239,7 @@
   Scenario Outline: The lease of an executor that is found again: <case>
     Given an executor that began at 1000 ms and told entry 7, and has ended, as not on any listed host
     And the last call to it was <answered>
+    And a list of hosts that was requested later shows it
     When entry <sequence> of an incarnation that began at <told> ms is read
     And <passed> s pass
     Then the lease of the executor has <expired>
@@ -243,3 +250,8 @@
       | the same incarnation, later     | not answered | 1000 | 8        | 4.6    | expired     |
       | the next incarnation            | answered     | 2000 | 1        | 0      | expired     |
       | the next one, which may have it | not answered | 2000 | 1        | 9.9    | not expired |
+
+  @invariant_at_most_once
+  Scenario: Random faults beside executors that begin again violate no invariant
+    When simulations with random faults and incarnations of seeds 7700 to 7711 run
+    Then no simulation violated an invariant or left a job unfinished
--- a/features/stage/fault_search.py
+++ b/features/stage/fault_search.py
@@ -19,6 +19,8 @@
 RECOVERY_S = 32.0
 FAULT_DURATION_S = (0.5, 5.0)
 DEADLY_DELAY_S = 0.01
+# Within this time the leases of an executor that is cut off have expired.
+LONG_CUT_S = 4.0
 SILENCED_SHARE = 0.35
 MAX_TRIES = 40
 
@@ -351,15 +353,57 @@
         pool = self._rng.choice(('web', 'ci'))
         self._begin_submission(job_id, pool, spec)
 
+    async def _do_restart_executor(self, duration_s):
+        """Let an executor begin again under its id, at times much later."""
+        executor = self._choose_executor()
+        if executor is not None and self._rng.random() < 0.5:
+            executor.restart()
+        elif executor is not None:
+            self.world.crash_and_return(executor, duration_s)
+
+    async def _do_lose_entry(self, duration_s):
+        """Cut an executor off for so long that its entry is removed."""
+        executor = self._choose_executor()
+        if executor is not None:
+            executor.is_cut = True
+            self.world._drop_entry(executor)
+            self._call_after(
+                duration_s + LONG_CUT_S,
+                lambda: setattr(executor, 'is_cut', False),
+            )
+
+    async def _do_mute_executor(self, duration_s):
+        """Lose the answers of an executor, and cut it off then."""
+        executor = self._choose_executor()
+        if executor is None:
+            return
+        executor.is_mute = True
+
+        def cut():
+            executor.is_cut = True
+
+        def heal():
+            executor.is_cut = executor.is_mute = False
+
+        self._call_after(self._rng.uniform(0.0, 0.5), cut)
+        self._call_after(duration_s + 1.0, heal)
+
 
 CAPACITY_KINDS = ('resize_executor',)
+INCARNATION_KINDS = ('restart_executor', 'lose_entry', 'mute_executor')
 PARTITION_KINDS = ('silence_partitions',)
 DEADLY_KINDS = ('submit_deadly',)
 ALL_KINDS = tuple(
     name.removeprefix('_do_')
     for name in vars(FaultRun)
     if name[:4] == '_do_'
-    and name[4:] not in (*CAPACITY_KINDS, *DEADLY_KINDS, *PARTITION_KINDS)
+    and name[4:]
+    not in (
+        *CAPACITY_KINDS,
+        *DEADLY_KINDS,
+        *INCARNATION_KINDS,
+        *PARTITION_KINDS,
+    )
 )
 
 
--- a/features/steps/jobs_host_inventory.py
+++ b/features/steps/jobs_host_inventory.py
@@ -26,7 +26,9 @@
     def __init__(self):
         self.harness = scheduler_harness.Harness()
         self.scheduler = self.harness.scheduler
-        self.tracker = types.SimpleNamespace(remove=self._remove)
+        self.tracker = types.SimpleNamespace(
+            remove=self._remove, note_listed=lambda executor_ids, sent_s: None
+        )
         self.ended = {}
 
     def now_s(self):
--- a/features/steps/jobs_incarnations.py
+++ b/features/steps/jobs_incarnations.py
@@ -20,6 +20,7 @@
 from hawthorndeal_scheduler import executor_agent
 from hawthorndeal_scheduler import executor_tracker
 from hawthorndeal_scheduler import run_orders
+from stage import fault_search
 from stage import job_world
 from stage import scheduler_harness
 from stage import virtual_time
@@ -231,6 +232,18 @@
     context.runner.run(kill())
 
 
+@when(
+    'simulations with random faults and incarnations of seeds {first:d} to '
+    '{last:d} run'
+)
+def run_simulations(context, first, last):
+    kinds = fault_search.ALL_KINDS + fault_search.INCARNATION_KINDS * 5
+    context.verdicts = [
+        fault_search.run_with_faults(seed, kinds)
+        for seed in range(first, last + 1)
+    ]
+
+
 # One executor on a manual clock
 
 
@@ -410,10 +423,11 @@
         assert not context.executor.runs
 
 
-@step('it is removed, and found again')
+@step('it is removed, listed again, and found again')
 def remove_and_find(context):
     tracker = context.owner.tracker
     tracker.remove(context.executor, departures.Departure.UNLISTED)
+    list_again(context, 'later')
     tracker.register([_entry(1000, 2)])
 
 
@@ -551,6 +565,14 @@
     )
 
 
+@given('a list of hosts that was requested {when} shows it')
+def list_again(context, when):
+    offsets_s = {'before': -CALL_S, 'later': CALL_S}
+    if when in offsets_s:
+        sent_s = context.harness.now_s + offsets_s[when]
+        context.owner.tracker.note_listed({'x'}, sent_s)
+
+
 @given('the last call to it was {answered}')
 def end_call(context, answered):
     context.grant.incarnation.end_grant(context.grant, answered == 'answered')
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_tracker.py
@@ -96,6 +96,13 @@
             why=ended.departure.value,
         )
 
+    def note_listed(self, executor_ids, sent_s):
+        """Record that a list shows executors on hosts that are up.
+
+        :param sent_s: when the list was requested
+        """
+        self._ended.note_listed(executor_ids, sent_s)
+
     def mark_missing(self, executor_id):
         """Record that the entry of an executor was removed."""
         self._scheduler.mark_executor_missing(executor_id, self._owner.now_s())
@@ -244,9 +251,9 @@
         """
         if not self._is_known(executor):
             return
-        self._ended.note_end(executor, departure)
-        self._without_agent.pop(executor.executor_id, None)
         now_s = self._owner.now_s()
+        self._ended.note_end(executor, departure, now_s)
+        self._without_agent.pop(executor.executor_id, None)
         kind = departures.kind_of(executor, departure)
         end = self._scheduler.remove_executor(
             executor.executor_id, now_s, kind
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
@@ -67,6 +67,9 @@
         for entry in entries:
             self._note_entry(entry)
             self._clear_unconfirmed_order(entry, sent_s)
+        self._owner.tracker.note_listed(
+            {e.executor_id for e in entries if e.state is _State.UP}, sent_s
+        )
         self._end_unlisted_executors(entries, sent_s)
 
     def _is_list_needed(self, now_s):
