--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -538,6 +538,12 @@
         And the partition of "the jobs" is silent for 3 seconds
         And a wave that can't be planned is requested
         And a wave is not reported at first
+        And the host of a task of "l" crashes for 5 seconds
+        And 4 seconds pass
+        And entries of ended incarnations are stored again
+        And all executors begin again under their ids
+        And 10 jobs of 16 and 16 tasks are submitted in the background
+        And 3 seconds pass
         And an owner takes over while a spare partition is silent
         And 2 seconds pass
     """)
