--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,106 +1,113 @@
-"""A crash saves long checkpoints, and nothing is scheduled any more."""
+"""A gang fails once or twice, and its job is shown as failed for good."""
 
 import asyncio
+import collections
 import pathlib
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from standins3 import deployment  # noqa: E402
 
-# One of seven is within a share of 0.15 of a service's executors.
-EXECUTORS = 7
-TASKS = 120
-WORK_S = 8.0
-CRASH_AFTER_S = 5.0
-# Of the rule: finish_s, and the time for which nothing runs beside room.
-FINISH_S = 14.0
-STANDING_S = 3.0
-# A text of the kind that the tasks read, with the place reached.
-TEXT = 'Қолжазбаның оқылған бөлігі, тарау мен бет: '
-CHECKPOINT_CHARS = 480
-QUEUE = deployment.queue_row('reading', 'readers')
-LONG_ID = f'{0xB0:016x}'
-LONG_JOB = {
-    'task-spec': 'read',
+MAX_ATTEMPTS = 3
+# At most a share of 0.15 of a service's executors fails all that it starts.
+EXECUTORS = 14
+GREY = 2
+GREY_FOR_S = 6.5
+MEMBERS = 4
+WORK_S = 0.5
+WAIT_S = 25.0
+JOBS = 3
+QUEUE = deployment.queue_row(
+    'suite',
+    'renderers',
+    **{
+        'max-attempts': MAX_ATTEMPTS,
+    },
+)
+JOB = {
+    'task-spec': 'compare',
     'steps': [
         {
-            'count': TASKS,
-            'cpu': 100,
-            'mem-mb': 64,
+            'count': MEMBERS,
+            'cpu': 1000,
+            'mem-mb': 512,
             'estimated-ms': int(WORK_S * 1000),
-            'checkpointing': True,
+            'gang-scheduled': True,
+            'anti-affinity': 1,
         }
     ],
 }
-SHORT_JOB = {
-    'task-spec': 'screen',
-    'steps': [{'count': 2, 'cpu': 500, 'mem-mb': 64, 'estimated-ms': 300}],
-}
-
-
-def checkpoint(run, seconds):
-    """Return what a run has saved."""
-    text = f'{seconds} {TEXT * CHECKPOINT_CHARS}'
-    return text[:CHECKPOINT_CHARS]
 
 
 async def play(deployed):
-    """Crash an executor that runs checkpointing tasks, then send jobs."""
-    fleet = deployed.fleet
-    fleet.checkpoint = checkpoint
-    await deployed.start(3, {'readers': EXECUTORS}, [QUEUE])
-    first = deployed.daemons[0]
-    if not await deployed.submit(first, QUEUE, LONG_ID, LONG_JOB, WORK_S):
-        raise deployment.CouldNotRun('the long job was not accepted')
-    await asyncio.sleep(CRASH_AFTER_S)
-    busiest = max(
-        fleet.machines.values(), key=lambda machine: len(machine.executor.runs)
-    )
-    runs = len(busiest.executor.runs)
-    if not runs:
-        raise deployment.CouldNotRun('nothing runs')
+    """Submit gangs while two executors fail all that they start."""
+    await deployed.start(3, {'renderers': EXECUTORS}, [QUEUE])
+    await asyncio.sleep(3.0)
     if deployment.has_trouble():
-        deployed.write(f'{busiest.name} crashes with {runs} runs')
-        fleet.crash(busiest, 4.5)
-    await asyncio.sleep(2.0)
-    ids = [f'{number:016x}' for number in range(0xC0, 0xC4)]
+        _turn_grey(deployed)
+    ids = [f'{number:016x}' for number in range(0xA0, 0xA0 + JOBS)]
+    accepted = []
     for number, job_id in enumerate(ids):
         daemon = deployed.daemons[number % len(deployed.daemons)]
-        await deployed.submit(daemon, QUEUE, job_id, SHORT_JOB, 0.3)
+        if await deployed.submit(daemon, QUEUE, job_id, JOB, WORK_S):
+            accepted.append(job_id)
+        await asyncio.sleep(1.5)
+    if not accepted:
+        raise deployment.CouldNotRun('no job was accepted')
+    states = await _wait_for_ends(deployed, accepted)
+    if None in states.values() or 'queued' in states.values():
+        raise deployment.CouldNotRun(f'jobs have not ended: {states}')
+    return [
+        line
+        for job_id, state in states.items()
+        for line in _judge(deployed, job_id, state)
+    ]
+
+
+def _turn_grey(deployed):
+    """Let the executors that get the first starts fail all that they start."""
+    fleet, begin = deployed.fleet, deployed.fleet.begin
+    grey = []
+
+    def begin_grey(executor, run):
+        if len(grey) < GREY and executor not in grey:
+            grey.append(executor)
+            executor.is_grey = True
+            deployed.write(f'{executor.id} fails all that it starts')
+            loop = asyncio.get_running_loop()
+            loop.call_later(GREY_FOR_S, setattr, executor, 'is_grey', False)
+        begin(executor, run)
+
+    fleet.begin = begin_grey
+
+
+async def _wait_for_ends(deployed, ids):
+    loop = asyncio.get_running_loop()
+    deadline_s, states = loop.time() + WAIT_S, {}
+    while loop.time() < deadline_s:
+        for number, job_id in enumerate(ids):
+            daemon = deployed.daemons[number % len(deployed.daemons)]
+            _, body = await deployed.call(daemon, 'GET', QUEUE, job_id)
+            states[job_id] = body.get('state') if body else None
+        if all(s in ('completed', 'failed') for s in states.values()):
+            break
         await asyncio.sleep(0.5)
-    await asyncio.sleep(FINISH_S)
-    return await _judge(deployed, [LONG_ID, *ids])
+    return states
 
 
-async def _judge(deployed, ids):
-    """Return the jobs that have nothing running, beside idle executors."""
-    broken = []
-    for number, job_id in enumerate(ids):
-        daemon = deployed.daemons[number % len(deployed.daemons)]
-        status, body = await deployed.call(daemon, 'GET', QUEUE, job_id)
-        if status != 200:
-            broken.append(f'LOST: {job_id} is answered {status}')
-        elif body['state'] in ('queued', 'running'):
-            broken += _standing(deployed, job_id, body['state'])
-    if broken:
-        deployed.write(f'refused as too large: {deployed.store.refused[:3]}')
-    return broken
-
-
-def _standing(deployed, job_id, state):
-    fleet, now_s = deployed.fleet, time.monotonic()
-    last_s = max((e[0] for e in fleet.events if e[1] != 'noted'), default=0.0)
-    running = sum(
-        len(machine.executor.runs)
-        for machine in fleet.machines.values()
-        if machine.executor is not None
-    )
-    if not running and now_s - last_s > STANDING_S:
+def _judge(deployed, job_id, state):
+    """Return what is wrong with the end of a job."""
+    failed = collections.defaultdict(int)
+    for event in deployed.fleet.events:
+        _, kind, _, _, task, number, how = event
+        if kind == 'end' and how == 'failed' and task.startswith(job_id):
+            failed[number] += 1
+    if state == 'failed' and len(failed) < MAX_ATTEMPTS:
         yield (
-            f'LOST: {job_id} is {state}; for {now_s - last_s:.1f} s nothing'
-            f' has run on any of {len(fleet.machines)} executors'
+            f'LOST: {job_id} is shown as failed, though its gang has failed'
+            f' {len(failed)} times of {MAX_ATTEMPTS}: members that ended'
+            f' failed by run: {dict(failed)}'
         )
 
 
