review/11: the job within the sizes of the site files

Cause: a job of 120 tasks in one step is larger than those of the site files. Change: four steps of 30 tasks, which don't wait for each other.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -11,7 +11,9 @@
 
 # One of seven is within a share of 0.15 of a service's executors.
 EXECUTORS = 7
-TASKS = 120
+# The site files have jobs of up to 5 steps and 32 tasks a step.
+STEPS = 4
+STEP_TASKS = 30
 WORK_S = 8.0
 CRASH_AFTER_S = 5.0
 # Of the rule: finish_s, and the time for which nothing runs beside room.
@@ -26,13 +28,14 @@
     'task-spec': 'read',
     'steps': [
         {
-            'count': TASKS,
+            'count': STEP_TASKS,
             'cpu': 100,
             'mem-mb': 64,
             'estimated-ms': int(WORK_S * 1000),
             'checkpointing': True,
         }
-    ],
+    ]
+    * STEPS,
 }
 SHORT_JOB = {
     'task-spec': 'screen',
--- a/review/standins3/executors.py
+++ b/review/standins3/executors.py
@@ -205,6 +205,8 @@
         self.specs = {}
         # Run times of the tasks of a job, in seconds.
         self.work_s = {}
+        # Jobs whose tasks fail by their own fault.
+        self.hopeless = set()
         self._gangs = collections.defaultdict(dict)
         self._ids = itertools.count(7919)
         self._tasks, self._runners = set(), []
@@ -293,7 +295,9 @@
             self._join(executor, run, step)
         elif not step.get('long-running') and not executor.is_grey:
             run.work_s = self.work_s[run.task.split('.')[0]]
-            run.timer = loop.call_later(run.work_s, executor.end, run, 'done')
+            job_id = run.task.split('.')[0]
+            how = 'failed' if job_id in self.hopeless else 'done'
+            run.timer = loop.call_later(run.work_s, executor.end, run, how)
 
     # Time from a start until an executor that fails all has failed it.
     grey_s = 0.05
