review: scripts that run beside each other use addresses of their own

Cause: one of five runs of case 12 ended with 2: a daemon's port had been taken by a script beside it, and an answer that was no object stopped the case. Change: each script takes a loopback address by its process id; case 12 reads states from answers of status 200 only.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -88,8 +88,8 @@
     while loop.time() < deadline_s:
         for number, job_id in enumerate(ids):
             daemon = deployed.daemons[number % len(deployed.daemons)]
-            _, body = await deployed.call(daemon, 'GET', QUEUE, job_id)
-            states[job_id] = body.get('state') if body else None
+            status, body = await deployed.call(daemon, 'GET', QUEUE, job_id)
+            states[job_id] = body.get('state') if status == 200 else None
         if all(s in ('completed', 'failed') for s in states.values()):
             break
         await asyncio.sleep(0.5)
--- a/review/standins3/daemons.py
+++ b/review/standins3/daemons.py
@@ -12,7 +12,11 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 DEPS = ROOT / 'target' / 'deps'
-HOST = '127.0.0.1'
+# A loopback address of this process, so that scripts that run beside each
+# other don't take each other's ports.
+HOST = '127.{}.{}.{}'.format(
+    1 + (os.getpid() >> 16) % 250, (os.getpid() >> 8) & 255, os.getpid() & 255
+)
 END_TIMEOUT_S = 10.0
 _SECTION = re.compile(r'\{\{#([\w.-]+)\}\}(.*?)\{\{/\1\}\}', re.DOTALL)
 _VALUE = re.compile(r'\{\{([\w.-]+)\}\}')
