A gang's attempts are the runs it has failed in, not its failed members

What callers saw: a job was shown as failed after two runs of its gang, of three, as two members had failed in each.

Cause: attempts were a number with each task, and a gang's the sum over its members; no attempt was known by its run. A failure of a run that had been written off wasn't counted, so that a task could start more often than its queue grants, and an end that a successor is told again could not be told from another one.

Change: a task keeps the numbers of its failed runs, stored beside the count. A gang's attempts are the different runs among them. Failures are counted whenever they are learned, and a task whose attempts are used up isn't started again, however its last run ended.

Why it works: a run fails once, whoever tells it and however often. Records of the version before hold a number; the first runs stand for it.

--- a/features/steps/jobs_declared_shapes.py
+++ b/features/steps/jobs_declared_shapes.py
@@ -461,7 +461,7 @@
     context.runs = partition.start_job(loaded_partition.job_spec(tasks))
     assert len(context.runs) == tasks
     for run in context.runs:
-        run.task.failures = 100
+        run.task.failed_runs = tuple(range(2, 102))
 
 
 @when('all of them fail')
--- a/features/steps/jobs_scheduler_cost.py
+++ b/features/steps/jobs_scheduler_cost.py
@@ -59,7 +59,7 @@
 
 def _prepare_failure(partition):
     runs = partition.start_job(loaded_partition.job_spec(3))
-    runs[0].task.failures = 2
+    runs[0].task.failed_runs = (2, 3)
     poll = partition.end_of(runs[0], _Cause.FAILED)
 
     def act():
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
@@ -73,7 +73,9 @@
 
     :ivar run: number of the last planned run; 0 if there was none
     :ivar executor: executor incarnation of the last planned run
-    :ivar failures: number of failed runs
+    :ivar failed_runs: numbers of the runs that have failed, in the order in
+        which their ends were learned; the end of a run may be told again, by
+        executors to a new owner
     :ivar checkpoint: where the next run resumes; empty to start over
     :ivar crashed_executors: executors that crashed under the task, since one
         of its runs showed that the cause was another
@@ -87,7 +89,7 @@
     state: TaskState = TaskState.PENDING
     run: int = 0
     executor: str = ''
-    failures: int = 0
+    failed_runs: tuple[int, ...] = ()
     checkpoint: str = ''
     crashed_executors: tuple[str, ...] = ()
     unconfirmed_crashes: int = 0
@@ -104,12 +106,22 @@
         """Whether the state shows that an executor has begun the task."""
         return bool(
             self.state in (TaskState.DONE, TaskState.FAILED)
-            or self.failures
+            or self.failed_runs
             or self.checkpoint
             or self.started_run
             or self.crashed_executors
         )
 
+    @property
+    def failures(self):
+        """Number of runs that have failed."""
+        return len(self.failed_runs)
+
+    def note_failed_run(self, number):
+        """Record that a run has failed; a run fails once at most."""
+        if number not in self.failed_runs:
+            self.failed_runs += (number,)
+
     @property
     def crash_count(self):
         """Number of executors that may have crashed under the task."""
@@ -134,6 +146,9 @@
     _open_tasks: list[int] = attrs.field(factory=list, init=False)
     _open_predecessors: list[int] = attrs.field(factory=list, init=False)
     _open_steps: int = attrs.field(default=0, init=False)
+    _failed_runs_by_gang: dict[int, set] = attrs.field(
+        factory=dict, init=False
+    )
 
     @classmethod
     def new(cls, job, number):
@@ -162,6 +177,7 @@
         :param first: number of the first one, over all steps
         """
         was_done = self.is_done
+        self._failed_runs_by_gang.clear()
         step, index = self.place(first)
         for task in tasks:
             if index == len(self._tasks[step]):
@@ -231,6 +247,31 @@
         """Whether every task is done."""
         return not self._open_steps
 
+    def failed_attempts(self, task_id):
+        """Return how many attempts of a task, or of its gang, have failed.
+
+        The members of a gang share the number of each run, and however many
+        of them fail in it, the gang has failed once.
+        """
+        if not self.job.spec.steps[task_id.step].is_gang:
+            return self.task(task_id).failures
+        return len(self._gang_failed_runs(task_id.step))
+
+    def note_failed_run(self, task_id, number):
+        """Record that a run of a task has failed."""
+        self.task(task_id).note_failed_run(number)
+        if self.job.spec.steps[task_id.step].is_gang:
+            self._gang_failed_runs(task_id.step).add(number)
+
+    def _gang_failed_runs(self, step):
+        """Return the numbers of the runs in which a gang has failed."""
+        # Each end of a member asks for them.
+        if step not in self._failed_runs_by_gang:
+            members = self._tasks[step]
+            runs = set().union(*(task.failed_runs for task in members))
+            self._failed_runs_by_gang[step] = runs
+        return self._failed_runs_by_gang[step]
+
     def numbered_tasks(self):
         """Return each task with its id."""
         return [
@@ -326,7 +367,7 @@
             return ''
         return next(
             (
-                _failure_reason(task_id, task)
+                _failure_reason(occurrence, task_id, task)
                 for occurrence in self.occurrences.values()
                 for task_id, task in occurrence.numbered_tasks()
                 if task.state is TaskState.FAILED
@@ -345,11 +386,14 @@
         return JobState.RUNNING if self.has_started else JobState.QUEUED
 
 
-def _failure_reason(task_id, task):
+def _failure_reason(occurrence, task_id, task):
     if task.crash_count:
         names = ', '.join(task.crashed_executors)
         return (
             f'{task.crash_count} executors crashed under task {task_id}: '
             f'{names}'
         )
-    return f'task {task_id} failed {task.failures} times'
+    attempts = occurrence.failed_attempts(task_id)
+    if occurrence.job.spec.steps[task_id.step].is_gang:
+        return f'the gang of task {task_id} failed {attempts} times'
+    return f'task {task_id} failed {attempts} times'
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -63,6 +63,8 @@
 DIGEST_BYTES = 6
 # The length of a key is stored before it.
 KEY_LENGTH_BYTES = 1
+# Failures of a task in a record that doesn't tell their runs.
+MAX_TOLD_FAILURES = 1000
 # Tasks whose progress fits into one record of any store.
 TASKS_PER_RECORD = 256
 NO_STAMP = (0, 0)
@@ -269,15 +271,23 @@
 
 
 def _progress_value(occurrence, rows, numbered_tasks, stamp):
+    numbered_tasks = list(numbered_tasks)
     value = {'f': int(occurrence.job.is_failed), 't': rows}
     crashes = [
         [*occurrence.place(number), *_crash_fields(task)]
         for number, task in numbered_tasks
         if task.crash_count
     ]
+    failed_runs = [
+        [*occurrence.place(number), *task.failed_runs]
+        for number, task in numbered_tasks
+        if task.failed_runs
+    ]
     # Earlier versions ignore further fields, but can't read longer rows.
     if crashes:
         value['c'] = crashes
+    if failed_runs:
+        value['r'] = failed_runs
     if stamp is not None:
         value['s'] = stamp
     return value
@@ -467,9 +477,13 @@
                 raise ValueError(f'task counts {found} do not match the job')
             rows, first = list(itertools.chain.from_iterable(rows)), 0
         tasks = list(map(_decode_task, rows))
+        first_tasks = occurrence.job.spec.first_tasks
         for step, index, *fields in plain.get('c', ()):
-            number = occurrence.job.spec.first_tasks[int(step)] + int(index)
+            number = first_tasks[int(step)] + int(index)
             _restore_crashes(tasks[number - first], *fields)
+        for step, index, *runs in plain.get('r', ()):
+            number = first_tasks[int(step)] + int(index)
+            tasks[number - first].failed_runs = tuple(map(int, runs))
         if not 0 <= first <= sum(counts) - len(tasks):
             raise ValueError(f'{len(tasks)} tasks from number {first}')
     except _DECODE_ERRORS as error:
@@ -488,8 +502,13 @@
     if not row:
         return jobs.Task()
     state, run, executor, failures, checkpoint = row
+    # Earlier versions don't tell which runs have failed. The first ones stand
+    # for them: a task fails once a run at most, so that the runs that its gang
+    # has failed in are not taken for more than they are.
+    count = min(int(failures), int(run), MAX_TOLD_FAILURES)
+    failed_runs = tuple(range(1, count + 1))
     return jobs.Task(
-        jobs.TaskState(state), int(run), str(executor), int(failures),
+        jobs.TaskState(state), int(run), str(executor), failed_runs,
         str(checkpoint),
     )  # fmt: skip
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
@@ -72,8 +72,11 @@
         if ended.cause is _Cause.DONE:
             self._mark_done(run, now_s)
         elif ended.cause is _Cause.FAILED:
-            run.task.failures += 1
+            run.occurrence.note_failed_run(run.task_id, run.number)
             self.note_changed(run)
+            # While a later run is under way, its end decides.
+            if run.task.state is jobs.TaskState.PENDING:
+                self._give_up_if_exhausted(run)
 
     def _update_executor_health(self, executor, ended, now_s):
         if ended.cause is _Cause.DONE:
@@ -136,16 +139,24 @@
             self.stop_job(job)
 
     def _mark_failed(self, run):
-        occurrence, step = run.occurrence, run.task_id.step
-        run.task.failures += 1
-        failures = run.task.failures
-        if run.step.is_gang:
-            failures = sum(t.failures for t in occurrence.tasks[step])
-        if failures >= self._steps.queue_of(occurrence.job).max_attempts:
-            self.give_up(run)
-        else:
-            self._mark_pending(run)
+        run.occurrence.note_failed_run(run.task_id, run.number)
+        self._mark_pending(run)
 
     def _mark_pending(self, run):
         run.task.state = jobs.TaskState.PENDING
-        self._steps.requeue(run.task_id, run.occurrence.job)
+        if not self._give_up_if_exhausted(run):
+            self._steps.requeue(run.task_id, run.occurrence.job)
+
+    def _give_up_if_exhausted(self, run):
+        """Fail the job of a task that has no attempt left.
+
+        :returns: whether it has none
+        """
+        occurrence = run.occurrence
+        if run.step.is_lasting:
+            return False
+        max_attempts = self._steps.queue_of(occurrence.job).max_attempts
+        if occurrence.failed_attempts(run.task_id) < max_attempts:
+            return False
+        self.give_up(run)
+        return True
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_tracking.py
@@ -167,9 +167,9 @@
             continue
         executor.incarnation.last_processed_end = end.sequence
         run = executor.runs.get(run_state.run_key(end.task_id, end.number))
-        if run is None and end.cause is _Cause.DONE:
-            # The run finished before its lease expired and was written off;
-            # its result is still valid.
+        if run is None and end.cause in (_Cause.DONE, _Cause.FAILED):
+            # The run ended before its lease expired and was written off; its
+            # result is still valid, and a failure is an attempt.
             run = _make_run(executor, end, poll, find_occurrence)
         if run is not None:
             finished_runs.append(FinishedRun(run, end.cause, end.checkpoint))
