What the store never takes is left out, and keeps nothing else waiting

What callers saw: after a crash under tasks with long checkpoints nothing was scheduled any more, for good, while jobs were accepted.

Cause: the writer of the owner's records repeated any refused append, also of a record that the store will never take, and the scheduling cycle waited for it. The record was too large since checkpoints were bounded in characters, and each one outside ASCII took six bytes or twelve.

Change: 400 and 413 are a decision on the records. The one that is meant is found by halving the batch, left out, logged once and counted, and returned to its writer: a job whose progress it holds is given up, hosts aren't ordered, a submission is told as not run, a report on a wave isn't repeated, and an owner that can't fence its predecessors ends its term. Progress is encoded as UTF-8 and bounded in bytes: the largest checkpoints are left out first.

--- a/features/fakes/keyed_store.py
+++ b/features/fakes/keyed_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 
 from fakes import links
 from hawthorndeal_fleet import errors
@@ -47,6 +48,9 @@
     :ivar unreadable: names of partitions that can't be read
     :ivar silent: names of partitions that answer nothing
     :ivar refusing: names of partitions that refuse all calls
+    :ivar max_record_bytes: size of the largest record that it takes
+    :ivar is_refused: tells whether it never takes a record
+    :ivar refused: keys and sizes of the records that it has refused
     :ivar is_late: whether what a silent partition was sent takes effect when
         it answers again
     """
@@ -60,6 +64,9 @@
         self.unreadable = set()
         self.silent = set()
         self.refusing = set()
+        self.max_record_bytes = math.inf
+        self.is_refused = lambda record: False
+        self.refused = []
         self.is_late = False
         self._late_appends = []
 
@@ -93,6 +100,7 @@
             return state.append_results[key]
         if end is not None and end != len(state.records):
             raise keyed_log.EndMoved(len(state.records))
+        self._check_content(records)
         if fence is not None:
             self._advance_fence(state, fence)
         offset = len(state.records)
@@ -110,6 +118,15 @@
         state.appended = asyncio.Event()
         return offset
 
+    def _check_content(self, records):
+        for record in records:
+            content_bytes = 1 + len(record.key) + len(record.value)
+            if content_bytes > self.max_record_bytes or self.is_refused(
+                record
+            ):
+                self.refused.append((record.key, content_bytes))
+                raise keyed_log.RecordsRefused(f'status 400: {record.key}')
+
     def end_silence(self, names):
         """Let partitions answer again."""
         self.silent.difference_update(names)
--- a/features/fakes/task_executors.py
+++ b/features/fakes/task_executors.py
@@ -255,7 +255,10 @@
         now_s = self._world.now_s()
         running = tuple(
             run_state.ReportedRun(
-                run.task_id, run.number, '', self._percent(run, now_s)
+                run.task_id,
+                run.number,
+                self._world.checkpoint(run.task_id),
+                self._percent(run, now_s),
             )
             for run in self.runs.values()
         )
--- a/features/jobs_adapter.feature
+++ b/features/jobs_adapter.feature
@@ -69,6 +69,20 @@
       | 409    | fenced | fenced          |
       | 409    | seq    | fenced          |
       | 500    |        | outcome_unknown |
+      | 400    |        | records_refused |
+      | 413    |        | records_refused |
+      | 404    |        | platform_refused |
+
+  # The length of a key takes one byte; the error was none that writers expect.
+  Scenario Outline: A key of <bytes> bytes <outcome>
+    Given a store that takes every record
+    When a record with a key of <bytes> bytes is appended
+    Then it <outcome>
+
+    Examples:
+      | bytes | outcome                    |
+      | 255   | is stored                  |
+      | 256   | fails with records_refused |
 
   Scenario: Logging never blocks on standard output
     Given a decision log whose pipe is full
--- a/features/stage/run_checker.py
+++ b/features/stage/run_checker.py
@@ -34,6 +34,7 @@
         executor, for tasks that crash each executor that starts them
     :ivar crashed_executors: the executors that each such task has crashed
     :ivar failing: ids of jobs whose tasks fail each time
+    :ivar checkpoints: what the tasks of jobs have saved, by job
     :ivar durations_s: run times of the tasks of jobs that declare others
     """
 
@@ -50,6 +51,7 @@
         self.crash_delays_s = {}
         self.crashed_executors = collections.defaultdict(list)
         self.failing = set()
+        self.checkpoints = {}
         self.durations_s = {}
         self._starts_after_limit = collections.Counter()
         self._completed_ends = {}
@@ -88,6 +90,10 @@
             return self.durations_s[task_id.job_id]
         return spec.estimate_s * self.rng.uniform(0.5, 1.8)
 
+    def checkpoint(self, task_id):
+        """Return what a run of a task has saved."""
+        return self.checkpoints.get(task_id.job_id, '')
+
     def fails(self, task_id):
         """Return whether a task fails each time that it runs."""
         return task_id.job_id in self.failing
--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -318,19 +318,38 @@
     context.store = store.Store(_FixedExchange(status, reason), '127.0.0.1:1')
 
 
+@given('a store that takes every record')
+def make_taking_store(context):
+    body = json.dumps({'offset': 0, 'end': 1}).encode()
+    exchange = _FixedExchange(200, '')
+    exchange._answer = transport.HttpResponse(200, body)
+    context.store = store.Store(exchange, '127.0.0.1:1')
+
+
 @when('a record is appended')
-def append(context):
+def append(context, key_bytes=1):
+    record = journal.Record('k' * key_bytes, b'v')
+
     async def attempt():
-        await context.store.append(
-            keyed_log.Partition('t'), [journal.Record('k', b'v')]
-        )
+        await context.store.append(keyed_log.Partition('t'), [record])
 
+    context.failure = ''
     try:
         asyncio.run(attempt())
     except errors.HawthorndealError as error:
         context.failure = error.reason
 
 
+@when('a record with a key of {count:d} bytes is appended')
+def append_with_key(context, count):
+    append(context, count)
+
+
+@then('it is stored')
+def check_stored(context):
+    assert not context.failure, context.failure
+
+
 @then('it fails with {reason}')
 def check_failure(context, reason):
     assert context.failure == reason, context.failure
@@ -645,15 +664,16 @@
 )
 
 
-# Events that the scenarios of a load check: jobs_relay, jobs_consolidation,
-# jobs_standing_work.
-LOAD_EVENTS = frozenset(
+# Events that scenarios of their own check: jobs_relay, jobs_consolidation,
+# jobs_standing_work, jobs_refused_records.
+CHECKED_ELSEWHERE = frozenset(
     {
         'call_passed_on',
         'host_consolidating',
         'step_standing',
         'steps_standing',
         'loop_late',
+        'record_refused',
     }
 )
 
@@ -667,7 +687,7 @@
     for row in rows:
         listed |= set(re.findall(r'`([a-z_]+)`', row.split('|')[1]))
     written = {kind for _, _, kind, _ in context.world.log}
-    missing = listed - written - PROCESS_EVENTS - LOAD_EVENTS
+    missing = listed - written - PROCESS_EVENTS - CHECKED_ELSEWHERE
     assert not missing, missing
     surplus = written - listed - job_world.UNDOCUMENTED_EVENTS
     assert not surplus, surplus
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
@@ -299,6 +299,8 @@
     :ivar is_beyond_share: whether its workspace sent more jobs than are owed
         to it at that time
     :ivar home: name of the partition that its cancellation is stored in
+    :ivar give_up_reason: why the job as a whole was given up; empty if it
+        wasn't
     :ivar has_started: whether a run of any task is known to have begun
     :ivar done_occurrences: number of occurrences of which all tasks are done
     """
@@ -315,6 +317,7 @@
     occurrences: dict[int, Occurrence] = attrs.Factory(dict)
     is_cancelled: bool = False
     is_failed: bool = False
+    give_up_reason: str = ''
     has_started: bool = False
     done_occurrences: int = 0
 
@@ -363,8 +366,8 @@
 
     def failure_reason(self):
         """Return why the job has failed, or an empty string."""
-        if not self.is_failed:
-            return ''
+        if not self.is_failed or self.give_up_reason:
+            return self.give_up_reason
         return next(
             (
                 _failure_reason(occurrence, task_id, task)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/journal.py
@@ -38,6 +38,7 @@
 import hashlib
 import itertools
 import json
+import math
 import typing
 
 import attrs
@@ -224,7 +225,9 @@
     return Record(f'{CANCEL}/{job_id}', b'{}')
 
 
-def progress_records(occurrence, stamp=None, is_split=False):
+def progress_records(
+    occurrence, stamp=None, is_split=False, max_bytes=math.inf
+):
     """Return the records of the tasks that changed since the last call.
 
     A record of all tasks would cost their number at the end of each task, and
@@ -232,44 +235,77 @@
 
     :param stamp: tells which of several records is newer
     :param is_split: whether many tasks are stored in several records
+    :param max_bytes: size of the largest record that the store takes; see
+        :func:`progress_record`
     """
     changed = occurrence.pop_changed_tasks()
     if not is_split or occurrence.job.spec.tasks <= TASKS_PER_RECORD:
-        return [progress_record(occurrence, stamp)]
+        return [progress_record(occurrence, stamp, max_bytes)]
     return [
-        _partial_record(occurrence, number * TASKS_PER_RECORD, stamp)
+        _partial_record(
+            occurrence, number * TASKS_PER_RECORD, stamp, max_bytes
+        )
         for number in sorted({task // TASKS_PER_RECORD for task in changed})
     ]
 
 
-def progress_record(occurrence, stamp=None):
+def progress_record(occurrence, stamp=None, max_bytes=math.inf):
     """Return the record of all tasks of an occurrence.
 
     :param stamp: tells which of several records is newer
+    :param max_bytes: size above which checkpoints are left out, the largest
+        first; a run without one starts from its beginning
     """
     tasks = [list(map(_task_row, step)) for step in occurrence.tasks]
     numbered = enumerate(itertools.chain.from_iterable(occurrence.tasks))
     value = _progress_value(occurrence, tasks, numbered, stamp)
     key = f'{PROGRESS}/{occurrence.job.job_id}/{occurrence.number}'
-    return Record(key, _dump(value))
+    rows = itertools.chain.from_iterable(tasks)
+    return _bounded_record(key, value, rows, max_bytes)
 
 
-def _partial_record(occurrence, first, stamp):
+def _partial_record(occurrence, first, stamp, max_bytes):
     """Return the record of some tasks of an occurrence.
 
     :param first: number of the first one, over all steps
     """
     tasks = occurrence.tasks_from(first, TASKS_PER_RECORD)
-    value = _progress_value(
-        occurrence,
-        list(map(_task_row, tasks)),
-        enumerate(tasks, first),
-        stamp,
-    )
+    rows = list(map(_task_row, tasks))
+    value = _progress_value(occurrence, rows, enumerate(tasks, first), stamp)
     key = f'{PROGRESS}/{occurrence.job.job_id}/{occurrence.number}/{first}'
+    return _bounded_record(key, value, rows, max_bytes)
+
+
+def _bounded_record(key, value, rows, max_bytes):
+    """Return the record of a value, without the checkpoints that don't fit.
+
+    :param rows: the rows of the tasks in the value
+    """
+    record = Record(key, _dump(value))
+    excess_bytes = record.size_bytes - max_bytes
+    if excess_bytes <= 0:
+        return record
+    sized_rows = sorted(
+        (
+            (len(_dump(row[-1])), number, row)
+            for number, row in enumerate(filter(None, rows))
+        ),
+        reverse=True,
+    )
+    for size_bytes, _, row in sized_rows:
+        if excess_bytes <= 0:
+            break
+        row[-1] = ''
+        excess_bytes -= size_bytes - len(_dump(''))
     return Record(key, _dump(value))
 
 
+def job_of_progress(record):
+    """Return the id of the job whose progress a record holds, or None."""
+    kind, *names = record.key.split('/')
+    return names[0] if kind == PROGRESS else None
+
+
 def _progress_value(occurrence, rows, numbered_tasks, stamp):
     numbered_tasks = list(numbered_tasks)
     value = {'f': int(occurrence.job.is_failed), 't': rows}
@@ -312,7 +348,10 @@
 
 
 def _dump(plain):
-    return json.dumps(plain, separators=(',', ':')).encode()
+    # Checkpoints may hold any text: as UTF-8 a character takes four bytes at
+    # most, and a surrogate on its own is read back as it was.
+    text = json.dumps(plain, ensure_ascii=False, separators=(',', ':'))
+    return text.encode('utf-8', 'surrogatepass')
 
 
 def stamped_record(record, stamp):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
@@ -112,6 +112,7 @@
         }
         for index, task in ended.items():
             task.state = jobs.TaskState.DONE
+            task.checkpoint = ''
             occurrence.note_changed(step, index)
         occurrence.note_done(step, len(ended))
         self.note_changed(run)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -142,6 +142,15 @@
         job.is_cancelled = True
         self._endings.stop_job(job)
 
+    def give_up_job(self, job, reason):
+        """Fail a job that can't go on, and stop its runs.
+
+        :param reason: what callers are told
+        """
+        job.is_failed = True
+        job.give_up_reason = reason
+        self._endings.stop_job(job)
+
     def has_runs(self, job_id):
         """Return whether a run of a job may be executing."""
         return self._run_index.has_runs_of_job(job_id)
--- a/packages/hawthorndeal-platform/hawthorndeal_platform/keyed_log.py
+++ b/packages/hawthorndeal-platform/hawthorndeal_platform/keyed_log.py
@@ -33,6 +33,12 @@
         super().__init__(f'the partition now ends at offset {end}')
 
 
+class RecordsRefused(errors.PlatformRefused):
+    """Raised when the log appends nothing of some records, now or later."""
+
+    reason = 'records_refused'
+
+
 class Overloaded(errors.PlatformUnavailable):
     """Raised when the overloaded log rejects a call without effect."""
 
@@ -122,6 +128,8 @@
         :param end: append only if the partition ends at this offset
         :raises Fenced: the log has seen a newer epoch
         :raises EndMoved: the partition ends at another offset
+        :raises RecordsRefused: one of the records, or all of them together,
+            are none that the log takes, as by their size
         :raises errors.PlatformUnavailable: nothing was appended
         :raises errors.OutcomeUnknown: the records may have been appended, or
             may be later
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/callers.py
@@ -8,6 +8,7 @@
 from hawthorndeal_jobs import journal
 from hawthorndeal_jobs import queues
 from hawthorndeal_jobs import quotas
+from hawthorndeal_platform import keyed_log
 
 from . import call_effect
 from . import caller_access
@@ -307,6 +308,11 @@
             raise caller_access.StoreUnreachable(
                 'the store takes nothing now', RETRY_AFTER_S
             ) from error
+        except keyed_log.RecordsRefused as error:
+            access.effect.rule_out(call_effect.HERE)
+            raise errors.RequestTooLarge(
+                f'the store does not take the call: {error!s:.160}'
+            ) from error
         except errors.PlatformError as error:
             # The record may have been stored; only a retry can tell.
             raise errors.AnswerLost(str(error)[:200]) from error
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/journal_writer.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/journal_writer.py
@@ -20,44 +20,89 @@
         fences it
     :param clock: clocks of the daemon
     :param rng: source of the jitter between retries
+    :param refused: a :class:`refused_records.RefusedRecords`
+    :param max_record_bytes: size of the largest record that the store takes
     :param confirms_term: whether its appends confirm the ownership
     :ivar end: offset after the last record that it has appended
     """
 
-    def __init__(self, log, partition, term, clock, rng, confirms_term=False):
+    def __init__(
+        self,
+        log,
+        partition,
+        term,
+        clock,
+        rng,
+        refused,
+        max_record_bytes,
+        confirms_term=False,
+    ):
         self._log = log
         self._partition = partition
         self._term = term
         self._clock = clock
         self._rng = rng
+        self._refused = refused
+        self._max_record_bytes = max_record_bytes
         self._confirms_term = confirms_term
         self._fence = keyed_log.AppendFence(term.epoch, 0)
         self.end = 0
 
     async def append(self, records):
-        """Append records, retrying until the store accepts them.
+        """Append records, retrying until the store has decided on each.
 
+        :returns: the records that it will never take; all others are stored
         :raises keyed_log.Fenced: if a newer owner has taken over
         """
-        for batch in _split_batches(records):
+        refused = [r for r in records if self._is_too_large(r)]
+        for record in refused:
+            self._refused.note(
+                self._partition,
+                record,
+                f'larger than {self._max_record_bytes} bytes',
+            )
+        storable = [r for r in records if not self._is_too_large(r)]
+        for batch in _split_batches(storable):
+            refused += await self._append_apart(batch)
+        return refused
+
+    def _is_too_large(self, record):
+        return record.size_bytes > self._max_record_bytes
+
+    async def _append_apart(self, batch):
+        """Append a batch; return what the store refuses of it.
+
+        One refused record keeps no others from being stored.
+        """
+        try:
             await self._append_batch(batch)
+        except keyed_log.RecordsRefused as error:
+            if len(batch) == 1:
+                self._refused.note(self._partition, batch[0], str(error))
+                return batch
+        else:
+            return []
+        half = len(batch) // 2
+        return [
+            *await self._append_apart(batch[:half]),
+            *await self._append_apart(batch[half:]),
+        ]
 
     async def _append_batch(self, batch):
-        self._fence = attrs.evolve(
-            self._fence, sequence=self._fence.sequence + 1
-        )
+        # A refused append has used no sequence number.
+        fence = attrs.evolve(self._fence, sequence=self._fence.sequence + 1)
         retry_s = RETRY_S
         while True:
             if self._term.is_lost:
                 raise keyed_log.Fenced('the ownership was lost')
             sent_s = self._clock.boot_s()
             try:
-                offset = await self._log.append(
-                    self._partition, batch, self._fence
-                )
+                offset = await self._log.append(self._partition, batch, fence)
             except keyed_log.Fenced:
                 self._term.is_lost = True
                 raise
+            except keyed_log.RecordsRefused:
+                raise
             except errors.PlatformError:
                 # The store accepts each sequence number at most once.
                 await self._log.reachability.pause(
@@ -65,6 +110,7 @@
                 )
                 retry_s = min(MAX_RETRY_S, retry_s * 2)
             else:
+                self._fence = fence
                 self.end = offset + len(batch)
                 if self._confirms_term:
                     self._term.confirmed_s = max(
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/metrics.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/metrics.py
@@ -84,6 +84,12 @@
             ['reason'],
             registry=self._registry,
         )
+        self._refused_records = prometheus_client.Counter(
+            'hawthorndeal_records_refused',
+            'Records of the owner that the store never takes, by kind.',
+            ['kind'],
+            registry=self._registry,
+        )
         self._relayed_calls = prometheus_client.Counter(
             'hawthorndeal_calls_passed_on',
             'Calls passed on to another daemon, by whether it answered.',
@@ -119,6 +125,10 @@
         """Count one refused request."""
         self._refusals.labels(reason).inc()
 
+    def note_refused_record(self, kind):
+        """Count one record that the store never takes."""
+        self._refused_records.labels(kind).inc()
+
     def note_relayed_call(self, is_answered):
         """Count one call that was passed on to another daemon."""
         self._relayed_calls.labels(str(is_answered).lower()).inc()
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -323,12 +323,20 @@
         elif not self._is_storing_host_records:
             self._begin_storing_host_records()
         with self._gate.watch_append(parts.jobs_follower.partition):
-            ends = await self._journal.store(records)
-        if host_records:
-            self.hosts.note_stored()
-        self.tracker.note_ends_stored(ends)
+            outcome = await self._journal.store(records)
+        self._note_stored_intents(host_records, outcome.refused_keys)
+        self.tracker.note_ends_stored(outcome.ends)
+        for job in outcome.unstored_jobs:
+            self._give_up_unstored(job)
         self._send_starts(turn.starts, now_s)
 
+    def _give_up_unstored(self, job):
+        """Fail a job that a successor could not go on with."""
+        if not job.is_terminal:
+            self.scheduler.give_up_job(job, 'its progress can not be stored')
+        self._journal.note_ended(job)
+        self.wake()
+
     def _send_starts(self, runs, planned_s):
         """Send starts that are stored, unless what permitted them is old."""
         now_s = self.now_s()
@@ -337,7 +345,12 @@
         for run in runs:
             is_held = is_old and self._gate.holds(run)
             is_permitted = self.scheduler.refresh_ticket(run, now_s)
-            if may_start and is_permitted and not is_held:
+            if (
+                may_start
+                and is_permitted
+                and not is_held
+                and not run.is_stop_requested
+            ):
                 self._orders.send_start(run)
             else:
                 self.scheduler.withdraw_run(run, now_s)
@@ -362,15 +375,21 @@
 
     async def _store_host_records(self, records):
         try:
-            await self._publisher.store(records)
+            refused = await self._publisher.store(records)
         except keyed_log.Fenced:
             # The publisher has ended the term.
             return
         finally:
             self._is_storing_host_records = False
-        self.hosts.note_stored()
+        self._note_stored_intents(records, {r.key for r in refused})
         self.wake()
 
+    def _note_stored_intents(self, records, refused_keys):
+        """Permit the host orders whose intents are among stored records."""
+        stored_keys = {record.key for record in records} - refused_keys
+        if journal.HOSTS in stored_keys:
+            self.hosts.note_stored()
+
     def _note_planned(self, took_s):
         self._parts.metrics.note_cycle_part('plan', took_s)
         self._orders.note_pause(took_s)
@@ -443,7 +462,7 @@
                 self._journal.dropper.drop_cancellation(job_id)
             return
         self.scheduler.cancel_job(job)
-        self._journal.note_cancelled(job)
+        self._journal.note_ended(job)
         self.wake()
 
     def handle_configuration(self, configuration):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner_writers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner_writers.py
@@ -1,6 +1,7 @@
 """The writers of an owner's records."""
 
 from . import journal_writer
+from . import refused_records
 from . import spread_writer
 
 
@@ -24,6 +25,9 @@
         self._parts = parts
         self._term = term
         self._spawn = spawn
+        self._refused = refused_records.RefusedRecords(
+            parts.events, parts.metrics
+        )
         self.is_spread = parts.settings.spare_partitions > 0
         statuses, jobs = parts.status_followers, parts.jobs_followers
         self.statuses = self._make(statuses, statuses[:1])
@@ -46,6 +50,8 @@
                     self._term,
                     parts.clock,
                     parts.rng,
+                    self._refused,
+                    parts.settings.max_record_bytes,
                     follower in confirming,
                 ),
                 follower,
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/spread_writer.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/spread_writer.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from hawthorndeal_platform import keyed_log
 from hawthorndeal_platform import tasks
 
 
@@ -97,19 +98,23 @@
     async def fence(self, records):
         """Append records to all partitions, so that each fences older owners.
 
-        :raises keyed_log.Fenced: if a newer owner has taken over
+        :raises keyed_log.Fenced: if a newer owner has taken over, or this one
+            can't fence its predecessors
         """
-        await asyncio.gather(
+        refused = await asyncio.gather(
             *(choice.writer.append(records) for choice in self._choices)
         )
+        if any(refused):
+            raise keyed_log.Fenced('the store refuses the record that fences')
 
     async def append(self, records):
         """Append records to one of the partitions.
 
+        :returns: the records that the store will never take
         :raises keyed_log.Fenced: if a newer owner has taken over
         """
         async with self._lock:
-            await self._append(records)
+            return await self._append(records)
 
     async def _append(self, records):
         attempts = {}
@@ -120,9 +125,9 @@
             others = [attempt.task for attempt in self._in_flight.values()]
             done = await self._wait(attempts or others)
             for attempt in done & attempts.keys():
-                attempt.result()
+                refused = attempt.result()
                 self._note_used(attempts[attempt])
-                return
+                return refused
 
     def _note_used(self, choice):
         if choice is not self._last:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_publisher.py
@@ -101,17 +101,18 @@
     async def store(self, records):
         """Store records together with the statuses to publish.
 
+        :returns: those of an append that the store will never take
         :raises keyed_log.Fenced: if a newer owner has taken over
         """
         if not records:
-            return
+            return []
         if self._owner.term.is_lost:
             raise keyed_log.Fenced('the ownership was lost')
         stored = asyncio.get_running_loop().create_future()
         self._records += records
         self._waiting_futures.append(stored)
         self._wake.set()
-        await stored
+        return await stored
 
     # Task
 
@@ -157,14 +158,14 @@
             records.append(journal.ownership_record(self._owner.ownership()))
         records += others
         try:
-            await self._writer.append(records)
+            refused = await self._writer.append(records)
         except keyed_log.Fenced:
             for stored in futures:
                 _fail(stored)
             raise
         for stored in futures:
             if not stored.done():
-                stored.set_result(None)
+                stored.set_result(refused)
 
 
 def _fail(stored):
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/submitter.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/submitter.py
@@ -6,13 +6,18 @@
 import attrs
 
 from hawthorndeal_fleet import errors
+from hawthorndeal_platform import keyed_log
 from hawthorndeal_platform import tasks
 
 MAX_BATCH_RECORDS = 100
 # A batch crosses a link of 5 Mbit/s in a fraction of the append's timeout.
 MAX_BATCH_BYTES = 65536
 # Errors after which a record is certainly not stored.
-_NOT_STORED = (errors.PlatformUnavailable, errors.RequestFailed)
+_NOT_STORED = (
+    errors.PlatformUnavailable,
+    errors.RequestFailed,
+    keyed_log.RecordsRefused,
+)
 
 
 def _allow():
@@ -105,6 +110,7 @@
             call was checked
         :raises errors.RequestFailed: by ``verify``; it was not appended
         :raises errors.PlatformUnavailable: if it was not appended
+        :raises keyed_log.RecordsRefused: if it never will be
         :raises errors.OutcomeUnknown: if it may have been appended, or may
             still be
         """
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_reporter.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_reporter.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from hawthorndeal_fleet import errors
+from hawthorndeal_platform import keyed_log
 
 RETRY_S = 0.3
 
@@ -43,4 +44,6 @@
                 self._events.write(
                     'wave_not_reported', wave=number, why=str(error)[:160]
                 )
+                if isinstance(error, keyed_log.RecordsRefused):
+                    return
             await asyncio.sleep(RETRY_S)
