Executors are judged by what they do worse than others with the same work

What callers saw: one job that can't be done had all executors of its pool suspended for 8 s, and the next ten jobs stood beside them.

Cause: runs that failed in a row were counted for each executor alone, whatever job they were of, and though the same job failed everywhere. Slow progress and stalled runs were judged alike.

Change: a job that fails on more executors than may be at fault at once is at fault itself, and its failures are held against none. No more than a quarter of a pool is suspended on judgement at once. An executor is slow only if most of its peers aren't. Retries, also of gangs, avoid executors on which runs have failed lately. executor_suspended and executor_cleared tell what led to it.

Why it works: the same work elsewhere decides, and what is decided wrongly is bounded.

--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -665,7 +665,7 @@
 
 
 # Events that scenarios of their own check: jobs_relay, jobs_consolidation,
-# jobs_standing_work, jobs_refused_records.
+# jobs_standing_work, jobs_refused_records, jobs_executor_blame.
 CHECKED_ELSEWHERE = frozenset(
     {
         'call_passed_on',
@@ -674,6 +674,8 @@
         'steps_standing',
         'loop_late',
         'record_refused',
+        'executor_suspended',
+        'executor_cleared',
     }
 )
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/incarnations.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/incarnations.py
@@ -12,6 +12,7 @@
 the former incarnation, the new one counts as holding that lease.
 """
 
+import collections
 import math
 
 import attrs
@@ -70,7 +71,10 @@
     :ivar is_ordered_away: whether an order that ends it was sent to its host,
         and may have taken effect
     :ivar suspended_until_s: no new runs are placed on it before this time
-    :ivar consecutive_failures: runs that failed on it in a row
+    :ivar failed_runs: how many runs of each job have failed on it since the
+        last one that succeeded; see :mod:`executor_health`
+    :ivar progress: which share of the expected progress its runs made, and
+        when that was measured; None if too few runs could be measured
     """
 
     born_ms: int = 0
@@ -86,7 +90,10 @@
     is_leaving: bool = False
     is_ordered_away: bool = False
     suspended_until_s: float = 0.0
-    consecutive_failures: int = 0
+    failed_runs: collections.Counter = attrs.Factory(collections.Counter)
+    progress: tuple[float, float] | None = None
+    # Until when it is suspended for each cause.
+    _suspensions: dict = attrs.Factory(dict)
     # Leases that another incarnation may have received: in calls in flight,
     # when the last call was sent that was not answered, and by when the leases
     # in calls of other owners or to earlier incarnations have expired.
@@ -94,6 +101,24 @@
     _last_unanswered_s: float = -math.inf
     _stray_leases_expire_s: float = 0.0
 
+    # Suspension
+
+    def suspend(self, cause, until_s):
+        """Place no new runs before a time."""
+        self._suspensions[cause] = max(
+            until_s, self._suspensions.get(cause, 0.0)
+        )
+        self.suspended_until_s = max(self.suspended_until_s, until_s)
+
+    def is_suspended(self, cause, now_s):
+        """Return whether it is suspended for a cause."""
+        return self._suspensions.get(cause, 0.0) > now_s
+
+    def end_suspension(self, cause):
+        """Place new runs again unless there is another cause."""
+        del self._suspensions[cause]
+        self.suspended_until_s = max(self._suspensions.values(), default=0.0)
+
     # Fencing
 
     def mark_fenced(self, now_s):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/jobs.py
@@ -238,6 +238,10 @@
         """Return True if every task of a step is done."""
         return not self._open_tasks[step]
 
+    def has_done_task(self, step):
+        """Return True if any task of a step is done."""
+        return self._open_tasks[step] < len(self._tasks[step])
+
     def is_step_ready(self, step):
         """Return True if all steps that a step depends on are done."""
         return not self._open_predecessors[step]
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
@@ -27,9 +27,7 @@
         if can_place(executor, step, task_id)
     ]
     if task.failures:
-        # Retries prefer another executor, since the failure may be due to
-        # the previous one.
-        others = [e for e in candidates if e.executor_id != task.executor]
+        others = [e for e in candidates if not is_doubtful(e, task)]
         candidates = others or candidates
     ranked = heapq.nsmallest(
         2, candidates, key=lambda executor: cost(executor, step)
@@ -49,6 +47,17 @@
     )
 
 
+def is_doubtful(executor, task):
+    """Return True if a retry of a failed task prefers another executor.
+
+    The failure may be due to its previous one, or the next one due to one on
+    which other runs have failed lately.
+    """
+    return executor.executor_id == task.executor or bool(
+        executor.incarnation.failed_runs
+    )
+
+
 def is_apart(executor, now_s):
     """Return True if only suspects of crashes may start on an executor."""
     return executor.held_until_s > now_s or has_probation(executor)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/pool_placement.py
@@ -12,6 +12,8 @@
 # Changes and kinds of step that are remembered before all ranks are dropped.
 MAX_CHANGES = 1000
 MAX_KINDS = 200
+# Executors that are passed by for a retry.
+MAX_AVOIDED = 16
 # An executor that is held for a suspect of a crash takes no other runs for
 # this long. Runs that have only just started there are proven sooner.
 HOLD_S = 1.0
@@ -93,16 +95,27 @@
         ranking = self._ranking(step)
         found = []
         if task.failures:
-            found = ranking.best_two(step, task_id, avoided_id=task.executor)
+            found = ranking.best_two(
+                step,
+                task_id,
+                lambda executor: placement.is_doubtful(executor, task),
+            )
         found = found or ranking.best_two(step, task_id)
         return (*found, None, None)[:2]
 
-    def choose_gang(self, step, task_ids, allowed_ids=None):
-        """Return an executor for each task of a gang, or None."""
+    def choose_gang(self, step, task_ids, allowed_ids=None, has_failed=False):
+        """Return an executor for each task of a gang, or None.
+
+        :param has_failed: whether a run of the gang has failed
+        """
         executors = list(self._usable.values())
         if allowed_ids is not None:
             executors = self._usable_of(allowed_ids)
-        return placement.choose_gang(executors, step, task_ids)
+        chosen = None
+        if has_failed:
+            trusted = [e for e in executors if not e.incarnation.failed_runs]
+            chosen = placement.choose_gang(trusted, step, task_ids)
+        return chosen or placement.choose_gang(executors, step, task_ids)
 
     def has_room_apart(self, step):
         """Return True if a suspect of a crash may have room."""
@@ -287,14 +300,19 @@
             heapq.heappush(self._heap, entry)
         self._full_for, self._full = task_id.step_key, []
 
-    def best_two(self, step, task_id, avoided_id=''):
+    def best_two(self, step, task_id, is_avoided=lambda executor: False):
         """Return up to two executors that may run a task, the best first.
 
-        :param avoided_id: id of an executor that is left out
+        :param is_avoided: tells which executors are left out; after
+            MAX_AVOIDED of them no more are considered
         """
         self._begin_step(task_id)
         found, seen = [], []
-        while self._heap and len(found) < 2:
+        while (
+            self._heap
+            and len(found) < 2
+            and len(seen) < len(found) + MAX_AVOIDED
+        ):
             entry = heapq.heappop(self._heap)
             number = entry[1]
             if self._entries.get(number) is not entry:
@@ -304,7 +322,7 @@
                 self._full.append(entry)
                 continue
             seen.append(entry)
-            if executor.executor_id != avoided_id:
+            if not is_avoided(executor):
                 found.append(executor)
         for entry in seen:
             heapq.heappush(self._heap, entry)
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/run_endings.py
@@ -1,7 +1,6 @@
 """Apply the ends of runs to their tasks, steps and jobs."""
 
 from . import crash_blame
-from . import executor_health
 from . import jobs
 from . import run_state
 from . import run_tracking
@@ -15,10 +14,12 @@
     :param steps: the steps whose tasks may start
     :param forget_advice: forgets what is known of advice on a job's steps
     :param run_index: the runs on all executors
+    :param health: an :class:`executor_health.ExecutorHealth`
     """
 
-    def __init__(self, steps, forget_advice, run_index):
+    def __init__(self, steps, forget_advice, run_index, health):
         self._steps = steps
+        self._health = health
         self._forget_advice = forget_advice
         self._run_index = run_index
         self._changed = {}
@@ -36,7 +37,7 @@
     def stop_job(self, job):
         """Stop all runs of a job that has ended."""
         self._steps.remove_job(job)
-        self._forget_advice(job.job_id)
+        self._forget(job.job_id)
         for run in self._run_index.runs_of_job(job.job_id):
             if job.must_end_runs_of(run.step):
                 run.is_stop_requested = True
@@ -60,9 +61,9 @@
         if ended.cause is _Cause.DONE and not run.step.is_lasting:
             self._mark_done(run, now_s)
         elif ended.cause is _Cause.FAILED and not run.step.is_lasting:
-            self._mark_failed(run)
+            self._mark_failed(run, now_s)
         else:
-            self._mark_pending(run)
+            self._mark_pending(run, now_s)
 
     def _finish_superseded(self, ended, now_s):
         """Process the end of a run that its task no longer refers to."""
@@ -76,14 +77,14 @@
             self.note_changed(run)
             # While a later run is under way, its end decides.
             if run.task.state is jobs.TaskState.PENDING:
-                self._give_up_if_exhausted(run)
+                self._give_up_if_exhausted(run, now_s)
 
     def _update_executor_health(self, executor, ended, now_s):
         if ended.cause is _Cause.DONE:
-            executor_health.record_success(executor)
+            self._health.record_success(executor, ended.run)
             self._record_run_time(ended.run, now_s)
         elif ended.cause is _Cause.FAILED:
-            executor_health.record_failure(executor, now_s)
+            self._health.record_failure(executor, ended.run, now_s)
 
     def _record_run_time(self, run, now_s):
         if run.started_s is not None and not run.step.is_lasting:
@@ -122,7 +123,11 @@
         if occurrence.is_step_done(step):
             self._steps.complete_step(occurrence, step, now_s)
         if occurrence.job.is_done:
-            self._forget_advice(occurrence.job.job_id)
+            self._forget(occurrence.job.job_id)
+
+    def _forget(self, job_id):
+        self._forget_advice(job_id)
+        self._health.forget_job(job_id)
 
     def _stop_other_runs(self, ended_run):
         if ended_run.step.is_gang:
@@ -139,16 +144,16 @@
             job.is_failed = True
             self.stop_job(job)
 
-    def _mark_failed(self, run):
+    def _mark_failed(self, run, now_s):
         run.occurrence.note_failed_run(run.task_id, run.number)
-        self._mark_pending(run)
+        self._mark_pending(run, now_s)
 
-    def _mark_pending(self, run):
+    def _mark_pending(self, run, now_s):
         run.task.state = jobs.TaskState.PENDING
-        if not self._give_up_if_exhausted(run):
+        if not self._give_up_if_exhausted(run, now_s):
             self._steps.requeue(run.task_id, run.occurrence.job)
 
-    def _give_up_if_exhausted(self, run):
+    def _give_up_if_exhausted(self, run, now_s):
         """Fail the job of a task that has no attempt left.
 
         :returns: whether it has none
@@ -159,5 +164,7 @@
         max_attempts = self._steps.queue_of(occurrence.job).max_attempts
         if occurrence.failed_attempts(run.task_id) < max_attempts:
             return False
+        if not occurrence.job.is_failed:
+            self._health.record_given_up(run, now_s)
         self.give_up(run)
         return True
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -83,6 +83,7 @@
     :param configuration: current queues and pools
     :param longest_lease_s: longest lease that executors grant
     :ivar fleet: what the hosts of the fleet have
+    :ivar health: which executors are suspended
     :ivar is_limited: whether the last plan had no starts left for more runs
     :ivar quotas: what the runs of each workspace use, and may use
     :ivar shares: which workspaces send more jobs than are owed to them
@@ -111,8 +112,9 @@
         self._unrecorded = {}
         self._orphans = {}
         self._started_jobs = []
+        self.health = executor_health.ExecutorHealth(self.executors_in)
         self._endings = run_endings.RunEndings(
-            self.steps, self._forget_advice, self._run_index
+            self.steps, self._forget_advice, self._run_index, self.health
         )
 
         self._crashes = crash_tracking.CrashTracking(self.steps, self._endings)
@@ -462,7 +464,7 @@
         )
         for ended in outcome.finished_runs:
             self._endings.finish(executor, ended, now_s)
-        for run in executor_health.check_progress(
+        for run in self.health.check_progress(
             executor, self._expected_s, now_s
         ):
             run.is_stop_requested = True
@@ -499,12 +501,12 @@
         if answer is _Answer.ACCEPTED or answer in _REJECTIONS:
             self.steps.note_start_answer(run, answer in _REJECTIONS, now_s)
         if answer is _Answer.UNHEALTHY:
-            executor_health.suspend(executor, now_s)
+            self.health.record_unavailable(executor, now_s)
         if answer is _Answer.BAD_TICKET:
             self.tickets.discard(run.task_id.step_key, run.executor_id)
             self.advice.note_lost_ticket(run.task_id.step_key)
         if answer is _Answer.NO_ROOM:
-            executor_health.record_no_room(executor, now_s)
+            self.health.record_no_room(executor, now_s)
         if ended is not None:
             self._endings.finish(executor, ended, now_s)
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/start_planning.py
@@ -296,8 +296,9 @@
                 ready_step.spec, ids, now_s, step_tickets
             )
         else:
+            has_failed = ready_step.occurrence.failed_attempts(ids[0]) > 0
             chosen = pool_executors.choose_gang(
-                ready_step.spec, ids, step_tickets
+                ready_step.spec, ids, step_tickets, has_failed
             )
         if chosen is None or not shares.admits_gang(ready_step):
             return []
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/executor_agent.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from hawthorndeal_fleet import errors
-from hawthorndeal_jobs import executor_health
 from hawthorndeal_jobs import placement
 from hawthorndeal_jobs import run_state
 from hawthorndeal_platform import executor_orders
@@ -207,7 +206,10 @@
                 why=str(error)[:160],
             )
         self._is_unreachable = True
-        executor_health.suspend(self._executor, self._owner.now_s())
+        owner = self._owner
+        owner.scheduler.health.record_unavailable(
+            self._executor, owner.now_s()
+        )
 
     def _note_reached(self):
         if self._is_unreachable:
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/owner.py
@@ -307,6 +307,7 @@
             may_start and window.is_idle(now_s),
         )
         self._note_planned(self.now_s() - now_s)
+        self._log_suspensions()
         self._workspace_log.update(self.scheduler, now_s)
         window.note_planned(len(turn.starts))
         self._orders.send_stops(turn.stops)
@@ -390,6 +391,16 @@
         if journal.HOSTS in stored_keys:
             self.hosts.note_stored()
 
+    def _log_suspensions(self):
+        for change in self.scheduler.health.pop_changes():
+            self.events.write(
+                'executor_suspended' if change.for_s else 'executor_cleared',
+                executor=change.executor_id,
+                cause=change.cause.value,
+                for_s=change.for_s,
+                failed_runs=change.failed_runs,
+            )
+
     def _note_planned(self, took_s):
         self._parts.metrics.note_cycle_part('plan', took_s)
         self._orders.note_pause(took_s)
