Failures of a job that was cancelled are held against no executor

What callers would see: an executor is suspended for runs of a job that has ended, and of which it is no longer known where else they fail.

Cause (of the change before): a job that was found at fault is forgotten when it ends, and ends of its runs that come later counted again unless it had failed.

Evidence: the scenario on cancelled jobs in jobs_executor_blame.feature fails on the change before.

Change: ends of runs of any job that is over are left out. A further scenario checks that suspensions for a hopeless job end early, and are logged so.

--- a/features/jobs_executor_blame.feature
+++ b/features/jobs_executor_blame.feature
@@ -74,6 +74,16 @@
     When 2 executors fail all that they start for 6.5 s, and 40 jobs of 6 tasks arrive
     Then each suspension is logged with the runs of each job that failed there
 
+  Scenario: The log tells that executors are cleared of the failures of a hopeless job
+    Given a pool of 6 hosts, with seed 1092
+    When sound jobs arrive steadily, and 1 jobs of 2 x 15 tasks that fail at once, 0 s apart
+    Then each executor that was suspended is cleared within 0.2 s
+
+  # Its runs may still end after a job was cancelled, and forgotten.
+  Scenario: Failures of a cancelled job are held against no executor
+    Given executors "x0, x1", of which "x0, x1" have failed a run of a cancelled job each
+    Then no failure is held against "x0" or "x1"
+
   # A retry found another executor that had failed all it started, until its job
   # had no attempt left.
   Scenario Outline: A retry avoids executors on which runs have failed lately: <kind>
--- a/features/steps/jobs_executor_blame.py
+++ b/features/steps/jobs_executor_blame.py
@@ -1,6 +1,7 @@
 """Steps for what failures and slow progress say of executors."""
 
 import asyncio
+import math
 
 from behave import given
 from behave import then
@@ -268,8 +269,22 @@
         assert fields['for_s'] > 0, fields
 
 
+@then('each executor that was suspended is cleared within {limit_s:g} s')
+def check_cleared(context, limit_s):
+    changes = {kind: {} for kind in ('executor_suspended', 'executor_cleared')}
+    for time_s, _, kind, fields in context.world.log:
+        if kind in changes:
+            changes[kind][fields['executor']] = time_s
+    suspended_s, cleared_s = changes.values()
+    assert suspended_s
+    assert all(
+        0 <= cleared_s.get(name, math.inf) - begun_s <= limit_s
+        for name, begun_s in suspended_s.items()
+    ), changes
+
+
 @given('executors "{names}", of which "{failing}" have failed a run each')
-def make_executors(context, names, failing):
+def make_executors(context, names, failing, is_cancelled=False):
     context.harness = harness = scheduler_harness.Harness()
     for name in names.split(', '):
         harness.add_executor(name)
@@ -277,12 +292,29 @@
     started = {}
     # Each fills an executor, in the order in which they are known.
     for number, name in enumerate(failing.split(', ')):
-        job = harness.add_job(f'before{number}', scheduler_harness.steps(4))
+        harness.add_job(f'before{number}', scheduler_harness.steps(4))
         started[name] = harness.start_all()
         assert {run.executor_id for run in started[name]} == {name}
-        harness.scheduler.cancel_job(job)
     for name, runs in started.items():
+        if is_cancelled:
+            harness.scheduler.cancel_job(runs[0].occurrence.job)
         _end(context, name, runs)
+        harness.scheduler.cancel_job(runs[0].occurrence.job)
+
+
+@given(
+    'executors "{names}", of which "{failing}" have failed a run of a '
+    'cancelled job each'
+)
+def make_after_cancellation(context, names, failing):
+    make_executors(context, names, failing, is_cancelled=True)
+
+
+@then('no failure is held against "{one}" or "{other}"')
+def check_no_failure(context, one, other):
+    executors = context.harness.scheduler.executors
+    for name in (one, other):
+        assert not executors[name].incarnation.failed_runs
 
 
 def _end(context, name, runs):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executor_health.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executor_health.py
@@ -93,7 +93,7 @@
     def record_failure(self, executor, run, now_s):
         """Record a failed run."""
         job = run.occurrence.job
-        if job.is_failed or self._evidence.is_at_fault(job.job_id):
+        if job.is_terminal or self._evidence.is_at_fault(job.job_id):
             return
         executor.incarnation.failed_runs[job.job_id] += 1
         failed_on = self._evidence.note_failure(executor, run)
