--- a/features/jobs_gang_attempts.feature
+++ b/features/jobs_gang_attempts.feature
@@ -60,3 +60,16 @@
       | 1 1 0 0  | 2    |
       | 2 0 0 0  | 1    |
       | 1 1 1 1  | 2    |
+
+  # The progress of many tasks is stored in several records.
+  Scenario Outline: A successor knows the failed runs of <count> tasks: <kind>
+    Given <kind> of <count> tasks, each of which has failed in runs of its own
+    When a successor reads its progress, stored <how>
+    Then it knows the same failed runs, and as many attempts
+
+    Examples:
+      | kind         | count | how                |
+      | a plain step | 600   | in several records |
+      | a plain step | 600   | in one record      |
+      | a gang       | 600   | in several records |
+      | a gang       | 600   | in one record      |
--- a/features/steps/jobs_gang_attempts.py
+++ b/features/steps/jobs_gang_attempts.py
@@ -215,3 +215,42 @@
     assert gang.job.state() is jobs.JobState.FAILED, gang.job.state()
     assert gang.number == count, gang.number
     assert not gang.start()
+
+
+@given(
+    '{kind} of {count:d} tasks, each of which has failed in runs of its own'
+)
+def make_failed_tasks(context, kind, count):
+    spec = scheduler_harness.steps(3, count, is_gang=kind == 'a gang')
+    job = jobs.Job(JOB_ID, 'web', 'web', 0.0, spec)
+    context.occurrence = occurrence = job.occurrence(0)
+    for task_id, task in occurrence.numbered_tasks():
+        task.run = task_id.index + 3
+        occurrence.note_failed_run(task_id, task_id.index % 5 + 1)
+        occurrence.note_failed_run(task_id, task_id.index % 7 + 2)
+        occurrence.note_changed(task_id.step, task_id.index)
+
+
+@when('a successor reads its progress, stored {how}')
+def read_progress(context, how):
+    occurrence = context.occurrence
+    records = journal.progress_records(
+        occurrence, (1, 1), how == 'in several records'
+    )
+    assert (len(records) > 1) == (how == 'in several records')
+    job = jobs.Job(JOB_ID, 'web', 'web', 0.0, occurrence.job.spec)
+    context.restored = job.occurrence(0)
+    for record in records:
+        first = record.key.split('/')[3:]
+        journal.restore_progress(
+            record.value, context.restored, *map(int, first)
+        )
+
+
+@then('it knows the same failed runs, and as many attempts')
+def check_failed_runs(context):
+    known = context.restored
+    for task_id, task in context.occurrence.numbered_tasks():
+        assert known.task(task_id).failed_runs == task.failed_runs, task_id
+        attempts = context.occurrence.failed_attempts(task_id)
+        assert known.failed_attempts(task_id) == attempts, task_id
