Tasks that last start on hosts that are due if there is room nowhere else

What callers saw: in a long wave over a whole service tasks that last, and had failed by themselves, started again after 12 to 19 s only, beside idle room.

Cause: all hosts of a wave were closed to such tasks as soon as it was seen, so that none is displaced twice. A preference was enforced as a rule.

Change: which executors are due is derived from the waves in each cycle. They cost more than any other to a task that lasts, and none is displaced to one. A host that is drained takes none, as before.

--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executors.py
@@ -59,6 +59,8 @@
     :ivar former: the life before, until a poll has told which runs have ended
         with it; None otherwise
     :ivar is_closed_to_lasting: whether no long-running task is placed here
+    :ivar is_due: whether its host is due for maintenance, so that long-running
+        tasks are placed here only if there is room nowhere else
     :ivar finite_ended_s: when a run that ends by itself was last removed
     :ivar polled_s: when the last answer to a poll arrived
     :ivar held_until_s: until when no runs start here but those of suspects
@@ -90,6 +92,7 @@
     unanswered_since_s: float | None = None
     is_reserved: bool = False
     is_closed_to_lasting: bool = False
+    is_due: bool = False
     finite_ended_s: float = 0.0
     idle_since_s: float = 0.0
     missing_since_s: float | None = None
@@ -135,6 +138,12 @@
             self.is_closed_to_lasting = False
             self.version += 1
 
+    def set_due(self, is_due):
+        """Set whether its host is due for maintenance."""
+        if self.is_due is not is_due:
+            self.is_due = is_due
+            self.version += 1
+
     def may_start(self, run):
         """Return whether a planned run may still start here.
 
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/placement.py
@@ -12,6 +12,8 @@
 PACKING_WEIGHT = 1.0
 # Exceeds the difference in packing of any two executors.
 LASTING_APART_COST = 2.0
+# Exceeds all other costs.
+DUE_COST = 10000.0
 
 
 def choose(executors, step, task_id, task):
@@ -132,6 +134,8 @@
     if step.is_lasting and not executor.lasting_count:
         # A host that runs nothing else can't be released while it lasts.
         total += LASTING_APART_COST
+    if step.is_lasting and executor.is_due:
+        total += DUE_COST
     # Packing tasks leaves other executors idle, so that their hosts can be
     # moved to other pools.
     capacity = executor.entry.capacity
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/scheduler.py
@@ -631,6 +631,7 @@
         pool = self.steps.pool_of(run.occurrence.job)
         return any(
             executor.executor_id != run.executor_id
+            and not executor.is_due
             and placement.is_usable(executor, now_s)
             and placement.can_place(executor, run.step, run.task_id)
             for executor in self.executors_in(pool)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_controller.py
@@ -85,8 +85,9 @@
         await self._inventory.refresh()
         if not self._inventory.has_listing:
             return
-        self._waves.begin_cycle()
-        for wave in list(self._parts.configuration_reader.waves.values()):
+        waves = list(self._parts.configuration_reader.waves.values())
+        self._waves.begin_cycle(waves)
+        for wave in waves:
             await self._advance(wave)
         moves = self._plan_moves()
         hosts = {move.host for move in moves}
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
@@ -1,6 +1,7 @@
 """Maintenance waves: drains their hosts and begins maintenance."""
 
 import collections
+import itertools
 
 import attrs
 
@@ -51,9 +52,25 @@
             for number in sorted(changed)
         ]
 
-    def begin_cycle(self):
-        """Forget what the waves lacked in the last cycle."""
+    def begin_cycle(self, waves):
+        """Forget what the waves lacked, and what they need no more.
+
+        :param waves: the newest records of all waves
+        """
         self._blocked.clear()
+        due = set(itertools.chain.from_iterable(map(self._due_hosts, waves)))
+        due_executors = set(map(self._inventory.executor_on, due))
+        for executor in self._owner.scheduler.executors.values():
+            executor.set_due(executor in due_executors)
+
+    def _due_hosts(self, wave):
+        """Return the hosts of a wave whose maintenance has not begun."""
+        progress = self._wave_records.get(wave.number)
+        if progress is None:
+            return wave.hosts
+        if progress.is_completed:
+            return ()
+        return [host for host in wave.hosts if host not in progress.begun]
 
     async def advance(self, wave):
         """Drain the next hosts of a wave and begin their maintenance."""
@@ -74,17 +91,16 @@
             self._wave_progress(wave, progress),
             [
                 self._due_host(host)
-                for host in wave.hosts
-                if host not in progress.begun
-                and host in self._inventory.entries
+                for host in self._due_hosts(wave)
+                if host in self._inventory.entries
             ],
         )
         for host in plan.empty:
             self._begin_draining(host, wave.number)
         self._displace_lasting(
             host
-            for host in wave.hosts
-            if host not in progress.begun and host in self._inventory.entries
+            for host in self._due_hosts(wave)
+            if host in self._inventory.entries
         )
         await self._order_sender.store_intents(plan.begin)
         await self._order_sender.run_paced(
@@ -144,7 +160,8 @@
         """Displace lasting tasks from the hosts that are due.
 
         It takes longest, as few tasks of a step may be away at once, and
-        begins with the wave. Meanwhile the hosts go on running short tasks.
+        begins with the wave. Meanwhile the hosts go on running short tasks,
+        and lasting ones that have room nowhere else.
         """
         for host in sorted(due_hosts):
             executor = self._inventory.executor_on(host)
@@ -152,7 +169,6 @@
                 continue
             if host in self._inventory.draining:
                 executor.is_reserved = True
-            executor.close_to_lasting()
             for run in executor.lasting_runs():
                 if not self._displacer.displace(run):
                     self._note_blocked(run)
