Hosts that a wave no longer names get new tasks again

What callers saw: hosts that were being drained for a wave stayed idle for good once a newer record of the wave no longer named them; a job of tasks that last didn't start beside six idle executors.

Cause: draining was undone by the maintenance of a host alone. The schedule also counted the maintenance of hosts that the record had dropped.

Change: each cycle derives from the newest records which hosts are due. Others are not drained any more, unless the outcome of an order to them isn't known.

--- a/features/jobs_waves_changed.feature
+++ b/features/jobs_waves_changed.feature
@@ -4,6 +4,26 @@
   A wave's newest record counts. What was decided for an earlier one, or for a
   plan that has changed since, keeps no host from its work.
 
+  # Hosts that were drained for a wave stayed reserved for good when a newer
+  # record of it no longer named them.
+  Scenario Outline: Hosts that a wave no longer names get new tasks again: <change>, seed <seed>
+    Given a pool of 6 hosts beside another, with seed <seed>
+    When each host runs a task of 16 s, and a wave over the pool takes 5 at once within 24 s
+    And 8 seconds pass
+    And <change>
+    And 10 seconds pass
+    And a job of 4 lasting tasks arrives
+    And 4 seconds pass
+    Then 4 of its tasks run
+    And no host outside the wave was maintained
+    And no invariant was violated
+
+    Examples:
+      | seed | change                                    |
+      | 1101 | the wave names a host of another pool     |
+      | 1102 | the wave names no host                    |
+      | 1103 | the wave names a host, and the owner dies |
+
   # All hosts that were due were closed to long-running tasks from the begin of
   # the wave, however long it lasted.
   Scenario Outline: A lasting task that fails within a long wave starts again, seed <seed>
--- a/features/steps/jobs_adapter.py
+++ b/features/steps/jobs_adapter.py
@@ -665,7 +665,8 @@
 
 
 # Events that scenarios of their own check: jobs_relay, jobs_consolidation,
-# jobs_standing_work, jobs_refused_records, jobs_executor_blame.
+# jobs_standing_work, jobs_refused_records, jobs_executor_blame,
+# jobs_waves_changed.
 CHECKED_ELSEWHERE = frozenset(
     {
         'call_passed_on',
@@ -676,6 +677,7 @@
         'record_refused',
         'executor_suspended',
         'executor_cleared',
+        'host_not_emptied',
     }
 )
 
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/host_inventory.py
@@ -181,6 +181,11 @@
             and entry.executor_id == executor.executor_id
         )
 
+    def end_draining(self, host):
+        """Allow new runs on a host that need not be drained any more."""
+        self.draining.discard(host)
+        self.unreserve(host)
+
     def note_ordered_away(self, host):
         """Record that the executor of a host may end by an order."""
         executor = self.executor_on(host)
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/wave_controller.py
@@ -59,6 +59,13 @@
         """
         self._blocked.clear()
         due = set(itertools.chain.from_iterable(map(self._due_hosts, waves)))
+        for host in sorted(self._inventory.draining - due):
+            if self._inventory.may_be_ordered(host):
+                # A list will show whether its maintenance has begun.
+                continue
+            self._draining_since_s.pop(host, None)
+            self._inventory.end_draining(host)
+            self._owner.events.write('host_not_emptied', host=host)
         due_executors = set(map(self._inventory.executor_on, due))
         for executor in self._owner.scheduler.executors.values():
             executor.set_due(executor in due_executors)
@@ -122,9 +129,10 @@
             if host in self._inventory.entries
         )
         elapsed_s = self._parts.clock.now_s() - progress.seen_s
+        begun = sum(host in progress.begun for host in wave.hosts)
         return wave_planning.WaveProgress(
-            len(wave.hosts), len(progress.begun), down, wave.max_count,
-            wave.duration_s, max(0.0, elapsed_s),
+            len(wave.hosts), begun, down, wave.max_count, wave.duration_s,
+            max(0.0, elapsed_s),
         )  # fmt: skip
 
     def _due_host(self, host):
