--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/executor_health.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/executor_health.py
@@ -129,7 +129,7 @@
         self._clear_failures(job_id, executors, now_s)
 
     def _clear_failures(self, job_id, executors, now_s):
-        """Hold the failures of a job against no executor."""
+        """Discard the failures of a job, and end what rests on them."""
         for executor in executors:
             failed_runs = executor.incarnation.failed_runs
             if not failed_runs.pop(job_id, 0):
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/fleet_room.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/fleet_room.py
@@ -1,4 +1,4 @@
-"""Tell which tasks no host of the fleet can run.
+"""Determine which tasks no host of the fleet can run.
 
 A job may ask for more than any host has, or for a label that no host has. It
 waits until such a host is added. Until then no pool needs hosts for it, and no
--- a/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
+++ b/packages/hawthorndeal-jobs/hawthorndeal_jobs/replica.py
@@ -67,7 +67,7 @@
             self.strays.discard((source, key))
 
     def find_strays(self):
-        """Note the progress of jobs whose submissions are deleted.
+        """Find the progress of jobs whose submissions are deleted.
 
         Called once all partitions are loaded.
         """
--- a/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_readers.py
+++ b/packages/hawthorndeal-scheduler/hawthorndeal_scheduler/status_readers.py
@@ -91,7 +91,7 @@
             )
 
     def _note_coverage(self, source=''):
-        """Take over what the statuses cover, once those before it were read.
+        """Apply what the statuses cover, once those before it were read.
 
         :param source: the partition whose records are being processed
         """
