--- a/features/jobs_waves_changed.feature
+++ b/features/jobs_waves_changed.feature
@@ -15,6 +15,7 @@
     And a job of 4 lasting tasks arrives
     And 4 seconds pass
     Then 4 of its tasks run
+    And hosts are logged as not emptied unless the owner died
     And no host outside the wave was maintained
     And no invariant was violated
 
--- a/features/steps/jobs_waves_changed.py
+++ b/features/steps/jobs_waves_changed.py
@@ -101,6 +101,7 @@
 
 
 def _rename(context, hosts):
+    context.is_owner_killed = False
     context.hosts_left = hosts
     context.world.add_wave(1, hosts, *context.wave)
 
@@ -118,6 +119,7 @@
 @when('the wave names a host, and the owner dies')
 def name_one_and_kill(context):
     _rename(context, context.hosts[:1])
+    context.is_owner_killed = True
     context.runner.run(context.world.owner.kill())
 
 
@@ -136,6 +138,22 @@
     assert len(running) == count, (running, context.world.log[-40:])
 
 
+@then('hosts are logged as not emptied unless the owner died')
+def check_logged(context):
+    drained, released = (
+        {
+            fields['host']
+            for _, _, kind, fields in context.world.log
+            if kind == k
+        }
+        for k in ('host_emptying', 'host_not_emptied')
+    )
+    assert drained
+    if not context.is_owner_killed:
+        unneeded = drained - set(context.hosts_left)
+        assert released == unneeded, (released, unneeded)
+
+
 @then('no host outside the wave was maintained')
 def check_maintained(context):
     maintained = context.world.hosts.maintained
